Lay the foundation: common types, messages between processes, HTTP and platform interfaces

Cause: nothing exists yet, and work on the libraries can only go on side by side once ids, units, result codes and messages are fixed. Conclusion: libraries can be written against these headers.

--- /dev/null
+++ b/source/core/http/client.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "common/result.hpp"
+#include "http/message.hpp"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace reedramp::http {
+
+/// What happens to one call. Runs on the client's io_context thread. After `on_done` nothing more
+/// comes.
+struct call_events {
+    /// Status line and headers are there. May be empty.
+    std::function<auto(const response& head)->void> on_head;
+    /// A piece of the body. May be empty: then the whole body is in the answer of `on_done`.
+    std::function<auto(std::string chunk)->void> on_chunk;
+    /// The end. An error says by its `execution` whether the request may have been sent: `not_run`
+    /// only when no byte of it was written.
+    std::function<auto(common::result<response> answer)->void> on_done;
+};
+
+/// A call under way. Destroying the handle does not end the call.
+class call {
+public:
+    virtual ~call() = default;
+
+    /// Closes the connection; `on_done` comes with `cancelled` if it has not come yet.
+    virtual auto cancel() -> void = 0;
+
+    /// Stops and resumes reading from the socket, for back-pressure.
+    virtual auto pause() -> void = 0;
+    virtual auto resume() -> void = 0;
+};
+
+struct client_options {
+    std::chrono::milliseconds connect_timeout{1000};
+    /// The longest silence between two pieces of an answer.
+    std::chrono::milliseconds idle_timeout{30000};
+    /// Idle connections kept for each endpoint.
+    std::size_t idle_connections = 16;
+    std::size_t body_limit_bytes = 16 * 1024 * 1024;
+};
+
+/// Keeps connections alive for each endpoint. All members may be called from any thread.
+class client {
+public:
+    static auto create(boost::asio::io_context& context, client_options options)
+        -> std::shared_ptr<client>;
+
+    virtual ~client() = default;
+
+    virtual auto send(const endpoint& where, request asked, call_events events)
+        -> std::shared_ptr<call> = 0;
+};
+
+} // namespace reedramp::http
--- /dev/null
+++ b/source/core/http/server.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/result.hpp"
+#include "http/message.hpp"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace reedramp::http {
+
+/// The way back to one caller. All members may be called from any thread, in the order of the
+/// answer: either `send` once, or `start`, any number of `write`, then `finish` or `abort`.
+class responder {
+public:
+    virtual ~responder() = default;
+
+    /// Sends a whole answer.
+    virtual auto send(response answer) -> void = 0;
+
+    /// Starts a chunked answer; `head.body` is not used.
+    virtual auto start(response head) -> void = 0;
+    virtual auto write(std::string chunk) -> void = 0;
+    virtual auto finish() -> void = 0;
+
+    /// Closes the connection without ending the answer, so that the caller sees that it is cut.
+    virtual auto abort() -> void = 0;
+
+    /// Bytes handed to `write` that the socket has not taken. The source of a stream stops reading
+    /// while this is high; else one slow caller would hold an answer's whole size in memory.
+    [[nodiscard]] virtual auto backlog() const -> std::size_t = 0;
+
+    /// `action` runs once when the backlog has fallen below `low_water` bytes (at once if it is).
+    virtual auto when_drained(std::size_t low_water, std::function<auto()->void> action)
+        -> void = 0;
+
+    /// `action` runs once if the caller leaves before the answer has ended.
+    virtual auto on_disconnect(std::function<auto()->void> action) -> void = 0;
+};
+
+using request_handler = std::function<auto(request asked, std::shared_ptr<responder> out)->void>;
+
+struct tls_files {
+    std::string certificate_chain;
+    std::string private_key;
+};
+
+struct server_options {
+    endpoint listen;
+    std::size_t header_limit_bytes = 16 * 1024;
+    std::size_t body_limit_bytes = 4 * 1024 * 1024;
+    /// A whole request has to arrive within this time, and an idle connection is closed after it.
+    std::chrono::milliseconds read_timeout{15000};
+    std::size_t connection_limit = 2000;
+    std::optional<tls_files> tls;
+};
+
+/// Serves HTTP/1.1 with keep-alive on the given contexts, one of which each connection stays on.
+/// Pipelined requests are answered one after the other. What HTTP forbids gets a problem+json
+/// answer with our result code or a closed connection, and never reaches the handler.
+class server {
+public:
+    /// Binds and listens. Port 0 asks for any free port.
+    static auto open(
+        std::vector<boost::asio::io_context*> contexts,
+        server_options options,
+        request_handler handler) -> common::result<std::unique_ptr<server>>;
+
+    virtual ~server() = default;
+
+    /// The port that is really listened on.
+    [[nodiscard]] virtual auto port() const -> std::uint16_t = 0;
+
+    /// Stops accepting. Answers under way go on; idle connections close; each further answer says
+    /// "Connection: close".
+    virtual auto close_listener() -> void = 0;
+
+    /// Connections with an answer under way.
+    [[nodiscard]] virtual auto busy_connections() const -> std::size_t = 0;
+
+    /// Open connections, busy or idle.
+    [[nodiscard]] virtual auto open_connections() const -> std::size_t = 0;
+};
+
+} // namespace reedramp::http
--- /dev/null
+++ b/source/core/messages/peer.hpp
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/ids.hpp"
+#include "common/result.hpp"
+#include "common/units.hpp"
+#include "messages/run.hpp"
+
+namespace reedramp::messages {
+
+/// One record of a stream of the platform's log.
+struct log_record {
+    common::log_offset offset;
+    std::string data;
+};
+
+/// A withdrawal passed from process to process while the log is down.
+struct withdrawal {
+    common::version_id version;
+    common::record_id record;
+    /// HMAC with the processes' shared key, made by the entry that took the operator's order.
+    std::string proof;
+};
+
+/// Any process to any other, each second: what I have, what I lack.
+struct configuration_pull {
+    /// The puller's offset; it asks for records after it.
+    common::log_offset have;
+    std::vector<withdrawal> withdrawals;
+};
+
+struct configuration_push {
+    /// Offset that the answering process has in force.
+    common::log_offset offset;
+    /// How old the evidence is that this offset is the newest of the log.
+    common::duration evidence_age{};
+    /// Records after the puller's offset, if the answerer still holds them all.
+    std::vector<log_record> records;
+    /// Else a checkpoint (serialised state as of `offset`, with its digest).
+    std::string checkpoint;
+    std::vector<withdrawal> withdrawals;
+};
+
+/// Entry to keeper: claim this key of a caller.
+struct claim_request {
+    common::organisation_id organisation;
+    /// 128-bit fingerprint of organisation and key.
+    common::request_id key;
+    /// Fingerprint of method, path and body.
+    std::uint64_t body = 0;
+    common::request_id request;
+    /// Where it is going to run.
+    common::server_id server;
+    common::incarnation_id incarnation;
+    common::attempt_number attempt;
+    /// Set for a second claim after the first one's agent recorded a refusal: the first claim's
+    /// offset.
+    common::log_offset replaces;
+};
+
+enum class claim_state : std::uint8_t { won, lost, refused };
+
+struct claim_answer {
+    claim_state state = claim_state::refused;
+    /// The claim that holds (ours if `won`).
+    claim_request holder;
+    common::log_offset offset;
+    std::optional<common::error> why;
+};
+
+/// A usage record; one for each request, by its id.
+struct bill_line {
+    common::version_id version;
+    common::server_id server;
+    usage used;
+    common::micro_money cost;
+};
+
+struct bill {
+    common::request_id request;
+    common::organisation_id organisation;
+    common::task_name task;
+    std::vector<bill_line> lines;
+    common::wall_time_ms at;
+};
+
+/// A leaving process hands bills that the log has not confirmed to a peer.
+struct bill_handover {
+    std::vector<bill> bills;
+};
+
+/// Entry to entry: evidence on versions and demand on limits, summed by each process about itself.
+struct version_evidence {
+    common::version_id version;
+    std::uint64_t requests = 0;
+    std::uint64_t errors = 0;
+    std::uint64_t ratings = 0;
+    double rating_sum = 0.0;
+    std::uint64_t slow = 0;
+};
+
+struct limit_demand {
+    common::organisation_id organisation;
+    double requests_per_minute = 0.0;
+    double tokens_per_minute = 0.0;
+    double money_per_minute = 0.0;
+};
+
+struct gossip {
+    common::host_id from;
+    /// Grows with each message of one process; an older one is dropped.
+    std::uint64_t sequence = 0;
+    common::log_offset configuration;
+    std::vector<version_evidence> evidence;
+    std::vector<limit_demand> demand;
+};
+
+} // namespace reedramp::messages
