--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# The commands of README.md. Each builds what it needs; `setup` installs missing Debian packages.
+SHELL := /bin/bash
+SANITIZE ?=
+BUILD ?= build$(if $(SANITIZE),-$(SANITIZE))
+JOBS ?= $(shell nproc)
+SECONDS_TO_RUN ?= $(if $(filter command line,$(origin SECONDS)),$(SECONDS),60)
+
+.PHONY: build setup demo test bench lint format docs
+
+build: setup
+	@cmake -S . -B $(BUILD) -G Ninja -DSANITIZE=$(SANITIZE) > $(BUILD).log 2>&1 || { cat $(BUILD).log; exit 1; }
+	@rm -f $(BUILD).log
+	@ninja -C $(BUILD) -j $(JOBS) --quiet
+
+setup:
+	@tools/setup
+
+# Runs the main job: stand-ins, entries, agents, load, a roll-out and a withdrawal. KEEP=1 leaves it up.
+demo: build
+	@tools/demo $(BUILD)
+
+test: build
+	@cd $(BUILD) && ctest --output-on-failure -j 4
+
+bench: build
+	@tools/bench $(BUILD)
+
+lint: build
+	@tools/lint $(BUILD)
+
+format: setup
+	@git ls-files -- '*.cpp' '*.hpp' | grep -v '/generated/' | xargs clang-format -i
