Let processes sum their evidence against a version

Cause: the guard of a roll-out needs the evidence of all entries; sums of ratings alone do not give an anytime-valid test for entries that report at different times. Change: version_evidence carries the logarithms of a fixed number of bets, which are added up over processes. Conclusion: the guard can be built on sums.

--- a/source/core/messages/peer.hpp
+++ b/source/core/messages/peer.hpp
@@ -100,6 +100,9 @@
     std::uint64_t ratings = 0;
     double rating_sum = 0.0;
     std::uint64_t slow = 0;
+    /// Logarithms of the wealth of the process's own bets against the version, a fixed number for
+    /// each signal (see policy/guard.hpp). The sums over processes are evidence again.
+    std::vector<double> log_wealth;
 };
 
 struct limit_demand {
