--- /dev/null
+++ b/source/core/agent/engine_protocol.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/result.hpp"
+#include "messages/run.hpp"
+
+namespace reedramp::agent {
+
+/// Path of the engine's chat interface.
+inline constexpr auto chat_path = "/v1/chat/completions";
+
+/// Builds the engine's body from the caller's: sets model, stream and priority, and
+/// `resume_after_tokens` when tokens were sent before. Errors: `malformed_json`.
+auto build_engine_body(const messages::run_request& request) -> common::result<std::string>;
+
+/// What a caller may read of a whole answer.
+struct engine_answer {
+    messages::usage used;
+    std::string finish_reason;
+    std::string text;
+};
+
+/// Reads a whole (not streamed) answer. Errors: `server_failed`.
+auto parse_engine_answer(std::string_view body) -> common::result<engine_answer>;
+
+/// Builds a whole answer from a streamed one, for a retry that gets the kept answer.
+auto build_engine_answer(const engine_answer& answer, std::string_view model) -> std::string;
+
+/// What one piece of the stream brought.
+struct stream_step {
+    std::string text;
+    std::uint32_t tokens = 0;
+};
+
+/// Reads an engine's server-sent events, however they are cut into chunks.
+///
+/// A line longer than `line_limit`, JSON of another shape or an error object break the stream; then
+/// `feed` gives `server_failed` and goes on giving it.
+class stream_reader {
+public:
+    static constexpr std::size_t line_limit = std::size_t{1024} * 1024;
+
+    /// All tokens of this chunk as one step, so that they travel in one message.
+    auto feed(std::string_view chunk) -> common::result<stream_step>;
+
+    /// The end marker has come. Without it, an ended connection means a cut answer.
+    [[nodiscard]] auto whole() const -> bool { return this->ended; }
+
+    /// Usage of the last chunk, else what was counted.
+    [[nodiscard]] auto used() const -> messages::usage;
+
+    [[nodiscard]] auto finish_reason() const -> const std::string& { return this->reason; }
+
+private:
+    auto read_line(std::string_view line, stream_step& step) -> bool;
+    auto read_chunk(std::string_view json, stream_step& step) -> bool;
+
+    std::string partial;
+    std::string reason;
+    std::optional<messages::usage> reported;
+    std::uint64_t counted = 0;
+    bool ended = false;
+    bool broken = false;
+};
+
+} // namespace reedramp::agent
