--- /dev/null
+++ b/source/core/platform/fake_log.cpp
@@ -0,0 +1,210 @@
+#include "platform/fake_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace reedramp::platform {
+
+using common::failure;
+using common::result_code;
+
+fake_log::fake_log(common::clock_hook given_clock, common::timer_hook given_timers)
+    : clock(std::move(given_clock)), timers(std::move(given_timers))
+{
+}
+
+auto fake_log::hooks() -> log_hooks
+{
+    log_hooks made;
+    made.append =
+        [this](std::string stream, std::string data, answer_hook<common::log_offset> done) {
+            this->append(stream, std::move(data), std::move(done));
+        };
+    made.read = [this](
+                    std::string stream,
+                    common::log_offset after,
+                    std::chrono::milliseconds wait,
+                    answer_hook<read_answer> done) {
+        this->read(stream, after, wait, std::move(done));
+    };
+    return made;
+}
+
+auto fake_log::set_faults(log_faults wanted) -> void
+{
+    this->current = wanted;
+    if (!wanted.down) {
+        return;
+    }
+    for (auto& [name, state] : this->streams) {
+        auto readers = std::exchange(state.readers, {});
+        for (auto& [ticket, waiting] : readers) {
+            this->answer_later([done = std::move(waiting.done)] {
+                done(failure(result_code::log_unavailable, "the log is down"));
+            });
+        }
+    }
+}
+
+auto fake_log::put(const std::string& stream, std::string data) -> common::log_offset
+{
+    auto& state = this->streams[stream];
+    ++state.last_offset;
+    const common::log_offset offset{state.last_offset};
+    state.records.push_back({offset, std::move(data)});
+    if (this->kept_records != 0 && state.records.size() > this->kept_records) {
+        state.records.pop_front();
+    }
+    this->wake_readers(state);
+    return offset;
+}
+
+auto fake_log::trim(const std::string& stream, common::log_offset oldest) -> void
+{
+    auto& records = this->streams[stream].records;
+    while (!records.empty() && records.front().offset < oldest) {
+        records.pop_front();
+    }
+}
+
+auto fake_log::head(const std::string& stream) const -> common::log_offset
+{
+    const auto found = this->streams.find(stream);
+    return common::log_offset{found == this->streams.end() ? 0 : found->second.last_offset};
+}
+
+auto fake_log::oldest(const std::string& stream) const -> common::log_offset
+{
+    const auto found = this->streams.find(stream);
+    if (found == this->streams.end()) {
+        return common::log_offset{1};
+    }
+    const auto& state = found->second;
+    return common::log_offset{state.last_offset - state.records.size() + 1};
+}
+
+auto fake_log::records(const std::string& stream) const -> std::vector<messages::log_record>
+{
+    const auto found = this->streams.find(stream);
+    if (found == this->streams.end()) {
+        return {};
+    }
+    return {found->second.records.begin(), found->second.records.end()};
+}
+
+auto fake_log::append(
+    const std::string& stream, std::string data, answer_hook<common::log_offset> done) -> void
+{
+    if (this->current.down || !this->take_append_slot()) {
+        const auto* why = this->current.down ? "the log is down" : "too many appends a second";
+        this->answer_later(
+            [done = std::move(done), why] { done(failure(result_code::log_unavailable, why)); });
+        return;
+    }
+    const auto is_hit = [count = this->asked_appends](std::uint32_t every) {
+        return every != 0 && count % every == 0;
+    };
+    if (is_hit(this->current.lose_append_every)) {
+        this->answer_later([done = std::move(done)] {
+            done(failure(result_code::append_unknown, "the append was lost"));
+        });
+        return;
+    }
+    const auto offset = this->put(stream, std::move(data));
+    ++this->appended;
+    if (is_hit(this->current.lose_answer_every)) {
+        this->answer_later([done = std::move(done)] {
+            done(failure(result_code::append_unknown, "the answer was lost"));
+        });
+        return;
+    }
+    this->answer_later([done = std::move(done), offset] { done(offset); });
+}
+
+auto fake_log::read(
+    const std::string& stream,
+    common::log_offset after,
+    std::chrono::milliseconds wait,
+    answer_hook<read_answer> done) -> void
+{
+    if (this->current.down) {
+        this->answer_later([done = std::move(done)] {
+            done(failure(result_code::log_unavailable, "the log is down"));
+        });
+        return;
+    }
+    auto& state = this->streams[stream];
+    const auto is_at_head = after.value() >= state.last_offset;
+    if (is_at_head && wait > std::chrono::milliseconds::zero()) {
+        const auto ticket = this->next_ticket++;
+        const auto until = this->clock() + wait;
+        state.readers.emplace(ticket, reader{after, until, std::move(done)});
+        this->timers(until, [this, stream, ticket] { this->expire_reader(stream, ticket); });
+        return;
+    }
+    this->answer_later(
+        [done = std::move(done), answer = answer_for(state, after)] { done(answer); });
+}
+
+auto fake_log::take_append_slot() -> bool
+{
+    ++this->asked_appends;
+    const auto now = this->clock();
+    if (now >= this->second_ends) {
+        this->second_ends = now + std::chrono::seconds(1);
+        this->appends_in_second = 0;
+    }
+    const auto limit = this->current.appends_per_second;
+    if (limit != 0 && this->appends_in_second >= limit) {
+        return false;
+    }
+    ++this->appends_in_second;
+    return true;
+}
+
+auto fake_log::wake_readers(stream_state& state) -> void
+{
+    auto readers = std::exchange(state.readers, {});
+    for (auto& [ticket, waiting] : readers) {
+        if (waiting.after.value() >= state.last_offset) {
+            state.readers.emplace(ticket, std::move(waiting));
+            continue;
+        }
+        this->answer_later([done = std::move(waiting.done),
+                            answer = answer_for(state, waiting.after)] { done(answer); });
+    }
+}
+
+auto fake_log::expire_reader(const std::string& stream, std::uint64_t ticket) -> void
+{
+    auto& state = this->streams[stream];
+    auto expired = state.readers.extract(ticket);
+    if (expired.empty()) {
+        return;
+    }
+    const auto answer = answer_for(state, expired.mapped().after);
+    this->answer_later([done = std::move(expired.mapped().done), answer] { done(answer); });
+}
+
+auto fake_log::answer_for(const stream_state& state, common::log_offset after)
+    -> common::result<read_answer>
+{
+    const auto oldest = state.last_offset - state.records.size() + 1;
+    if (after.value() + 1 < oldest) {
+        return failure(result_code::log_trimmed, "oldest=" + std::to_string(oldest));
+    }
+    read_answer answer;
+    answer.head = common::log_offset{state.last_offset};
+    answer.oldest = common::log_offset{oldest};
+    const auto first = std::ranges::find_if(
+        state.records, [after](const auto& record) { return record.offset > after; });
+    answer.records.assign(first, state.records.end());
+    return answer;
+}
+
+auto fake_log::answer_later(std::function<auto()->void> answer) -> void
+{
+    this->timers(this->clock() + this->current.slow, std::move(answer));
+}
+
+} // namespace reedramp::platform
--- /dev/null
+++ b/source/core/platform/fake_platform.cpp
@@ -0,0 +1,117 @@
+#include "platform/fake_platform.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace reedramp::platform {
+
+using common::failure;
+using common::result_code;
+
+namespace {
+
+constexpr std::size_t page_limit = 1000;
+
+} // namespace
+
+fake_hosts::fake_hosts(common::clock_hook given_clock, common::timer_hook given_timers)
+    : clock(std::move(given_clock)), timers(std::move(given_timers))
+{
+}
+
+auto fake_hosts::hooks() -> host_hooks
+{
+    host_hooks made;
+    made.list = [this](answer_hook<std::vector<host_entry>> done) {
+        this->timers(this->clock(), [this, done = std::move(done)] {
+            if (this->down) {
+                done(failure(result_code::platform_unavailable, "the list of hosts is down"));
+                return;
+            }
+            done(this->visible());
+        });
+    };
+    return made;
+}
+
+auto fake_hosts::put(host_entry entry) -> void
+{
+    this->change_later(
+        [this, entry = std::move(entry)] { this->entries.insert_or_assign(entry.host, entry); });
+}
+
+auto fake_hosts::remove(const common::host_id& host) -> void
+{
+    this->change_later([this, host] { this->entries.erase(host); });
+}
+
+auto fake_hosts::visible() const -> std::vector<host_entry>
+{
+    std::vector<host_entry> rows;
+    rows.reserve(this->entries.size());
+    for (const auto& [host, entry] : this->entries) {
+        rows.push_back(entry);
+    }
+    return rows;
+}
+
+auto fake_hosts::change_later(std::function<auto()->void> change) -> void
+{
+    if (this->lag == common::duration::zero()) {
+        change();
+        return;
+    }
+    this->timers(this->clock() + this->lag, std::move(change));
+}
+
+fake_ratings::fake_ratings(
+    common::clock_hook given_clock, common::timer_hook given_timers, score_hook given_score)
+    : clock(std::move(given_clock)), timers(std::move(given_timers)), score(std::move(given_score))
+{
+}
+
+auto fake_ratings::hooks() -> rating_hooks
+{
+    rating_hooks made;
+    made.submit = [this](common::request_id request, std::string question, std::string answer) {
+        this->submit({request, std::move(question), std::move(answer)});
+    };
+    made.fetch = [this](std::uint64_t since, answer_hook<rating_page> done) {
+        this->timers(this->clock(), [this, since, done = std::move(done)] {
+            if (this->down) {
+                done(failure(result_code::platform_unavailable, "the rating service is down"));
+                return;
+            }
+            done(this->page_after(since));
+        });
+    };
+    return made;
+}
+
+auto fake_ratings::submit(rated_answer submitted_answer) -> void
+{
+    if (this->down) {
+        return;
+    }
+    ++this->submitted;
+    const auto given = this->score(submitted_answer);
+    if (!given) {
+        return;
+    }
+    const rating later{submitted_answer.request, std::clamp(*given, 0.0, 1.0)};
+    this->timers(this->clock() + this->delay, [this, later] { this->ratings.push_back(later); });
+}
+
+auto fake_ratings::page_after(std::uint64_t since) const -> rating_page
+{
+    const auto first = std::min<std::size_t>(since, this->ratings.size());
+    const auto count = std::min(this->ratings.size() - first, page_limit);
+    const auto begin = this->ratings.begin() + static_cast<std::ptrdiff_t>(first);
+    rating_page page;
+    page.ratings.assign(begin, begin + static_cast<std::ptrdiff_t>(count));
+    page.next = first + count;
+    return page;
+}
+
+} // namespace reedramp::platform
