--- /dev/null
+++ b/source/core/policy/guard.hpp
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+/// Which version to use for a request, and whether a version is worse than another: estimates from
+/// ratings, the choice by cost at the quality target, and the sequential tests of roll-outs.
+namespace reedramp::policy {
+
+/// What is observed of an answer, each as a number from 0 to 1.
+enum class signal : std::uint8_t {
+    /// The rating service's score; low is bad.
+    rating,
+    /// 1 if the run failed, else 0; high is bad.
+    error,
+    /// 1 if the answer was slower than the organisation's target, else 0; high is bad.
+    slow,
+};
+
+inline constexpr std::size_t signal_count = 3;
+
+/// Fractions of the wealth that the parallel bets stake. Small ones find small differences late,
+/// large ones find large differences early; their mean is within log(6) of the best of them.
+inline constexpr auto bet_fractions = std::to_array({0.04, 0.1, 0.2, 0.4, 0.65, 0.9});
+
+/// How much worse the new version may be before that counts as worse, by signal, in units of the
+/// signal; and the probability with which a version that is not worse may ever be called so.
+struct guard_options {
+    double rating_slack = 0.02;
+    double error_slack = 0.01;
+    double slow_slack = 0.05;
+    /// How much worse the new version would have to be for a larger share to be unwanted.
+    double growth_slack = 0.05;
+    double false_alarm = 0.01;
+};
+
+/// Logarithms of the wealth of all bets: `signal_count` blocks that bet on "worse", then one that
+/// bets on "not worse by growth_slack" by ratings. Vectors of several processes are added up.
+using wealth = std::vector<double>;
+
+inline constexpr std::size_t wealth_size = (signal_count + 1) * bet_fractions.size();
+
+/// One process's evidence on a new version against the one that it replaces: a test by betting
+/// (Waudby-Smith and Ramdas, "Estimating means of bounded random variables by betting", 2023).
+///
+/// A bet stakes a fixed fraction of its wealth on the next difference. If the new version is not
+/// worse, each wealth is a non-negative supermartingale, so that it ever passes 1/a with a
+/// probability of at most a, however often and whenever one looks (Ville's inequality). The
+/// fractions do not depend on data, so that wealths of processes that report at different times
+/// may be multiplied, and the test is still valid.
+///
+/// One observation of the one side is paired with the mean of those of the other side since the
+/// last pair; pairing looks at counts only, never at values.
+class evidence {
+public:
+    explicit evidence(guard_options options);
+
+    auto add_old(signal what, double value) -> void;
+    auto add_new(signal what, double value) -> void;
+
+    [[nodiscard]] auto log_wealth() const -> const wealth& { return this->logs; }
+
+private:
+    struct block {
+        double sum = 0.0;
+        std::uint64_t count = 0;
+
+        [[nodiscard]] auto mean() const -> double;
+    };
+
+    struct pairing {
+        block old_side;
+        block new_side;
+    };
+
+    auto bet(signal what, double old_mean, double new_mean) -> void;
+    auto stake(std::size_t first, double difference, double slack) -> void;
+
+    guard_options options;
+    std::array<pairing, signal_count> pairs{};
+    wealth logs;
+};
+
+/// One process's evidence that a version in full use has become worse than `reference`, its mean
+/// at the time when it was accepted.
+class drift_evidence {
+public:
+    drift_evidence(guard_options options, double reference);
+
+    auto add_rating(double value) -> void;
+
+    [[nodiscard]] auto log_wealth() const -> const wealth& { return this->logs; }
+
+private:
+    guard_options options;
+    double reference;
+    wealth logs;
+};
+
+/// Adds up the wealth of several processes.
+auto add_wealth(wealth& total, std::span<const double> part) -> void;
+
+enum class verdict : std::uint8_t { undecided, not_worse, worse };
+
+struct judgement {
+    verdict decision = verdict::undecided;
+    /// Logarithms of the mixed wealth of both sides; the alarm comes at log(1 / false_alarm).
+    double log_against = 0.0;
+    double log_for = 0.0;
+};
+
+/// Judges summed wealth. `worse` has precedence. `not_worse` needs a wealth of 1/`doubt`.
+auto judge(const wealth& total, const guard_options& options, double doubt) -> judgement;
+
+/// Finds a change in summed drift wealth: the largest rise since any earlier moment (CUSUM; Shin,
+/// Ramdas and Rinaldo, "E-detectors", 2023). While nothing changes, the mean number of ratings
+/// until a false alarm is at least `run_length`.
+class drift_detector {
+public:
+    explicit drift_detector(double run_length);
+
+    /// Returns whether the version has become worse. `total` must grow by whole reports.
+    auto observe(const wealth& total) -> bool;
+
+private:
+    double threshold;
+    wealth lowest;
+};
+
+} // namespace reedramp::policy
