--- /dev/null
+++ b/source/core/daemon/signals.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace reedramp::daemon {
+
+/// Waits for SIGTERM and SIGINT while it lives.
+class shutdown_signals {
+public:
+    /// `action` runs on the context at the first signal. A second one ends the process at once with
+    /// exit code 130, for an operator who does not want to wait for streams to finish.
+    shutdown_signals(boost::asio::io_context& context, std::function<auto()->void> action);
+    ~shutdown_signals();
+    shutdown_signals(const shutdown_signals&) = delete;
+    shutdown_signals(shutdown_signals&&) = delete;
+    auto operator=(const shutdown_signals&) -> shutdown_signals& = delete;
+    auto operator=(shutdown_signals&&) -> shutdown_signals& = delete;
+
+private:
+    struct state;
+    std::shared_ptr<state> shared;
+};
+
+} // namespace reedramp::daemon
