Give the public headers of placement and limits

Without the scope a total could not travel back in a report's answer; without the admitted amounts entries could not repay what was let through before a sudden demand was known.

--- a/source/core/messages/peer.hpp
+++ b/source/core/messages/peer.hpp
@@ -105,11 +105,22 @@
     std::vector<double> log_wealth;
 };
 
+/// Whose demand a `limit_demand` sums.
+enum class demand_scope : std::uint8_t { entry, data_centre, fleet };
+
 struct limit_demand {
     common::organisation_id organisation;
+    demand_scope scope = demand_scope::entry;
+    /// How many entries are summed.
+    std::uint32_t entries = 1;
+    /// Offered, whether admitted or not.
     double requests_per_minute = 0.0;
     double tokens_per_minute = 0.0;
     double money_per_minute = 0.0;
+    /// Admitted.
+    double admitted_requests_per_minute = 0.0;
+    double admitted_tokens_per_minute = 0.0;
+    double admitted_money_per_minute = 0.0;
 };
 
 struct gossip {
--- /dev/null
+++ b/source/core/placement/chooser.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "common/hooks.hpp"
+#include "common/ids.hpp"
+#include "common/units.hpp"
+#include "placement/affinity.hpp"
+#include "placement/probe_pool.hpp"
+
+namespace reedramp::placement {
+
+/// Why a server was chosen; goes into the decision's log line.
+enum class place_reason : std::uint8_t {
+    /// The session's server, within the bound.
+    session_server,
+    /// The prefix's server, within the bound.
+    prefix_server,
+    /// Some probed server is not hot; the least wait among those.
+    least_wait,
+    /// All probed servers are hot; the least requests in flight.
+    least_in_flight,
+    /// No fresh probe: a random near server.
+    unprobed,
+};
+
+auto to_string(place_reason reason) -> std::string_view;
+
+struct chooser_settings {
+    /// Random servers probed for a request, besides the preferred one.
+    std::size_t random_probes = 2;
+    /// How long a request waits for its probes' answers; then it is placed by what is there.
+    common::duration probe_timeout = std::chrono::milliseconds(20);
+    /// A server is hot when its requests in flight are above this quantile of the fresh probes.
+    double hot_quantile = 0.84;
+    /// One-way trips by `distance`, added to a server's wait.
+    std::array<common::duration, 3> trips{
+        std::chrono::microseconds(100),
+        std::chrono::microseconds(500),
+        std::chrono::milliseconds(15)};
+    /// Servers of another region are probed too while no near one has a shorter wait than this.
+    common::duration spill_wait = std::chrono::seconds(2);
+    /// Wait that a session's or prefix's kept cache is worth.
+    common::duration affinity_worth = std::chrono::milliseconds(300);
+    /// Expected wait that a request adds to a server's answer until the next answer.
+    common::duration wait_per_request = std::chrono::milliseconds(50);
+};
+
+/// What placement has to know of a request.
+struct place_request {
+    common::version_id version;
+    /// `affinity_hash` of the session, or zero.
+    std::uint64_t session_hash = 0;
+    /// `affinity_hash` of the prompt's prefix, or zero.
+    std::uint64_t prefix_hash = 0;
+    /// Servers that have refused this request already; never chosen.
+    std::vector<common::server_id> excluded;
+};
+
+/// Which servers to ask before placing.
+struct probe_plan {
+    /// Indexes into the candidates.
+    std::vector<std::size_t> ask;
+    /// Place when all have answered, at this time at the latest.
+    common::time_point place_at;
+};
+
+struct placement {
+    common::server_id server;
+    place_reason reason = place_reason::unprobed;
+    std::optional<common::server_id> runner_up;
+    /// Zero if the server was not probed.
+    common::duration expected_wait{};
+};
+
+/// Chooses backend servers for requests of one entry. Stateless but for the settings; the state is
+/// in the pool. Thread-safe.
+class chooser {
+public:
+    explicit chooser(chooser_settings settings);
+
+    /// First step: which servers to probe for this request.
+    [[nodiscard]] auto plan(
+        const place_request& request,
+        std::span<const candidate> candidates,
+        probe_pool& pool,
+        common::time_point now,
+        const common::random_hook& random) const -> probe_plan;
+
+    /// Second step, when the answers are in the pool: the server. Empty if no candidate is left.
+    /// The pool then counts the request on that server.
+    [[nodiscard]] auto place(
+        const place_request& request,
+        std::span<const candidate> candidates,
+        probe_pool& pool,
+        common::time_point now,
+        const common::random_hook& random) const -> std::optional<placement>;
+
+private:
+    [[nodiscard]] auto wait_with_trip(const probe& item) const -> common::duration;
+
+    chooser_settings settings;
+};
+
+} // namespace reedramp::placement
--- /dev/null
+++ b/source/core/placement/fair_queue.hpp
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "common/ids.hpp"
+#include "common/result.hpp"
+#include "common/units.hpp"
+#include "messages/run.hpp"
+
+namespace reedramp::placement {
+
+/// One request that waits in an agent's queue.
+struct queued_request {
+    messages::run_key key;
+    common::organisation_id organisation;
+    /// Relative share of the organisation among those that have something queued, over zero.
+    double weight = 1.0;
+    /// Orders requests of the same organisation, larger first. It gives no advantage over other
+    /// organisations: else each of them would set it to the largest value.
+    std::int32_t priority = 0;
+    /// What the engine is expected to spend: prompt and expected completion. 1 for a service call.
+    common::token_count cost;
+    /// The caller's deadline on this process's clock.
+    common::time_point deadline = common::never;
+};
+
+/// How much the backend server runs at once.
+struct server_capacity {
+    std::size_t slots = 1;
+    /// Tokens of all running requests together that the KV cache holds.
+    common::token_count tokens;
+};
+
+struct fair_queue_settings {
+    server_capacity capacity;
+    /// The queue refuses more than this.
+    std::size_t max_queued = 256;
+    /// Tokens that an organisation of weight 1 may spend in one round.
+    common::token_count quantum = common::token_count{1024};
+    /// Tokens a second of one running request, until the first ones have finished.
+    double expected_stream_rate = 50.0;
+    /// By how much smaller requests that pass a large one may delay it after its fair start; zero
+    /// lets none pass.
+    common::duration passing_slack{};
+    /// How many queued requests are looked at for one that may pass.
+    std::size_t passing_lookahead = 16;
+};
+
+/// The queue before one backend server: bounded, fair between organisations in tokens (deficit
+/// round robin), and never holding a request that can no longer finish in time.
+///
+/// The surrounding agent calls `push` for each new request, then `take_hopeless` and `pop` until it
+/// is empty, whenever something was pushed or finished and at `next_check()`. It is not
+/// thread-safe; the agent calls it under the lock of its shard.
+class fair_queue {
+public:
+    explicit fair_queue(fair_queue_settings settings);
+
+    /// Queues a request. Errors, all `not_run`: `queue_full`, or `deadline_too_near` when it could
+    /// not finish in time behind what runs and is queued; both say in `retry_at` when to come back.
+    auto push(queued_request request, common::time_point now) -> common::result<void>;
+
+    /// The next request to start, if the server has room for it; it counts as running from now on.
+    auto pop(common::time_point now) -> std::optional<queued_request>;
+
+    /// Takes out all requests that can no longer finish in time. The agent records a refusal for
+    /// each and answers at once; holding them back would only keep the caller from going elsewhere.
+    auto take_hopeless(common::time_point now) -> std::vector<queued_request>;
+
+    /// When `take_hopeless` may next give something; `never` for an empty queue.
+    [[nodiscard]] auto next_check() const -> common::time_point;
+
+    /// A popped request has ended (whole, failed or cancelled) after `used` tokens.
+    auto finish(const messages::run_key& key, common::token_count used, common::time_point now)
+        -> void;
+
+    /// Takes out a request whose caller has left. False if it is not queued.
+    auto remove(const messages::run_key& key) -> bool;
+
+    /// Takes out all, for a shutdown that hands work back.
+    auto take_all() -> std::vector<queued_request>;
+
+    /// Expected wait of a request of an organisation that has nothing queued. Goes into probe
+    /// answers.
+    [[nodiscard]] auto estimated_wait(common::time_point now) const -> common::duration;
+
+    /// Expected wait of this very request if it were pushed now.
+    [[nodiscard]] auto estimated_wait(const queued_request& request, common::time_point now) const
+        -> common::duration;
+
+    /// When a request refused now should come back.
+    [[nodiscard]] auto retry_hint(common::time_point now) const -> common::time_point;
+
+    [[nodiscard]] auto queued() const -> std::size_t { return this->queued_count; }
+
+    [[nodiscard]] auto running() const -> std::size_t { return this->active.size(); }
+
+    /// The server takes another load, for example after a change of its role.
+    auto set_capacity(server_capacity capacity) -> void;
+
+private:
+    struct waiting {
+        queued_request request;
+        /// Last moment at which a start can still meet the deadline.
+        common::time_point latest_start;
+    };
+
+    struct lane {
+        std::deque<waiting> requests;
+        double weight = 1.0;
+        double deficit = 0.0;
+        std::uint64_t queued_tokens = 0;
+    };
+
+    struct running_request {
+        std::uint64_t cost = 0;
+        common::time_point started;
+        common::time_point expected_end;
+    };
+
+    /// The request whose turn it is but that does not fit yet.
+    struct blocked_request {
+        messages::run_key key;
+        /// When it would start if nobody passed it.
+        common::time_point fair_start;
+    };
+
+    using lane_map = std::map<common::organisation_id, lane>;
+
+    [[nodiscard]] auto fits(std::uint64_t cost) const -> bool;
+    [[nodiscard]] auto run_time(std::uint64_t cost) const -> common::duration;
+    [[nodiscard]] auto tokens_per_second() const -> double;
+    [[nodiscard]] auto wait_behind(double tokens_ahead, std::uint64_t cost) const
+        -> common::duration;
+    [[nodiscard]] auto fair_start(std::uint64_t cost, common::time_point now) const
+        -> common::time_point;
+    auto lane_in_turn() -> lane_map::iterator;
+    auto start(lane_map::iterator from, std::size_t index, common::time_point now)
+        -> queued_request;
+    auto pass_blocked(const blocked_request& blocked, common::time_point now)
+        -> std::optional<queued_request>;
+    auto erase_at(lane& from, std::size_t index) -> queued_request;
+
+    fair_queue_settings settings;
+    lane_map lanes;
+    /// Organisations with something queued, in order of their turns; the first has the turn.
+    std::deque<common::organisation_id> turns;
+    bool turn_credited = false;
+    std::unordered_map<common::request_id, running_request> active;
+    std::uint64_t active_tokens = 0;
+    std::size_t queued_count = 0;
+    std::uint64_t queued_tokens = 0;
+    /// Smoothed tokens a second of one running request.
+    double stream_rate;
+    /// Smoothed tokens of a finished request.
+    double mean_cost;
+    std::optional<blocked_request> blocked;
+};
+
+} // namespace reedramp::placement
--- /dev/null
+++ b/source/core/placement/retry_budget.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <mutex>
+
+namespace reedramp::placement {
+
+struct retry_budget_settings {
+    /// Second tries allowed for each first try.
+    double retries_per_first_try = 0.1;
+    /// Most second tries that can be saved up; also what a new process starts with.
+    double most_saved = 20.0;
+};
+
+/// Bounds an entry's second tries by a share of its first tries.
+///
+/// Without it, servers that refuse work because they are overloaded get each request several times
+/// and so stay overloaded after the surge is over. With it, retries add at most the stated share.
+/// Thread-safe.
+class retry_budget {
+public:
+    explicit retry_budget(retry_budget_settings settings);
+
+    auto note_first_try() -> void;
+
+    /// True if one more try may be made now; it is then counted.
+    [[nodiscard]] auto take_retry() -> bool;
+
+private:
+    retry_budget_settings settings;
+    std::mutex lock;
+    double saved;
+};
+
+} // namespace reedramp::placement
