Let a claim carry the version of a named session

Session names that callers choose are decided by the claim path (first record wins). A claim named only the server, so whoever lost the race could not learn the version that won. claim_request gets a version field, empty for requests' keys.

--- a/source/core/messages/peer.hpp
+++ b/source/core/messages/peer.hpp
@@ -59,6 +59,9 @@
     /// Set for a second claim after the first one's agent recorded a refusal: the first claim's
     /// offset.
     common::log_offset replaces;
+    /// Set when the key is a session name that a caller chose: the version that the first claim of
+    /// the name gives to the session. `server` is empty then.
+    common::version_id version;
 };
 
 enum class claim_state : std::uint8_t { won, lost, refused };
