--- /dev/null
+++ b/source/core/platform/http_ratings.cpp
@@ -0,0 +1,82 @@
+#include "platform/http_ratings.hpp"
+
+#include <utility>
+
+#include "platform/json_fields.hpp"
+
+namespace reedramp::platform {
+
+using common::failure;
+using common::result_code;
+
+namespace {
+
+constexpr std::uint16_t status_ok = 200;
+
+/// Rows with a request id that cannot be read are left out; they are of no use to anybody.
+auto to_ratings(const boost::json::array& rows) -> std::vector<rating>
+{
+    std::vector<rating> ratings;
+    ratings.reserve(rows.size());
+    for (const auto& row : rows) {
+        const auto* fields = row.if_object();
+        if (fields == nullptr) {
+            continue;
+        }
+        const auto request = string_field(*fields, "request");
+        const auto id = request ? common::parse_request_id(*request) : std::nullopt;
+        const auto score = number_field(*fields, "score");
+        if (id && score) {
+            ratings.push_back({*id, *score});
+        }
+    }
+    return ratings;
+}
+
+auto to_page(const common::result<http::response>& answer) -> common::result<rating_page>
+{
+    if (!answer) {
+        return failure(result_code::platform_unavailable, answer.error().detail);
+    }
+    const auto body = answer->status == status_ok ? parse_object(answer->body) : std::nullopt;
+    const auto* rows = body ? array_field(*body, "ratings") : nullptr;
+    const auto next = body ? count_field(*body, "next") : std::nullopt;
+    if (rows == nullptr || !next) {
+        return failure(
+            result_code::platform_unavailable, "status=" + std::to_string(answer->status));
+    }
+    return rating_page{to_ratings(*rows), *next};
+}
+
+} // namespace
+
+auto make_http_ratings(std::shared_ptr<http::client> client, http::endpoint where) -> rating_hooks
+{
+    rating_hooks made;
+    made.submit = [client,
+                   where](common::request_id request, std::string question, std::string answer) {
+        const boost::json::object body{
+            {"request", common::to_string(request)},
+            {"question", question},
+            {"answer", answer},
+        };
+        http::request asked;
+        asked.method = "POST";
+        asked.target = "/ratings/submit";
+        asked.body = boost::json::serialize(body);
+        client->send(where, std::move(asked), {});
+    };
+    made.fetch = [client, where](std::uint64_t since, answer_hook<rating_page> done) {
+        http::request asked;
+        asked.method = "GET";
+        asked.target = "/ratings?since=" + std::to_string(since);
+        http::call_events events;
+        events.on_done = [done = std::move(done)](const common::result<http::response>& answer) {
+            done(to_page(answer));
+        };
+        client->send(where, std::move(asked), std::move(events));
+    };
+    return made;
+}
+
+} // namespace reedramp::platform
