Let messages and errors be compared

The RPC codec's tests hold decode(encode(x)) == x for each message, which needs equality of each struct. It is defaulted, so a new field takes part by itself.

--- a/source/core/common/result.hpp
+++ b/source/core/common/result.hpp
@@ -35,6 +35,8 @@
     bad_session_token = 107,
     bad_header = 108,
     key_reused = 109,
+    header_too_large = 110,
+    request_timeout = 111,
     organisation_not_allowed = 200,
     version_withdrawn = 201,
     limit_requests = 202,
@@ -101,6 +103,8 @@
     std::string detail;
     /// When a new try may succeed, if that is known.
     std::optional<time_point> retry_at = std::nullopt;
+
+    auto operator==(const error&) const -> bool = default;
 };
 
 /// An error with the table's default for `execution`.
--- a/source/core/messages/peer.hpp
+++ b/source/core/messages/peer.hpp
@@ -15,6 +15,8 @@
 struct log_record {
     common::log_offset offset;
     std::string data;
+
+    auto operator==(const log_record&) const -> bool = default;
 };
 
 /// A withdrawal passed from process to process while the log is down.
@@ -30,6 +32,8 @@
     /// The puller's offset; it asks for records after it.
     common::log_offset have;
     std::vector<withdrawal> withdrawals;
+
+    auto operator==(const configuration_pull&) const -> bool = default;
 };
 
 struct configuration_push {
@@ -42,6 +46,8 @@
     /// Else a checkpoint (serialised state as of `offset`, with its digest).
     std::string checkpoint;
     std::vector<withdrawal> withdrawals;
+
+    auto operator==(const configuration_push&) const -> bool = default;
 };
 
 /// Entry to keeper: claim this key of a caller.
@@ -62,6 +68,8 @@
     /// Set when the key is a session name that a caller chose: the version that the first claim of
     /// the name gives to the session. `server` is empty then.
     common::version_id version;
+
+    auto operator==(const claim_request&) const -> bool = default;
 };
 
 enum class claim_state : std::uint8_t { won, lost, refused };
@@ -72,6 +80,8 @@
     claim_request holder;
     common::log_offset offset;
     std::optional<common::error> why;
+
+    auto operator==(const claim_answer&) const -> bool = default;
 };
 
 /// A usage record; one for each request, by its id.
@@ -80,6 +90,8 @@
     common::server_id server;
     usage used;
     common::micro_money cost;
+
+    auto operator==(const bill_line&) const -> bool = default;
 };
 
 struct bill {
@@ -88,11 +100,15 @@
     common::task_name task;
     std::vector<bill_line> lines;
     common::wall_time_ms at;
+
+    auto operator==(const bill&) const -> bool = default;
 };
 
 /// A leaving process hands bills that the log has not confirmed to a peer.
 struct bill_handover {
     std::vector<bill> bills;
+
+    auto operator==(const bill_handover&) const -> bool = default;
 };
 
 /// Entry to entry: evidence on versions and demand on limits, summed by each process about itself.
@@ -106,6 +122,8 @@
     /// Logarithms of the wealth of the process's own bets against the version, a fixed number for
     /// each signal (see policy/guard.hpp). The sums over processes are evidence again.
     std::vector<double> log_wealth;
+
+    auto operator==(const version_evidence&) const -> bool = default;
 };
 
 /// Whose demand a `limit_demand` sums.
@@ -124,6 +142,8 @@
     double admitted_requests_per_minute = 0.0;
     double admitted_tokens_per_minute = 0.0;
     double admitted_money_per_minute = 0.0;
+
+    auto operator==(const limit_demand&) const -> bool = default;
 };
 
 struct gossip {
@@ -133,6 +153,8 @@
     common::log_offset configuration;
     std::vector<version_evidence> evidence;
     std::vector<limit_demand> demand;
+
+    auto operator==(const gossip&) const -> bool = default;
 };
 
 } // namespace reedramp::messages
--- a/source/core/messages/run.hpp
+++ b/source/core/messages/run.hpp
@@ -64,6 +64,8 @@
     /// For a stream that goes on after a lost engine: the text the caller already has.
     std::string sent_text;
     common::token_count sent_tokens;
+
+    auto operator==(const run_request&) const -> bool = default;
 };
 
 struct usage {
@@ -80,6 +82,8 @@
     std::uint64_t first_index = 0;
     std::uint32_t count = 0;
     std::string text;
+
+    auto operator==(const tokens_event&) const -> bool = default;
 };
 
 /// The run has ended and its answer is whole.
@@ -90,6 +94,8 @@
     std::string body;
     usage used;
     std::string finish_reason;
+
+    auto operator==(const finished_event&) const -> bool = default;
 };
 
 /// The agent has recorded that this key never runs; only `not_run` comes with it.
@@ -97,12 +103,16 @@
     common::error why;
     /// Time after which a new try may succeed, from the moment of sending; zero if unknown.
     common::duration retry_after{};
+
+    auto operator==(const refused_event&) const -> bool = default;
 };
 
 /// The run began, or may have begun, and brought no whole answer.
 struct failed_event {
     common::error why;
     usage used;
+
+    auto operator==(const failed_event&) const -> bool = default;
 };
 
 using run_event = std::variant<tokens_event, finished_event, refused_event, failed_event>;
@@ -112,6 +122,8 @@
 struct outcome_query {
     run_key key;
     bool refuse_if_unknown = true;
+
+    auto operator==(const outcome_query&) const -> bool = default;
 };
 
 enum class outcome_state : std::uint8_t { unknown, refused, queued, running, finished, failed };
@@ -121,6 +133,8 @@
     std::optional<finished_event> finished;
     std::optional<common::error> why;
     usage used;
+
+    auto operator==(const outcome_answer&) const -> bool = default;
 };
 
 /// Entry to agent: how busy are you? Also tells what the agent knows of itself.
@@ -128,6 +142,8 @@
     common::version_id version;
     /// 64-bit hash of the prompt's prefix, or zero.
     std::uint64_t prefix_hash = 0;
+
+    auto operator==(const probe_request&) const -> bool = default;
 };
 
 struct probe_answer {
@@ -141,6 +157,8 @@
     /// Estimated wait of a new request of this version.
     common::duration estimated_wait{};
     common::log_offset configuration;
+
+    auto operator==(const probe_answer&) const -> bool = default;
 };
 
 } // namespace reedramp::messages
