Test common and policy; give the page of result codes

Cause: the page of result codes and the table in the code must not drift apart, and the guard's claims (few false alarms, bad versions found from summed evidence) need tests.

--- a/source/core/common/result.cpp
+++ b/source/core/common/result.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <sstream>
 #include <utility>
 
 namespace reedramp::common {
@@ -33,6 +34,12 @@
      "The session token is forged, expired or of another organisation."},
     {bad_header, "bad_header", 400, not_run, "A Reedramp header has a value that cannot be used."},
     {key_reused, "key_reused", 422, not_run, "The idempotency key was used for another request."},
+    {header_too_large,
+     "header_too_large",
+     431,
+     not_run,
+     "The request's header is larger than the settings allow."},
+    {request_timeout, "request_timeout", 408, not_run, "The request did not arrive in time."},
     {organisation_not_allowed,
      "organisation_not_allowed",
      403,
@@ -163,6 +170,18 @@
     return rows;
 }
 
+auto result_table_markdown() -> std::string
+{
+    std::ostringstream out;
+    out << "| code | name | HTTP | execution | meaning |\n|---|---|---|---|---|\n";
+    for (const auto& row : result_table()) {
+        out << "| " << static_cast<unsigned>(row.code) << " | `" << row.name << "` | "
+            << row.http_status << " | `" << to_string(row.default_execution) << "` | "
+            << row.explanation << " |\n";
+    }
+    return out.str();
+}
+
 auto row_of(result_code code) -> const result_row&
 {
     const auto* found = std::ranges::find(rows, code, &result_row::code);
--- a/source/core/common/result.hpp
+++ b/source/core/common/result.hpp
@@ -93,6 +93,9 @@
 
 auto result_table() -> std::span<const result_row>;
 
+/// The table as Markdown; `reedramp-ctl result-codes` prints it, docs/RESULT_CODES.md holds it.
+auto result_table_markdown() -> std::string;
+
 /// The row of `code`; that of `internal_error` for a number outside the table.
 auto row_of(result_code code) -> const result_row&;
 
--- /dev/null
+++ b/source/unit_tests/policy/chooser_test.cpp
@@ -0,0 +1,120 @@
+#include "policy/chooser.hpp"
+
+#include <random>
+
+#include <catch2/catch.hpp>
+
+using namespace reedramp;
+using namespace reedramp::policy;
+
+namespace {
+
+auto key(const char* first, const char* second = nullptr) -> option_key
+{
+    option_key made{common::version_id(first), std::nullopt};
+    if (second != nullptr) {
+        made.second = common::version_id(second);
+    }
+    return made;
+}
+
+auto make_option(option_key name, std::int64_t cost, double lower, double upper) -> option
+{
+    return {
+        std::move(name),
+        common::micro_money(cost),
+        std::chrono::milliseconds(100),
+        {(lower + upper) / 2, lower, upper, 100.0}};
+}
+
+} // namespace
+
+TEST_CASE("the cheapest option whose lower bound meets the target is taken")
+{
+    const std::vector<option> options{
+        make_option(key("small"), 10, 0.60, 0.70),
+        make_option(key("middle"), 30, 0.78, 0.84),
+        make_option(key("small", "large"), 45, 0.86, 0.90),
+        make_option(key("large"), 90, 0.90, 0.95),
+    };
+
+    struct row {
+        const char* title;
+        double target;
+        bool may_cascade;
+        double chance;
+        option_key expected;
+        choice_reason reason;
+    };
+
+    const std::vector<row> rows{
+        {"cheap suffices", 0.55, true, 1, key("small"), choice_reason::cheapest_at_target},
+        {"middle needed", 0.75, true, 1, key("middle"), choice_reason::cheapest_at_target},
+        {"cascade pays", 0.85, true, 1, key("small", "large"), choice_reason::cheapest_at_target},
+        {"no cascade allowed", 0.85, false, 1, key("large"), choice_reason::cheapest_at_target},
+        {"none is sure", 0.93, true, 1, key("large"), choice_reason::best_available},
+        {"explores the cheaper", 0.82, true, 0, key("middle"), choice_reason::exploring},
+        {"nothing to explore", 0.75, true, 0, key("middle"), choice_reason::cheapest_at_target},
+    };
+    for (const auto& each : rows) {
+        INFO(each.title);
+        choice_input input;
+        input.options = options;
+        input.quality_target = each.target;
+        input.may_cascade = each.may_cascade;
+        input.chance = each.chance;
+        const auto made = choose(input);
+        REQUIRE(made);
+        CHECK(made->key == each.expected);
+        CHECK(made->reason == each.reason);
+    }
+}
+
+TEST_CASE("ceiling and time left exclude options")
+{
+    const std::vector<option> options{make_option(key("large"), 90, 0.9, 0.95)};
+    choice_input input;
+    input.options = options;
+    input.price_ceiling = common::micro_money(89);
+    CHECK_FALSE(choose(input));
+    input.price_ceiling = common::micro_money(90);
+    CHECK(choose(input));
+    input.time_left = std::chrono::milliseconds(99);
+    CHECK_FALSE(choose(input));
+}
+
+TEST_CASE("a growing share only adds sessions")
+{
+    for (std::uint64_t hash = 0; hash < 5000; hash += 7) {
+        if (in_share(hash, common::permille(50))) {
+            CHECK(in_share(hash, common::permille(200)));
+        }
+        CHECK_FALSE(in_share(hash, common::permille(0)));
+        CHECK(in_share(hash, common::permille(1000)));
+    }
+}
+
+TEST_CASE("estimates tighten with ratings and notice drift")
+{
+    quality_book book{quality_options{}};
+    const common::task_name task("tagging");
+    book.set_prior(key("small"), task, 0.9);
+    CHECK(book.estimate(key("small"), task).mean == Approx(0.9));
+
+    std::mt19937_64 random(3);
+    std::normal_distribution<double> good(0.8, 0.1);
+    for (int i = 0; i < 2000; ++i) {
+        CHECK_FALSE(book.add(key("small"), task, good(random)));
+    }
+    const auto before = book.estimate(key("small"), task);
+    CHECK(before.mean == Approx(0.8).margin(0.02));
+    CHECK(before.upper - before.lower < 0.02);
+
+    std::normal_distribution<double> bad(0.5, 0.1);
+    bool noticed = false;
+    for (int i = 0; i < 60; ++i) {
+        noticed = book.add(key("small"), task, bad(random)) || noticed;
+    }
+    CHECK(noticed);
+    CHECK(book.estimate(key("small"), task).upper < 0.75);
+}
