--- a/source/core/placement/fair_queue.hpp
+++ b/source/core/placement/fair_queue.hpp
@@ -5,7 +5,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 #include "common/ids.hpp"
@@ -45,9 +44,9 @@
     common::token_count quantum = common::token_count{1024};
     /// Tokens a second of one running request, until the first ones have finished.
     double expected_stream_rate = 50.0;
-    /// By how much smaller requests that pass a large one may delay it after its fair start; zero
+    /// By how much smaller requests that pass a large one may delay it after its fair start; empty
     /// lets none pass.
-    common::duration passing_slack{};
+    std::optional<common::duration> passing_slack;
     /// How many queued requests are looked at for one that may pass.
     std::size_t passing_lookahead = 16;
 };
@@ -63,7 +62,8 @@
     explicit fair_queue(fair_queue_settings settings);
 
     /// Queues a request. Errors, all `not_run`: `queue_full`, or `deadline_too_near` when it could
-    /// not finish in time behind what runs and is queued; both say in `retry_at` when to come back.
+    /// not finish in time behind what runs and is queued. `retry_at` says when to come back; it is
+    /// empty when the request itself takes longer than its deadline leaves.
     auto push(queued_request request, common::time_point now) -> common::result<void>;
 
     /// The next request to start, if the server has room for it; it counts as running from now on.
@@ -90,13 +90,10 @@
     /// answers.
     [[nodiscard]] auto estimated_wait(common::time_point now) const -> common::duration;
 
-    /// Expected wait of this very request if it were pushed now.
+    /// Expected wait of this request if it were pushed now.
     [[nodiscard]] auto estimated_wait(const queued_request& request, common::time_point now) const
         -> common::duration;
 
-    /// When a request refused now should come back.
-    [[nodiscard]] auto retry_hint(common::time_point now) const -> common::time_point;
-
     [[nodiscard]] auto queued() const -> std::size_t { return this->queued_count; }
 
     [[nodiscard]] auto running() const -> std::size_t { return this->active.size(); }
@@ -127,6 +124,7 @@
     /// The request whose turn it is but that does not fit yet.
     struct blocked_request {
         messages::run_key key;
+        std::uint64_t cost = 0;
         /// When it would start if nobody passed it.
         common::time_point fair_start;
     };
@@ -136,30 +134,36 @@
     [[nodiscard]] auto fits(std::uint64_t cost) const -> bool;
     [[nodiscard]] auto run_time(std::uint64_t cost) const -> common::duration;
     [[nodiscard]] auto tokens_per_second() const -> double;
-    [[nodiscard]] auto wait_behind(double tokens_ahead, std::uint64_t cost) const
-        -> common::duration;
-    [[nodiscard]] auto fair_start(std::uint64_t cost, common::time_point now) const
+    [[nodiscard]] auto tokens_ahead(const queued_request& request) const -> double;
+    [[nodiscard]] auto room_free_at(std::uint64_t cost, common::time_point now) const
         -> common::time_point;
+    [[nodiscard]] auto lane_is_full(const common::organisation_id& organisation) const -> bool;
+    auto insert(waiting item) -> void;
     auto lane_in_turn() -> lane_map::iterator;
+    auto end_turn() -> void;
     auto start(lane_map::iterator from, std::size_t index, common::time_point now)
         -> queued_request;
-    auto pass_blocked(const blocked_request& blocked, common::time_point now)
-        -> std::optional<queued_request>;
-    auto erase_at(lane& from, std::size_t index) -> queued_request;
+    auto pass_blocked(common::time_point now) -> std::optional<queued_request>;
+    [[nodiscard]] auto may_pass(const queued_request& request, common::time_point now) const
+        -> bool;
+    auto extract(const messages::run_key& key) -> std::optional<queued_request>;
+    auto erase_at(lane_map::iterator from, std::size_t index) -> queued_request;
 
     fair_queue_settings settings;
     lane_map lanes;
     /// Organisations with something queued, in order of their turns; the first has the turn.
     std::deque<common::organisation_id> turns;
     bool turn_credited = false;
-    std::unordered_map<common::request_id, running_request> active;
+    std::map<messages::run_key, running_request> active;
     std::uint64_t active_tokens = 0;
     std::size_t queued_count = 0;
     std::uint64_t queued_tokens = 0;
     /// Smoothed tokens a second of one running request.
     double stream_rate;
     /// Smoothed tokens of a finished request.
-    double mean_cost;
+    double mean_cost = 0.0;
+    /// No later than the least `latest_start` of what is queued.
+    common::time_point earliest_check = common::never;
     std::optional<blocked_request> blocked;
 };
 
--- /dev/null
+++ b/source/core/placement/retry_budget.cpp
@@ -0,0 +1,29 @@
+#include "placement/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace reedramp::placement {
+
+retry_budget::retry_budget(retry_budget_settings initial)
+    : settings(initial), saved(initial.most_saved)
+{
+}
+
+auto retry_budget::note_first_try() -> void
+{
+    const std::lock_guard guard(this->lock);
+    this->saved =
+        std::min(this->saved + this->settings.retries_per_first_try, this->settings.most_saved);
+}
+
+auto retry_budget::take_retry() -> bool
+{
+    const std::lock_guard guard(this->lock);
+    if (this->saved < 1.0) {
+        return false;
+    }
+    this->saved -= 1.0;
+    return true;
+}
+
+} // namespace reedramp::placement
