--- a/source/core/inventory/rules.hpp
+++ b/source/core/inventory/rules.hpp
@@ -19,8 +19,9 @@
 auto find_version(const state& current, const common::version_id& id) -> const version*;
 auto find_service(const state& current, const common::service_name& name) -> const service*;
 
-/// Whether the organisation's rules allow the version, whatever its stage.
-auto allowed(const organisation& owner, const version& item) -> bool;
+/// Whether the organisation's rules allow the version, whatever its stage: its model is allowed,
+/// and the organisation names either this version or no version of the model.
+auto allowed(const state& current, const organisation& owner, const version& item) -> bool;
 auto allowed(const organisation& owner, const common::service_name& name) -> bool;
 
 /// The rule for a task, else the organisation's rule for all tasks, else null.
--- a/source/core/inventory/state.hpp
+++ b/source/core/inventory/state.hpp
@@ -81,7 +81,7 @@
     [[nodiscard]] auto find_outcome_at(common::log_offset at) const -> const record_outcome*;
 
     /// Offset of the last change or removal of an entity, 0 if it was never there or is forgotten.
-    [[nodiscard]] auto changed_at(const entity_ref& entity) const -> common::log_offset;
+    [[nodiscard]] auto changed_at(const entity_ref& item) const -> common::log_offset;
 
     auto operator==(const state&) const -> bool = default;
 };
