Mark a false finding of clang-tidy 14 in strong

A library that orders strong numbers (read.expires <= now) made modernize-use-nullptr point at the defaulted comparison in strong.hpp: clang-tidy 14 takes the literal zero of the rewritten comparison for a null pointer.

--- a/source/core/common/strong.hpp
+++ b/source/core/common/strong.hpp
@@ -24,7 +24,8 @@
 
     [[nodiscard]] constexpr auto value() const -> const Value& { return this->content; }
 
-    constexpr auto operator<=>(const strong&) const = default;
+    // clang-tidy 14 takes the zero that a defaulted comparison is compared with for a null pointer.
+    constexpr auto operator<=>(const strong&) const = default; // NOLINT(modernize-use-nullptr)
 
 private:
     Value content{};
