Sign session pins and decide named sessions by claims

Sessions have to keep their version though no host keeps them. A pin travels in a base64url token under HMAC-SHA256, compared in constant time; the ring takes the current and the previous key by id, so that a rotation breaks no session and a rotated-out key gives bad_session_token (not_run).

--- a/source/core/session/pin.hpp
+++ b/source/core/session/pin.hpp
@@ -33,8 +33,10 @@
     std::string secret;
 };
 
-/// Tokens are signed with `current` and taken when signed with either key. Rotation is: publish the
-/// new key as `previous`'s partner everywhere, wait for the longest session, drop the old one.
+/// Tokens are signed with `current` and taken when signed with either key.
+///
+/// Rotation without a broken session: give all processes the new key as `previous`, then swap the
+/// two, then, after the longest life of a session, drop the old one.
 struct key_ring {
     signing_key current;
     std::optional<signing_key> previous;
@@ -45,7 +47,15 @@
 /// Longest token that `verify` looks at; a longer one is refused unread.
 inline constexpr std::size_t max_token_bytes = 1024;
 
-/// The pin as a token of base64url characters, safe in an HTTP header.
+/// Longest organisation, session, model and version id that a token can carry, in bytes.
+inline constexpr std::size_t max_field_bytes = 255;
+
+/// Errors: `invalid_settings` for a secret that is too short, or two keys with one id, of which
+/// one would be refused by chance.
+auto check(const key_ring& ring) -> common::result<void>;
+
+/// The pin as a token of base64url characters, safe in an HTTP header. Empty if a field is longer
+/// than `max_field_bytes`, or all together make more than `max_token_bytes`.
 auto sign(const pin& content, const key_ring& ring) -> std::string;
 
 /// The pin in `token`. Errors: `bad_session_token` when it is malformed, its signature does not
--- /dev/null
+++ b/source/unit_tests/session/session_test.cpp
@@ -0,0 +1,156 @@
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "session/named_session.hpp"
+#include "session/pin.hpp"
+
+namespace reedramp::session {
+
+namespace {
+
+const signing_key old_key{key_id{1}, std::string(min_secret_bytes, 'o')};
+const signing_key new_key{key_id{2}, std::string(min_secret_bytes, 'n')};
+const signing_key newest_key{key_id{3}, std::string(min_secret_bytes, 'x')};
+const common::wall_time_ms now{1'000'000};
+
+auto sample() -> pin
+{
+    return {
+        common::organisation_id{"org-a"},
+        common::session_id{"s-1"},
+        common::model_id{"drafts"},
+        common::version_id{"drafts-2"},
+        common::wall_time_ms{2'000'000}};
+}
+
+struct token_row {
+    std::string what;
+    std::function<auto(std::string token)->std::string> change;
+    std::string organisation = "org-a";
+    key_ring ring{new_key, old_key};
+    common::wall_time_ms at = now;
+    bool taken = false;
+};
+
+auto same(std::string token) -> std::string
+{
+    return token;
+}
+
+} // namespace
+
+TEST_CASE("a token gives its pin back through a rotation of keys", "[session]")
+{
+    // A caller opens a session, then operators rotate the signing key. The caller sees no change:
+    // the token still names its version, first as the current key's and then as the previous one's.
+    const auto token = sign(sample(), {old_key, std::nullopt});
+    for (const auto& ring :
+         {key_ring{old_key, std::nullopt},
+          key_ring{old_key, new_key},
+          key_ring{new_key, old_key}}) {
+        const auto read = verify(token, sample().organisation, ring, now);
+        REQUIRE(read);
+        CHECK(*read == sample());
+    }
+    CHECK(
+        token.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+                                "0123456789-_") == std::string::npos);
+    CHECK(token.size() < 128);
+}
+
+TEST_CASE("a token that cannot be trusted is refused", "[session]")
+{
+    // The caller sees bad_session_token with not_run. Somebody changed, cut, kept too long or
+    // borrowed a token, or its key was rotated out; to take it would put the session on a version
+    // that nobody gave it.
+    const std::vector<token_row> rows = {
+        {"the token as it was made", same, "org-a", {new_key, old_key}, now, true},
+        {"rotated-out key", same, "org-a", {newest_key, new_key}},
+        {"key id taken over by another secret",
+         same,
+         "org-a",
+         {signing_key{key_id{1}, new_key.secret}, std::nullopt}},
+        {"another organisation", same, "org-b"},
+        {"expired", same, "org-a", {new_key, old_key}, sample().expires},
+        {"empty",
+         [](const std::string&) {
+             return std::string{};
+         }},
+        {"cut",
+         [](const std::string& token) {
+             return token.substr(0, token.size() - 4);
+         }},
+        {"longer",
+         [](const std::string& token) {
+             return token + "AAAA";
+         }},
+        {"not base64url",
+         [](const std::string& token) {
+             return token + "==";
+         }},
+        {"too long",
+         [](const std::string&) {
+             return std::string(max_token_bytes + 1, 'A');
+         }},
+        {"another format",
+         [](const std::string& token) {
+             return "Ag" + token.substr(2);
+         }},
+    };
+    const auto token = sign(sample(), {old_key, std::nullopt});
+    for (const auto& row : rows) {
+        INFO(row.what);
+        const auto read =
+            verify(row.change(token), common::organisation_id{row.organisation}, row.ring, row.at);
+        CHECK(read.has_value() == row.taken);
+        if (!read) {
+            CHECK(read.error().code == common::result_code::bad_session_token);
+            CHECK(read.error().run == common::execution::not_run);
+        }
+    }
+}
+
+TEST_CASE("no changed letter of a token passes", "[session]")
+{
+    const key_ring ring{old_key, std::nullopt};
+    const auto token = sign(sample(), ring);
+    for (std::size_t index = 0; index + 1 < token.size(); ++index) {
+        auto forged = token;
+        forged[index] = forged[index] == 'A' ? 'B' : 'A';
+        INFO(index);
+        CHECK_FALSE(verify(forged, sample().organisation, ring, now));
+    }
+}
+
+TEST_CASE("a ring with a short secret or one id twice is found", "[session]")
+{
+    CHECK(check({new_key, old_key}));
+    CHECK_FALSE(check({signing_key{key_id{1}, "short"}, std::nullopt}));
+    CHECK_FALSE(check({new_key, signing_key{key_id{1}, "short"}}));
+    CHECK_FALSE(check({new_key, signing_key{new_key.id, old_key.secret}}));
+}
+
+TEST_CASE("a field that does not fit gives no token", "[session]")
+{
+    auto content = sample();
+    content.session = common::session_id{std::string(max_field_bytes + 1, 's')};
+    CHECK(sign(content, {new_key, std::nullopt}).empty());
+}
+
+TEST_CASE("names of two organisations are two claims, models of one name are told apart")
+{
+    using common::model_id;
+    using common::organisation_id;
+    using common::session_id;
+    const auto first = claim_of_name(organisation_id{"ab"}, session_id{"c"}, model_id{"m"});
+    CHECK(first.key == claim_of_name(organisation_id{"ab"}, session_id{"c"}, model_id{"m"}).key);
+    CHECK(first.key != claim_of_name(organisation_id{"a"}, session_id{"bc"}, model_id{"m"}).key);
+    const auto other = claim_of_name(organisation_id{"ab"}, session_id{"c"}, model_id{"n"});
+    CHECK(first.key == other.key);
+    CHECK(first.body != other.body);
+}
+
+} // namespace reedramp::session
