Add the probe pool, rendezvous affinity and the choice of a server

plan() says which servers to probe (the session's or prefix's own one by rendezvous, two random near ones, one of another region when all fresh near answers are busy); place() takes the least wait among the probed that are not hot, or the preferred server while its wait does not pass the best one's by more than its cache is worth. Answers expire, are used at most twice and count what this entry sent since.

--- a/source/core/placement/affinity.hpp
+++ b/source/core/placement/affinity.hpp
@@ -7,11 +7,12 @@
 #include <string_view>
 
 #include "common/ids.hpp"
-#include "common/units.hpp"
-#include "placement/probe_pool.hpp"
 
 namespace reedramp::placement {
 
+/// How far a backend server is from this entry.
+enum class distance : std::uint8_t { same_data_centre, same_region, other_region };
+
 /// A usable server of the wanted version. The list is made once for each change of membership, not
 /// for each request.
 struct candidate {
@@ -31,13 +32,4 @@
 auto preferred(std::span<const candidate> candidates, std::uint64_t key)
     -> std::optional<std::size_t>;
 
-/// When the preferred server is taken although another one would be free earlier.
-struct affinity_bound {
-    /// Wait that a kept prefix cache is worth: the prefill time it saves.
-    common::duration worth{};
-};
-
-/// True if the preferred server's wait does not pass the best other one's by more than the bound.
-auto within_bound(const probe& preferred, const probe& best_other, affinity_bound bound) -> bool;
-
 } // namespace reedramp::placement
--- a/source/core/placement/chooser.hpp
+++ b/source/core/placement/chooser.hpp
@@ -22,10 +22,8 @@
     session_server,
     /// The prefix's server, within the bound.
     prefix_server,
-    /// Some probed server is not hot; the least wait among those.
+    /// The least wait among the probed servers that are not hot.
     least_wait,
-    /// All probed servers are hot; the least requests in flight.
-    least_in_flight,
     /// No fresh probe: a random near server.
     unprobed,
 };
@@ -44,12 +42,10 @@
         std::chrono::microseconds(100),
         std::chrono::microseconds(500),
         std::chrono::milliseconds(15)};
-    /// Servers of another region are probed too while no near one has a shorter wait than this.
+    /// One server of another region is probed too when all fresh near probes wait longer than this.
     common::duration spill_wait = std::chrono::seconds(2);
     /// Wait that a session's or prefix's kept cache is worth.
     common::duration affinity_worth = std::chrono::milliseconds(300);
-    /// Expected wait that a request adds to a server's answer until the next answer.
-    common::duration wait_per_request = std::chrono::milliseconds(50);
 };
 
 /// What placement has to know of a request.
@@ -103,6 +99,15 @@
         const common::random_hook& random) const -> std::optional<placement>;
 
 private:
+    [[nodiscard]] auto take(
+        const place_request& request,
+        std::span<const candidate> candidates,
+        std::span<const probe> best_first) const -> placement;
+    [[nodiscard]] auto place_unprobed(
+        const place_request& request,
+        std::span<const candidate> candidates,
+        const common::random_hook& random) const -> std::optional<placement>;
+    [[nodiscard]] auto near_is_busy(std::span<const probe> fresh) const -> bool;
     [[nodiscard]] auto wait_with_trip(const probe& item) const -> common::duration;
 
     chooser_settings settings;
--- a/source/core/placement/probe_pool.hpp
+++ b/source/core/placement/probe_pool.hpp
@@ -2,29 +2,28 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <vector>
 
-#include "common/hooks.hpp"
 #include "common/ids.hpp"
 #include "common/sharded_map.hpp"
 #include "common/units.hpp"
 #include "messages/run.hpp"
+#include "placement/affinity.hpp"
 
 namespace reedramp::placement {
 
-/// How far a backend server is from this entry.
-enum class distance : std::uint8_t { same_data_centre, same_region, other_region };
-
 /// What one server said of itself, as far as placement needs it.
 struct probe {
     common::server_id server;
+    /// `affinity_hash(server)`.
+    std::uint64_t hash = 0;
     distance away = distance::same_data_centre;
     /// Requests running and queued there, plus those this entry has sent since the answer.
     std::uint32_t in_flight = 0;
     /// Wait of a new request there, plus the share of those sent since.
     common::duration estimated_wait{};
-    bool holds_prefix = false;
+    /// How much one more request adds to the wait; zero while nothing is queued there.
+    common::duration wait_per_request{};
     /// The answer is not used after this.
     common::time_point expires;
     /// How many more requests this entry may place by this answer.
@@ -58,23 +57,16 @@
     [[nodiscard]] auto fresh(const common::version_id& version, common::time_point now)
         -> std::vector<probe>;
 
-    /// A request of this entry goes to the server: its answer counts one more in flight, waits
-    /// longer by `added_wait`, and has one use less.
-    auto note_sent(
-        const common::version_id& version,
-        const common::server_id& server,
-        common::duration added_wait) -> void;
+    /// A request of this entry goes to the server: its answer counts one more in flight, a longer
+    /// wait, and one use less.
+    auto note_sent(const common::version_id& version, const common::server_id& server) -> void;
 
     /// The server's connection was closed, or it announced that it leaves.
     auto forget(const common::server_id& server) -> void;
 
 private:
-    struct version_pool {
-        std::vector<probe> probes;
-    };
-
     probe_pool_settings settings;
-    common::sharded_map<common::version_id, version_pool> pools;
+    common::sharded_map<common::version_id, std::vector<probe>> pools;
 };
 
 } // namespace reedramp::placement
--- /dev/null
+++ b/source/unit_tests/placement/chooser_test.cpp
@@ -0,0 +1,243 @@
+#include "placement/chooser.hpp"
+
+#include <map>
+#include <random>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+using namespace reedramp;
+using namespace std::chrono_literals;
+using placement::candidate;
+using placement::chooser;
+using placement::chooser_settings;
+using placement::distance;
+using placement::place_reason;
+using placement::place_request;
+using placement::probe_pool;
+
+namespace {
+
+constexpr auto start = common::time_point(1h);
+const common::version_id version("v1");
+
+auto random_from(std::uint64_t seed) -> common::random_hook
+{
+    return [engine = std::mt19937_64(seed)]() mutable {
+        return engine();
+    };
+}
+
+auto answer(const std::string& server, std::uint32_t in_flight, common::duration wait)
+    -> messages::probe_answer
+{
+    messages::probe_answer made;
+    made.server = common::server_id(server);
+    made.serves_version = true;
+    made.in_flight = in_flight;
+    made.estimated_wait = wait;
+    return made;
+}
+
+auto candidates_of(std::size_t near, std::size_t far = 0) -> std::vector<candidate>
+{
+    std::vector<candidate> made;
+    for (std::size_t number = 0; number < near + far; ++number) {
+        const auto away = number < near ? distance::same_region : distance::other_region;
+        made.push_back(
+            placement::make_candidate(common::server_id("s" + std::to_string(number)), away));
+    }
+    return made;
+}
+
+auto plain_request() -> place_request
+{
+    place_request request;
+    request.version = version;
+    return request;
+}
+
+} // namespace
+
+TEST_CASE(
+    "a probe's answer is used a bounded number of times and for a bounded time", "[probe_pool]")
+{
+    probe_pool pool({.capacity = 2, .lifetime = 1s, .uses = 2});
+    const common::server_id server("s0");
+    auto busy = answer("s0", 4, 300ms);
+    busy.queued = 2;
+    pool.add(version, busy, distance::same_region, start);
+    pool.note_sent(version, server);
+    const auto seen = pool.fresh(version, start);
+    REQUIRE(seen.size() == 1);
+    CHECK(seen[0].in_flight == 7);
+    CHECK(seen[0].estimated_wait == 400ms);
+    pool.note_sent(version, server);
+    CHECK(pool.fresh(version, start).empty());
+
+    pool.add(version, answer("s0", 1, 0ms), distance::same_region, start);
+    CHECK(pool.fresh(version, start + 1s).size() == 1);
+    CHECK(pool.fresh(version, start + 1s + 1ns).empty());
+    CHECK(pool.fresh(common::version_id("v2"), start).empty());
+}
+
+TEST_CASE("what removes a server from the pool", "[probe_pool]")
+{
+    // A leaving server answers a last probe, or its connection closes. From then on no request of
+    // this entry may go there, although an answer of it is still fresh.
+    const auto way = GENERATE("leaving", "other version", "forgotten", "pushed out");
+    probe_pool pool({.capacity = 2, .lifetime = 10s, .uses = 2});
+    pool.add(version, answer("s0", 1, 0ms), distance::same_region, start);
+    auto news = answer("s0", 1, 0ms);
+    news.leaving = way == std::string("leaving");
+    news.serves_version = way != std::string("other version");
+    if (way == std::string("forgotten")) {
+        pool.forget(common::server_id("s0"));
+    }
+    else if (way == std::string("pushed out")) {
+        pool.add(version, answer("s1", 1, 0ms), distance::same_region, start + 1s);
+        pool.add(version, answer("s2", 1, 0ms), distance::same_region, start + 2s);
+    }
+    else {
+        pool.add(version, news, distance::same_region, start);
+    }
+    for (const auto& item : pool.fresh(version, start)) {
+        CHECK(item.server.value() != "s0");
+    }
+}
+
+TEST_CASE("the least wait among servers that are not hot is taken", "[chooser]")
+{
+    struct row {
+        const char* name;
+        std::vector<messages::probe_answer> answers;
+        const char* expected;
+        const char* runner_up;
+    };
+
+    const auto [name, answers, expected, runner_up] = GENERATE(
+        row{"least wait", {answer("s0", 2, 80ms), answer("s1", 2, 20ms)}, "s1", "s0"},
+        row{"equal wait, least in flight",
+            {answer("s0", 2, 0ms), answer("s1", 1, 0ms)},
+            "s1",
+            "s0"},
+        row{"a hot one says it is free",
+            {answer("s0", 1, 60ms), answer("s1", 90, 0ms), answer("s2", 2, 80ms)},
+            "s0",
+            "s2"},
+        row{"unknown to membership", {answer("gone", 0, 0ms), answer("s1", 9, 90ms)}, "s1", ""},
+        row{"excluded", {answer("s3", 0, 0ms), answer("s1", 9, 90ms)}, "s1", ""});
+    INFO(name);
+    probe_pool pool({});
+    for (const auto& item : answers) {
+        pool.add(version, item, distance::same_region, start);
+    }
+    auto request = plain_request();
+    request.excluded.emplace_back("s3");
+    const auto candidates = candidates_of(4);
+    const auto placed = chooser({}).place(request, candidates, pool, start, random_from(1));
+    REQUIRE(placed);
+    CHECK(placed->server.value() == expected);
+    CHECK(placed->reason == place_reason::least_wait);
+    CHECK(placed->runner_up.value_or(common::server_id("")).value() == runner_up);
+}
+
+TEST_CASE("a session's server is taken within the bound", "[chooser]")
+{
+    struct row {
+        common::duration wait;
+        bool taken;
+    };
+
+    const auto [wait, taken] = GENERATE(row{0ms, true}, row{310ms, true}, row{311ms, false});
+    chooser_settings settings;
+    settings.affinity_worth = 300ms;
+    const chooser place_by(settings);
+    const auto candidates = candidates_of(8);
+    auto request = plain_request();
+    request.session_hash = placement::affinity_hash("session");
+    const auto own = candidates[*placement::preferred(candidates, request.session_hash)].server;
+    probe_pool pool({});
+    const auto plan = place_by.plan(request, candidates, pool, start, random_from(1));
+    CHECK(candidates[plan.ask.front()].server == own);
+    CHECK(plan.ask.size() >= 2);
+    pool.add(version, answer(own.value(), 3, wait), distance::same_region, start);
+    const auto other = own.value() == "s0" ? "s1" : "s0";
+    pool.add(version, answer(other, 3, 10ms), distance::same_region, start);
+    const auto placed = place_by.place(request, candidates, pool, start, random_from(1));
+    REQUIRE(placed);
+    CHECK((placed->server == own) == taken);
+    CHECK((placed->reason == place_reason::session_server) == taken);
+}
+
+TEST_CASE("rendezvous spreads keys evenly and moves only those of a lost server", "[affinity]")
+{
+    const auto before = candidates_of(10);
+    auto after = before;
+    after.erase(after.begin() + 3);
+    std::map<std::string, int> keys;
+    for (int number = 0; number < 10'000; ++number) {
+        const auto key = placement::affinity_hash("key" + std::to_string(number));
+        const auto first = before[*placement::preferred(before, key)].server;
+        ++keys[first.value()];
+        if (first != before[3].server) {
+            REQUIRE(after[*placement::preferred(after, key)].server == first);
+        }
+    }
+    REQUIRE(keys.size() == 10);
+    for (const auto& [server, count] : keys) {
+        CHECK(count == Approx(1000).margin(150));
+    }
+    CHECK_FALSE(placement::preferred({}, 1));
+}
+
+TEST_CASE("which servers are probed", "[chooser]")
+{
+    struct row {
+        const char* name;
+        std::size_t near;
+        std::size_t far;
+        common::duration near_wait;
+        std::size_t asked;
+        std::size_t asked_far;
+    };
+
+    const auto [name, near, far, near_wait, asked, asked_far] = GENERATE(
+        row{"near ones only", 8, 8, 0s, 2, 0},
+        row{"all near ones are busy", 8, 8, 3s, 3, 1},
+        row{"there are no near ones", 0, 8, 0s, 2, 2},
+        row{"fewer than wanted", 1, 0, 0s, 1, 0},
+        row{"none", 0, 0, 0s, 0, 0});
+    INFO(name);
+    const auto candidates = candidates_of(near, far);
+    probe_pool pool({});
+    if (near > 0) {
+        pool.add(version, answer("s0", 1, near_wait), distance::same_region, start);
+    }
+    const auto plan = chooser({}).plan(plain_request(), candidates, pool, start, random_from(7));
+    CHECK(plan.ask.size() == asked);
+    CHECK(plan.place_at == (asked == 0 ? start : start + 20ms));
+    const auto is_far = [&candidates](std::size_t index) {
+        return candidates[index].away == distance::other_region;
+    };
+    CHECK(std::ranges::count_if(plan.ask, is_far) == static_cast<std::ptrdiff_t>(asked_far));
+}
+
+TEST_CASE("without fresh probes a random near server is taken, never an excluded one", "[chooser]")
+{
+    const auto candidates = candidates_of(2, 2);
+    probe_pool pool({});
+    auto request = plain_request();
+    for (const std::string expected : {"s0 s1", "s1", "s2 s3", "s3", ""}) {
+        const auto random = random_from(3);
+        for (int round = 0; round < 20; ++round) {
+            const auto placed = chooser({}).place(request, candidates, pool, start, random);
+            REQUIRE(placed.has_value() == !expected.empty());
+            if (placed) {
+                CHECK(placed->reason == place_reason::unprobed);
+                CHECK(expected.find(placed->server.value()) != std::string::npos);
+            }
+        }
+        request.excluded.emplace_back("s" + std::to_string(request.excluded.size()));
+    }
+}
