--- a/source/core/platform/fake_log.cpp
+++ b/source/core/platform/fake_log.cpp
@@ -52,9 +52,7 @@
     ++state.last_offset;
     const common::log_offset offset{state.last_offset};
     state.records.push_back({offset, std::move(data)});
-    if (this->kept_records != 0 && state.records.size() > this->kept_records) {
-        state.records.pop_front();
-    }
+    this->drop_old(state);
     this->wake_readers(state);
     return offset;
 }
@@ -67,6 +65,21 @@
     }
 }
 
+auto fake_log::keep(std::size_t records) -> void
+{
+    this->kept_records = records;
+    for (auto& [name, state] : this->streams) {
+        this->drop_old(state);
+    }
+}
+
+auto fake_log::drop_old(stream_state& state) const -> void
+{
+    while (this->kept_records != 0 && state.records.size() > this->kept_records) {
+        state.records.pop_front();
+    }
+}
+
 auto fake_log::head(const std::string& stream) const -> common::log_offset
 {
     const auto found = this->streams.find(stream);
--- a/source/core/platform/fake_log.hpp
+++ b/source/core/platform/fake_log.hpp
@@ -50,7 +50,7 @@
     auto trim(const std::string& stream, common::log_offset oldest) -> void;
 
     /// Keeps only the newest so many records of each stream from now on; 0 keeps all.
-    auto keep(std::size_t records) -> void { this->kept_records = records; }
+    auto keep(std::size_t records) -> void;
 
     [[nodiscard]] auto head(const std::string& stream) const -> common::log_offset;
     [[nodiscard]] auto oldest(const std::string& stream) const -> common::log_offset;
@@ -85,6 +85,7 @@
 
     /// Whether one more append fits in the running second.
     auto take_append_slot() -> bool;
+    auto drop_old(stream_state& state) const -> void;
     auto wake_readers(stream_state& state) -> void;
     auto expire_reader(const std::string& stream, std::uint64_t ticket) -> void;
     static auto answer_for(const stream_state& state, common::log_offset after)
