--- /dev/null
+++ b/source/standin/object_reader.cpp
@@ -0,0 +1,179 @@
+#include "object_reader.hpp"
+
+#include <utility>
+
+namespace reedramp::standin {
+
+object_reader::object_reader(
+    const boost::json::object& object,
+    std::string object_path,
+    std::vector<settings::problem>& found)
+    : source(object), path(std::move(object_path)), problems(found)
+{
+}
+
+auto object_reader::text(std::string_view key, std::string& into) -> void
+{
+    const auto* value = this->find(key);
+    if (value == nullptr) {
+        return;
+    }
+    if (!value->is_string()) {
+        this->problem(key, "has to be a text");
+        return;
+    }
+    const auto& given = value->get_string();
+    into.assign(given.data(), given.size());
+}
+
+auto object_reader::flag(std::string_view key, bool& into) -> void
+{
+    const auto* value = this->find(key);
+    if (value == nullptr) {
+        return;
+    }
+    if (!value->is_bool()) {
+        this->problem(key, "has to be true or false");
+        return;
+    }
+    into = value->get_bool();
+}
+
+auto object_reader::real(std::string_view key, double& into, double lowest, double highest) -> void
+{
+    const auto* value = this->find(key);
+    if (value == nullptr) {
+        return;
+    }
+    const auto given = value->is_number() ? value->to_number<double>() : lowest - 1;
+    if (given < lowest || given > highest) {
+        this->problem(
+            key,
+            "has to be a number from " + std::to_string(lowest) + " to " + std::to_string(highest));
+        return;
+    }
+    into = given;
+}
+
+auto object_reader::texts(std::string_view key, std::vector<std::string>& into) -> void
+{
+    const auto* value = this->find(key);
+    if (value == nullptr) {
+        return;
+    }
+    const auto* items = value->if_array();
+    if (items == nullptr) {
+        this->problem(key, "has to be a list of texts");
+        return;
+    }
+    into.clear();
+    for (const auto& item : *items) {
+        if (!item.is_string()) {
+            this->problem(key, "has to be a list of texts");
+            return;
+        }
+        into.emplace_back(item.get_string().data(), item.get_string().size());
+    }
+}
+
+auto object_reader::object(std::string_view key, const read_hook& read) -> void
+{
+    const auto* value = this->find(key);
+    if (value != nullptr) {
+        this->read_inner(*value, this->path + "." + std::string(key), read);
+    }
+}
+
+auto object_reader::objects(std::string_view key, const read_hook& read) -> void
+{
+    const auto* value = this->find(key);
+    if (value == nullptr) {
+        return;
+    }
+    const auto* items = value->if_array();
+    if (items == nullptr) {
+        this->problem(key, "has to be a list of objects");
+        return;
+    }
+    std::size_t index = 0;
+    for (const auto& item : *items) {
+        const auto place = std::string(key) + "[" + std::to_string(index) + "]";
+        this->read_inner(item, this->path + "." + place, read);
+        ++index;
+    }
+}
+
+auto object_reader::each(
+    std::string_view key,
+    const std::function<auto(std::string_view name, const boost::json::value& item)->void>& read)
+    -> void
+{
+    const auto* value = this->find(key);
+    if (value == nullptr) {
+        return;
+    }
+    const auto* fields = value->if_object();
+    if (fields == nullptr) {
+        this->problem(key, "has to be an object");
+        return;
+    }
+    for (const auto& field : *fields) {
+        read(std::string_view(field.key().data(), field.key().size()), field.value());
+    }
+}
+
+auto object_reader::problem(std::string_view key, std::string message) -> void
+{
+    this->problems.push_back({this->path + "." + std::string(key), std::move(message)});
+}
+
+auto object_reader::finish() -> void
+{
+    for (const auto& field : this->source) {
+        const std::string key(field.key());
+        if (!this->asked.contains(key)) {
+            this->problem(key, "is not known");
+        }
+    }
+}
+
+auto object_reader::find(std::string_view key) -> const boost::json::value*
+{
+    this->asked.emplace(key);
+    return this->source.if_contains({key.data(), key.size()});
+}
+
+auto object_reader::read_number(
+    std::string_view key, std::uint64_t& into, std::uint64_t lowest, std::uint64_t highest) -> bool
+{
+    const auto* value = this->find(key);
+    if (value == nullptr) {
+        return false;
+    }
+    boost::system::error_code failed;
+    const auto given = value->to_number<std::uint64_t>(failed);
+    if (failed || given < lowest || given > highest) {
+        this->problem(
+            key,
+            "has to be a whole number from " + std::to_string(lowest) + " to " +
+                std::to_string(highest));
+        return false;
+    }
+    into = given;
+    return true;
+}
+
+auto object_reader::read_inner(
+    const boost::json::value& item, const std::string& item_path, const read_hook& read) -> void
+{
+    const auto* fields = item.if_object();
+    if (fields == nullptr) {
+        this->problems.push_back({item_path, "has to be an object"});
+        return;
+    }
+    object_reader inner(*fields, item_path, this->problems);
+    read(inner);
+    inner.finish();
+}
+
+} // namespace reedramp::standin
