Serve and call HTTP/1.1 by Beast's parser on Asio

Each connection lives on one io_context. The client keeps connections, asks the socket before it reuses one, and tries again only when no byte of the request was written.

Bad input, limits and TLS are not tested yet; nothing is measured yet.

--- a/source/core/http/client.hpp
+++ b/source/core/http/client.hpp
@@ -46,10 +46,18 @@
     std::chrono::milliseconds idle_timeout{30000};
     /// Idle connections kept for each endpoint.
     std::size_t idle_connections = 16;
+    /// An idle connection is closed after this time. Keep it below the server's own: the request
+    /// that crosses a server's close has an unknown outcome.
+    std::chrono::milliseconds keep_idle_time{10000};
+    /// Bound of an answer's body when it is not taken piece by piece.
     std::size_t body_limit_bytes = 16 * 1024 * 1024;
 };
 
-/// Keeps connections alive for each endpoint. All members may be called from any thread.
+/// Keeps connections alive for each endpoint. All members may be called from any thread. Its
+/// context is run by one thread, and outlives the client.
+///
+/// A request is tried again on a new connection only when the kept one turns out to be closed
+/// before any byte of the request was written.
 class client {
 public:
     static auto create(boost::asio::io_context& context, client_options options)
--- /dev/null
+++ b/source/core/http/client_link.cpp
@@ -0,0 +1,363 @@
+#include "http/client_link.hpp"
+
+#include <utility>
+
+#include <sys/socket.h>
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace reedramp::http {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t smallest_read = 4096;
+constexpr std::size_t largest_read = 64UL * 1024UL;
+
+} // namespace
+
+client_link::client_link(
+    asio::io_context& context_to_use,
+    client_options options_to_use,
+    std::weak_ptr<link_owner> keeper)
+    : context(context_to_use), options(options_to_use), owner(std::move(keeper)),
+      socket(context_to_use.get_executor()), timer(context_to_use.get_executor()),
+      read_size(smallest_read)
+{
+}
+
+auto client_link::open(std::shared_ptr<pending_call> call_to_run) -> void
+{
+    this->call = std::move(call_to_run);
+    this->call->link = this->weak_from_this();
+    this->target = this->call->where;
+    this->timer.set_action(this->weak_from_this(), [this] { this->on_timeout(); });
+    error_code problem;
+    const auto address = asio::ip::make_address(this->target.address, problem);
+    if (problem) {
+        this->fail(common::result_code::peer_unavailable, "bad address " + this->target.address);
+        return;
+    }
+    this->timer.expires_after(this->options.connect_timeout);
+    this->socket.async_connect(
+        {address, this->target.port},
+        [this, keep = this->shared_from_this()](error_code failed) { this->on_connected(failed); });
+}
+
+auto client_link::is_usable() -> bool
+{
+    if (this->now != stage::idle) {
+        return false;
+    }
+    char byte = 0;
+    const auto size =
+        ::recv(this->socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    // 0 is the end of the input; a byte that nobody asked for makes the next answer untrustworthy.
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+auto client_link::reuse(std::shared_ptr<pending_call> call_to_run) -> void
+{
+    this->call = std::move(call_to_run);
+    this->call->link = this->weak_from_this();
+    this->was_reused = true;
+    this->send();
+}
+
+auto client_link::drop() -> void
+{
+    this->call = nullptr;
+    this->close();
+}
+
+auto client_link::resume() -> void
+{
+    if (this->now == stage::busy) {
+        this->timer.expires_after(this->options.idle_timeout);
+        this->start_read();
+    }
+}
+
+auto client_link::on_connected(error_code problem) -> void
+{
+    if (this->now == stage::closed) {
+        return;
+    }
+    if (problem) {
+        this->fail(
+            common::result_code::peer_unavailable,
+            "connect " + to_string(this->target) + ": " + problem.message());
+        return;
+    }
+    error_code ignored;
+    this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    this->send();
+}
+
+auto client_link::send() -> void
+{
+    this->now = stage::busy;
+    this->output = serialise_request(this->call->asked, this->target);
+    this->reader.emplace(this->call->asked.method == "HEAD");
+    this->head_delivered = false;
+    this->writing = true;
+    this->timer.expires_after(this->options.idle_timeout);
+    asio::async_write(
+        this->socket,
+        asio::buffer(this->output),
+        [this, keep = this->shared_from_this()](error_code problem, std::size_t size) {
+            this->on_sent(problem, size);
+        });
+    // Until the write reports, a part of the request may be on its way.
+    this->call->maybe_sent = true;
+    this->start_read();
+}
+
+auto client_link::on_sent(error_code problem, std::size_t size) -> void
+{
+    this->writing = false;
+    this->output.clear();
+    if (this->now != stage::busy || this->call == nullptr) {
+        return;
+    }
+    if (problem && size == 0) {
+        this->call->maybe_sent = false;
+        if (this->was_reused) {
+            // The server closed the kept connection. Nothing of the request is out, so that a new
+            // connection cannot run it twice.
+            const auto again = std::exchange(this->call, nullptr);
+            const auto fresh =
+                std::make_shared<client_link>(this->context, this->options, this->owner);
+            this->close();
+            fresh->open(again);
+            return;
+        }
+    }
+    // A server that refuses a request by its header answers and closes without reading the body.
+    // The write fails then, but the answer may still be read.
+    this->write_failed = static_cast<bool>(problem);
+    if (this->ended_early) {
+        this->on_input_end(*this->ended_early);
+    }
+}
+
+auto client_link::start_read() -> void
+{
+    const bool is_paused = this->call != nullptr && this->call->paused;
+    if (this->reading || is_paused || this->now == stage::closed) {
+        return;
+    }
+    this->reading = true;
+    this->socket.async_read_some(
+        this->input.prepare(this->read_size),
+        [this, keep = this->shared_from_this()](error_code problem, std::size_t size) {
+            this->on_read(problem, size);
+        });
+}
+
+auto client_link::on_read(error_code problem, std::size_t size) -> void
+{
+    this->reading = false;
+    if (this->now == stage::closed) {
+        return;
+    }
+    if (this->now == stage::idle) {
+        // Closed by the server, or bytes that nobody asked for.
+        this->close();
+        return;
+    }
+    if (problem && this->writing) {
+        this->ended_early = problem;
+        return;
+    }
+    if (problem) {
+        this->on_input_end(problem);
+        return;
+    }
+    this->input.commit(size);
+    if (size == this->read_size && this->read_size < largest_read) {
+        this->read_size *= 2;
+    }
+    this->timer.expires_after(this->options.idle_timeout);
+    this->read_answer();
+}
+
+auto client_link::on_input_end(error_code problem) -> void
+{
+    const bool ends_by_close =
+        problem == asio::error::eof && this->reader->is_header_done() && this->reader->need_eof();
+    if (ends_by_close) {
+        this->finish();
+        return;
+    }
+    const auto code = this->head_delivered ? common::result_code::stream_broken
+                                           : common::result_code::server_lost;
+    this->fail(code, "read: " + problem.message());
+}
+
+auto client_link::read_answer() -> void
+{
+    const auto problem = this->parse();
+    if (problem && problem != boost::beast::http::error::need_more) {
+        this->fail(common::result_code::server_lost, "answer: " + problem.message());
+        return;
+    }
+    if (!this->reader->is_header_done()) {
+        this->start_read();
+        return;
+    }
+    const bool goes_on = this->deliver_head() && this->deliver_piece();
+    if (!goes_on) {
+        return;
+    }
+    if (this->reader->is_done()) {
+        this->finish();
+        return;
+    }
+    this->start_read();
+}
+
+/// Feeds the reader with all that is there. Interim answers are skipped.
+auto client_link::parse() -> error_code
+{
+    while (this->input.size() > 0) {
+        if (this->reader->is_done() && !this->reader->is_interim()) {
+            return {};
+        }
+        if (this->reader->is_done()) {
+            this->reader.emplace(this->call->asked.method == "HEAD");
+        }
+        error_code problem;
+        const auto used = this->reader->put(this->input.data(), problem);
+        this->input.consume(used);
+        if (problem) {
+            return problem;
+        }
+    }
+    if (this->reader->is_done() && this->reader->is_interim()) {
+        this->reader.emplace(this->call->asked.method == "HEAD");
+    }
+    return {};
+}
+
+/// False when the call has ended.
+auto client_link::deliver_head() -> bool
+{
+    if (this->head_delivered) {
+        return true;
+    }
+    this->head_delivered = true;
+    const auto running = this->call;
+    if (running->events.on_head) {
+        response head;
+        head.status = this->reader->message.status;
+        head.headers = this->reader->message.headers;
+        running->events.on_head(head);
+    }
+    return this->call_is_live();
+}
+
+/// Hands on the body read so far, or checks its bound. False when the call has ended.
+auto client_link::deliver_piece() -> bool
+{
+    auto& body = this->reader->message.body;
+    const auto running = this->call;
+    if (running->events.on_chunk && !body.empty()) {
+        running->events.on_chunk(std::exchange(body, {}));
+        return this->call_is_live();
+    }
+    if (body.size() > this->options.body_limit_bytes) {
+        this->fail(common::result_code::server_lost, "the answer is larger than the limit");
+        return false;
+    }
+    return true;
+}
+
+auto client_link::finish() -> void
+{
+    const auto ended = std::exchange(this->call, nullptr);
+    auto answer = std::move(this->reader->message);
+    const bool reusable = this->reader->is_done() && this->reader->keep_alive() && !this->writing &&
+                          !this->write_failed && this->input.size() == 0;
+    this->reader.reset();
+    const auto keeper = this->owner.lock();
+    if (reusable && keeper != nullptr) {
+        this->now = stage::idle;
+        this->timer.expires_after(this->options.keep_idle_time);
+        this->start_read();
+        keeper->keep_idle(this->shared_from_this());
+    }
+    else {
+        this->close();
+    }
+    ended->link.reset();
+    ended->finished = true;
+    const auto events = std::exchange(ended->events, {});
+    events.on_done(std::move(answer));
+}
+
+auto client_link::fail(common::result_code code, const std::string& detail) -> void
+{
+    const auto ended = std::exchange(this->call, nullptr);
+    this->close();
+    if (ended == nullptr || ended->finished) {
+        return;
+    }
+    auto error = common::make_error(code, detail);
+    error.run = ended->maybe_sent ? common::execution::unknown : common::execution::not_run;
+    finish_call(this->context, *ended, tl::unexpected(std::move(error)));
+}
+
+auto client_link::on_timeout() -> void
+{
+    if (this->now == stage::connecting) {
+        this->fail(
+            common::result_code::peer_unavailable,
+            "connect " + to_string(this->target) + ": no answer in time");
+        return;
+    }
+    const bool is_paused = this->call != nullptr && this->call->paused;
+    if (is_paused) {
+        return; // Silence that the reader asked for; `resume` sets the next deadline.
+    }
+    this->fail(common::result_code::server_lost, "no bytes of the answer in time");
+}
+
+auto client_link::close() -> void
+{
+    if (this->now == stage::closed) {
+        return;
+    }
+    const bool was_idle = this->now == stage::idle;
+    this->now = stage::closed;
+    this->timer.stop();
+    error_code ignored;
+    this->socket.close(ignored);
+    const auto keeper = this->owner.lock();
+    if (was_idle && keeper != nullptr) {
+        keeper->forget_idle(*this);
+    }
+}
+
+auto client_link::call_is_live() const -> bool
+{
+    return this->call != nullptr && !this->call->finished;
+}
+
+auto finish_call(asio::io_context& context, pending_call& call, common::result<response> answer)
+    -> void
+{
+    call.finished = true;
+    call.link.reset();
+    // Not at once: the caller may hold a lock, or be inside `send` or `cancel`.
+    asio::post(
+        context, [events = std::exchange(call.events, {}), answer = std::move(answer)]() mutable {
+            events.on_done(std::move(answer));
+        });
+}
+
+} // namespace reedramp::http
--- a/source/core/http/server.hpp
+++ b/source/core/http/server.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,7 +42,9 @@
     virtual auto when_drained(std::size_t low_water, std::function<auto()->void> action)
         -> void = 0;
 
-    /// `action` runs once if the caller leaves before the answer has ended.
+    /// `action` runs once if the caller leaves before the answer has ended. A caller that closes
+    /// only its sending side looks the same, and counts as one that left; what is sent after
+    /// `action` is still written if the socket takes it.
     virtual auto on_disconnect(std::function<auto()->void> action) -> void = 0;
 };
 
@@ -58,11 +61,16 @@
     std::size_t body_limit_bytes = 4 * 1024 * 1024;
     /// A whole request has to arrive within this time, and an idle connection is closed after it.
     std::chrono::milliseconds read_timeout{15000};
+    /// A caller that takes nothing of its answer for this long is cut.
+    std::chrono::milliseconds write_timeout{30000};
+    /// One more connection gets 503 and is closed.
     std::size_t connection_limit = 2000;
     std::optional<tls_files> tls;
 };
 
 /// Serves HTTP/1.1 with keep-alive on the given contexts, one of which each connection stays on.
+/// Each context is run by one thread, and outlives the server. A responder that is dropped without
+/// an answer is answered with `internal_error`.
 /// Pipelined requests are answered one after the other. What HTTP forbids gets a problem+json
 /// answer with our result code or a closed connection, and never reaches the handler.
 class server {
@@ -78,8 +86,8 @@
     /// The port that is really listened on.
     [[nodiscard]] virtual auto port() const -> std::uint16_t = 0;
 
-    /// Stops accepting. Answers under way go on; idle connections close; each further answer says
-    /// "Connection: close".
+    /// Stops accepting. Answers under way go on; each further answer says "Connection: close"; a
+    /// connection that stays idle for half a second closes.
     virtual auto close_listener() -> void = 0;
 
     /// Connections with an answer under way.
