Decide which servers get work from hints that lag

The platform's list lags, so a server that leaves kept getting work until the list followed, and a stale list could bring it back.

--- a/source/core/membership/view.hpp
+++ b/source/core/membership/view.hpp
@@ -142,6 +142,7 @@
         -> availability;
     [[nodiscard]] auto describe(const server_state& server) const -> server_view;
     [[nodiscard]] auto host_of(const server_state& server) const -> const platform::host_entry*;
+    auto forget_dropped_servers() -> void;
     auto mark_leaving(server_state& server, common::incarnation_id incarnation) -> void;
 
     template <typename Matches>
