Share each organisation's limits between entries by demand

One entry in each data centre sums an organisation's demand (rendezvous hashing), these exchange their sums, and a report's answer brings the fleet's total; an entry admits the part of its own requests that the limit is of the total. Without a total, or for entries that are silent, 1/N of the limit each.

--- a/source/core/limits/share.hpp
+++ b/source/core/limits/share.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <span>
@@ -8,20 +9,15 @@
 
 #include "common/ids.hpp"
 #include "common/result.hpp"
+#include "common/sharded_map.hpp"
 #include "common/units.hpp"
+#include "limits/amounts.hpp"
+#include "limits/ledger.hpp"
 #include "messages/peer.hpp"
 
 /// Each organisation's limits a minute, shared between all entries in proportion to demand.
 namespace reedramp::limits {
 
-/// Requests, tokens and money (micro units); as a limit each is a minute's, and zero means no
-/// limit.
-struct amounts {
-    double requests = 0.0;
-    double tokens = 0.0;
-    double money = 0.0;
-};
-
 /// One entry process of the system, as membership knows it.
 struct entry_peer {
     common::host_id host;
@@ -31,13 +27,13 @@
 struct share_settings {
     common::host_id self;
     common::data_centre_id data_centre;
-    /// How often reports are sent.
-    common::duration report_period = std::chrono::seconds(1);
-    /// A report is used no longer than this.
-    common::duration report_lifetime = std::chrono::seconds(5);
+    /// A row of another process is used no longer than this, from its arrival. A total received in
+    /// an answer is used one second less: a process that nobody hears any more has then fallen back
+    /// to its fixed part before the others stop counting it.
+    common::duration row_lifetime = std::chrono::seconds(5);
 };
 
-/// Rows of demand for one peer; goes into a `messages::gossip`.
+/// Rows of demand for one peer; go into a `messages::gossip`.
 struct demand_report {
     common::host_id to;
     std::vector<messages::limit_demand> rows;
@@ -45,19 +41,18 @@
 
 /// Admits requests of each organisation so that all entries together keep its limits.
 ///
-/// In each data centre one entry sums an organisation's demand (rendezvous hashing); these entries
-/// exchange their sums. A report's answer brings the total of the fleet. Thread-safe.
+/// In each data centre one entry sums an organisation's demand (by rendezvous hashing); these
+/// entries exchange their sums, and a report's answer brings the total of the fleet. So an entry
+/// sends one small row for each organisation a second, however many entries there are. Thread-safe.
 class share_keeper {
 public:
+    /// `seed` differs between processes.
     share_keeper(share_settings settings, std::uint64_t seed);
-    ~share_keeper();
-    share_keeper(const share_keeper&) = delete;
-    auto operator=(const share_keeper&) -> share_keeper& = delete;
 
-    /// From the inventory; an organisation without limits needs no call.
-    auto set_limits(const common::organisation_id& organisation, amounts per_minute) -> void;
+    /// From the inventory, at each change; what is not named has no limits.
+    auto set_limits(const std::map<common::organisation_id, amounts>& per_minute) -> void;
 
-    /// All live entries, this one too. The share of one that is listed but silent stays reserved.
+    /// All listed entries, this one too. The part of one that is listed but silent stays reserved.
     auto set_entries(std::vector<entry_peer> entries) -> void;
 
     /// Counts the request and admits it, or gives `limit_requests`, `limit_tokens` or `limit_money`
@@ -67,29 +62,48 @@
         -> common::result<void>;
 
     /// The request has ended: what it really used replaces what was expected.
-    auto settle(
-        const common::organisation_id& organisation,
-        amounts expected,
-        amounts used,
-        common::time_point now) -> void;
+    auto settle(const common::organisation_id& organisation, amounts expected, amounts used)
+        -> void;
 
-    /// What to send now; call it every `report_period`.
+    /// What to send now; call it every second.
     auto reports(common::time_point now) -> std::vector<demand_report>;
 
-    /// Another entry's rows came in; the result goes back in the answer.
+    /// Another entry's report came in; the result goes back in the answer.
     auto on_report(
         const common::host_id& from,
         std::span<const messages::limit_demand> rows,
         common::time_point now) -> std::vector<messages::limit_demand>;
 
-    /// The answer to one of our reports came in.
-    auto on_answer(std::span<const messages::limit_demand> rows, common::time_point now) -> void;
+    /// The answer to a report of ours came in.
+    auto on_answer(
+        const common::host_id& from,
+        std::span<const messages::limit_demand> rows,
+        common::time_point now) -> void;
 
 private:
-    struct state;
+    /// The listed entries by data centre; replaced as a whole.
+    struct directory {
+        std::map<common::data_centre_id, std::vector<common::host_id>> by_data_centre;
+        std::map<common::host_id, common::data_centre_id> data_centres;
+    };
+
+    [[nodiscard]] auto listed() -> std::shared_ptr<const directory>;
+    auto report_on(
+        ledger& item,
+        const common::organisation_id& organisation,
+        const directory& peers,
+        common::time_point now) -> std::vector<demand_report>;
+    auto take_row(
+        const common::host_id& from,
+        const messages::limit_demand& row,
+        const directory& peers,
+        common::time_point now) -> std::vector<messages::limit_demand>;
 
-    std::mutex lock;
-    std::unique_ptr<state> content;
+    share_settings settings;
+    std::uint64_t seed;
+    std::mutex directory_lock;
+    std::shared_ptr<const directory> peers;
+    common::sharded_map<common::organisation_id, ledger> ledgers;
 };
 
 } // namespace reedramp::limits
--- /dev/null
+++ b/source/unit_tests/limits/share_test.cpp
@@ -0,0 +1,208 @@
+#include "limits/share.hpp"
+
+#include <functional>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+using namespace reedramp;
+using namespace std::chrono_literals;
+using common::result_code;
+using limits::amounts;
+using limits::share_keeper;
+
+namespace {
+
+constexpr auto start = common::time_point(1h);
+const common::organisation_id organisation("o");
+
+auto host(std::size_t number) -> common::host_id
+{
+    return common::host_id("h" + std::to_string(number));
+}
+
+/// Entries that exchange reports each second over a network where `hears(a, b)` says who reaches
+/// whom. Three data centres, taken in turns.
+struct fleet {
+    std::vector<std::unique_ptr<share_keeper>> keepers;
+    std::function<auto(std::size_t, std::size_t)->bool> hears = [](auto, auto) {
+        return true;
+    };
+    std::vector<double> admitted;
+    common::time_point now = start;
+
+    explicit fleet(std::size_t count, amounts limit)
+    {
+        std::vector<limits::entry_peer> peers;
+        for (std::size_t number = 0; number < count; ++number) {
+            peers.push_back({host(number), data_centre(number)});
+        }
+        for (std::size_t number = 0; number < count; ++number) {
+            this->keepers.push_back(std::make_unique<share_keeper>(
+                limits::share_settings{host(number), data_centre(number)}, number));
+            this->keepers.back()->set_limits({{organisation, limit}});
+            this->keepers.back()->set_entries(peers);
+        }
+        this->admitted.resize(count);
+    }
+
+    static auto data_centre(std::size_t number) -> common::data_centre_id
+    {
+        return common::data_centre_id("dc" + std::to_string(number % 3));
+    }
+
+    auto exchange() -> void
+    {
+        for (std::size_t from = 0; from < this->keepers.size(); ++from) {
+            for (const auto& report : this->keepers[from]->reports(this->now)) {
+                const auto to = std::stoul(report.to.value().substr(1));
+                if (this->hears(from, to)) {
+                    const auto rows =
+                        this->keepers[to]->on_report(host(from), report.rows, this->now);
+                    this->keepers[from]->on_answer(report.to, rows, this->now);
+                }
+            }
+        }
+    }
+
+    /// Each entry gets its requests a second, evenly; counts what was admitted after `warm_up`.
+    auto run(const std::vector<int>& per_second, int warm_up, int seconds, amounts cost = {1, 0, 0})
+        -> double
+    {
+        double total = 0.0;
+        std::fill(this->admitted.begin(), this->admitted.end(), 0.0);
+        for (int second = 0; second < warm_up + seconds; ++second) {
+            this->exchange();
+            for (std::size_t entry = 0; entry < this->keepers.size(); ++entry) {
+                for (int number = 0; number < per_second[entry]; ++number) {
+                    const auto at = this->now + number * 1s / per_second[entry];
+                    const auto done = this->keepers[entry]->admit(organisation, cost, at);
+                    if (done && second >= warm_up) {
+                        this->admitted[entry] += 1.0;
+                        total += 1.0;
+                    }
+                }
+            }
+            this->now += 1s;
+        }
+        return total;
+    }
+};
+
+} // namespace
+
+TEST_CASE("entries share a limit in proportion to demand", "[limits]")
+{
+    struct row {
+        const char* name;
+        std::vector<int> per_second;
+        amounts limit;
+        double expected;
+    };
+
+    const auto [name, per_second, limit, expected] = GENERATE(
+        row{"less than the limit is all admitted", {2, 2, 2}, {600, 0, 0}, 360},
+        row{"equal demand", {10, 10, 10}, {600, 0, 0}, 600},
+        row{"unequal demand", {40, 10, 10}, {600, 0, 0}, 600},
+        row{"all demand at one entry", {60, 0, 0}, {600, 0, 0}, 600},
+        row{"tokens bind", {10, 10, 10}, {6000, 60'000, 0}, 600},
+        row{"money binds", {10, 10, 10}, {6000, 0, 6000}, 600});
+    INFO(name);
+    fleet entries(3, limit);
+    const auto total = entries.run(per_second, 30, 60, {1, 100, 10});
+    CHECK(total == Approx(expected).epsilon(0.03));
+    const auto demand = static_cast<double>(per_second[0] + per_second[1] + per_second[2]);
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        const auto share = expected * per_second[entry] / demand;
+        CHECK(entries.admitted[entry] == Approx(share).epsilon(0.1).margin(2.0));
+    }
+}
+
+TEST_CASE("entries that cannot hear each other keep the limit together", "[limits]")
+{
+    // Links fail while demand is five times the limit. Callers see more refusals, never more
+    // admitted than the limit: after the last total has expired, each side spends only the part of
+    // those it hears.
+    struct row {
+        const char* name;
+        std::function<auto(std::size_t, std::size_t)->bool> hears;
+        double least;
+    };
+
+    const auto [name, hears, least] = GENERATE(
+        row{"one alone", [](auto a, auto b) { return a == b || (a != 0 && b != 0); }, 570},
+        row{"a data centre alone",
+            [](auto a, auto b) { return (a % 3 == 0) == (b % 3 == 0); },
+            570},
+        row{"nobody hears anyone", [](auto a, auto b) { return a == b; }, 570},
+        row{"one way only", [](auto a, auto b) { return a <= b; }, 400});
+    INFO(name);
+    fleet entries(6, {600, 0, 0});
+    entries.run(std::vector(6, 8), 0, 20);
+    entries.hears = hears;
+    const auto total = entries.run(std::vector(6, 8), 30, 60);
+    CHECK(total <= 600 * 1.02);
+    CHECK(total >= least);
+}
+
+TEST_CASE("a silent entry's part stays reserved until it is no longer listed", "[limits]")
+{
+    // An entry of three falls silent. The others can't tell whether it died or is cut off and still
+    // admits its part, so they leave that until membership drops it.
+    fleet entries(3, {600, 0, 0});
+    entries.hears = [](auto a, auto b) {
+        return a != 2 && b != 2;
+    };
+    CHECK(entries.run({20, 20, 0}, 30, 60) == Approx(400).epsilon(0.03));
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+        entries.keepers[entry]->set_entries(
+            {{host(0), fleet::data_centre(0)}, {host(1), fleet::data_centre(1)}});
+    }
+    CHECK(entries.run({20, 20, 0}, 30, 60) == Approx(600).epsilon(0.03));
+}
+
+TEST_CASE("a refusal names the limit and when to come back", "[limits]")
+{
+    const auto [limit, code] = GENERATE(table<amounts, result_code>(
+        {{{1, 0, 0}, result_code::limit_requests},
+         {{0, 100, 0}, result_code::limit_tokens},
+         {{9, 0, 10}, result_code::limit_money}}));
+    share_keeper keeper({host(0), fleet::data_centre(0)}, 1);
+    keeper.set_limits({{organisation, limit}});
+    REQUIRE(keeper.admit(organisation, {1, 100, 10}, start));
+    const auto refused = keeper.admit(organisation, {1, 100, 10}, start + 1s);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().code == code);
+    CHECK(refused.error().run == common::execution::not_run);
+    CHECK(refused.error().retry_at > start + 1s);
+    CHECK(keeper.admit(common::organisation_id("without limits"), {1, 100, 10}, start));
+}
+
+TEST_CASE("what was really used replaces what was expected", "[limits]")
+{
+    // Each request uses four times the tokens that were expected. Without settling, the fleet would
+    // admit four times the tokens of the limit.
+    fleet entries(1, {0, 60'000, 0});
+    double used = 0.0;
+    for (int second = 0; second < 120; ++second) {
+        const auto now = entries.now += 1s;
+        entries.exchange();
+        for (int number = 0; number < 20; ++number) {
+            if (entries.keepers[0]->admit(organisation, {1, 100, 0}, now)) {
+                entries.keepers[0]->settle(organisation, {1, 100, 0}, {1, 400, 0});
+                used += second >= 60 ? 400.0 : 0.0;
+            }
+        }
+    }
+    CHECK(used == Approx(60'000).epsilon(0.05));
+}
+
+TEST_CASE("rows of a process that is not listed change nothing", "[limits]")
+{
+    fleet entries(1, {600, 0, 0});
+    messages::limit_demand row;
+    row.organisation = organisation;
+    row.requests_per_minute = 1e9;
+    CHECK(entries.keepers[0]->on_report(common::host_id("stranger"), {&row, 1}, start).empty());
+    CHECK(entries.run({10}, 10, 60) == Approx(600).epsilon(0.03));
+}
