--- /dev/null
+++ b/source/core/entry/admin_api.cpp
@@ -0,0 +1,203 @@
+#include "entry/admin_api.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+
+#include <boost/json.hpp>
+
+#include "entry/callers_api.hpp"
+
+namespace reedramp::entry {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view admin_prefix = "/admin/v1/";
+constexpr std::string_view explain_prefix = "explain/";
+constexpr std::string_view bearer_prefix = "Bearer ";
+constexpr std::size_t deepest_json = 32;
+
+/// The way back to one operator.
+struct operator_call {
+    common::request_id id;
+    common::time_point now;
+    std::shared_ptr<http::responder> out;
+
+    auto send(const common::result<std::string>& answer) const -> void
+    {
+        if (!answer) {
+            this->out->send(problem_answer(answer.error(), this->id, this->now));
+            return;
+        }
+        auto response = json_answer(200, *answer);
+        response.headers.push_back(
+            {std::string(header_names::request_id), common::to_string(this->id)});
+        this->out->send(std::move(response));
+    }
+
+    auto fail(common::result_code code, std::string detail = {}) const -> void
+    {
+        this->send(common::failure(code, std::move(detail)));
+    }
+};
+
+auto read_version(const std::string& body) -> common::result<common::version_id>
+{
+    json::parse_options options;
+    options.max_depth = deepest_json;
+    json::error_code failed;
+    const auto value = json::parse(body, failed, {}, options);
+    if (failed || !value.is_object()) {
+        return common::failure(common::result_code::malformed_json, "not a JSON object");
+    }
+    const auto* version = value.as_object().if_contains("version");
+    if (version == nullptr || !version->is_string() || version->as_string().empty()) {
+        return common::failure(
+            common::result_code::malformed_json, "version: a string is required");
+    }
+    const auto& text = version->as_string();
+    return common::version_id(std::string(text.data(), text.size()));
+}
+
+auto explain(const admin_hooks& hooks, std::string_view id, const operator_call& call) -> void
+{
+    const auto request = common::parse_request_id(id);
+    if (!request || !hooks.explain) {
+        call.fail(common::result_code::not_found, "no such request id");
+        return;
+    }
+    auto found = hooks.explain(*request);
+    if (!found) {
+        call.fail(common::result_code::not_found, "this entry has no record of the request");
+        return;
+    }
+    call.send(*found);
+}
+
+using text_hook = std::function<auto()->common::result<std::string>>;
+
+auto answer_text(const text_hook& hook, const operator_call& call) -> void
+{
+    if (!hook) {
+        call.fail(common::result_code::not_found);
+        return;
+    }
+    call.send(hook());
+}
+
+auto handle_get(const admin_hooks& hooks, std::string_view path, const operator_call& call) -> void
+{
+    if (path == "state") {
+        answer_text(hooks.state, call);
+    }
+    else if (path == "history") {
+        answer_text(hooks.history, call);
+    }
+    else if (path == "status") {
+        answer_text(hooks.status, call);
+    }
+    else if (path == "bills" && hooks.bills) {
+        hooks.bills([call](const common::result<std::string>& answer) { call.send(answer); });
+    }
+    else if (path.starts_with(explain_prefix)) {
+        explain(hooks, path.substr(explain_prefix.size()), call);
+    }
+    else {
+        call.fail(common::result_code::unknown_path);
+    }
+}
+
+auto handle_post(
+    const admin_hooks& hooks,
+    std::string_view path,
+    const std::string& body,
+    const operator_call& call) -> void
+{
+    if (path == "records" && hooks.publish) {
+        hooks.publish(
+            body, [call](const common::result<std::string>& answer) { call.send(answer); });
+        return;
+    }
+    if (path != "withdrawals" || !hooks.withdraw) {
+        call.fail(common::result_code::unknown_path);
+        return;
+    }
+    const auto version = read_version(body);
+    if (!version) {
+        call.send(tl::unexpected(version.error()));
+        return;
+    }
+    hooks.withdraw(
+        *version, [call](const common::result<std::string>& answer) { call.send(answer); });
+}
+
+} // namespace
+
+auto sha256_hex(std::string_view text) -> std::string
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    SHA256(
+        reinterpret_cast<const unsigned char*>(text.data()), // OpenSSL takes unsigned bytes
+        text.size(),
+        digest.data());
+    std::string hex;
+    hex.reserve(digest.size() * 2);
+    for (const auto byte : digest) {
+        hex.push_back(digits[byte >> 4U]);
+        hex.push_back(digits[byte & 0xfU]);
+    }
+    return hex;
+}
+
+admin_api::admin_api(std::vector<std::string> key_hashes, admin_hooks given)
+    : hooks(std::move(given)), operator_key_hashes(std::move(key_hashes))
+{
+}
+
+auto admin_api::allowed(const http::request& asked) const -> bool
+{
+    const auto given = http::find_header(asked.headers, header_names::authorization);
+    if (!given || !given->starts_with(bearer_prefix)) {
+        return false;
+    }
+    const auto hash = sha256_hex(given->substr(bearer_prefix.size()));
+    return std::any_of(
+        this->operator_key_hashes.begin(),
+        this->operator_key_hashes.end(),
+        [&hash](const std::string& known) {
+            return known.size() == hash.size() &&
+                   CRYPTO_memcmp(known.data(), hash.data(), hash.size()) == 0;
+        });
+}
+
+auto admin_api::handle(
+    const http::request& asked,
+    const common::request_id& id,
+    common::time_point now,
+    const std::shared_ptr<http::responder>& out) const -> void
+{
+    const operator_call call{id, now, out};
+    if (!this->allowed(asked)) {
+        call.fail(common::result_code::operator_not_allowed);
+        return;
+    }
+    auto path = std::string_view(asked.target).substr(admin_prefix.size());
+    path = path.substr(0, path.find('?'));
+    if (asked.method == "GET") {
+        handle_get(this->hooks, path, call);
+    }
+    else if (asked.method == "POST") {
+        handle_post(this->hooks, path, asked.body, call);
+    }
+    else {
+        call.fail(common::result_code::method_not_allowed);
+    }
+}
+
+} // namespace reedramp::entry
--- a/source/core/entry/admin_api.hpp
+++ b/source/core/entry/admin_api.hpp
@@ -43,7 +43,7 @@
 class admin_api {
 public:
     admin_api() = default;
-    admin_api(std::vector<std::string> operator_key_hashes, admin_hooks hooks);
+    admin_api(std::vector<std::string> key_hashes, admin_hooks given);
 
     auto handle(
         const http::request& asked,
--- /dev/null
+++ b/source/core/entry/answers.cpp
@@ -0,0 +1,181 @@
+#include "entry/callers_api.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/json.hpp>
+
+namespace reedramp::entry {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view problem_type = "application/problem+json";
+constexpr std::string_view json_type = "application/json";
+constexpr std::string_view hex_digits = "0123456789abcdef";
+
+auto problem_object(const common::error& why, const common::request_id& request) -> json::object
+{
+    const auto& row = common::row_of(why.code);
+    json::object object;
+    object["type"] = "urn:reedramp:result:" + std::string(row.name);
+    object["title"] = std::string(row.explanation);
+    object["status"] = row.http_status;
+    object["code"] = static_cast<std::uint16_t>(why.code);
+    object["name"] = std::string(row.name);
+    object["execution"] = std::string(common::to_string(why.run));
+    object["request"] = common::to_string(request);
+    if (!why.detail.empty()) {
+        object["detail"] = why.detail;
+    }
+    return object;
+}
+
+/// Appends `text` as the inside of a JSON string.
+auto append_escaped(std::string& out, std::string_view text) -> void
+{
+    for (const auto letter : text) {
+        const auto code = static_cast<unsigned char>(letter);
+        if (letter == '"' || letter == '\\') {
+            out.push_back('\\');
+            out.push_back(letter);
+        }
+        else if (letter == '\n') {
+            out += "\\n";
+        }
+        else if (code < 0x20U) {
+            out += "\\u00";
+            out.push_back(hex_digits[code >> 4U]);
+            out.push_back(hex_digits[code & 0xfU]);
+        }
+        else {
+            out.push_back(letter);
+        }
+    }
+}
+
+auto usage_object(const messages::usage& used) -> json::object
+{
+    const auto prompt = used.prompt_tokens.value();
+    const auto completion = used.completion_tokens.value();
+    return {
+        {"prompt_tokens", prompt},
+        {"completion_tokens", completion},
+        {"total_tokens", prompt + completion}};
+}
+
+} // namespace
+
+auto json_answer(std::uint16_t status, std::string body) -> http::response
+{
+    return {status, {{"Content-Type", std::string(json_type)}}, std::move(body)};
+}
+
+auto text_answer(std::uint16_t status, std::string body) -> http::response
+{
+    return {status, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(body)};
+}
+
+auto problem_text(const common::error& why, const common::request_id& request) -> std::string
+{
+    return json::serialize(problem_object(why, request));
+}
+
+auto problem_answer(
+    const common::error& why, const common::request_id& request, common::time_point now)
+    -> http::response
+{
+    http::response answer;
+    answer.status = common::row_of(why.code).http_status;
+    answer.headers.push_back({"Content-Type", std::string(problem_type)});
+    answer.headers.push_back({std::string(header_names::request_id), common::to_string(request)});
+    if (why.code == common::result_code::unauthenticated) {
+        answer.headers.push_back({"WWW-Authenticate", "Bearer"});
+    }
+    if (why.retry_at) {
+        const auto wait = std::chrono::ceil<std::chrono::seconds>(*why.retry_at - now).count();
+        const auto seconds = std::max<std::int64_t>(wait, 1);
+        answer.headers.push_back({"Retry-After", std::to_string(seconds)});
+    }
+    answer.body = problem_text(why, request);
+    return answer;
+}
+
+auto models_answer(const std::vector<listed_model>& models) -> http::response
+{
+    json::array data;
+    for (const auto& item : models) {
+        data.push_back(json::object{
+            {"id", item.id}, {"object", "model"}, {"kind", item.kind}, {"owned_by", "reedramp"}});
+    }
+    return json_answer(
+        200, json::serialize(json::object{{"object", "list"}, {"data", std::move(data)}}));
+}
+
+auto session_answer(
+    std::string_view token,
+    const common::session_id& session,
+    const common::version_id& version,
+    common::wall_time_ms expires) -> http::response
+{
+    auto answer = json_answer(
+        201,
+        json::serialize(json::object{
+            {"session", session.value()},
+            {"token", std::string(token)},
+            {"version", version.value()},
+            {"expires_ms", expires.value()}}));
+    answer.headers.push_back({std::string(header_names::session), std::string(token)});
+    return answer;
+}
+
+sse_writer::sse_writer(
+    const common::request_id& request,
+    const common::version_id& version,
+    common::wall_time_ms created)
+    : prefix("data: {\"id\":\"chatcmpl-")
+{
+    constexpr std::int64_t ms_per_second = 1000;
+    this->prefix += common::to_string(request);
+    this->prefix += R"(","object":"chat.completion.chunk","created":)";
+    this->prefix += std::to_string(created.value() / ms_per_second);
+    this->prefix += R"(,"model":")";
+    append_escaped(this->prefix, version.value());
+    this->prefix += R"(","choices":[)";
+}
+
+auto sse_writer::piece(std::string_view text) const -> std::string
+{
+    constexpr std::string_view before = R"({"index":0,"delta":{"content":")";
+    constexpr std::string_view after = "\"},\"finish_reason\":null}]}\n\n";
+    std::string out;
+    out.reserve(this->prefix.size() + before.size() + text.size() + after.size() + 16);
+    out += this->prefix;
+    out += before;
+    append_escaped(out, text);
+    out += after;
+    return out;
+}
+
+auto sse_writer::ending(
+    std::string_view finish_reason, const std::optional<messages::usage>& used) const -> std::string
+{
+    std::string out = this->prefix;
+    out += R"({"index":0,"delta":{},"finish_reason":")";
+    append_escaped(out, finish_reason.empty() ? "stop" : finish_reason);
+    out += "\"}]}\n\n";
+    if (used) {
+        out += this->prefix;
+        out += "],\"usage\":" + json::serialize(usage_object(*used)) + "}\n\n";
+    }
+    out += "data: [DONE]\n\n";
+    return out;
+}
+
+auto sse_writer::broken(const common::error& why, const common::request_id& request) -> std::string
+{
+    return "event: error\ndata: " + problem_text(why, request) + "\n\n";
+}
+
+} // namespace reedramp::entry
--- /dev/null
+++ b/source/core/entry/caller_headers.cpp
@@ -0,0 +1,176 @@
+#include "entry/callers_api.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace reedramp::entry {
+
+namespace {
+
+constexpr std::size_t longest_key = 200;
+constexpr std::size_t longest_task = 64;
+constexpr std::string_view bearer_prefix = "Bearer ";
+
+auto lower(char letter) -> char
+{
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
+
+auto same_name(std::string_view left, std::string_view right) -> bool
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
+        return lower(a) == lower(b);
+    });
+}
+
+auto bad_header(std::string_view name, std::string_view why)
+{
+    return common::failure(
+        common::result_code::bad_header, std::string(name) + ": " + std::string(why));
+}
+
+using header_value = std::optional<std::string_view>;
+
+auto single(const std::vector<http::header>& headers, std::string_view name)
+    -> common::result<header_value>
+{
+    header_value found;
+    for (const auto& item : headers) {
+        if (!same_name(item.name, name)) {
+            continue;
+        }
+        if (found) {
+            return bad_header(name, "stands twice");
+        }
+        found = item.value;
+    }
+    return found;
+}
+
+auto is_visible(char letter) -> bool
+{
+    return letter > ' ' && letter <= '~';
+}
+
+auto is_task_letter(char letter) -> bool
+{
+    const auto small = lower(letter);
+    return (small >= 'a' && small <= 'z') || (small >= '0' && small <= '9') || small == '-' ||
+           small == '_' || small == '.';
+}
+
+auto read_bearer(const std::vector<http::header>& headers) -> common::result<std::string>
+{
+    const auto value = single(headers, header_names::authorization);
+    if (!value) {
+        return tl::unexpected(value.error());
+    }
+    if (!*value) {
+        return std::string();
+    }
+    const auto text = **value;
+    if (!same_name(text.substr(0, bearer_prefix.size()), bearer_prefix)) {
+        return common::failure(
+            common::result_code::unauthenticated, "Authorization: not a bearer token");
+    }
+    return std::string(text.substr(bearer_prefix.size()));
+}
+
+auto read_key(const std::vector<http::header>& headers)
+    -> common::result<std::optional<std::string>>
+{
+    const auto value = single(headers, header_names::idempotency_key);
+    if (!value) {
+        return tl::unexpected(value.error());
+    }
+    if (!*value) {
+        return std::optional<std::string>();
+    }
+    const auto text = **value;
+    if (text.empty() || text.size() > longest_key ||
+        !std::all_of(text.begin(), text.end(), is_visible)) {
+        return bad_header(header_names::idempotency_key, "not 1 to 200 visible ASCII characters");
+    }
+    return std::optional(std::string(text));
+}
+
+auto read_session(const std::vector<http::header>& headers)
+    -> common::result<std::optional<std::string>>
+{
+    const auto value = single(headers, header_names::session);
+    if (!value) {
+        return tl::unexpected(value.error());
+    }
+    if (!*value) {
+        return std::optional<std::string>();
+    }
+    return std::optional(std::string(**value));
+}
+
+auto read_task(const std::vector<http::header>& headers) -> common::result<common::task_name>
+{
+    const auto value = single(headers, header_names::task);
+    if (!value) {
+        return tl::unexpected(value.error());
+    }
+    if (!*value) {
+        return common::task_name();
+    }
+    const auto text = **value;
+    if (text.empty() || text.size() > longest_task ||
+        !std::all_of(text.begin(), text.end(), is_task_letter)) {
+        return bad_header(header_names::task, "not 1 to 64 letters, digits, '-', '_' or '.'");
+    }
+    return common::task_name(std::string(text));
+}
+
+auto read_time(const std::vector<http::header>& headers, const header_rules& rules)
+    -> common::result<common::duration>
+{
+    const auto value = single(headers, header_names::deadline);
+    if (!value) {
+        return tl::unexpected(value.error());
+    }
+    if (!*value) {
+        return rules.default_time;
+    }
+    const auto text = **value;
+    std::uint32_t milliseconds = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, milliseconds);
+    if (parsed.ec != std::errc() || parsed.ptr != end || milliseconds == 0) {
+        return bad_header(header_names::deadline, "not a positive whole number of milliseconds");
+    }
+    return std::min<common::duration>(std::chrono::milliseconds(milliseconds), rules.longest_time);
+}
+
+} // namespace
+
+auto parse_headers(const std::vector<http::header>& headers, const header_rules& rules)
+    -> common::result<caller_headers>
+{
+    auto bearer = read_bearer(headers);
+    if (!bearer) {
+        return tl::unexpected(std::move(bearer.error()));
+    }
+    auto key = read_key(headers);
+    if (!key) {
+        return tl::unexpected(std::move(key.error()));
+    }
+    auto session = read_session(headers);
+    if (!session) {
+        return tl::unexpected(std::move(session.error()));
+    }
+    auto task = read_task(headers);
+    if (!task) {
+        return tl::unexpected(std::move(task.error()));
+    }
+    const auto time = read_time(headers, rules);
+    if (!time) {
+        return tl::unexpected(time.error());
+    }
+    return caller_headers{
+        std::move(*bearer), std::move(*key), std::move(*session), std::move(*task), *time};
+}
+
+} // namespace reedramp::entry
--- /dev/null
+++ b/source/core/entry/context.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <utility>
+
+#include "common/sharded_map.hpp"
+#include "entry/collaborators.hpp"
+#include "entry/core.hpp"
+#include "entry/decisions.hpp"
+#include "entry/exchange.hpp"
+#include "entry/filter.hpp"
+#include "placement/retry_budget.hpp"
+
+namespace reedramp::entry {
+
+/// Counts for metrics and status.
+class counters {
+public:
+    std::atomic<std::uint64_t> answered{0};
+    std::atomic<std::uint64_t> retries{0};
+    std::atomic<std::uint64_t> continued_streams{0};
+    std::atomic<std::uint64_t> late_events{0};
+    std::atomic<std::uint64_t> cut_by_shutdown{0};
+
+    auto count_refusal(common::result_code code) -> void;
+    auto count_version(const common::version_id& version) -> void;
+    [[nodiscard]] auto read(std::size_t in_flight) -> core_counters;
+
+private:
+    static constexpr std::size_t code_limit = 1000;
+
+    std::array<std::atomic<std::uint64_t>, code_limit> refusals{};
+    common::sharded_map<common::version_id, std::uint64_t> versions;
+};
+
+/// The requests that are under way, with their deadlines.
+///
+/// A timer for each request would stay behind for the rest of its deadline after the request has
+/// been answered; at 30 s and thousands of requests a second that is more memory than the requests
+/// themselves. So one periodic look takes the requests whose deadline has passed.
+class request_registry {
+public:
+    auto add(const exchange_ptr& item) -> void;
+    auto remove(const exchange& item) -> void;
+    auto take_overdue(common::time_point now) -> std::vector<exchange_ptr>;
+    auto all() -> std::vector<exchange_ptr>;
+
+    [[nodiscard]] auto size() const -> std::size_t { return this->count.load(); }
+
+private:
+    using due_key = std::pair<common::time_point, common::request_id>;
+
+    struct shard {
+        std::mutex lock;
+        std::unordered_map<common::request_id, exchange_ptr> items;
+        std::set<due_key> due;
+    };
+
+    static constexpr std::size_t shard_count = 16;
+
+    auto shard_of(const common::request_id& id) -> shard&;
+
+    std::array<shard, shard_count> shards;
+    std::atomic<std::size_t> count{0};
+};
+
+/// What all requests of one core share.
+class core_context {
+public:
+    core_context(core_options wanted, collaborators hooks, admin_api operators);
+
+    core_options options;
+    collaborators parts;
+    admin_api admin;
+    decision_ring decisions;
+    placement::retry_budget budget;
+    counters counted;
+    request_registry requests;
+    const filter_chain work_chain;
+    const filter_chain models_chain;
+    const filter_chain session_chain;
+    std::atomic<bool> leaving{false};
+    /// Called when a request has ended while the process is leaving.
+    std::function<auto()->void> request_ended;
+};
+
+} // namespace reedramp::entry
--- a/source/core/entry/core.hpp
+++ b/source/core/entry/core.hpp
@@ -17,6 +17,7 @@
 #include "entry/decisions.hpp"
 #include "http/message.hpp"
 #include "http/server.hpp"
+#include "placement/retry_budget.hpp"
 
 namespace reedramp::entry {
 
@@ -24,12 +25,18 @@
     header_rules headers;
     /// Attempts of one request, the first included.
     std::uint32_t attempt_limit = 4;
-    /// Retries may be this share of first tries, in thousandths, plus a few.
-    common::permille retry_share{200};
-    /// How long an idempotent request waits for word of a lost attempt before it runs elsewhere.
+    placement::retry_budget_settings retries;
+    /// How long an idempotent request waits for word of a lost attempt before it runs elsewhere,
+    /// and how long the usage of a cancelled one is asked for.
     common::duration ask_limit = std::chrono::milliseconds(300);
     /// Between two questions about a lost attempt.
     common::duration ask_interval = std::chrono::milliseconds(100);
+    /// How long a session waits for a server of its version, within its deadline.
+    common::duration session_wait = std::chrono::seconds(5);
+    /// When a caller is told to come back if nothing better is known.
+    common::duration retry_after = std::chrono::seconds(1);
+    /// How often deadlines are looked at.
+    common::duration tick = std::chrono::milliseconds(20);
     /// How long a session's pin is valid.
     common::duration session_life = std::chrono::hours(24);
     /// Backlog of a caller's connection above which the source is paused, and below which it is
--- /dev/null
+++ b/source/core/entry/filter_limits.cpp
@@ -0,0 +1,69 @@
+#include "entry/context.hpp"
+#include "entry/filter.hpp"
+#include "entry/prices.hpp"
+#include "entry/reply.hpp"
+
+namespace reedramp::entry {
+
+namespace {
+
+auto expected_amounts(const exchange& item) -> limits::amounts
+{
+    limits::amounts expected;
+    expected.requests = 1.0;
+    if (item.kind == messages::work_kind::service) {
+        return expected;
+    }
+    const messages::usage most{item.chat.prompt_tokens, item.chat.max_tokens};
+    expected.tokens =
+        static_cast<double>(most.prompt_tokens.value() + most.completion_tokens.value());
+    expected.money = static_cast<double>(cost_of(*item.state, item.version, most).value());
+    return expected;
+}
+
+auto used_amounts(const exchange& item) -> limits::amounts
+{
+    limits::amounts used;
+    used.requests = item.lines.empty() ? 0.0 : 1.0;
+    for (const auto& line : item.lines) {
+        const auto tokens = line.used.prompt_tokens.value() + line.used.completion_tokens.value();
+        used.tokens += static_cast<double>(tokens);
+        used.money += static_cast<double>(line.cost.value());
+    }
+    return used;
+}
+
+/// Takes from the organisation's share. It comes after the choice of the version, since money
+/// depends on the version's price.
+auto take(const exchange_ptr& item) -> filter_step
+{
+    const auto& parts = item->context->parts;
+    if (!parts.take_limits || item->taken) {
+        return filter_step::go_on;
+    }
+    const auto expected = expected_amounts(*item);
+    auto admitted = parts.take_limits(item->organisation, expected);
+    if (!admitted) {
+        refuse(item, std::move(admitted.error()));
+        return filter_step::stop;
+    }
+    item->taken = expected;
+    return filter_step::go_on;
+}
+
+auto settle(exchange& item) -> void
+{
+    const auto& parts = item.context->parts;
+    if (item.taken && parts.settle_limits) {
+        parts.settle_limits(item.organisation, *item.taken, used_amounts(item));
+    }
+}
+
+} // namespace
+
+auto make_limits() -> filter
+{
+    return {"limits", take, settle};
+}
+
+} // namespace reedramp::entry
--- /dev/null
+++ b/source/core/entry/prices.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "common/ids.hpp"
+#include "common/units.hpp"
+#include "inventory/state.hpp"
+#include "messages/run.hpp"
+
+namespace reedramp::entry {
+
+/// What this usage costs on a version; zero for one that the configuration does not know, and for
+/// services.
+auto cost_of(
+    const inventory::state& state, const common::version_id& version, const messages::usage& used)
+    -> common::micro_money;
+
+} // namespace reedramp::entry
--- /dev/null
+++ b/source/core/entry/serial_queue.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <utility>
+
+namespace reedramp::entry {
+
+/// Runs actions one after the other, on the threads that bring them.
+///
+/// Events of one request come from several threads: the caller's connection, the RPC client,
+/// timers. A lock around the request would be held while hooks are called; here the lock only
+/// guards the queue, and an action that a hook posts from inside runs after the present one.
+class serial_queue {
+public:
+    using action = std::function<auto()->void>;
+
+    /// Runs `next`, or leaves it to the thread that is running an action now. The caller keeps the
+    /// queue alive during the call.
+    auto post(action next) -> void
+    {
+        {
+            const std::lock_guard guard(this->lock);
+            this->waiting.push_back(std::move(next));
+            if (this->running) {
+                return;
+            }
+            this->running = true;
+        }
+        this->drain();
+    }
+
+private:
+    auto drain() -> void
+    {
+        while (true) {
+            action next;
+            {
+                const std::lock_guard guard(this->lock);
+                if (this->waiting.empty()) {
+                    this->running = false;
+                    return;
+                }
+                next = std::move(this->waiting.front());
+                this->waiting.pop_front();
+            }
+            next();
+        }
+    }
+
+    std::mutex lock;
+    std::deque<action> waiting;
+    bool running = false;
+};
+
+} // namespace reedramp::entry
