--- /dev/null
+++ b/source/core/daemon/front.cpp
@@ -0,0 +1,137 @@
+#include "daemon/front.hpp"
+
+#include <fstream>
+#include <iterator>
+#include <ostream>
+#include <sstream>
+#include <vector>
+
+#include <tclap/CmdLine.h>
+
+namespace reedramp::daemon {
+
+namespace {
+
+constexpr auto program_version = "0.1.0";
+
+struct options {
+    std::string settings_file;
+    bool check_only = false;
+    bool print_table = false;
+};
+
+/// Sends TCLAP's pages to the given streams; by itself it writes to the process's own.
+class stream_output final : public TCLAP::StdOutput {
+public:
+    stream_output(std::ostream& out_to_use, std::ostream& errors_to_use)
+        : out(out_to_use), errors(errors_to_use)
+    {
+    }
+
+    auto version(TCLAP::CmdLineInterface& line) -> void override
+    {
+        this->out << line.getProgramName() << " " << line.getVersion() << "\n";
+    }
+
+    auto usage(TCLAP::CmdLineInterface& line) -> void override
+    {
+        this->out << line.getMessage() << "\n\nOptions:\n";
+        for (const auto* argument : line.getArgList()) {
+            this->out << "  " << argument->longID() << "\n      " << argument->getDescription()
+                      << "\n";
+        }
+    }
+
+    auto failure(TCLAP::CmdLineInterface& /*line*/, TCLAP::ArgException& problem) -> void override
+    {
+        this->errors << "command line: " << problem.argId() << " " << problem.error() << "\n";
+        throw TCLAP::ExitException(static_cast<int>(exit_code::bad_settings));
+    }
+
+private:
+    std::ostream& out;
+    std::ostream& errors;
+};
+
+auto parse_options(
+    const program& which,
+    int argument_count,
+    const char* const* arguments,
+    std::ostream& out,
+    std::ostream& errors) -> std::variant<options, exit_code>
+{
+    TCLAP::CmdLine line{which.summary, ' ', program_version};
+    stream_output pages{out, errors};
+    line.setOutput(&pages);
+    line.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> file{"s", "settings", "The settings file.", false, "", "FILE"};
+    TCLAP::SwitchArg check{"c", "check-settings", "Check the settings and exit."};
+    TCLAP::SwitchArg table{"t", "print-settings-table", "Print all settings as Markdown and exit."};
+    line.add(file);
+    line.add(check);
+    line.add(table);
+    std::vector<std::string> words{arguments, arguments + argument_count};
+    try {
+        line.parse(words);
+    }
+    catch (TCLAP::ArgException& problem) {
+        errors << "command line: " << problem.argId() << " " << problem.error() << "\n";
+        return exit_code::bad_settings;
+    }
+    catch (TCLAP::ExitException& end) {
+        return static_cast<exit_code>(end.getExitStatus());
+    }
+    return options{file.getValue(), check.getValue(), table.getValue()};
+}
+
+auto read_file(const std::string& path) -> std::optional<std::string>
+{
+    std::ifstream file{path, std::ios::binary};
+    if (!file) {
+        return std::nullopt;
+    }
+    std::string text{std::istreambuf_iterator<char>{file}, std::istreambuf_iterator<char>{}};
+    if (file.bad()) {
+        return std::nullopt;
+    }
+    return text;
+}
+
+} // namespace
+
+auto read_command_line(
+    const program& which,
+    int argument_count,
+    const char* const* arguments,
+    std::ostream& out,
+    std::ostream& errors) -> std::variant<settings::values, exit_code>
+{
+    const auto parsed = parse_options(which, argument_count, arguments, out, errors);
+    if (const auto* end = std::get_if<exit_code>(&parsed)) {
+        return *end;
+    }
+    const auto& wanted = std::get<options>(parsed);
+    if (wanted.print_table) {
+        out << settings::markdown_table(which.keys);
+        return exit_code::success;
+    }
+    const auto text = read_file(wanted.settings_file);
+    if (!text) {
+        errors << "settings: cannot read file \"" << wanted.settings_file << "\"\n";
+        return exit_code::bad_settings;
+    }
+    auto read = settings::parse(which.keys, *text);
+    if (!read) {
+        for (const auto& problem : read.error()) {
+            errors << "settings: " << settings::to_string(problem) << "\n";
+        }
+        return exit_code::bad_settings;
+    }
+    if (wanted.check_only) {
+        out << "settings: no problems\n";
+        return exit_code::success;
+    }
+    return std::move(*read);
+}
+
+} // namespace reedramp::daemon
--- a/source/core/settings/schema.hpp
+++ b/source/core/settings/schema.hpp
@@ -37,19 +37,19 @@
 /// One key of a settings file. Its path is dotted: "http.listen" is the member `listen` of the
 /// object `http`.
 struct key {
-    std::string path;
+    std::string path = {};
     value_type type = value_type::text;
     /// One sentence for people.
-    std::string doc;
+    std::string doc = {};
     /// The value when the key is absent; none for a key that must be there.
     std::optional<value> fallback = std::nullopt;
     /// "ms", "bytes", ...; empty for a plain number or text.
-    std::string unit;
+    std::string unit = {};
     /// Bounds of a number, or of the length of a text, list or map.
     double lowest = -std::numeric_limits<double>::infinity();
     double highest = std::numeric_limits<double>::infinity();
     /// The texts that are allowed; empty for any.
-    text_list choices;
+    text_list choices = {};
     /// Its value is not printed or logged.
     bool secret = false;
 };
