--- a/source/core/inventory/follower.hpp
+++ b/source/core/inventory/follower.hpp
@@ -1,14 +1,10 @@
 #pragma once
 
-#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -24,6 +20,12 @@
 
 namespace reedramp::inventory {
 
+class follower_core;
+struct follower_actions;
+struct read_order;
+struct pull_order;
+struct append_order;
+
 struct follower_settings {
     /// Time between two pulls of a random peer.
     common::duration pull_period = std::chrono::seconds(1);
@@ -64,6 +66,9 @@
         pull;
     /// Processes that can be pulled now; may be empty.
     std::function<auto()->std::vector<messages::rpc_address>> peers;
+    /// Those that tail the log in this process's data centre; every other pull goes to one of them,
+    /// which keeps the way from the log short in a large fleet. May be absent or give none.
+    std::function<auto()->std::vector<messages::rpc_address>> tailers;
     /// Whether this process is among the few of its data centre that tail the log.
     std::function<auto()->bool> is_tailer;
     common::clock_hook clock;
@@ -101,6 +106,10 @@
     static auto create(follower_hooks hooks, follower_settings settings)
         -> std::shared_ptr<follower>;
 
+    ~follower();
+    follower(const follower&) = delete;
+    auto operator=(const follower&) -> follower& = delete;
+
     /// Begins to read and pull; call it once.
     auto start() -> void;
 
@@ -134,6 +143,9 @@
     /// Used after an append.
     auto expect(common::log_offset offset) -> void;
 
+    /// Reads the log once now, also in a process that does not tail it.
+    auto refresh() -> void;
+
     /// Time as of which all records that the log held then are folded; nullopt if unknown.
     [[nodiscard]] auto evidence_time() const -> std::optional<common::time_point>;
 
@@ -141,6 +153,29 @@
     [[nodiscard]] auto checkpoint_due() const -> bool;
 
     [[nodiscard]] auto counters() const -> follower_counters;
+
+private:
+    struct parts;
+
+    explicit follower(std::unique_ptr<parts> made);
+
+    using core_event = std::function<
+        auto(follower_core& core, common::time_point now, follower_actions& actions)->void>;
+
+    /// Runs the event under the lock, then outside it what it asked for.
+    auto handle(const core_event& event) -> void;
+    auto wake() -> void;
+    /// Shares what an event changed. Call it under the lock.
+    auto share(const follower_actions& actions) -> void;
+    /// Carries out what an event asked for. Call it outside the lock.
+    auto run(follower_actions actions) -> void;
+    auto run_read(const read_order& order) -> void;
+    auto run_pull(pull_order order) -> void;
+    auto run_append(append_order order) -> void;
+    auto schedule() -> void;
+    auto checkpoint_text(const snapshot_ptr& of) -> std::string;
+
+    std::unique_ptr<parts> all;
 };
 
 } // namespace reedramp::inventory
--- a/source/core/inventory/publisher.hpp
+++ b/source/core/inventory/publisher.hpp
@@ -22,7 +22,7 @@
 
 struct publisher_settings {
     /// Time between two looks at whether the record has been read back.
-    common::duration look_period = std::chrono::milliseconds(20);
+    common::duration look_period = std::chrono::milliseconds(50);
 };
 
 /// An accepted record: seen in the log as valid.
@@ -50,6 +50,24 @@
         const record& item,
         common::time_point deadline,
         std::function<auto(common::result<publication> answer)->void> done) -> void;
+
+private:
+    struct attempt;
+    using attempt_ptr = std::shared_ptr<attempt>;
+
+    publisher(publisher_hooks hooks, std::shared_ptr<follower> reader, publisher_settings settings);
+
+    auto append(const attempt_ptr& item) -> void;
+    auto on_append(const attempt_ptr& item, const common::result<common::log_offset>& answer)
+        -> void;
+    /// Looks after a while whether the record was read back.
+    auto look_later(const attempt_ptr& item) -> void;
+    auto look(const attempt_ptr& item) -> void;
+    auto finish_if_decided(const attempt& item) -> bool;
+
+    publisher_hooks hooks;
+    std::shared_ptr<follower> reader;
+    publisher_settings settings;
 };
 
 } // namespace reedramp::inventory
