Mark a false finding of clang-tidy 14 in request_id and run_key

A defaulted comparison is reported as 'use nullptr' wherever it is instantiated, for example through std::map; strong.hpp carries the same mark.

--- a/source/core/common/ids.hpp
+++ b/source/core/common/ids.hpp
@@ -38,7 +38,7 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    constexpr auto operator<=>(const request_id&) const = default;
+    constexpr auto operator<=>(const request_id&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// 32 lower-case hexadecimal digits.
--- a/source/core/messages/run.hpp
+++ b/source/core/messages/run.hpp
@@ -29,7 +29,7 @@
     common::attempt_number attempt;
     common::incarnation_id incarnation;
 
-    constexpr auto operator<=>(const run_key&) const = default;
+    constexpr auto operator<=>(const run_key&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Entry to agent: run this.
