--- a/source/core/messages/peer.hpp
+++ b/source/core/messages/peer.hpp
@@ -25,6 +25,8 @@
     common::record_id record;
     /// HMAC with the processes' shared key, made by the entry that took the operator's order.
     std::string proof;
+
+    auto operator==(const withdrawal&) const -> bool = default;
 };
 
 /// Any process to any other, each second: what I have, what I lack.
