Add the agent's core: last gate, request table, queue, drain and engine events

The gate looks at the agent's own newest configuration on arrival and again at the start; an agent behind the entry waits at most 2 s to catch up. A running at-most-once call outlives its caller, and its answer is kept for the retry. The queue is placement::fair_queue.

--- a/source/core/agent/core.hpp
+++ b/source/core/agent/core.hpp
@@ -9,21 +9,18 @@
 #include "common/hooks.hpp"
 #include "common/ids.hpp"
 #include "common/units.hpp"
+#include "inventory/state.hpp"
 #include "messages/channel.hpp"
 #include "messages/run.hpp"
-
-namespace reedramp::inventory {
-struct state;
-} // namespace reedramp::inventory
+#include "placement/fair_queue.hpp"
 
 namespace reedramp::agent {
 
 struct core_options {
     common::server_id server;
     common::incarnation_id incarnation;
-    /// Runs that the backend server gets at once; the rest waits in the queue.
-    std::uint32_t slots = 8;
-    std::uint32_t queue_limit = 256;
+    /// What the backend server gets at once, and the queue before it.
+    placement::fair_queue_settings queue;
     /// How long a request may wait for the agent's configuration to reach the entry's.
     common::duration catch_up_limit = std::chrono::seconds(2);
     /// How long an ended request is remembered, so that a late copy of it is refused. A request's
@@ -51,8 +48,10 @@
     /// Runs an action soon, on another stack.
     std::function<auto(std::function<auto()->void> action)->void> post;
     start_hook start;
-    /// The newest configuration, or null before the first one.
-    std::function<auto()->std::shared_ptr<const inventory::state>> snapshot;
+    /// The newest configuration; at offset 0 before the first one.
+    std::function<auto()->inventory::snapshot_ptr> snapshot;
+    /// Until when it is known to be current.
+    std::function<auto()->common::time_point> current_until;
     /// Asks the follower to fetch configuration up to this offset now. May be empty.
     std::function<auto(common::log_offset wanted)->void> catch_up;
     /// May be empty.
@@ -83,6 +82,9 @@
     /// What `wire` serves to entries. It keeps the core alive.
     virtual auto service() -> messages::agent_service = 0;
 
+    /// A newer configuration is in force: work that waited for it goes on.
+    virtual auto configuration_changed() -> void = 0;
+
     /// Ends what has timed out: queued requests past their deadline, old records. Call it every
     /// 100 ms or so; deadlines also have timers of their own.
     virtual auto tick() -> void = 0;
--- /dev/null
+++ b/source/core/agent/engine_core.cpp
@@ -0,0 +1,191 @@
+#include "agent/engine_core.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "agent/decision_log.hpp"
+#include "agent/gate.hpp"
+#include "common/log.hpp"
+
+namespace reedramp::agent {
+
+using common::make_error;
+using common::result_code;
+using messages::repeat_rule;
+
+namespace {
+
+auto table_limits(const core_options& options) -> request_table_limits
+{
+    constexpr std::size_t reserve_share = 4;
+    return {
+        options.record_window,
+        options.record_limit,
+        options.record_limit / reserve_share,
+        options.kept_answers_limit,
+        options.kept_answer_limit};
+}
+
+} // namespace
+
+auto core::create(core_options options, core_hooks hooks) -> std::shared_ptr<core>
+{
+    return std::make_shared<engine_core>(std::move(options), std::move(hooks));
+}
+
+engine_core::engine_core(core_options initial, core_hooks given)
+    : options(std::move(initial)), hooks(std::move(given)), table(table_limits(this->options)),
+      queue(this->options.queue)
+{
+}
+
+auto engine_core::service() -> messages::agent_service
+{
+    auto self = this->shared_from_this();
+    messages::agent_service offered;
+    offered.run = [self](messages::run_request request, messages::run_sink sink) {
+        return self->accept(std::move(request), std::move(sink));
+    };
+    offered.ask = [self](
+                      messages::outcome_query query,
+                      messages::answer_hook<messages::outcome_answer> done) {
+        done(self->ask(query));
+    };
+    offered.probe = [self](
+                        messages::probe_request request,
+                        messages::answer_hook<messages::probe_answer> done) {
+        done(self->probe(request));
+    };
+    return offered;
+}
+
+auto engine_core::cancel(const run_ptr& item) -> void
+{
+    item->outbox.close();
+    if (item->end_unless_running()) {
+        auto why = make_error(result_code::cancelled);
+        why.run = common::execution::not_run;
+        this->table.refuse(item->request.key, why, this->hooks.now());
+        ++this->cancelled;
+        log_line("cancelled before its start", item->request);
+        this->forget(item->request.key);
+        this->pump();
+        return;
+    }
+    if (item->request.repeat == repeat_rule::at_most_once) {
+        // Stopping it would leave its outcome unknown for good. It goes on, and the answer is kept
+        // for the caller's retry. A paused backend server would never end.
+        item->resume();
+        log_line("goes on without its caller", item->request);
+        return;
+    }
+    auto why = make_error(result_code::cancelled);
+    why.run = common::execution::ran;
+    this->fail(item, why);
+}
+
+auto engine_core::tick() -> void
+{
+    this->table.expire(this->hooks.now());
+    this->configuration_changed();
+    this->pump();
+}
+
+auto engine_core::drain() -> void
+{
+    std::vector<run_ptr> back;
+    {
+        const std::lock_guard guard(this->lock);
+        if (this->is_leaving.exchange(true)) {
+            return;
+        }
+        for (const auto& entry : this->queue.take_all()) {
+            if (const auto found = this->runs.find(entry.key); found != this->runs.end()) {
+                back.push_back(found->second);
+            }
+        }
+        for (const auto& [key, item] : this->held) {
+            back.push_back(item);
+        }
+    }
+    common::log(
+        common::log_part::agent,
+        common::log_level::info,
+        "leaving; queued work goes back count=" + std::to_string(back.size()));
+    for (const auto& item : back) {
+        this->refuse(item, make_error(result_code::server_leaving));
+    }
+}
+
+auto engine_core::leaving() const -> bool
+{
+    return this->is_leaving;
+}
+
+auto engine_core::idle() const -> bool
+{
+    const std::lock_guard guard(this->lock);
+    return this->runs.empty() && this->held.empty();
+}
+
+auto engine_core::cut() -> std::size_t
+{
+    std::vector<run_ptr> left;
+    {
+        const std::lock_guard guard(this->lock);
+        for (const auto& [key, item] : this->runs) {
+            left.push_back(item);
+        }
+    }
+    return static_cast<std::size_t>(std::count_if(left.begin(), left.end(), [this](auto& item) {
+        return this->fail(item, make_error(result_code::server_lost, "agent had to stop"));
+    }));
+}
+
+auto engine_core::counters() const -> core_counters
+{
+    core_counters result;
+    result.accepted = this->accepted;
+    result.started = this->started;
+    result.finished = this->finished;
+    result.failed = this->failed;
+    result.refused = this->refused;
+    result.cancelled = this->cancelled;
+    result.records = this->table.records();
+    const std::lock_guard guard(this->lock);
+    result.in_flight = this->queue.running();
+    result.queued = this->queue.queued() + this->held.size();
+    return result;
+}
+
+auto engine_core::ask(const messages::outcome_query& query) -> messages::outcome_answer
+{
+    if (query.key.incarnation != this->options.incarnation) {
+        // A predecessor may have run it; nobody knows any more.
+        messages::outcome_answer unknown;
+        unknown.why = make_error(result_code::wrong_incarnation);
+        unknown.why->run = common::execution::unknown;
+        return unknown;
+    }
+    return this->table.ask(query, this->hooks.now());
+}
+
+auto engine_core::probe(const messages::probe_request& request) -> messages::probe_answer
+{
+    const auto current = this->hooks.snapshot();
+    messages::probe_answer answer;
+    answer.server = this->options.server;
+    answer.incarnation = this->options.incarnation;
+    answer.leaving = this->is_leaving;
+    answer.configuration = current->offset;
+    answer.serves_version = gate::serves(*current, this->options.server, request.version);
+    const std::lock_guard guard(this->lock);
+    answer.in_flight = static_cast<std::uint32_t>(this->queue.running());
+    answer.queued = static_cast<std::uint32_t>(this->queue.queued() + this->held.size());
+    answer.estimated_wait = this->queue.estimated_wait(this->hooks.now());
+    return answer;
+}
+
+} // namespace reedramp::agent
--- /dev/null
+++ b/source/core/agent/event_outbox.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <deque>
+#include <mutex>
+
+#include "messages/channel.hpp"
+#include "messages/run.hpp"
+
+namespace reedramp::agent {
+
+/// Hands one run's events to its reader, in order and one at a time, whichever threads they come
+/// from.
+///
+/// A deadline on one thread may end a run while another thread brings its tokens. Without an order
+/// here the reader could see tokens after the final event. Nothing is delivered after a final event
+/// or after `close`.
+class event_outbox {
+public:
+    /// Holds events back until `release`, since a reader must not be called inside `run`.
+    explicit event_outbox(messages::run_sink sink);
+
+    auto put(messages::run_event event) -> void;
+
+    /// Ends the hold if nothing waits, else leaves it and gives false: then call `release` from
+    /// another stack.
+    auto release_if_empty() -> bool;
+    auto release() -> void;
+
+    /// The reader has left.
+    auto close() -> void;
+
+private:
+    auto push(messages::run_event event) -> void;
+    auto deliver() -> void;
+
+    messages::run_sink sink;
+    std::mutex lock;
+    std::deque<messages::run_event> waiting;
+    /// Some thread is delivering, or the hold is on.
+    bool busy = true;
+    bool ended = false;
+    bool closed = false;
+};
+
+} // namespace reedramp::agent
--- /dev/null
+++ b/source/core/agent/work_cost.cpp
@@ -0,0 +1,67 @@
+#include "agent/work_cost.hpp"
+
+#include <algorithm>
+
+#include "agent/engine_protocol.hpp"
+
+namespace reedramp::agent {
+
+namespace {
+
+constexpr std::uint64_t bytes_per_token = 4;
+/// Prompt tokens that take as long as one completion token.
+constexpr std::uint64_t prompt_tokens_per_unit = 16;
+/// An answer's length where the caller gives no limit, and the most that is expected where it does:
+/// callers often give a limit that their answers never reach.
+constexpr std::uint64_t usual_completion = 128;
+constexpr std::uint64_t longest_expected_completion = 512;
+
+} // namespace
+
+auto expected_cost(const messages::run_request& request) -> common::token_count
+{
+    if (request.kind == messages::work_kind::service) {
+        return common::token_count{1};
+    }
+    const auto prompt = request.body.size() / bytes_per_token / prompt_tokens_per_unit;
+    const auto limit = request.max_tokens.value();
+    const auto completion =
+        limit == 0 ? usual_completion : std::min(limit, longest_expected_completion);
+    return common::token_count{prompt + completion};
+}
+
+auto spent_cost(const messages::run_request& request, const messages::usage& used)
+    -> common::token_count
+{
+    if (request.kind == messages::work_kind::service) {
+        return common::token_count{1};
+    }
+    const auto prompt = used.prompt_tokens.value() / prompt_tokens_per_unit;
+    return common::token_count{prompt + used.completion_tokens.value()};
+}
+
+auto make_backend_call(const messages::run_request& request) -> common::result<backend_call>
+{
+    backend_call call;
+    call.kind = request.kind;
+    call.request = request.key.request;
+    call.stream = request.stream;
+    if (request.kind == messages::work_kind::service) {
+        call.method = request.method;
+        call.path = request.path;
+        call.content_type = request.content_type;
+        call.body = request.body;
+        return call;
+    }
+    auto body = build_engine_body(request);
+    if (!body) {
+        return tl::unexpected(body.error());
+    }
+    call.method = "POST";
+    call.path = chat_path;
+    call.content_type = "application/json";
+    call.body = std::move(*body);
+    return call;
+}
+
+} // namespace reedramp::agent
