--- a/source/standin/engine_part.cpp
+++ b/source/standin/engine_part.cpp
@@ -257,7 +257,8 @@
         answer.written = end;
         answer.out->write(std::move(events));
         if (is_cut) {
-            answer.out->abort();
+            // The tokens before the cut still reach the caller.
+            answer.out->when_drained(1, [out = answer.out] { out->abort(); });
         }
         return !is_cut;
     }
