Keep bills until read back and count each once

Append answers of the platform's log get lost, the log is away for an hour at a time, and processes leave with bills in hand. The collector appends batches, reads each back at its offset before it lets go, sends again after a lost answer (readers drop a repeat by organisation and request), hands over at shutdown, and at its bound (24 MiB) refuses new work rather than drop a bill.

--- a/source/core/billing/collector.hpp
+++ b/source/core/billing/collector.hpp
@@ -24,7 +24,7 @@
 struct collector_config {
     /// Least time between the starts of two appends. With N processes that append, the log gets at
     /// most N / interval appends a second.
-    common::duration append_interval = std::chrono::milliseconds{500};
+    common::duration append_interval = std::chrono::seconds{1};
     /// Longest wait of a bill for others to share its append.
     common::duration batch_wait = std::chrono::milliseconds{500};
     /// Bills of one append.
@@ -32,9 +32,11 @@
     /// Wait after the log could not be reached; doubles up to the longest.
     common::duration first_retry = std::chrono::milliseconds{500};
     common::duration longest_retry = std::chrono::seconds{5};
-    /// Bytes of bills not yet read back at which new work is refused. An hour without the log at
-    /// 20 requests a second and 200 bytes a bill takes 14.4 MB.
-    std::size_t full_bytes = std::size_t{16} * 1024 * 1024;
+    /// A call that has not answered by then counts as one whose answer is lost.
+    common::duration call_within = std::chrono::seconds{10};
+    /// Bytes of bills not yet read back (`size_of`) at which new work is refused. 24 MiB hold an
+    /// hour without the log at 20 requests a second and 350 bytes a bill.
+    std::size_t full_bytes = std::size_t{24} * 1024 * 1024;
 };
 
 struct collector_hooks {
@@ -74,8 +76,9 @@
     /// Takes the bill of a request that has ended.
     auto add(messages::bill item) -> void;
 
-    /// Takes bills of another process; `done` is called when all were read back, or when this
-    /// collector gives up on them because it shuts down.
+    /// Takes bills of another process; `done` is called when all were read back. Error:
+    /// `queue_full` when half of the bound is reached, so that the bills of others cannot stop this
+    /// process's own work; the sender keeps them then.
     auto receive(messages::bill_handover bills, messages::answer_hook<messages::accepted> done)
         -> void;
 
@@ -95,6 +98,10 @@
     [[nodiscard]] auto empty() const -> bool;
     [[nodiscard]] auto counters() const -> collector_counters;
 
+    ~collector();
+    collector(const collector&) = delete;
+    auto operator=(const collector&) -> collector& = delete;
+
 private:
     struct receipt;
     struct held_bill;
@@ -104,16 +111,25 @@
 
     collector(collector_config config, collector_hooks hooks);
 
-    auto hold(messages::bill item, std::shared_ptr<receipt> from) -> void;
+    auto hold(messages::bill item, std::shared_ptr<receipt> from, common::time_point now) -> void;
     auto schedule(common::time_point now, actions& todo) -> void;
+    auto call_at(common::time_point when, actions& todo) -> void;
+    auto form_batch() -> void;
     auto send(common::time_point now, actions& todo) -> void;
-    auto on_timer() -> void;
-    auto forwarded(std::uint64_t turn, common::result<messages::accepted> answer) -> void;
-    auto appended(std::uint64_t turn, common::result<common::log_offset> answer) -> void;
-    auto read_back(std::uint64_t turn, common::result<platform::read_answer> answer) -> void;
+    auto forward(actions& todo) -> void;
+    auto append(actions& todo) -> void;
+    auto read_back(actions& todo) -> void;
+    auto on_timer(common::time_point when) -> void;
+    auto on_forwarded(std::uint64_t turn, bool accepted) -> void;
+    auto on_appended(std::uint64_t turn, common::result<common::log_offset> answer) -> void;
+    auto on_read(std::uint64_t turn, const common::result<platform::read_answer>& answer) -> void;
+    auto try_again(common::time_point now) -> void;
     auto confirm(actions& todo) -> void;
-    auto try_again(common::time_point now, actions& todo) -> void;
-    static auto run(actions& todo) -> void;
+    auto let_go(held_bill& item, actions& todo) -> void;
+
+    /// Runs `change(now, todo)` under the lock, then the actions that it collected outside it.
+    template <typename Change>
+    auto with_lock(Change change) -> void;
 
     collector_config config;
     collector_hooks hooks;
@@ -123,6 +139,7 @@
     std::deque<held_bill> waiting;
     /// The batch under way, if any.
     std::unique_ptr<sent_batch> sent;
+    /// Numbers the calls, so that the answer of one that was given up is not taken for another's.
     std::uint64_t turns = 0;
     std::size_t held_bytes = 0;
     common::time_point next_send{};
--- a/source/core/billing/ledger.hpp
+++ b/source/core/billing/ledger.hpp
@@ -18,19 +18,11 @@
     common::micro_money cost;
 };
 
-/// The id of a bill: two organisations that happen to use one request id have two bills.
-struct bill_id {
-    common::organisation_id organisation;
-    common::request_id request;
-
-    auto operator<=>(const bill_id&) const = default;
-};
-
 enum class ledger_outcome : std::uint8_t { counted, repeated, malformed, skipped };
 
 /// Sums the bills of the log. A bill counts once by its id, however often it was appended: a batch
 /// whose append answer was lost is sent again, and a leaving process hands over what it could not
-/// confirm, so that records repeat.
+/// confirm, so that records repeat. It remembers all ids that it has read, about 40 bytes each.
 class ledger {
 public:
     /// Takes the next record of the stream `bills`. Gives `skipped` for an offset already taken.
@@ -58,11 +50,8 @@
     [[nodiscard]] auto repeated() const -> std::uint64_t { return this->repeated_bills; }
 
 private:
-    struct id_hash {
-        auto operator()(const bill_id& id) const -> std::size_t;
-    };
-
-    std::unordered_set<bill_id, id_hash> seen;
+    /// Fingerprints of organisation and request of all bills read, 128 bits each.
+    std::unordered_set<common::request_id> seen;
     std::map<common::organisation_id, totals> organisations;
     std::map<common::version_id, totals> versions;
     common::log_offset last;
--- /dev/null
+++ b/source/core/billing/price.cpp
@@ -0,0 +1,31 @@
+#include "billing/price.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+namespace reedramp::billing {
+
+namespace {
+
+__extension__ using wide = __int128;
+
+constexpr wide tokens_of_a_price = 1'000'000;
+
+auto part(common::token_count tokens, common::micro_money price_per_million) -> wide
+{
+    return wide{tokens.value()} * wide{price_per_million.value()};
+}
+
+} // namespace
+
+auto price(const messages::usage& used, const token_prices& prices) -> common::micro_money
+{
+    const auto exact = part(used.prompt_tokens, prices.prompt_per_million) +
+                       part(used.completion_tokens, prices.completion_per_million);
+    const auto rounded = (exact + tokens_of_a_price - 1) / tokens_of_a_price;
+    constexpr wide largest = std::numeric_limits<std::int64_t>::max();
+    return common::micro_money{static_cast<std::int64_t>(std::clamp(rounded, wide{0}, largest))};
+}
+
+} // namespace reedramp::billing
