Give each life of an agent its incarnation; ask engines for the rest of an answer in both usual ways

A lost append answer is answered by a second record, since only an offset that an answer brought is used; with the log down or slow for 3 s a random number with the top bit set is taken, which no offset equals.

--- a/source/core/agent/engine_protocol.cpp
+++ b/source/core/agent/engine_protocol.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::string_view data_prefix = "data:";
 constexpr std::string_view end_marker = "[DONE]";
+constexpr auto resume_member = "resume_after_tokens";
 
 auto parse_object(std::string_view text) -> std::optional<json::object>
 {
@@ -74,6 +75,20 @@
     return start == std::string_view::npos ? std::string_view() : text.substr(start);
 }
 
+/// Asks for the rest of an answer, in both ways that engines know: one skips the tokens itself, the
+/// other continues a last message of the assistant.
+auto continue_answer(json::object& body, const messages::run_request& request) -> void
+{
+    body[resume_member] = request.sent_tokens.value();
+    auto* messages = body.contains("messages") ? body["messages"].if_array() : nullptr;
+    if (messages == nullptr) {
+        return;
+    }
+    messages->push_back(json::object{{"role", "assistant"}, {"content", request.sent_text}});
+    body["continue_final_message"] = true;
+    body["add_generation_prompt"] = false;
+}
+
 } // namespace
 
 auto build_engine_body(const messages::run_request& request) -> common::result<std::string>
@@ -92,11 +107,9 @@
         (*body)["max_tokens"] = request.max_tokens.value();
     }
     // Where the answer starts is the entry's to say, never the caller's.
-    body->erase("resume_after_tokens");
-    body->erase("resume_text");
+    body->erase(resume_member);
     if (request.sent_tokens.value() > 0) {
-        (*body)["resume_after_tokens"] = request.sent_tokens.value();
-        (*body)["resume_text"] = request.sent_text;
+        continue_answer(*body, request);
     }
     return json::serialize(*body);
 }
--- a/source/core/agent/engine_protocol.hpp
+++ b/source/core/agent/engine_protocol.hpp
@@ -14,8 +14,9 @@
 /// Path of the engine's chat interface.
 inline constexpr auto chat_path = "/v1/chat/completions";
 
-/// Builds the engine's body from the caller's: sets model, stream and priority, and
-/// `resume_after_tokens` when tokens were sent before. Errors: `malformed_json`.
+/// Builds the engine's body from the caller's: sets model, stream and priority. When tokens were
+/// sent before it asks for the rest, by `resume_after_tokens` and by a last message of the
+/// assistant with the sent text. Errors: `malformed_json`.
 auto build_engine_body(const messages::run_request& request) -> common::result<std::string>;
 
 /// What a caller may read of a whole answer.
--- /dev/null
+++ b/source/core/agent/registration.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "common/hooks.hpp"
+#include "common/ids.hpp"
+#include "common/units.hpp"
+#include "platform/hooks.hpp"
+
+namespace reedramp::agent {
+
+/// Set in an incarnation that was drawn at random, so that it is never a log offset of another.
+inline constexpr std::uint64_t random_incarnation_bit = std::uint64_t{1} << 63U;
+
+struct registration_record {
+    common::server_id server;
+    common::host_id host;
+    /// "IP:port" of the RPC listener.
+    std::string rpc;
+    common::wall_time_ms at;
+};
+
+/// {"server":...,"host":...,"rpc":...,"at":...}
+auto format_registration(const registration_record& record) -> std::string;
+
+struct registration_hooks {
+    platform::log_hooks log;
+    common::timer_hook timer;
+    common::clock_hook now;
+    common::random_hook random;
+};
+
+/// Finds this process's incarnation: the offset of its own record in the stream `registrations`,
+/// or, when the log gives none before `deadline`, a random number.
+///
+/// An append whose answer was lost is repeated: a second record of the same process is harmless,
+/// since only an offset that an answer brought is used. `done` is called once.
+auto register_agent(
+    registration_hooks hooks,
+    const registration_record& record,
+    common::time_point deadline,
+    std::function<auto(common::incarnation_id incarnation)->void> done) -> void;
+
+} // namespace reedramp::agent
--- a/source/unit_tests/agent/engine_protocol_test.cpp
+++ b/source/unit_tests/agent/engine_protocol_test.cpp
@@ -29,6 +29,14 @@
     // A caller can't choose where the answer starts.
     CHECK(body->find("resume_after_tokens") == std::string::npos);
 
+    request.body = R"({"messages":[{"role":"user","content":"q"}]})";
+    request.sent_tokens = common::token_count{2};
+    request.sent_text = "t0 t1 ";
+    const auto rest = build_engine_body(request);
+    REQUIRE(rest);
+    CHECK(rest->find(R"("resume_after_tokens":2)") != std::string::npos);
+    CHECK(rest->find(R"(,{"role":"assistant","content":"t0 t1 "}])") != std::string::npos);
+
     for (const auto* malformed : {"", "[]", "{", "7", "{\"a\":\"\xff\"}"}) {
         request.body = malformed;
         const auto refused = build_engine_body(request);
--- /dev/null
+++ b/source/unit_tests/agent/registration_test.cpp
@@ -0,0 +1,54 @@
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+#include "agent/registration.hpp"
+#include "platform/fake_log.hpp"
+#include "platform/fake_time.hpp"
+
+namespace reedramp::agent {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("An agent's incarnation is never that of another life")
+{
+    // The caller sees no call run twice across a restart. Each life of the agent needs a number of
+    // its own, whatever the log does: the offset of a record that it appended, or, with the log
+    // down, a random number that no offset can equal.
+    struct row {
+        const char* what;
+        platform::log_faults faults;
+        common::duration faulty_for;
+        std::uint64_t incarnation;
+    };
+
+    constexpr std::uint64_t random_bits = 77;
+    const auto row_of_table = GENERATE(
+        row{"log works", {}, 0s, 2},
+        row{"answer lost once, then found by a second record", {false, {}, 1, 0, 0}, 100ms, 3},
+        row{"log down for a moment", {true, {}, 0, 0, 0}, 500ms, 2},
+        row{"log down", {true, {}, 0, 0, 0}, 1h, random_bits | random_incarnation_bit},
+        row{"log too slow", {false, 10s, 0, 0, 0}, 1h, random_bits | random_incarnation_bit});
+    INFO(row_of_table.what);
+    platform::fake_time time{common::time_point{1h}};
+    platform::fake_log log(time.clock(), time.timers());
+    log.put(platform::streams::registrations, "an earlier life");
+    log.set_faults(row_of_table.faults);
+    time.at(time.now() + row_of_table.faulty_for, [&log] { log.set_faults({}); });
+
+    std::vector<std::uint64_t> given;
+    register_agent(
+        {log.hooks(),
+         time.timers(),
+         time.clock(),
+         [] {
+             return random_bits;
+         }},
+        {common::server_id{"s1"}, common::host_id{"h1"}, "127.0.0.1:1", {}},
+        time.now() + 3s,
+        [&given](common::incarnation_id one) { given.push_back(one.value()); });
+    time.run_for(20s);
+    CHECK(given == std::vector<std::uint64_t>{row_of_table.incarnation});
+}
+
+} // namespace reedramp::agent
