--- a/source/core/entry/attempt.cpp
+++ b/source/core/entry/attempt.cpp
@@ -281,12 +281,14 @@
     settle(item, common::result_code::cancelled, common::execution::unknown);
 }
 
-auto cut_exchange(const exchange_ptr& item) -> bool
+auto cut_exchange(const exchange_ptr& item) -> void
 {
     if (item->ended) {
-        return false;
+        return;
+    }
+    if (item->answer != answer_phase::ended) {
+        ++item->context->counted.cut_by_shutdown;
     }
-    const auto was_open = item->answer != answer_phase::ended;
     auto why = common::make_error(common::result_code::shutting_down);
     if (item->attempt.phase != attempt_phase::none) {
         why.run = common::execution::unknown;
@@ -299,7 +301,6 @@
     why.run = together(why.run, item->past);
     send_error(*item, why);
     end_exchange(item, why.code, why.run);
-    return was_open;
 }
 
 } // namespace reedramp::entry
--- a/source/core/entry/attempt.hpp
+++ b/source/core/entry/attempt.hpp
@@ -28,8 +28,8 @@
 /// The caller has closed the connection, or reads too slowly.
 auto leave_caller(const exchange_ptr& item) -> void;
 
-/// The deadline of a graceful shutdown has passed. True if an answer was cut.
-auto cut_exchange(const exchange_ptr& item) -> bool;
+/// The deadline of a graceful shutdown has passed. Counts an answer that it cuts.
+auto cut_exchange(const exchange_ptr& item) -> void;
 
 /// Adds a line to the bill for the present attempt.
 auto add_bill_line(exchange& item, const messages::usage& used) -> void;
--- a/source/core/entry/core.cpp
+++ b/source/core/entry/core.cpp
@@ -239,12 +239,7 @@
             return;
         }
         for (const auto& item : self->context->requests.all()) {
-            post(item, [self](const exchange_ptr& late) {
-                if (cut_exchange(late)) {
-                    ++self->context->counted.cut_by_shutdown;
-                }
-                self->context->request_ended();
-            });
+            post(item, cut_exchange);
         }
     });
     this->context->request_ended();
--- a/source/core/entry/reply.cpp
+++ b/source/core/entry/reply.cpp
@@ -55,12 +55,12 @@
     item.context->counted.count_refusal(why.code);
     if (item.answer == answer_phase::started) {
         item.answer = answer_phase::ended;
-        item.out->write(sse_writer::broken(why, item.id));
+        item.out->write(sse_writer::broken(why, item.billed_as));
         item.out->finish();
         return;
     }
     item.answer = answer_phase::ended;
-    auto answer = problem_answer(why, item.id, item.context->parts.now());
+    auto answer = problem_answer(why, item.billed_as, item.context->parts.now());
     if (!item.version.value().empty()) {
         answer.headers.push_back({std::string(header_names::version), item.version.value()});
     }
