Add the roll-out controller; bet against the pooled mean of the old version

Change: bets are on the new version's own observations against the old version's mean, taken at the unfavourable end of its confidence interval; the mean is pooled over entries by the same reports that carry their wealth; failed runs stop growth. control: evidence_source, evidence_board, rollout_controller, proposals with ids that all proposers share. The tests of the guard now have 20 old ratings for each new one, as at a small share, since a bet needs the old mean first; bounds and counts are as before.

--- a/source/bench/exposure_bench.cpp
+++ b/source/bench/exposure_bench.cpp
@@ -1,5 +1,359 @@
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <deque>
+#include <numeric>
+#include <random>
+
+#include "control/evidence_source.hpp"
+#include "control/rollout.hpp"
+#include "metric.hpp"
 #include "parts.hpp"
+#include "policy/chooser.hpp"
+#include "users.hpp"
 
 namespace reedramp::bench {
-auto exposure_bench() -> void {}
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double append_s = 1.0;
+constexpr double longest_rollout_s = 14 * 24 * 3600.0;
+
+/// What a version does, as only the simulated world knows it.
+struct behaviour {
+    double score = 0.8;
+    double error_rate = 0.005;
+};
+
+struct scenario {
+    const char* name;
+    behaviour old_one;
+    behaviour new_one;
+};
+
+constexpr scenario worse_answers{"worse_answers", {0.80, 0.005}, {0.50, 0.005}};
+constexpr scenario little_worse{"little_worse", {0.80, 0.005}, {0.68, 0.005}};
+constexpr scenario failing{"failing", {0.80, 0.005}, {0.80, 0.10}};
+constexpr scenario equal{"equal", {0.80, 0.005}, {0.80, 0.005}};
+
+enum class rule : std::uint8_t {
+    /// The controller of this project.
+    sequential_test,
+    /// Baseline: stop when 10 % of the last 50 runs failed or the last 50 ratings have a mean that
+    /// is 0.1 lower than the old version's; a larger share every half hour.
+    fixed_threshold,
+};
+
+struct outcome {
+    bool stopped = false;
+    bool completed = false;
+    /// Requests that ran on the new version.
+    std::uint64_t exposed = 0;
+    double seconds = 0.0;
+};
+
+struct late_rating {
+    double at = 0.0;
+    std::size_t entry = 0;
+    bool is_new = false;
+    double score = 0.0;
+};
+
+/// The last runs and ratings of the new version, for the fixed rule.
+struct recent_window {
+    static constexpr std::size_t length = 50;
+    std::deque<double> errors;
+    std::deque<double> scores;
+
+    static auto push(std::deque<double>& values, double value) -> void
+    {
+        values.push_back(value);
+        if (values.size() > length) {
+            values.pop_front();
+        }
+    }
+
+    static auto mean(const std::deque<double>& values) -> double
+    {
+        return std::accumulate(values.begin(), values.end(), 0.0) /
+               static_cast<double>(values.size());
+    }
+
+    [[nodiscard]] auto is_bad(double old_score) const -> bool
+    {
+        const bool fails = this->errors.size() == length && mean(this->errors) > 0.1;
+        const bool rated_low =
+            this->scores.size() == length && mean(this->scores) < old_score - 0.1;
+        return fails || rated_low;
+    }
+};
+
+/// One roll-out under one rule on a virtual clock.
+class rollout_run {
+public:
+    rollout_run(const user& whose, const scenario& what, rule how, std::uint64_t seed)
+        : owner(whose), scene(what), chosen(how), random(seed),
+          controller(control::rollout_options{})
+    {
+        for (int i = 0; i < whose.entries; ++i) {
+            this->sources.emplace_back(policy::guard_options{});
+        }
+        this->item.id = "r";
+        this->item.from = common::version_id("old");
+        this->item.to = common::version_id("new");
+        this->item.share = control::default_steps().front().share;
+        this->current.rollouts.emplace(this->item.id, this->item);
+    }
+
+    auto run() -> outcome
+    {
+        std::exponential_distribution<double> gap(this->owner.requests_per_second);
+        double now = 0.0;
+        double next_look = this->owner.gossip_s;
+        while (now < longest_rollout_s && !this->result.completed) {
+            now += gap(this->random);
+            while (next_look <= now) {
+                this->look(next_look);
+                next_look += this->owner.gossip_s;
+            }
+            if (this->stop_at <= now) {
+                this->result.stopped = true;
+                break;
+            }
+            this->apply_share(now);
+            this->arrive(now);
+        }
+        this->result.seconds = now;
+        return this->result;
+    }
+
+private:
+    auto chance() -> double { return this->unit(this->random); }
+
+    auto arrive(double now) -> void
+    {
+        this->deliver(now);
+        const auto entry =
+            static_cast<std::size_t>(this->chance() * static_cast<double>(this->sources.size()));
+        const bool is_new = policy::in_share(this->random(), this->item.share);
+        const auto& acts = is_new ? this->scene.new_one : this->scene.old_one;
+        const bool failed = this->chance() < acts.error_rate;
+        const auto& version = is_new ? this->item.to : this->item.from;
+        this->sources[entry].on_run(this->current, {version, failed, false});
+        if (is_new) {
+            ++this->result.exposed;
+            recent_window::push(this->window.errors, failed ? 1.0 : 0.0);
+        }
+        // All answers of a new version are sent for rating; still without a look at the answer.
+        const double share = (is_new ? 1.0 : this->owner.rated) * this->owner.returned;
+        if (failed || this->chance() >= share) {
+            return;
+        }
+        const double score =
+            std::clamp(acts.score + score_spread * this->gauss(this->random), 0.0, 1.0);
+        this->waiting.push_back({now + this->owner.rating_delay_s, entry, is_new, score});
+    }
+
+    auto deliver(double now) -> void
+    {
+        while (!this->waiting.empty() && this->waiting.front().at <= now) {
+            const auto each = this->waiting.front();
+            this->waiting.pop_front();
+            const auto& version = each.is_new ? this->item.to : this->item.from;
+            this->sources[each.entry].on_rating(this->current, version, each.score);
+            if (each.is_new) {
+                recent_window::push(this->window.scores, each.score);
+            }
+        }
+    }
+
+    auto look(double now) -> void
+    {
+        if (this->chosen == rule::fixed_threshold) {
+            this->look_at_threshold(now);
+            return;
+        }
+        ++this->sequence;
+        for (std::size_t i = 0; i < this->sources.size(); ++i) {
+            messages::gossip report;
+            report.from = common::host_id(std::to_string(i));
+            report.sequence = this->sequence;
+            report.evidence = this->sources[i].report();
+            this->board.take(report);
+        }
+        for (auto& source : this->sources) {
+            source.use_pooled(this->current, this->board.counts_of(this->item.from));
+        }
+        const common::time_point moment{std::chrono::milliseconds(static_cast<long>(now * 1000))};
+        for (const auto& action : this->controller.decide(this->current, this->board, 0, moment)) {
+            if (const auto* grow = std::get_if<control::propose_share>(&action)) {
+                this->plan_share(now, grow->share, grow->step);
+            }
+        }
+        if (this->controller.alarmed(this->item.to)) {
+            // The other entries hear of it with the next exchange.
+            this->stop_at = std::min(this->stop_at, now + this->owner.gossip_s);
+        }
+    }
+
+    auto look_at_threshold(double now) -> void
+    {
+        if (this->window.is_bad(this->scene.old_one.score)) {
+            this->stop_at = std::min(this->stop_at, now);
+        }
+        const auto steps = control::default_steps();
+        const auto due = static_cast<std::uint32_t>(now / 1800.0);
+        if (due > this->item.step && due < steps.size()) {
+            this->plan_share(now, steps[due].share, due);
+        }
+    }
+
+    auto plan_share(double now, common::permille share, std::uint32_t step) -> void
+    {
+        if (this->planned_at < HUGE_VAL) {
+            return;
+        }
+        this->planned_at = now + append_s;
+        this->planned = {share, step};
+    }
+
+    auto apply_share(double now) -> void
+    {
+        if (this->planned_at > now) {
+            return;
+        }
+        this->planned_at = HUGE_VAL;
+        this->item.share = this->planned.first;
+        this->item.step = this->planned.second;
+        this->result.completed = this->item.share == common::permille(1000);
+        this->current.rollouts[this->item.id] = this->item;
+    }
+
+    const user& owner;
+    const scenario& scene;
+    rule chosen;
+    std::mt19937_64 random;
+    std::normal_distribution<double> gauss{0.0, 1.0};
+    std::uniform_real_distribution<double> unit{0.0, 1.0};
+    std::deque<control::evidence_source> sources;
+    control::rollout_controller controller;
+    control::evidence_board board;
+    inventory::rollout item;
+    inventory::state current;
+    std::deque<late_rating> waiting;
+    recent_window window;
+    std::uint64_t sequence = 0;
+    double stop_at = HUGE_VAL;
+    double planned_at = HUGE_VAL;
+    std::pair<common::permille, std::uint32_t> planned;
+    outcome result;
+};
+
+/// Largest mean growth of the logarithm of a bet's wealth for each new rating, when the old mean
+/// and the distribution of the new ratings are known: KL_inf of the new distribution to those whose
+/// mean is not worse. No test with the same false-alarm rate decides earlier on average.
+auto rating_growth(const scenario& scene, double slack) -> double
+{
+    std::mt19937_64 random(99);
+    std::normal_distribution<double> gauss(0.0, 1.0);
+    std::vector<double> draws(20000);
+    for (auto& each : draws) {
+        each = std::clamp(scene.new_one.score + score_spread * gauss(random), 0.0, 1.0);
+    }
+    const double threshold = scene.old_one.score - slack;
+    double best = 0.0;
+    for (double stake = 0.01; stake < 1.0 / (1.0 - threshold); stake += 0.01) {
+        double sum = 0.0;
+        for (const double each : draws) {
+            sum += std::log(std::max(1e-12, 1.0 + stake * (threshold - each)));
+        }
+        best = std::max(best, sum / static_cast<double>(draws.size()));
+    }
+    return best;
+}
+
+auto error_growth(const scenario& scene, double slack) -> double
+{
+    const double seen = scene.new_one.error_rate;
+    const double allowed = scene.old_one.error_rate + slack;
+    if (seen <= allowed) {
+        return 0.0;
+    }
+    return seen * std::log(seen / allowed) + (1 - seen) * std::log((1 - seen) / (1 - allowed));
+}
+
+/// Fewest requests on the new version, on average, until any test with this false-alarm rate can
+/// stop it: what the decision needs, and what arrives at the first share while ratings are late.
+auto least_exposed(const user& owner, const scenario& scene) -> double
+{
+    const policy::guard_options options;
+    const double needed = -std::log(options.false_alarm);
+    const double by_errors = error_growth(scene, options.error_slack);
+    const double by_ratings = rating_growth(scene, options.rating_slack) * owner.returned;
+    const double first_share = control::default_steps().front().share.value() / 1000.0;
+    const double per_second = owner.requests_per_second * first_share;
+    if (by_errors > by_ratings) {
+        return needed / by_errors;
+    }
+    return needed / by_ratings + per_second * owner.rating_delay_s;
+}
+
+auto measure_bad(const user& owner, const scenario& scene) -> void
+{
+    const double bound = least_exposed(owner, scene);
+    std::vector<double> exposed;
+    std::vector<double> ratios;
+    std::vector<double> baseline;
+    std::uint64_t missed = 0;
+    std::uint64_t missed_by_baseline = 0;
+    for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+        const auto found = rollout_run(owner, scene, rule::sequential_test, seed).run();
+        const auto other = rollout_run(owner, scene, rule::fixed_threshold, seed).run();
+        exposed.push_back(static_cast<double>(found.exposed));
+        ratios.push_back(static_cast<double>(found.exposed) / bound);
+        baseline.push_back(static_cast<double>(other.exposed));
+        missed += found.stopped ? 0 : 1;
+        missed_by_baseline += other.stopped ? 0 : 1;
+    }
+    const auto name = owner.name + "_" + scene.name;
+    print_sample(name + "_exposed_requests", exposed, "requests", better::lower);
+    print_sample(name + "_exposed_ratio_to_bound", ratios, "ratio", better::lower);
+    print_sample(name + "_exposed_requests_fixed_rule", baseline, "requests", better::lower);
+    print_metric(name + "_missed", static_cast<double>(missed), "of_20");
+    print_metric(name + "_missed_fixed_rule", static_cast<double>(missed_by_baseline), "of_20");
+}
+
+auto measure_good(const user& owner) -> void
+{
+    constexpr std::uint64_t rollouts = 300;
+    double alarms = 0.0;
+    double alarms_of_baseline = 0.0;
+    std::vector<double> hours;
+    for (std::uint64_t seed = 1; seed <= rollouts; ++seed) {
+        const auto found = rollout_run(owner, equal, rule::sequential_test, seed).run();
+        const auto other = rollout_run(owner, equal, rule::fixed_threshold, seed).run();
+        alarms += found.stopped ? 1.0 : 0.0;
+        alarms_of_baseline += other.stopped ? 1.0 : 0.0;
+        hours.push_back(found.seconds / 3600.0);
+    }
+    print_metric(owner.name + "_false_alarm_rate", alarms / rollouts, "share");
+    print_metric(
+        owner.name + "_false_alarm_rate_fixed_rule", alarms_of_baseline / rollouts, "share");
+    print_sample(owner.name + "_rollout_hours", hours, "hours", better::lower);
+}
+
+} // namespace
+
+auto exposure_bench() -> void
+{
+    for (const auto& owner : {steinhauser(), abay()}) {
+        for (const auto& scene : {worse_answers, little_worse, failing}) {
+            measure_bad(owner, scene);
+        }
+        measure_good(owner);
+    }
+}
+
 } // namespace reedramp::bench
--- a/source/bench/main.cpp
+++ b/source/bench/main.cpp
@@ -16,6 +16,7 @@
 constexpr part parts[] = {
     {"policy", policy_bench},
     {"exposure", exposure_bench},
+    {"placement", placement_bench},
 };
 
 } // namespace
--- a/source/bench/parts.hpp
+++ b/source/bench/parts.hpp
@@ -8,4 +8,7 @@
 /// Exposure to bad versions: `<user>_exposed_requests` and its kin.
 auto exposure_bench() -> void;
 
+/// Waits, caches, surges and fairness of placement and queues.
+auto placement_bench() -> void;
+
 } // namespace reedramp::bench
--- /dev/null
+++ b/source/core/control/rollout.cpp
@@ -0,0 +1,138 @@
+#include "control/rollout.hpp"
+
+#include <algorithm>
+
+#include "common/log.hpp"
+
+namespace reedramp::control {
+
+namespace {
+
+constexpr common::permille full_share{1000};
+
+auto describe(const inventory::rollout& item, const policy::judgement& found) -> std::string
+{
+    return "rollout=" + item.id + " version=" + item.to.value() +
+           " step=" + std::to_string(item.step) + " against=" + std::to_string(found.log_against) +
+           " for=" + std::to_string(found.log_for);
+}
+
+} // namespace
+
+auto default_steps() -> std::vector<rollout_step>
+{
+    return {
+        {common::permille(10), 0.3},
+        {common::permille(50), 0.1},
+        {common::permille(200), 0.03},
+        {common::permille(500), 0.01},
+        {full_share, 0.01},
+    };
+}
+
+rollout_controller::rollout_controller(rollout_options chosen) : options(std::move(chosen))
+{
+    if (this->options.steps.empty()) {
+        this->options.steps = default_steps();
+    }
+}
+
+auto rollout_controller::decide(
+    const inventory::state& current,
+    const evidence_board& evidence,
+    std::uint32_t rank,
+    common::time_point now) -> std::vector<rollout_action>
+{
+    const std::lock_guard guard(this->lock);
+    std::vector<rollout_action> actions;
+    for (const auto& [id, item] : current.rollouts) {
+        if (item.status != inventory::rollout_status::running || current.is_withdrawn(item.to)) {
+            this->watches.erase(id);
+            continue;
+        }
+        auto found = this->look_at(item, evidence, rank, now, current.offset);
+        actions.insert(actions.end(), found.begin(), found.end());
+    }
+    return actions;
+}
+
+auto rollout_controller::look_at(
+    const inventory::rollout& item,
+    const evidence_board& evidence,
+    std::uint32_t rank,
+    common::time_point now,
+    common::log_offset base) -> std::vector<rollout_action>
+{
+    auto& seen = this->watches[item.id];
+    if (seen.step != item.step) {
+        seen = {item.step, common::never};
+    }
+    const auto index = std::min<std::size_t>(item.step, this->options.steps.size() - 1);
+    const auto found = policy::judge(
+        evidence.total_of(item.to), this->options.guard, this->options.steps[index].doubt);
+    if (found.decision == policy::verdict::worse && this->alarms.insert(item.to).second) {
+        common::log(
+            common::log_part::rollout,
+            common::log_level::warning,
+            "alarm, no new sessions " + describe(item, found));
+    }
+    if (this->is_alarmed(item.to)) {
+        if (!this->may_propose(item.id, rank, now)) {
+            return {};
+        }
+        return {propose_stop{item.id, item.to, this->options.on_alarm, base}};
+    }
+    if (found.decision != policy::verdict::not_worse) {
+        seen.propose_at = common::never;
+        return {};
+    }
+    if (!this->may_propose(item.id, rank, now)) {
+        return {};
+    }
+    common::log(
+        common::log_part::rollout,
+        common::log_level::info,
+        "proposes the next step " + describe(item, found));
+    return this->next_step(item, base);
+}
+
+auto rollout_controller::next_step(const inventory::rollout& item, common::log_offset base) const
+    -> std::vector<rollout_action>
+{
+    const std::size_t next = std::size_t{item.step} + 1;
+    if (next >= this->options.steps.size()) {
+        return {};
+    }
+    const auto share = this->options.steps[next].share;
+    return {
+        propose_share{item.id, share, static_cast<std::uint32_t>(next), share == full_share, base}};
+}
+
+auto rollout_controller::may_propose(
+    const std::string& id, std::uint32_t rank, common::time_point now) -> bool
+{
+    auto& seen = this->watches[id];
+    if (seen.propose_at == common::never) {
+        seen.propose_at = now + rank * this->options.rank_delay;
+    }
+    if (now < seen.propose_at) {
+        return false;
+    }
+    // Should the proposal be lost, this process tries again after a while; a repeat that was not
+    // needed has an old base and is refused.
+    seen.propose_at = now + 5 * this->options.rank_delay;
+    return true;
+}
+
+auto rollout_controller::alarmed(const common::version_id& version) const -> bool
+{
+    const std::lock_guard guard(this->lock);
+    return this->is_alarmed(version);
+}
+
+auto rollout_controller::is_alarmed(const common::version_id& version) const -> bool
+{
+    return this->alarms.contains(version);
+}
+
+} // namespace reedramp::control
--- a/source/core/policy/guard.cpp
+++ b/source/core/policy/guard.cpp
@@ -2,14 +2,30 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace reedramp::policy {
 
 namespace {
 
-constexpr std::size_t bets = bet_fractions.size();
+constexpr std::size_t bets = bet_shares.size();
 constexpr std::size_t growth_block = signal_count * bets;
 
+/// Weights of the signals' blocks in the mixed wealth, in the order of `signal`.
+constexpr std::array<double, signal_count> signal_weights{0.6, 0.3, 0.1};
+
+/// Means that bets are made against stay away from 0 and 1, where the largest stake has no bound.
+constexpr double least_mean = 0.01;
+
+/// Variance assumed of an old version of which this process has seen little.
+constexpr double unknown_variance = 0.06;
+
+/// Bound of new observations that wait for a reference.
+constexpr std::size_t waiting_limit = 512;
+
+/// Largest wealth against a version, as a logarithm, at which its share may still grow.
+constexpr double growth_stop = 1.1;
+
 auto index_of(signal what) -> std::size_t
 {
     return static_cast<std::size_t>(what);
@@ -26,15 +42,31 @@
     return top + std::log(sum / static_cast<double>(values.size()));
 }
 
-/// Adds the log returns of all bets of one block for one difference in [-1, 1].
+/// The wealth of someone who split the first stake over the signals by their weights.
+auto mixed_against(std::span<const double> all) -> double
+{
+    std::array<double, signal_count> terms{};
+    for (std::size_t i = 0; i < signal_count; ++i) {
+        const double weight = signal_weights[i] * static_cast<double>(signal_count);
+        terms[i] = log_mean_exp(all.subspan(i * bets, bets)) + std::log(weight);
+    }
+    return log_mean_exp(terms);
+}
+
+enum class direction : std::uint8_t { below, above };
+
+/// Adds the log returns of one block's bets that the mean of `value` is below or above `mean`.
 ///
-/// The stake is divided by 1 + slack, the largest possible loss: an undivided bet of 0.9 could lose
-/// more than it has, and the logarithm of a negative wealth is no number.
-auto add_returns(wealth& logs, std::size_t first, double difference, double slack) -> void
+/// The largest stake loses all when `value` is at the far end of [0, 1]; a share below 1 of it
+/// keeps the wealth positive whatever comes.
+auto add_returns(wealth& logs, std::size_t first, direction side, double value, double mean) -> void
 {
+    const double against = std::clamp(mean, least_mean, 1.0 - least_mean);
+    const bool below = side == direction::below;
+    const double gain = below ? against - value : value - against;
+    const double largest_loss = below ? 1.0 - against : against;
     for (std::size_t i = 0; i < bets; ++i) {
-        const double stake = bet_fractions[i] / (1.0 + slack);
-        logs[first + i] += std::log1p(stake * (difference - slack));
+        logs[first + i] += std::log1p(bet_shares[i] * gain / largest_loss);
     }
 }
 
@@ -48,68 +80,99 @@
 
 evidence::evidence(guard_options chosen) : options(chosen), logs(wealth_size, 0.0) {}
 
-auto evidence::block::mean() const -> double
+auto evidence::best_mean(const reference& known) -> known_mean
 {
-    return this->sum / static_cast<double>(this->count);
+    if (known.pooled.count > known.values.weight()) {
+        return known.pooled;
+    }
+    return {known.values.mean(), known.values.weight()};
+}
+
+auto evidence::ready(const reference& known) const -> bool
+{
+    return best_mean(known).count >= this->options.least_reference;
+}
+
+auto evidence::error_of(const reference& known) const -> double
+{
+    const double count = best_mean(known).count;
+    const bool seen_enough = known.values.weight() >= this->options.least_reference;
+    const double spread = seen_enough ? known.values.variance() : unknown_variance;
+    // The second term: a rate of which no case was seen is not known to be 0.
+    return this->options.reference_errors * std::sqrt(spread / count) + 1.0 / count;
 }
 
 auto evidence::add_old(signal what, double value) -> void
 {
-    auto& pair = this->pairs[index_of(what)];
-    const double seen = clamp_unit(value);
-    if (pair.new_side.count == 0) {
-        pair.old_side.sum += seen;
-        ++pair.old_side.count;
+    auto& known = this->references[index_of(what)];
+    known.values.add(clamp_unit(value), this->options.reference_memory);
+    this->bet_on_waiting(what);
+}
+
+auto evidence::use_pooled(signal what, double mean, double count) -> void
+{
+    this->references[index_of(what)].pooled = {clamp_unit(mean), count};
+    this->bet_on_waiting(what);
+}
+
+auto evidence::bet_on_waiting(signal what) -> void
+{
+    auto& known = this->references[index_of(what)];
+    if (known.waiting.empty() || !this->ready(known)) {
         return;
     }
-    this->bet(what, seen, pair.new_side.mean());
-    pair.new_side = {};
+    const auto waiting = std::exchange(known.waiting, {});
+    for (const double each : waiting) {
+        this->bet(what, each);
+    }
 }
 
 auto evidence::add_new(signal what, double value) -> void
 {
-    auto& pair = this->pairs[index_of(what)];
+    auto& known = this->references[index_of(what)];
     const double seen = clamp_unit(value);
-    if (pair.old_side.count == 0) {
-        pair.new_side.sum += seen;
-        ++pair.new_side.count;
+    if (this->ready(known)) {
+        this->bet(what, seen);
         return;
     }
-    this->bet(what, pair.old_side.mean(), seen);
-    pair.old_side = {};
+    // At the bound later ones are left out, whatever their value, which keeps the bets fair.
+    if (known.waiting.size() < waiting_limit) {
+        known.waiting.push_back(seen);
+    }
 }
 
-auto evidence::bet(signal what, double old_mean, double new_mean) -> void
+auto evidence::bet(signal what, double value) -> void
 {
     const auto first = index_of(what) * bets;
+    const auto& known = this->references[index_of(what)];
+    const double mean = best_mean(known).value;
+    const double low = mean - this->error_of(known);
+    const double high = mean + this->error_of(known);
+    using enum direction;
     switch (what) {
     case signal::rating:
-        this->stake(first, old_mean - new_mean, this->options.rating_slack);
-        this->stake(growth_block, new_mean - old_mean, -this->options.growth_slack);
+        add_returns(this->logs, first, below, value, low - this->options.rating_slack);
+        add_returns(this->logs, growth_block, above, value, high - this->options.growth_slack);
         return;
     case signal::error:
-        this->stake(first, new_mean - old_mean, this->options.error_slack);
+        add_returns(this->logs, first, above, value, high + this->options.error_slack);
         return;
     case signal::slow:
-        this->stake(first, new_mean - old_mean, this->options.slow_slack);
+        add_returns(this->logs, first, above, value, high + this->options.slow_slack);
         return;
     }
 }
 
-auto evidence::stake(std::size_t first, double difference, double slack) -> void
-{
-    add_returns(this->logs, first, difference, slack);
-}
-
-drift_evidence::drift_evidence(guard_options chosen, double accepted_mean)
-    : options(chosen), reference(accepted_mean), logs(wealth_size, 0.0)
+drift_evidence::drift_evidence(guard_options chosen, double mean)
+    : options(chosen), accepted_mean(mean), logs(wealth_size, 0.0)
 {
 }
 
 auto drift_evidence::add_rating(double value) -> void
 {
     const auto first = index_of(signal::rating) * bets;
-    add_returns(this->logs, first, this->reference - clamp_unit(value), this->options.rating_slack);
+    const double least = this->accepted_mean - this->options.rating_slack;
+    add_returns(this->logs, first, direction::below, clamp_unit(value), least);
 }
 
 auto add_wealth(wealth& total, std::span<const double> part) -> void
@@ -130,12 +193,14 @@
     }
     const std::span<const double> all(total);
     judgement found;
-    found.log_against = log_mean_exp(all.first(growth_block));
+    found.log_against = mixed_against(all);
     found.log_for = log_mean_exp(all.subspan(growth_block));
     if (found.log_against >= -std::log(options.false_alarm)) {
         found.decision = verdict::worse;
+        return found;
     }
-    else if (found.log_for >= -std::log(doubt)) {
+    const bool sure = found.log_for >= -std::log(doubt);
+    if (sure && found.log_against < growth_stop) {
         found.decision = verdict::not_worse;
     }
     return found;
--- a/source/core/policy/guard.hpp
+++ b/source/core/policy/guard.hpp
@@ -6,6 +6,8 @@
 #include <span>
 #include <vector>
 
+#include "policy/quality.hpp"
+
 /// Which version to use for a request, and whether a version is worse than another: estimates from
 /// ratings, the choice by cost at the quality target, and the sequential tests of roll-outs.
 namespace reedramp::policy {
@@ -22,9 +24,10 @@
 
 inline constexpr std::size_t signal_count = 3;
 
-/// Fractions of the wealth that the parallel bets stake. Small ones find small differences late,
-/// large ones find large differences early; their mean is within log(6) of the best of them.
-inline constexpr auto bet_fractions = std::to_array({0.04, 0.1, 0.2, 0.4, 0.65, 0.9});
+/// Parallel bets, each staking this share of the largest possible stake. Small ones find small
+/// differences late, large ones find large differences early; the mean of their wealth is within
+/// log(4) of the best of them.
+inline constexpr auto bet_shares = std::to_array({0.06, 0.2, 0.45, 0.8});
 
 /// How much worse the new version may be before that counts as worse, by signal, in units of the
 /// signal; and the probability with which a version that is not worse may ever be called so.
@@ -35,25 +38,32 @@
     /// How much worse the new version would have to be for a larger share to be unwanted.
     double growth_slack = 0.05;
     double false_alarm = 0.01;
+    /// Old observations needed before the first bet.
+    double least_reference = 20.0;
+    /// Old observations that the reference remembers.
+    double reference_memory = 4000.0;
+    /// Standard errors by which the reference is taken to be off, always against an alarm.
+    double reference_errors = 1.5;
 };
 
 /// Logarithms of the wealth of all bets: `signal_count` blocks that bet on "worse", then one that
 /// bets on "not worse by growth_slack" by ratings. Vectors of several processes are added up.
 using wealth = std::vector<double>;
 
-inline constexpr std::size_t wealth_size = (signal_count + 1) * bet_fractions.size();
+inline constexpr std::size_t wealth_size = (signal_count + 1) * bet_shares.size();
 
 /// One process's evidence on a new version against the one that it replaces: a test by betting
 /// (Waudby-Smith and Ramdas, "Estimating means of bounded random variables by betting", 2023).
 ///
-/// A bet stakes a fixed fraction of its wealth on the next difference. If the new version is not
-/// worse, each wealth is a non-negative supermartingale, so that it ever passes 1/a with a
-/// probability of at most a, however often and whenever one looks (Ville's inequality). The
-/// fractions do not depend on data, so that wealths of processes that report at different times
-/// may be multiplied, and the test is still valid.
+/// A bet stakes a fixed share of its wealth on the next observation of the new version being worse
+/// than the old version's mean less the slack. If the new version is not worse, each wealth is a
+/// non-negative supermartingale, so that it ever passes 1/a with a probability of at most a,
+/// however often and whenever one looks (Ville's inequality). Shares do not depend on data, so that
+/// wealths of processes that report at different times may be multiplied, and the test is still
+/// valid.
 ///
-/// One observation of the one side is paired with the mean of those of the other side since the
-/// last pair; pairing looks at counts only, never at values.
+/// The old version's mean is an estimate, taken at the end of its confidence interval that makes an
+/// alarm harder; else an estimate that happens to be high would make a good version look bad.
 class evidence {
 public:
     explicit evidence(guard_options options);
@@ -61,34 +71,42 @@
     auto add_old(signal what, double value) -> void;
     auto add_new(signal what, double value) -> void;
 
+    /// Bets against the old version's mean over all processes, once `count` is more than this
+    /// process has seen itself. With many processes each sees little of it: at 390 entries, a
+    /// thousand ratings of the old version would otherwise take an hour.
+    auto use_pooled(signal what, double mean, double count) -> void;
+
     [[nodiscard]] auto log_wealth() const -> const wealth& { return this->logs; }
 
 private:
-    struct block {
-        double sum = 0.0;
-        std::uint64_t count = 0;
-
-        [[nodiscard]] auto mean() const -> double;
+    struct known_mean {
+        double value = 0.0;
+        double count = 0.0;
     };
 
-    struct pairing {
-        block old_side;
-        block new_side;
+    struct reference {
+        forgetting_mean values;
+        known_mean pooled;
+        /// New observations that came before the reference was good enough to bet against.
+        std::vector<double> waiting;
     };
 
-    auto bet(signal what, double old_mean, double new_mean) -> void;
-    auto stake(std::size_t first, double difference, double slack) -> void;
+    [[nodiscard]] static auto best_mean(const reference& known) -> known_mean;
+    [[nodiscard]] auto ready(const reference& known) const -> bool;
+    [[nodiscard]] auto error_of(const reference& known) const -> double;
+    auto bet_on_waiting(signal what) -> void;
+    auto bet(signal what, double value) -> void;
 
     guard_options options;
-    std::array<pairing, signal_count> pairs{};
+    std::array<reference, signal_count> references;
     wealth logs;
 };
 
-/// One process's evidence that a version in full use has become worse than `reference`, its mean
-/// at the time when it was accepted.
+/// One process's evidence that a version in full use has become worse than `accepted_mean`, its
+/// mean at the time when it was accepted.
 class drift_evidence {
 public:
-    drift_evidence(guard_options options, double reference);
+    drift_evidence(guard_options options, double accepted_mean);
 
     auto add_rating(double value) -> void;
 
@@ -96,7 +114,7 @@
 
 private:
     guard_options options;
-    double reference;
+    double accepted_mean;
     wealth logs;
 };
 
@@ -112,7 +130,9 @@
     double log_for = 0.0;
 };
 
-/// Judges summed wealth. `worse` has precedence. `not_worse` needs a wealth of 1/`doubt`.
+/// Judges summed wealth. `worse` has precedence. `not_worse` needs a wealth of 1/`doubt`, and that
+/// no signal speaks against the version: failed runs get no rating, so that a version which often
+/// fails may be rated well.
 auto judge(const wealth& total, const guard_options& options, double doubt) -> judgement;
 
 /// Finds a change in summed drift wealth: the largest rise since any earlier moment (CUSUM; Shin,
--- a/source/unit_tests/policy/guard_test.cpp
+++ b/source/unit_tests/policy/guard_test.cpp
@@ -13,6 +13,9 @@
 
 constexpr double doubt = 0.1;
 
+/// Ratings of the old version for each one of the new version, as while its share is small.
+constexpr int old_ratings_each = 20;
+
 struct truth {
     double old_mean;
     double new_mean;
@@ -32,11 +35,18 @@
     std::mt19937_64 random(seed);
     const guard_options options;
     std::vector<evidence> parts(static_cast<std::size_t>(processes), evidence(options));
+    double old_sum = 0.0;
+    double old_count = 0.0;
     for (int step = 1; step <= limit; ++step) {
         auto& part = parts[static_cast<std::size_t>(step % processes)];
-        for (int i = 0; i < 3; ++i) {
-            part.add_old(signal::rating, draw(random, scene.old_mean));
+        for (int i = 0; i < old_ratings_each; ++i) {
+            const double score = draw(random, scene.old_mean);
+            part.add_old(signal::rating, score);
+            old_sum += score;
+            ++old_count;
         }
+        // As entries do, each bets against the mean over all of them.
+        part.use_pooled(signal::rating, old_sum / old_count, old_count);
         part.add_new(signal::rating, draw(random, scene.new_mean));
         wealth total;
         for (const auto& each : parts) {
@@ -96,6 +106,9 @@
 {
     for (const auto what : {signal::error, signal::slow}) {
         evidence seen{guard_options{}};
+        for (int i = 0; i < 100; ++i) {
+            seen.add_old(what, 0.0);
+        }
         for (int i = 0; i < 40; ++i) {
             seen.add_old(what, 0.0);
             seen.add_new(what, i % 2 == 0 ? 1.0 : 0.0);
@@ -107,10 +120,13 @@
 TEST_CASE("scores that are not numbers from 0 to 1 do not break the wealth")
 {
     evidence seen{guard_options{}};
-    for (const double score : {std::nan(""), -1e9, 1e9, HUGE_VAL}) {
-        seen.add_old(signal::rating, 1.0);
-        seen.add_new(signal::rating, score);
+    for (int i = 0; i < 30; ++i) {
+        for (const double score : {std::nan(""), -1e9, 1e9, HUGE_VAL}) {
+            seen.add_old(signal::rating, score);
+            seen.add_new(signal::rating, score);
+        }
     }
+    CHECK(seen.log_wealth().front() != 0.0);
     for (const double each : seen.log_wealth()) {
         CHECK(std::isfinite(each));
     }
