Run the agent: listeners, registration, follower, backend calls, drain

reedramp-agent connects the core to RPC, HTTP, the engine or service, the log and the list of hosts; it decides nothing. No run through RPC has been tried yet.

--- /dev/null
+++ b/source/agent/agent_process.cpp
@@ -0,0 +1,315 @@
+#include "agent_process.hpp"
+
+#include <utility>
+
+#include "agent/registration.hpp"
+#include "common/log.hpp"
+#include "daemon/clock.hpp"
+#include "platform/http_hosts.hpp"
+#include "platform/http_log.hpp"
+
+namespace reedramp::agent_program {
+
+using common::make_error;
+using common::result_code;
+
+namespace {
+
+constexpr common::duration tick_period = std::chrono::milliseconds(100);
+constexpr common::duration idle_check_period = std::chrono::milliseconds(20);
+
+auto not_yet() -> common::error
+{
+    return make_error(result_code::not_ready, "not registered yet");
+}
+
+/// What a run gets before there is a core.
+class no_run final : public messages::run_handle {
+public:
+    auto cancel() -> void override {}
+
+    auto pause() -> void override {}
+
+    auto resume() -> void override {}
+};
+
+} // namespace
+
+agent_process::agent_process(agent_settings wanted)
+    : settings(std::move(wanted)), threads(settings.threads)
+{
+}
+
+agent_process::~agent_process()
+{
+    // What calls into the others ends first.
+    this->http.reset();
+    this->rpc.reset();
+    if (this->follower) {
+        this->follower->stop();
+    }
+    this->threads.stop();
+    this->peers.reset();
+}
+
+auto agent_process::start(std::function<auto()->void> serving) -> common::result<void>
+{
+    this->threads.start();
+    this->log = this->make_log();
+    wire::client_options calls;
+    calls.shared_key = this->settings.shared_key;
+    calls.now = daemon::boot_time;
+    this->peers = wire::rpc_client::create(calls);
+    auto client = http::client::create(this->threads.next_context(), {});
+    this->hosts = std::make_shared<host_watch>(
+        host_watch::place{this->settings.host, this->settings.data_centre, this->settings.tailers},
+        host_watch::hooks{
+            platform::make_http_hosts(client, this->settings.hosts),
+            daemon::boot_time,
+            this->threads.timers()});
+    this->follower = this->make_follower();
+    if (auto opened = this->open_rpc(); !opened) {
+        return opened;
+    }
+    if (auto opened = this->open_http(); !opened) {
+        return opened;
+    }
+    this->hosts->start();
+    this->follower->start();
+    this->register_self(std::move(serving));
+    return {};
+}
+
+auto agent_process::make_log() -> platform::log_hooks
+{
+    http::client_options options;
+    options.idle_timeout = this->settings.log_timeout;
+    platform::http_log_options where;
+    where.where = this->settings.log;
+    where.longest_wait = this->settings.log_timeout;
+    auto client = http::client::create(this->threads.next_context(), options);
+    return platform::make_http_log(std::move(client), where);
+}
+
+auto agent_process::make_follower() -> std::shared_ptr<inventory::follower>
+{
+    inventory::follower_hooks hooks;
+    hooks.log = this->log;
+    hooks.pull = this->peers->peers().pull;
+    hooks.peers = [watch = this->hosts] {
+        return watch->peers();
+    };
+    hooks.is_tailer = [watch = this->hosts] {
+        return watch->is_tailer();
+    };
+    hooks.clock = daemon::boot_time;
+    hooks.wall_clock = daemon::wall_time;
+    hooks.timer = this->threads.timers();
+    hooks.random = daemon::random_bits;
+    hooks.shared_key = this->settings.shared_key;
+    hooks.changed = [this](const inventory::snapshot_ptr&) {
+        if (const auto running = this->current_core()) {
+            running->configuration_changed();
+        }
+    };
+    return inventory::follower::create(std::move(hooks), {});
+}
+
+auto agent_process::current_core() const -> std::shared_ptr<agent::core>
+{
+    return this->core.load();
+}
+
+auto agent_process::agent_hooks() -> messages::agent_service
+{
+    messages::agent_service offered;
+    offered.run = [this](
+                      messages::run_request request,
+                      messages::run_sink sink) -> std::shared_ptr<messages::run_handle> {
+        if (const auto running = this->current_core()) {
+            return running->service().run(std::move(request), std::move(sink));
+        }
+        this->threads.post([sink] { sink(messages::refused_event{not_yet(), {}}); });
+        return std::make_shared<no_run>();
+    };
+    offered.ask = [this](
+                      messages::outcome_query query,
+                      messages::answer_hook<messages::outcome_answer> done) {
+        if (const auto running = this->current_core()) {
+            running->service().ask(query, std::move(done));
+            return;
+        }
+        done(tl::unexpected(not_yet()));
+    };
+    offered.probe = [this](
+                        messages::probe_request request,
+                        messages::answer_hook<messages::probe_answer> done) {
+        if (const auto running = this->current_core()) {
+            running->service().probe(request, std::move(done));
+            return;
+        }
+        done(tl::unexpected(not_yet()));
+    };
+    return offered;
+}
+
+auto agent_process::open_rpc() -> common::result<void>
+{
+    wire::server_options options;
+    options.ip = this->settings.rpc.address;
+    options.port = this->settings.rpc.port;
+    options.shared_key = this->settings.shared_key;
+    options.now = daemon::boot_time;
+    messages::peer_service peer;
+    peer.pull = [follower = this->follower](
+                    const messages::configuration_pull& pull,
+                    const messages::answer_hook<messages::configuration_push>& done) {
+        done(follower->answer(pull));
+    };
+    auto opened = wire::rpc_server::start(std::move(options), this->agent_hooks(), std::move(peer));
+    if (!opened) {
+        return tl::unexpected(opened.error());
+    }
+    this->rpc = std::move(*opened);
+    return {};
+}
+
+auto agent_process::open_http() -> common::result<void>
+{
+    operations_hooks hooks;
+    hooks.leaving = [this] {
+        return this->leaving.load();
+    };
+    hooks.ready = [this] {
+        return this->current_core() != nullptr && this->follower->ready();
+    };
+    hooks.metrics = [this] {
+        const auto running = this->current_core();
+        const auto counters = running ? running->counters() : agent::core_counters{};
+        return this->metrics.text(counters, *this->follower);
+    };
+    hooks.drain = [this] {
+        this->leaving = true;
+        if (const auto running = this->current_core()) {
+            running->drain();
+        }
+    };
+    const auto api = std::make_shared<const operations_api>(
+        std::move(hooks), this->settings.operator_key_hashes);
+    http::server_options options;
+    options.listen = this->settings.http;
+    auto opened = http::server::open(
+        this->threads.contexts(),
+        std::move(options),
+        [api](const http::request& asked, const std::shared_ptr<http::responder>& out) {
+            api->handle(asked, out);
+        });
+    if (!opened) {
+        return tl::unexpected(opened.error());
+    }
+    this->http = std::move(*opened);
+    return {};
+}
+
+auto agent_process::register_self(std::function<auto()->void> serving) -> void
+{
+    agent::registration_hooks hooks{
+        this->log, this->threads.timers(), daemon::boot_time, daemon::random_bits};
+    const agent::registration_record record{
+        this->settings.server, this->settings.host, this->rpc_address(), daemon::wall_time()};
+    agent::register_agent(
+        std::move(hooks),
+        record,
+        daemon::boot_time() + this->settings.registration_limit,
+        [this, serving = std::move(serving)](common::incarnation_id incarnation) {
+            this->make_core(incarnation);
+            this->tick_later();
+            serving();
+        });
+}
+
+auto agent_process::make_core(common::incarnation_id incarnation) -> void
+{
+    http::client_options options;
+    options.idle_timeout = this->settings.backend_idle;
+    const auto backend =
+        std::make_shared<backend_client>(this->threads.contexts(), this->settings.backend, options);
+    agent::core_hooks hooks;
+    hooks.now = daemon::boot_time;
+    hooks.timer = this->threads.timers();
+    hooks.post = [this](std::function<auto()->void> action) {
+        this->threads.post(std::move(action));
+    };
+    hooks.start = backend->hook();
+    hooks.snapshot = [from = this->follower] {
+        return from->snapshot();
+    };
+    hooks.current_until = [from = this->follower] {
+        return from->current_until();
+    };
+    hooks.catch_up = [from = this->follower](common::log_offset wanted) {
+        from->expect(wanted);
+    };
+    hooks.report_usage = [this](const agent::usage_report& report) {
+        this->metrics.count_usage(report);
+    };
+    auto core_options = this->settings.core;
+    core_options.incarnation = incarnation;
+    auto made = agent::core::create(std::move(core_options), std::move(hooks));
+    this->core = made;
+    // A shutdown may have begun before there was a core.
+    if (this->leaving) {
+        made->drain();
+    }
+}
+
+auto agent_process::tick_later() -> void
+{
+    this->threads.timers()(daemon::boot_time() + tick_period, [this] {
+        this->current_core()->tick();
+        this->tick_later();
+    });
+}
+
+auto agent_process::rpc_address() const -> std::string
+{
+    return this->rpc->address().value();
+}
+
+auto agent_process::http_port() const -> std::uint16_t
+{
+    return this->http->port();
+}
+
+auto agent_process::shut_down(std::function<auto(std::size_t cut)->void> done) -> void
+{
+    this->leaving = true;
+    if (const auto running = this->current_core()) {
+        running->drain();
+    }
+    this->wait_until_idle(daemon::boot_time() + this->settings.drain_limit, std::move(done));
+}
+
+auto agent_process::wait_until_idle(
+    common::time_point limit, std::function<auto(std::size_t cut)->void> done) -> void
+{
+    const auto running = this->current_core();
+    const auto now = daemon::boot_time();
+    if (!running || running->idle() || now >= limit) {
+        const auto cut = running ? running->cut() : 0;
+        // Entries may still ask what became of a run whose answer they lost.
+        this->threads.timers()(
+            now + this->settings.drain_linger, [this, cut, done] { this->close_rpc(cut, done); });
+        return;
+    }
+    this->threads.timers()(
+        now + idle_check_period, [this, limit, done] { this->wait_until_idle(limit, done); });
+}
+
+auto agent_process::close_rpc(std::size_t cut, std::function<auto(std::size_t cut)->void> done)
+    -> void
+{
+    this->rpc->drain([this, cut, done] { this->threads.post([cut, done] { done(cut); }); });
+}
+
+} // namespace reedramp::agent_program
--- /dev/null
+++ b/source/agent/agent_process.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+#include "agent/core.hpp"
+#include "backend_client.hpp"
+#include "core_metrics.hpp"
+#include "daemon/io_pool.hpp"
+#include "host_watch.hpp"
+#include "http/server.hpp"
+#include "inventory/follower.hpp"
+#include "operations_api.hpp"
+#include "platform/hooks.hpp"
+#include "settings.hpp"
+#include "wire/rpc_client.hpp"
+#include "wire/rpc_server.hpp"
+
+namespace reedramp::agent_program {
+
+/// The whole process: connects the core to sockets, threads and timers. It decides nothing.
+///
+/// The listeners open first, so that their ports are known; until the incarnation is known the
+/// agent refuses all, which is true of each key, since no key can name this life yet.
+class agent_process {
+public:
+    explicit agent_process(agent_settings wanted);
+    ~agent_process();
+    agent_process(const agent_process&) = delete;
+    agent_process(agent_process&&) = delete;
+    auto operator=(const agent_process&) -> agent_process& = delete;
+    auto operator=(agent_process&&) -> agent_process& = delete;
+
+    /// Opens the listeners and starts to register and to follow the configuration. `serving` is
+    /// called once, when there is an incarnation.
+    auto start(std::function<auto()->void> serving) -> common::result<void>;
+
+    /// Drains, waits for the runs within the limit, and calls `done` with the number of runs that
+    /// were cut. Later calls do nothing.
+    auto shut_down(std::function<auto(std::size_t cut)->void> done) -> void;
+
+    [[nodiscard]] auto rpc_address() const -> std::string;
+    [[nodiscard]] auto http_port() const -> std::uint16_t;
+
+    [[nodiscard]] auto pool() -> daemon::io_pool& { return this->threads; }
+
+private:
+    auto make_follower() -> std::shared_ptr<inventory::follower>;
+    auto make_log() -> platform::log_hooks;
+    auto open_rpc() -> common::result<void>;
+    auto open_http() -> common::result<void>;
+    auto register_self(std::function<auto()->void> serving) -> void;
+    auto make_core(common::incarnation_id incarnation) -> void;
+    auto agent_hooks() -> messages::agent_service;
+    auto tick_later() -> void;
+    auto wait_until_idle(common::time_point limit, std::function<auto(std::size_t cut)->void> done)
+        -> void;
+    auto close_rpc(std::size_t cut, std::function<auto(std::size_t cut)->void> done) -> void;
+    [[nodiscard]] auto current_core() const -> std::shared_ptr<agent::core>;
+
+    const agent_settings settings;
+    daemon::io_pool threads;
+    core_metrics metrics;
+    std::shared_ptr<host_watch> hosts;
+    std::unique_ptr<wire::rpc_client> peers;
+    std::shared_ptr<inventory::follower> follower;
+    platform::log_hooks log;
+    std::atomic<std::shared_ptr<agent::core>> core;
+    std::atomic<bool> leaving = false;
+    std::unique_ptr<wire::rpc_server> rpc;
+    std::unique_ptr<http::server> http;
+};
+
+} // namespace reedramp::agent_program
--- /dev/null
+++ b/source/agent/backend_client.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+#include "agent/backend.hpp"
+#include "http/client.hpp"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace reedramp::agent_program {
+
+/// Calls the model engine or the plain service over HTTP, on the threads in turn. Kept alive by the
+/// hook that it gives.
+class backend_client : public std::enable_shared_from_this<backend_client> {
+public:
+    backend_client(
+        const std::vector<boost::asio::io_context*>& contexts,
+        http::endpoint backend,
+        const http::client_options& options);
+
+    auto hook() -> agent::start_hook;
+
+private:
+    auto start(agent::backend_call call, agent::backend_events events)
+        -> std::shared_ptr<agent::backend_handle>;
+
+    http::endpoint where;
+    std::vector<std::shared_ptr<http::client>> clients;
+    std::atomic<std::size_t> turn = 0;
+};
+
+} // namespace reedramp::agent_program
--- /dev/null
+++ b/source/agent/settings.cpp
@@ -0,0 +1,197 @@
+#include "settings.hpp"
+
+#include "daemon/logging.hpp"
+#include "daemon/secret.hpp"
+
+namespace reedramp::agent_program {
+
+using settings::value_type;
+
+namespace {
+
+constexpr double longest_ms = 24.0 * 3600 * 1000;
+
+auto text_key(const char* path, const char* doc) -> settings::key
+{
+    return {.path = path, .type = value_type::text, .doc = doc, .lowest = 1, .highest = 200};
+}
+
+auto address_key(const char* path, const char* doc) -> settings::key
+{
+    return {.path = path, .type = value_type::address, .doc = doc};
+}
+
+auto number_key(
+    const char* path, const char* doc, std::int64_t fallback, double lowest, double highest)
+    -> settings::key
+{
+    return {
+        .path = path,
+        .type = value_type::integer,
+        .doc = doc,
+        .fallback = fallback,
+        .lowest = lowest,
+        .highest = highest};
+}
+
+auto time_key(const char* path, const char* doc, std::int64_t fallback, double lowest = 1)
+    -> settings::key
+{
+    auto made = number_key(path, doc, fallback, lowest, longest_ms);
+    made.unit = "ms";
+    return made;
+}
+
+auto bytes_key(const char* path, const char* doc, std::int64_t fallback) -> settings::key
+{
+    constexpr double most = 1e10;
+    auto made = number_key(path, doc, fallback, 0, most);
+    made.unit = "bytes";
+    return made;
+}
+
+auto identity_keys() -> settings::schema
+{
+    return {
+        text_key("server", "Id of the backend server, as in the inventory."),
+        text_key("host", "Id of this host, as in the platform's list."),
+        text_key("data_centre", "Data centre of this host."),
+        number_key("threads", "Threads for HTTP and timers; RPC has one more.", 2, 1, 64),
+        number_key(
+            "tailers",
+            "How many processes of a data centre read the log; the others ask them.",
+            2,
+            1,
+            64),
+    };
+}
+
+auto address_keys() -> settings::schema
+{
+    auto key_file = text_key(
+        "rpc.shared_key_file",
+        "File of the key that all processes of the system share; empty: REEDRAMP_SHARED_KEY.");
+    key_file.fallback = std::string{};
+    key_file.lowest = 0;
+    return {
+        address_key("rpc.listen", "Where entries and peers call."),
+        key_file,
+        address_key("http.listen", "Health, metrics and drain."),
+        address_key("backend.address", "The model engine or plain service."),
+        address_key("platform.log", "The platform's log."),
+        address_key("platform.hosts", "The platform's list of hosts."),
+        {.path = "operators.key_hashes",
+         .type = value_type::text_list,
+         .doc = "SHA-256 in hexadecimal digits of the keys that may drain.",
+         .fallback = settings::text_list{}},
+    };
+}
+
+auto queue_keys() -> settings::schema
+{
+    constexpr double most = 1e6;
+    constexpr double most_tokens = 1e9;
+    return {
+        number_key("backend.slots", "Requests that the backend server gets at once.", 8, 1, most),
+        number_key(
+            "backend.kv_tokens",
+            "Tokens of all running requests that its KV cache holds; 0 for no bound.",
+            0,
+            0,
+            most_tokens),
+        time_key("backend.idle_timeout", "Longest silence of the backend server.", 60'000),
+        number_key("queue.limit", "Requests that wait; more are refused.", 256, 0, most),
+        number_key("queue.quantum", "Tokens an organisation may spend a round.", 1024, 1, most),
+        number_key(
+            "queue.expected_token_rate",
+            "Tokens a second of one request, until the first ones have finished.",
+            50,
+            1,
+            most),
+        time_key("queue.passing_slack", "Delay of a large request by small ones.", 0, 0),
+    };
+}
+
+auto promise_keys() -> settings::schema
+{
+    return {
+        time_key("records.window", "How long an ended request is remembered.", 900'000, 1000),
+        number_key("records.limit", "Records that new work may use.", 100'000, 1, 1e8),
+        bytes_key("records.kept_answers", "Kept at-most-once answers together.", 16 << 20U),
+        bytes_key("records.kept_answer", "A larger answer is not kept.", 1 << 20U),
+        time_key("configuration.catch_up", "Wait for a configuration that an entry has.", 2000),
+        time_key("platform.log_timeout", "Longest silence of the log.", 5000),
+        time_key("registration.limit", "Then a random incarnation is taken.", 3000),
+        time_key("drain.limit", "Then what still runs is cut.", 60'000),
+        time_key("drain.linger", "Answering outcome queries after the last run.", 1000, 0),
+    };
+}
+
+auto endpoint_of(const settings::values& from, std::string_view path) -> http::endpoint
+{
+    // The schema has checked it.
+    return http::parse_endpoint(from.text(path)).value_or(http::endpoint{});
+}
+
+auto core_of(const settings::values& from) -> agent::core_options
+{
+    agent::core_options options;
+    options.server = common::server_id{from.text("server")};
+    auto& queue = options.queue;
+    queue.capacity.slots = from.size("backend.slots");
+    queue.capacity.tokens = common::token_count{from.size("backend.kv_tokens")};
+    queue.max_queued = from.size("queue.limit");
+    queue.quantum = common::token_count{from.size("queue.quantum")};
+    queue.expected_stream_rate = static_cast<double>(from.integer("queue.expected_token_rate"));
+    if (const auto slack = from.milliseconds("queue.passing_slack"); slack.count() > 0) {
+        queue.passing_slack = slack;
+    }
+    options.record_window = from.milliseconds("records.window");
+    options.record_limit = from.size("records.limit");
+    options.kept_answers_limit = from.size("records.kept_answers");
+    options.kept_answer_limit = from.size("records.kept_answer");
+    options.catch_up_limit = from.milliseconds("configuration.catch_up");
+    return options;
+}
+
+} // namespace
+
+auto settings_schema() -> settings::schema
+{
+    settings::schema all;
+    for (const auto& part :
+         {identity_keys(), address_keys(), queue_keys(), promise_keys(), daemon::logging_keys()}) {
+        all.insert(all.end(), part.begin(), part.end());
+    }
+    return all;
+}
+
+auto read_settings(const settings::values& from) -> common::result<agent_settings>
+{
+    auto key = daemon::read_secret(from.text("rpc.shared_key_file"), daemon::shared_key_variable);
+    if (!key) {
+        return tl::unexpected(key.error());
+    }
+    agent_settings read;
+    read.server = common::server_id{from.text("server")};
+    read.host = common::host_id{from.text("host")};
+    read.data_centre = common::data_centre_id{from.text("data_centre")};
+    read.rpc = endpoint_of(from, "rpc.listen");
+    read.http = endpoint_of(from, "http.listen");
+    read.shared_key = std::move(*key);
+    read.backend = endpoint_of(from, "backend.address");
+    read.log = endpoint_of(from, "platform.log");
+    read.hosts = endpoint_of(from, "platform.hosts");
+    read.operator_key_hashes = from.texts("operators.key_hashes");
+    read.threads = from.size("threads");
+    read.tailers = from.size("tailers");
+    read.backend_idle = from.milliseconds("backend.idle_timeout");
+    read.log_timeout = from.milliseconds("platform.log_timeout");
+    read.registration_limit = from.milliseconds("registration.limit");
+    read.drain_limit = from.milliseconds("drain.limit");
+    read.drain_linger = from.milliseconds("drain.linger");
+    read.core = core_of(from);
+    return read;
+}
+
+} // namespace reedramp::agent_program
--- /dev/null
+++ b/source/agent/settings.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "agent/core.hpp"
+#include "common/ids.hpp"
+#include "common/result.hpp"
+#include "http/message.hpp"
+#include "settings/schema.hpp"
+
+namespace reedramp::agent_program {
+
+/// What an agent's settings file says, in the types that its parts take.
+struct agent_settings {
+    common::server_id server;
+    common::host_id host;
+    common::data_centre_id data_centre;
+    http::endpoint rpc;
+    http::endpoint http;
+    std::string shared_key;
+    http::endpoint backend;
+    http::endpoint log;
+    http::endpoint hosts;
+    std::vector<std::string> operator_key_hashes;
+    std::size_t threads = 2;
+    std::size_t tailers = 2;
+    std::chrono::milliseconds backend_idle{};
+    std::chrono::milliseconds log_timeout{};
+    std::chrono::milliseconds registration_limit{};
+    std::chrono::milliseconds drain_limit{};
+    std::chrono::milliseconds drain_linger{};
+    /// But for the incarnation.
+    agent::core_options core;
+};
+
+auto settings_schema() -> settings::schema;
+
+/// Also reads the file of the shared key. Errors: `invalid_settings`.
+auto read_settings(const settings::values& from) -> common::result<agent_settings>;
+
+} // namespace reedramp::agent_program
