Decide keys by the log's order, with batches and a horizon

A caller's retry may come to any entry, and two keepers may both believe that they serve a partition. A claim is answered won only when its record and all before it were taken with no earlier claim of the key; while one keeper appends alone its batches follow without a gap and are not read back. Lost append answers are resolved by reading to the head and, if the batch is not there, sending the same batch again. A keeper that takes over reads two windows first and refuses until then; the log down or trimmed past it is claims_unavailable (not_run) at once. Expiry is a horizon in the records, so that all keepers forget alike.

--- a/source/core/claims/fingerprint.hpp
+++ b/source/core/claims/fingerprint.hpp
@@ -6,13 +6,17 @@
 #include <string_view>
 
 #include "common/ids.hpp"
+#include "messages/peer.hpp"
 
 namespace reedramp::claims {
 
-/// One of `partition_count` parts of all keys; each has a stream of its own in the log.
+/// A part of all keys; each has a stream of its own in the log. Requests' keys are in the first
+/// `request_partitions`, session names in the rest, since those are remembered much longer.
 using partition_id = common::strong<struct partition_tag, std::uint32_t>;
 
-inline constexpr std::uint32_t partition_count = 16;
+inline constexpr std::uint32_t request_partitions = 16;
+inline constexpr std::uint32_t name_partitions = 4;
+inline constexpr std::uint32_t partition_count = request_partitions + name_partitions;
 
 /// 128-bit fingerprint of a caller's idempotency key. Two organisations' keys never meet.
 auto key_fingerprint(const common::organisation_id& organisation, std::string_view key)
@@ -22,9 +26,12 @@
 auto body_fingerprint(std::string_view method, std::string_view path, std::string_view body)
     -> std::uint64_t;
 
-auto partition_of(const common::request_id& key) -> partition_id;
+/// The claim is for a session name that a caller chose: it names a version and no server.
+auto is_session_name(const messages::claim_request& claim) -> bool;
 
-/// Name of a partition's stream, "claims-07".
+auto partition_of(const messages::claim_request& claim) -> partition_id;
+
+/// Name of a partition's stream, "claims-07" or "sessions-02".
 auto stream_of(partition_id partition) -> std::string;
 
 } // namespace reedramp::claims
--- a/source/core/claims/keeper_set.hpp
+++ b/source/core/claims/keeper_set.hpp
@@ -17,8 +17,13 @@
 
 struct keeper_set_config {
     common::host_id self;
-    /// For each keeper, but for its stream.
-    keeper_config keeper;
+    /// For each keeper of requests' keys, but for its stream.
+    keeper_config requests = {};
+    /// For each keeper of session names, but for its stream. 15/16 of the window is the longest
+    /// life that a named session may have; the log has to keep these streams for two windows.
+    keeper_config names = defaults_for_names();
+
+    static auto defaults_for_names() -> keeper_config;
 };
 
 /// The keepers that one entry runs: those of the partitions for which it ranks first or second
@@ -31,8 +36,8 @@
     /// Takes the entries that are live, this one included.
     auto update_entries(std::vector<common::host_id> entries) -> void;
 
-    /// Entries to ask about `key`, best first, at most `limit`.
-    [[nodiscard]] auto order_for(const common::request_id& key, std::size_t limit = 3) const
+    /// Entries to ask to decide `claim`, best first, at most `limit`.
+    [[nodiscard]] auto order_for(const messages::claim_request& claim, std::size_t limit = 3) const
         -> std::vector<common::host_id>;
 
     /// Serves a claim of any entry; an implementation of `messages::peer_service::claim`.
--- /dev/null
+++ b/source/core/claims/key_age.cpp
@@ -0,0 +1,50 @@
+#include "claims/key_age.hpp"
+
+namespace reedramp::claims {
+
+using common::log_offset;
+using common::time_point;
+
+namespace {
+
+constexpr int samples_per_span = 64;
+
+} // namespace
+
+auto key_age::reset(log_offset newest_read, time_point now) -> void
+{
+    this->samples.clear();
+    this->newest = {now, newest_read};
+}
+
+auto key_age::on_record(log_offset before, log_offset taken, time_point now) -> void
+{
+    const auto next = this->samples.empty()
+                          ? time_point::min()
+                          : this->samples.back().at + this->span / samples_per_span;
+    if (now >= next) {
+        this->samples.push_back({now, before});
+    }
+    // The one that answers for the whole span has to stay; those before it are of no more use.
+    while (this->samples.size() > 1 && this->samples[1].at + this->span <= now) {
+        this->samples.pop_front();
+    }
+    this->newest = {now, taken};
+}
+
+auto key_age::first_younger_than(common::duration age, time_point now) const -> log_offset
+{
+    auto last_older = log_offset{};
+    if (this->newest.at + age <= now) {
+        return log_offset{this->newest.offset.value() + 1};
+    }
+    for (const auto& item : this->samples) {
+        if (item.at + age > now) {
+            break;
+        }
+        last_older = item.offset;
+    }
+    return log_offset{last_older.value() + 1};
+}
+
+} // namespace reedramp::claims
--- a/source/core/messages/peer.hpp
+++ b/source/core/messages/peer.hpp
@@ -67,8 +67,8 @@
     /// Set for a second claim after the first one's agent recorded a refusal: the first claim's
     /// offset.
     common::log_offset replaces;
-    /// Set when the key is a session name that a caller chose: the version that the first claim of
-    /// the name gives to the session. `server` is empty then.
+    /// The version that it is going to run on. For a session name that a caller chose, `server` is
+    /// empty and this is the version that the first claim of the name gives to the session.
     common::version_id version;
 
     auto operator==(const claim_request&) const -> bool = default;
--- /dev/null
+++ b/source/unit_tests/claims/partition_fixture.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "claims/keeper.hpp"
+#include "platform/fake_log.hpp"
+#include "platform/fake_time.hpp"
+
+namespace reedramp::claims {
+
+using namespace std::chrono_literals;
+
+/// A claim for key number `key` by request number `request`, on its way to an agent.
+inline auto make_claim(std::uint64_t key, std::uint64_t request, std::uint64_t body = 1)
+    -> messages::claim_request
+{
+    messages::claim_request made;
+    made.organisation = common::organisation_id{"carrier-north"};
+    made.key = {key, key};
+    made.body = body;
+    made.request = {request, request};
+    made.server = common::server_id{"engine-" + std::to_string(request % 3)};
+    made.incarnation = common::incarnation_id{request};
+    made.attempt = common::attempt_number{1};
+    return made;
+}
+
+inline auto make_name_claim(std::uint64_t name, std::uint64_t request, std::string version)
+    -> messages::claim_request
+{
+    auto made = make_claim(name, request);
+    made.server = {};
+    made.incarnation = {};
+    made.version = common::version_id{std::move(version)};
+    return made;
+}
+
+/// The answer to one claim, once it is there.
+using answer_slot = std::shared_ptr<std::optional<messages::claim_answer>>;
+
+/// Keepers of one partition over one fake log on virtual time.
+struct partition_fixture {
+    platform::fake_time time{common::time_point{1h}};
+    platform::fake_log log{time.clock(), time.timers()};
+    std::uint64_t random = 0;
+    keeper_config config = make_config();
+
+    static auto make_config() -> keeper_config
+    {
+        keeper_config made;
+        made.stream = "claims-00";
+        return made;
+    }
+
+    auto hooks() -> keeper_hooks
+    {
+        return {this->log.hooks(), this->time.clock(), this->time.timers(), [this] {
+                    return ++this->random;
+                }};
+    }
+
+    /// A keeper that has had a second to read the window.
+    auto keep() -> std::shared_ptr<keeper>
+    {
+        auto made = keeper::create(this->config, this->hooks());
+        made->start();
+        this->time.run_for(1s);
+        return made;
+    }
+
+    static auto ask(const std::shared_ptr<keeper>& from, messages::claim_request claim)
+        -> answer_slot
+    {
+        auto slot = std::make_shared<std::optional<messages::claim_answer>>();
+        from->claim(
+            std::move(claim), [slot](messages::claim_answer answer) { *slot = std::move(answer); });
+        return slot;
+    }
+
+    /// Asks and waits until the log has decided.
+    auto decide(const std::shared_ptr<keeper>& from, messages::claim_request claim)
+        -> messages::claim_answer
+    {
+        const auto slot = ask(from, std::move(claim));
+        this->time.run_for(3s);
+        return slot->value_or(messages::claim_answer{});
+    }
+};
+
+} // namespace reedramp::claims
