Keep no empty list of idle connections in the HTTP client

Cause: after the last idle connection of an endpoint was taken, its empty list stayed; when that call's connection closed instead of coming back (a lost answer), the next call read the last element of an empty list. Symptom: SIGSEGV in platform_test, 'Appends over HTTP tell a refusal from an answer that was lost'. Change: the list goes with its last connection. That test now passes. (The one-line change of a const link, which stood in the working tree, comes along.)

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -48,9 +48,13 @@
     {
         auto found = this->by_endpoint.find(where);
         while (found != this->by_endpoint.end()) {
-            const auto link = found->second.back();
+            auto link = found->second.back();
             if (link->is_usable()) {
                 found->second.pop_back();
+                // An empty list must not stay: the next call would take the last of no links.
+                if (found->second.empty()) {
+                    this->by_endpoint.erase(found);
+                }
                 return link;
             }
             link->drop();
