--- a/source/core/platform/http_ratings.cpp
+++ b/source/core/platform/http_ratings.cpp
@@ -64,7 +64,10 @@
         asked.method = "POST";
         asked.target = "/ratings/submit";
         asked.body = boost::json::serialize(body);
-        client->send(where, std::move(asked), {});
+        http::call_events events;
+        events.on_done = [](const auto&) {
+        };
+        client->send(where, std::move(asked), std::move(events));
     };
     made.fetch = [client, where](std::uint64_t since, answer_hook<rating_page> done) {
         http::request asked;
