--- /dev/null
+++ b/source/bench/workload.cpp
@@ -0,0 +1,150 @@
+#include "workload.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace reedramp::bench {
+
+namespace {
+
+/// Spread of lengths; the mean of exp(normal(-s*s/2, s)) is 1.
+constexpr double length_spread = 0.8;
+
+/// Weights 1, 1/2, 1/3 and so on: a few are large.
+auto falling(std::size_t count) -> std::vector<double>
+{
+    std::vector<double> weights;
+    for (std::size_t rank = 1; rank <= count; ++rank) {
+        weights.push_back(1.0 / static_cast<double>(rank));
+    }
+    return weights;
+}
+
+} // namespace
+
+auto shape::servers() const -> std::size_t
+{
+    return std::accumulate(this->replicas.begin(), this->replicas.end(), std::size_t{0});
+}
+
+auto shape::mean_seconds() const -> double
+{
+    return this->prompt_tokens / prefill_rate + this->completion_tokens / decode_rate;
+}
+
+auto steinhauser_shape() -> shape
+{
+    using std::chrono::microseconds;
+    shape made;
+    made.name = "steinhauser";
+    made.replicas = {6, 4, 2};
+    made.near_trip = microseconds(100);
+    made.far_trip = microseconds(500);
+    return made;
+}
+
+auto abay_shape() -> shape
+{
+    using std::chrono::microseconds;
+    auto made = steinhauser_shape();
+    made.name = "abay";
+    made.replicas = {8, 6, 4};
+    made.far_trip = microseconds(1500);
+    return made;
+}
+
+auto full_shape() -> shape
+{
+    auto made = steinhauser_shape();
+    made.name = "full";
+    made.replicas = {89, 89, 89, 89, 88, 88, 88};
+    made.entries = 390;
+    made.data_centres = 6;
+    return made;
+}
+
+arrivals::arrivals(const shape& whose, double load, common::duration left, std::uint64_t seed)
+    : owner(whose), time_left(left), random(seed),
+      gap(load * static_cast<double>(whose.servers() * whose.slots) / whose.mean_seconds()),
+      version(whose.replicas.begin(), whose.replicas.end()),
+      length(-length_spread * length_spread / 2.0, length_spread)
+{
+    const auto sizes = falling(whose.organisations);
+    this->organisation = {sizes.begin(), sizes.end()};
+    const auto uses = falling(whose.prefixes);
+    this->prefix = {uses.begin(), uses.end()};
+}
+
+auto arrivals::next() -> job
+{
+    this->now += this->gap(this->random);
+    job made;
+    made.number = this->count++;
+    made.arrival = common::time_point(to_duration(this->now));
+    made.deadline = made.arrival + this->time_left;
+    made.version = this->version(this->random);
+    made.organisation = this->organisation(this->random);
+    made.entry = this->random() % this->owner.entries;
+    made.prefix = this->prefix(this->random);
+    made.prompt = this->owner.prompt_tokens * this->length(this->random);
+    made.truth.completion = this->owner.completion_tokens * this->length(this->random);
+    return made;
+}
+
+auto to_duration(double seconds) -> common::duration
+{
+    return std::chrono::duration_cast<common::duration>(std::chrono::duration<double>(seconds));
+}
+
+auto to_seconds(common::duration span) -> double
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+fake_server::fake_server(const shape& whose, placement::fair_queue_settings settings)
+    : queue(settings), owner(whose)
+{
+}
+
+auto fake_server::ask_for(const job& item) const -> placement::queued_request
+{
+    placement::queued_request made;
+    made.key.request = {1, item.number};
+    made.organisation = common::organisation_id("o" + std::to_string(item.organisation));
+    // Prefill is that much faster than decoding, so that a prompt's token costs that much less.
+    const auto cost = item.prompt * decode_rate / prefill_rate + this->owner.completion_tokens;
+    made.cost = common::token_count(static_cast<std::uint64_t>(std::max(1.0, cost)));
+    made.deadline = item.deadline;
+    return made;
+}
+
+auto fake_server::run_seconds(const job& item, bool& hit) -> double
+{
+    const auto found = std::ranges::find(this->cache, item.prefix);
+    hit = found != this->cache.end();
+    if (hit) {
+        this->cache.erase(found);
+    }
+    else if (this->cache.size() >= this->owner.cached_prefixes && !this->cache.empty()) {
+        this->cache.pop_front();
+    }
+    if (this->owner.cached_prefixes > 0) {
+        this->cache.push_back(item.prefix);
+    }
+    const auto prefill = item.prompt * (hit ? 1.0 - this->owner.prefix_share : 1.0) / prefill_rate;
+    return this->slowness * (prefill + item.truth.completion / decode_rate);
+}
+
+auto fake_server::answer(common::time_point now) const -> messages::probe_answer
+{
+    messages::probe_answer made;
+    made.server = this->id;
+    made.serves_version = true;
+    made.in_flight = static_cast<std::uint32_t>(this->queue.running());
+    made.queued = static_cast<std::uint32_t>(this->queue.queued());
+    made.estimated_wait = this->queue.estimated_wait(now);
+    return made;
+}
+
+} // namespace reedramp::bench
--- a/source/core/placement/chooser.cpp
+++ b/source/core/placement/chooser.cpp
@@ -146,9 +146,8 @@
     const auto first = static_cast<std::ptrdiff_t>(random() % probes.size());
     std::rotate(probes.begin(), probes.begin() + first, probes.end());
     std::ranges::stable_sort(probes, {}, [&](const probe& item) {
-        const auto wait = this->wait_with_trip(item);
         const auto hot = item.in_flight > limit;
-        return std::tuple(hot, hot ? common::duration(item.in_flight) : wait, item.in_flight);
+        return std::tuple(hot, this->expected_wait(item), item.in_flight, item.away);
     });
     const auto chosen = this->take(request, candidates, probes);
     pool.note_sent(request.version, chosen.server);
@@ -164,8 +163,8 @@
     const auto first = preferred_for(request, candidates);
     if (first) {
         const auto kept = std::ranges::find(best_first, candidates[*first].hash, &probe::hash);
-        const auto bound = this->wait_with_trip(best) + this->settings.affinity_worth;
-        if (kept != best_first.end() && this->wait_with_trip(*kept) <= bound) {
+        const auto bound = this->expected_wait(best) + this->settings.affinity_worth;
+        if (kept != best_first.end() && this->expected_wait(*kept) <= bound) {
             const auto reason = request.session_hash != 0 ? place_reason::session_server
                                                           : place_reason::prefix_server;
             return {kept->server, reason, runner_up(best_first, *kept), kept->estimated_wait};
@@ -202,9 +201,12 @@
     return !fresh.empty() && std::ranges::all_of(fresh, busy);
 }
 
-auto chooser::wait_with_trip(const probe& item) const -> common::duration
+auto chooser::expected_wait(const probe& item) const -> common::duration
 {
-    return item.estimated_wait + this->settings.trips[static_cast<std::size_t>(item.away)];
+    // Trips within a region are left out: they are far shorter than the waits of requests, and with
+    // them all requests would go to their own data centre's servers until these are full.
+    const auto is_far = item.away == distance::other_region;
+    return item.estimated_wait + (is_far ? this->settings.region_trip : common::duration(0));
 }
 
 } // namespace reedramp::placement
--- a/source/core/placement/chooser.hpp
+++ b/source/core/placement/chooser.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -37,11 +36,8 @@
     common::duration probe_timeout = std::chrono::milliseconds(20);
     /// A server is hot when its requests in flight are above this quantile of the fresh probes.
     double hot_quantile = 0.84;
-    /// One-way trips by `distance`, added to a server's wait.
-    std::array<common::duration, 3> trips{
-        std::chrono::microseconds(100),
-        std::chrono::microseconds(500),
-        std::chrono::milliseconds(15)};
+    /// Trip to another region, added to the wait of a server there.
+    common::duration region_trip = std::chrono::milliseconds(15);
     /// One server of another region is probed too when all fresh near probes wait longer than this.
     common::duration spill_wait = std::chrono::seconds(2);
     /// Wait that a session's or prefix's kept cache is worth.
@@ -108,7 +104,7 @@
         std::span<const candidate> candidates,
         const common::random_hook& random) const -> std::optional<placement>;
     [[nodiscard]] auto near_is_busy(std::span<const probe> fresh) const -> bool;
-    [[nodiscard]] auto wait_with_trip(const probe& item) const -> common::duration;
+    [[nodiscard]] auto expected_wait(const probe& item) const -> common::duration;
 
     chooser_settings settings;
 };
--- a/source/unit_tests/placement/chooser_test.cpp
+++ b/source/unit_tests/placement/chooser_test.cpp
@@ -121,6 +121,10 @@
             {answer("s0", 2, 0ms), answer("s1", 1, 0ms)},
             "s1",
             "s0"},
+        row{"a trip within the region is no wait",
+            {answer("s0", 1, 0ms), answer("s1", 2, 0ms)},
+            "s0",
+            "s1"},
         row{"a hot one says it is free",
             {answer("s0", 1, 60ms), answer("s1", 90, 0ms), answer("s2", 2, 80ms)},
             "s0",
@@ -130,7 +134,10 @@
     INFO(name);
     probe_pool pool({});
     for (const auto& item : answers) {
-        pool.add(version, item, distance::same_region, start);
+        // The second server is in this entry's own data centre.
+        const auto is_own = item.server.value() == "s1";
+        const auto away = is_own ? distance::same_data_centre : distance::same_region;
+        pool.add(version, item, away, start);
     }
     auto request = plain_request();
     request.excluded.emplace_back("s3");
