Place requests by probes over the usable servers

Cause: the core asks for a server; membership, probes and the chooser are parts that know nothing of each other. Change: placer connects them: candidates from the bounded subset of usable servers, kept for 100 ms while membership does not change; probes as the chooser plans them; a server whose life (incarnation) is not known yet is asked for it first. What an attempt shows of its server goes back to membership and the pool.

--- a/source/core/entry/filter_list_models.cpp
+++ b/source/core/entry/filter_list_models.cpp
@@ -27,6 +27,7 @@
         versions.push_back({id.value(), "version"});
     }
     std::vector<listed_model> listed;
+    listed.reserve(models.size() + versions.size());
     for (const auto& id : models) {
         listed.push_back({id.value(), "model"});
     }
--- /dev/null
+++ b/source/core/entry/placer.cpp
@@ -0,0 +1,287 @@
+#include "entry/placer.hpp"
+
+#include <atomic>
+#include <utility>
+
+namespace reedramp::entry {
+
+namespace {
+
+/// Services have no version; their probes are kept under a name that no version has.
+auto pool_key(const placement_question& question) -> common::version_id
+{
+    if (question.kind == messages::work_kind::chat) {
+        return question.version;
+    }
+    return common::version_id("service/" + question.service.value());
+}
+
+auto distance_of(const membership::location& self, const membership::server_view& server)
+    -> placement::distance
+{
+    if (server.data_centre == self.data_centre) {
+        return placement::distance::same_data_centre;
+    }
+    if (server.region == self.region) {
+        return placement::distance::same_region;
+    }
+    return placement::distance::other_region;
+}
+
+auto no_server(common::time_point retry_at) -> common::error
+{
+    auto why = common::make_error(common::result_code::no_capacity);
+    why.retry_at = retry_at;
+    return why;
+}
+
+} // namespace
+
+/// One request that waits for probes.
+struct placer::pending {
+    placement_question question;
+    placement::place_request request;
+    candidate_ptr set;
+    done_hook done;
+    std::atomic<std::size_t> unanswered{0};
+    std::atomic<bool> decided{false};
+
+    /// True for the one caller that comes first.
+    auto take() -> bool { return !this->decided.exchange(true); }
+};
+
+placer::placer(placer_settings wanted, placer_hooks given, std::shared_ptr<membership::view> known)
+    : settings(std::move(wanted)), hooks(std::move(given)), members(std::move(known)),
+      pool(this->settings.pool), chooser(this->settings.chooser)
+{
+}
+
+auto placer::create(
+    placer_settings settings, placer_hooks hooks, std::shared_ptr<membership::view> members)
+    -> std::shared_ptr<placer>
+{
+    return std::shared_ptr<placer>(
+        new placer(std::move(settings), std::move(hooks), std::move(members)));
+}
+
+auto placer::make_candidates(const placement_question& question) const -> candidate_ptr
+{
+    const auto now = this->hooks.now();
+    auto made = std::make_shared<candidate_set>();
+    made->generation = this->members->generation();
+    made->until = now + this->settings.candidates_life;
+    const auto usable = question.kind == messages::work_kind::chat
+                            ? this->members->servers_for(question.version, now)
+                            : this->members->servers_for(question.service, now);
+    const auto& self = this->settings.self;
+    for (const auto& server : membership::choose_subset(self, usable, this->settings.subset)) {
+        made->candidates.push_back(
+            placement::make_candidate(server.server, distance_of(self, server)));
+        made->addresses.push_back(server.rpc);
+    }
+    return made;
+}
+
+auto placer::candidates_for(const placement_question& question) -> candidate_ptr
+{
+    const auto key = pool_key(question).value();
+    const auto generation = this->members->generation();
+    {
+        const std::lock_guard guard(this->lock);
+        const auto found = this->sets.find(key);
+        if (found != this->sets.end() && found->second->generation == generation &&
+            this->hooks.now() < found->second->until) {
+            return found->second;
+        }
+    }
+    auto made = this->make_candidates(question);
+    const std::lock_guard guard(this->lock);
+    this->sets[key] = made;
+    return made;
+}
+
+auto placer::place(placement_question question, done_hook done) -> void
+{
+    auto item = std::make_shared<pending>();
+    item->request.version = pool_key(question);
+    if (question.session) {
+        item->request.session_hash = placement::affinity_hash(question.session->value());
+    }
+    item->request.prefix_hash = question.prefix_hash;
+    item->request.excluded = question.tried;
+    item->set = this->candidates_for(question);
+    item->question = std::move(question);
+    item->done = std::move(done);
+    const auto plan = this->chooser.plan(
+        item->request, item->set->candidates, this->pool, this->hooks.now(), this->hooks.random);
+    if (plan.ask.empty()) {
+        this->decide(item);
+        return;
+    }
+    this->hooks.timer(plan.place_at, [weak = this->weak_from_this(), item] {
+        if (const auto self = weak.lock()) {
+            self->decide(item);
+        }
+    });
+    this->send_probes(item, plan.ask);
+}
+
+auto placer::send_probes(const pending_ptr& item, const std::vector<std::size_t>& ask) -> void
+{
+    item->unanswered = ask.size();
+    const messages::probe_request request{item->question.version, item->question.prefix_hash};
+    for (const auto index : ask) {
+        this->hooks.probe(
+            item->set->addresses[index],
+            request,
+            [weak = this->weak_from_this(), item, index](
+                const common::result<messages::probe_answer>& answer) {
+                const auto self = weak.lock();
+                if (!self) {
+                    return;
+                }
+                self->take_probe(item->request.version, item->set->candidates[index], answer);
+                if (item->unanswered.fetch_sub(1) == 1) {
+                    self->decide(item);
+                }
+            });
+    }
+}
+
+auto placer::take_probe(
+    const common::version_id& version,
+    const placement::candidate& from,
+    const common::result<messages::probe_answer>& answer) -> void
+{
+    const auto now = this->hooks.now();
+    if (!answer) {
+        this->members->failed(from.server, now);
+        this->pool.forget(from.server);
+        return;
+    }
+    this->members->probe_answered(*answer);
+    this->pool.add(version, *answer, from.away, now);
+}
+
+auto placer::decide(const pending_ptr& item) -> void
+{
+    if (!item->take()) {
+        return;
+    }
+    const auto now = this->hooks.now();
+    const auto chosen = this->chooser.place(
+        item->request, item->set->candidates, this->pool, now, this->hooks.random);
+    if (!chosen) {
+        item->done(tl::unexpected(no_server(now + this->settings.retry_after)));
+        return;
+    }
+    const auto server = this->members->find(chosen->server);
+    if (!server) {
+        item->done(tl::unexpected(no_server(now + this->settings.retry_after)));
+        return;
+    }
+    if (server->incarnation.value() == 0) {
+        this->learn_life(item, *chosen);
+        return;
+    }
+    item->done(placement_decision{
+        chosen->server,
+        server->rpc,
+        server->incarnation,
+        std::string(placement::to_string(chosen->reason)),
+        chosen->runner_up.value_or(common::server_id())});
+}
+
+/// A request names the life of the agent that it is for. A server that has not answered yet is
+/// asked for it; if it does not tell, the next best one is taken.
+auto placer::learn_life(const pending_ptr& item, const placement::placement& chosen) -> void
+{
+    auto next = std::make_shared<pending>();
+    next->question = item->question;
+    next->request = item->request;
+    next->set = item->set;
+    next->done = std::move(item->done);
+    std::size_t index = 0;
+    while (item->set->candidates[index].server != chosen.server) {
+        ++index;
+    }
+    const auto go_on = [weak = this->weak_from_this(), next, server = chosen.server] {
+        const auto self = weak.lock();
+        if (!self || next->decided) {
+            return;
+        }
+        const auto found = self->members->find(server);
+        if (!found || found->incarnation.value() == 0) {
+            next->request.excluded.push_back(server);
+        }
+        self->decide(next);
+    };
+    this->hooks.timer(this->hooks.now() + this->settings.first_probe_wait, go_on);
+    this->hooks.probe(
+        item->set->addresses[index],
+        {item->question.version, item->question.prefix_hash},
+        [weak = this->weak_from_this(), next, index, go_on](
+            const common::result<messages::probe_answer>& answer) {
+            if (const auto self = weak.lock()) {
+                self->take_probe(next->request.version, next->set->candidates[index], answer);
+            }
+            go_on();
+        });
+}
+
+auto placer::attempt_ended(const attempt_report& report) -> void
+{
+    switch (report.end) {
+    case attempt_end::answered:
+    case attempt_end::cancelled:
+    case attempt_end::failed:
+        return;
+    case attempt_end::refused:
+        this->members->refused(report.server, report.incarnation, report.code);
+        if (report.code == common::result_code::wrong_incarnation) {
+            this->probe(report.server);
+        }
+        return;
+    case attempt_end::never_sent:
+    case attempt_end::lost:
+        this->members->failed(report.server, this->hooks.now());
+        this->pool.forget(report.server);
+        return;
+    }
+}
+
+auto placer::connection_lost(const messages::rpc_address& address) -> void
+{
+    const auto now = this->hooks.now();
+    for (const auto& status : this->members->statuses(now)) {
+        if (status.server.rpc == address) {
+            this->members->failed(status.server.server, now);
+            this->pool.forget(status.server.server);
+        }
+    }
+}
+
+auto placer::probe(const common::server_id& server) -> void
+{
+    const auto found = this->members->find(server);
+    if (!found) {
+        return;
+    }
+    this->hooks.probe(
+        found->rpc,
+        {},
+        [weak = this->weak_from_this(),
+         server](const common::result<messages::probe_answer>& answer) {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
+            }
+            if (answer) {
+                self->members->probe_answered(*answer);
+                return;
+            }
+            self->members->failed(server, self->hooks.now());
+        });
+}
+
+} // namespace reedramp::entry
--- /dev/null
+++ b/source/core/entry/placer.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "common/hooks.hpp"
+#include "common/result.hpp"
+#include "entry/collaborators.hpp"
+#include "membership/subset.hpp"
+#include "membership/view.hpp"
+#include "messages/channel.hpp"
+#include "placement/chooser.hpp"
+#include "placement/probe_pool.hpp"
+
+namespace reedramp::entry {
+
+struct placer_settings {
+    membership::location self;
+    membership::subset_config subset;
+    placement::chooser_settings chooser;
+    placement::probe_pool_settings pool;
+    /// How long a list of candidates is used while membership does not change.
+    common::duration candidates_life = std::chrono::milliseconds(100);
+    /// How long a server of which no life is known yet is asked for it.
+    common::duration first_probe_wait = std::chrono::milliseconds(1500);
+    common::duration retry_after = std::chrono::seconds(1);
+};
+
+struct placer_hooks {
+    common::clock_hook now;
+    common::timer_hook timer;
+    common::random_hook random;
+    /// `messages::agent_calls::probe`.
+    std::function<auto(
+                      const messages::rpc_address& to,
+                      messages::probe_request request,
+                      messages::answer_hook<messages::probe_answer> done)
+                      ->void>
+        probe;
+};
+
+/// Places requests on backend servers: membership says which are usable, probes how busy they are,
+/// the chooser decides. Thread-safe; hooks are called outside locks.
+class placer : public std::enable_shared_from_this<placer> {
+public:
+    using done_hook = std::function<auto(common::result<placement_decision> decision)->void>;
+
+    static auto
+    create(placer_settings settings, placer_hooks hooks, std::shared_ptr<membership::view> members)
+        -> std::shared_ptr<placer>;
+
+    /// `collaborators::place`. Errors: `no_capacity`.
+    auto place(placement_question question, done_hook done) -> void;
+
+    /// `collaborators::attempt_ended`: what an attempt showed of its server.
+    auto attempt_ended(const attempt_report& report) -> void;
+
+    /// A connection to this address was lost.
+    auto connection_lost(const messages::rpc_address& address) -> void;
+
+    /// Asks a server how it is, so that membership learns of a new life or a departure.
+    auto probe(const common::server_id& server) -> void;
+
+private:
+    struct candidate_set {
+        std::uint64_t generation = 0;
+        common::time_point until;
+        std::vector<placement::candidate> candidates;
+        std::vector<messages::rpc_address> addresses;
+    };
+
+    struct pending;
+
+    using candidate_ptr = std::shared_ptr<const candidate_set>;
+    using pending_ptr = std::shared_ptr<pending>;
+
+    placer(placer_settings wanted, placer_hooks given, std::shared_ptr<membership::view> known);
+
+    auto candidates_for(const placement_question& question) -> candidate_ptr;
+    [[nodiscard]] auto make_candidates(const placement_question& question) const -> candidate_ptr;
+    auto send_probes(const pending_ptr& item, const std::vector<std::size_t>& ask) -> void;
+    auto take_probe(
+        const common::version_id& version,
+        const placement::candidate& from,
+        const common::result<messages::probe_answer>& answer) -> void;
+    auto decide(const pending_ptr& item) -> void;
+    auto learn_life(const pending_ptr& item, const placement::placement& chosen) -> void;
+
+    placer_settings settings;
+    placer_hooks hooks;
+    std::shared_ptr<membership::view> members;
+    placement::probe_pool pool;
+    placement::chooser chooser;
+    std::mutex lock;
+    std::unordered_map<std::string, candidate_ptr> sets;
+};
+
+} // namespace reedramp::entry
