Give a test's call its end hook

Cause: a test called the HTTP client without the hook on_done, which the client always calls; the program ended with bad_function_call. Change: the hook is there; promises that another thread fulfils are shared with it, so that none is destroyed while set_value returns.

--- a/source/unit_tests/platform/http_log_test.cpp
+++ b/source/unit_tests/platform/http_log_test.cpp
@@ -140,10 +140,10 @@
 TEST_CASE("A long poll over HTTP ends with the record it waits for")
 {
     log_fixture given;
-    std::promise<common::result<platform::read_answer>> promise;
-    auto future = promise.get_future();
+    const auto promise = std::make_shared<std::promise<common::result<platform::read_answer>>>();
+    auto future = promise->get_future();
     given.hooks.read(
-        stream, log_offset{0}, 20s, [&promise](const auto& answer) { promise.set_value(answer); });
+        stream, log_offset{0}, 20s, [promise](const auto& answer) { promise->set_value(answer); });
     REQUIRE(given.append("a") == result_code::ok);
     REQUIRE(future.wait_for(stand_in_fixture::longest_wait) == std::future_status::ready);
     const auto answer = future.get();
--- a/source/unit_tests/platform/stand_in_engine_test.cpp
+++ b/source/unit_tests/platform/stand_in_engine_test.cpp
@@ -200,18 +200,20 @@
     // request gets the slot; if the engine went on, that request would never be answered.
     stand_in_fixture given(R"({"threads":1,"engines":[
         {"name":"e1","versions":["v1"],"slots":1,"decode_us_per_token":1000}]})");
-    std::promise<void> began;
+    const auto began = std::make_shared<std::promise<void>>();
     http::request endless;
     endless.method = "POST";
     endless.target = chat_path;
     endless.body = chat_body(R"("stream":true,)", "tokens=50000000");
     http::call_events events;
-    events.on_head = [&began](const auto&) {
-        began.set_value();
+    events.on_head = [began](const auto&) {
+        began->set_value();
+    };
+    events.on_done = [](const auto&) {
     };
     const auto call = given.client->send(given.where("e1"), std::move(endless), std::move(events));
     REQUIRE(
-        began.get_future().wait_for(stand_in_fixture::longest_wait) == std::future_status::ready);
+        began->get_future().wait_for(stand_in_fixture::longest_wait) == std::future_status::ready);
     call->cancel();
     const auto next = given.call("e1", "POST", chat_path, chat_body(""));
     REQUIRE(next);
