--- a/source/core/wire/client_connection.cpp
+++ b/source/core/wire/client_connection.cpp
@@ -2,10 +2,9 @@
 
 #include <utility>
 
-#include <kj/debug.h>
-
 #include "wire/codec_values.hpp"
 #include "wire/proof.hpp"
+#include "wire/require.hpp"
 
 namespace reedramp::wire {
 
@@ -39,7 +38,10 @@
 {
     const auto where = parse_address(address.value());
     if (!where) {
-        return KJ_EXCEPTION(FAILED, "not an address");
+        return kj::evalNow([]() -> kj::Promise<void> {
+            require(false, "not an address");
+            return kj::READY_NOW;
+        });
     }
     auto target = io.getNetwork().getSockaddr(&where->storage, where->length);
     auto connecting = target->connect();
@@ -76,10 +78,10 @@
     -> kj::Promise<void>
 {
     const auto theirs = to_string(answer.getNonce());
-    KJ_REQUIRE(theirs.size() == nonce_bytes, "nonce of a wrong size");
+    require(theirs.size() == nonce_bytes, "nonce of a wrong size");
     const std::string_view key = this->options.shared_key;
     const auto expected = make_proof(key, proving_side::server, nonce, theirs);
-    KJ_REQUIRE(same_proof(to_string(answer.getProof()), expected), "server has a wrong key");
+    require(same_proof(to_string(answer.getProof()), expected), "server has a wrong key");
     const auto proof = make_proof(key, proving_side::client, nonce, theirs);
     auto request = answer.getLogin().loginRequest();
     request.setProof(as_data(proof));
--- a/source/core/wire/client_loop.hpp
+++ b/source/core/wire/client_loop.hpp
@@ -26,7 +26,7 @@
     client_loop(std::shared_ptr<client_core> core, kj::AsyncIoProvider& io);
     client_loop(const client_loop&) = delete;
     auto operator=(const client_loop&) -> client_loop& = delete;
-    ~client_loop() noexcept;
+    virtual ~client_loop() noexcept;
 
     /// The connection to `address`, which is opened if there is none.
     auto connection(const messages::rpc_address& address) -> std::shared_ptr<client_connection>;
--- a/source/core/wire/client_run.cpp
+++ b/source/core/wire/client_run.cpp
@@ -17,7 +17,7 @@
     token_receiver(const token_receiver&) = delete;
     auto operator=(const token_receiver&) -> token_receiver& = delete;
 
-    ~token_receiver() noexcept { this->run->drop_receiver(); }
+    virtual ~token_receiver() noexcept { this->run->drop_receiver(); }
 
     auto tokens(TokensContext context) -> kj::Promise<void> override
     {
--- a/source/core/wire/codec_run.cpp
+++ b/source/core/wire/codec_run.cpp
@@ -174,7 +174,7 @@
         return;
     }
     const auto* failed = std::get_if<messages::failed_event>(&from);
-    KJ_REQUIRE(failed != nullptr, "tokens do not end a run");
+    require(failed != nullptr, "tokens do not end a run");
     auto builder = into.initFailed();
     encode(failed->why, now, builder.initWhy());
     encode(failed->used, builder.initUsed());
@@ -195,7 +195,8 @@
         return messages::failed_event{decode(failed.getWhy(), now), decode(failed.getUsed())};
     }
     }
-    KJ_FAIL_REQUIRE("unknown end of a run");
+    require(false, "unknown end of a run");
+    return {};
 }
 
 auto encode(const messages::outcome_query& from, schema::OutcomeQuery::Builder into) -> void
--- a/source/core/wire/codec_values.hpp
+++ b/source/core/wire/codec_values.hpp
@@ -7,12 +7,12 @@
 #include <string>
 
 #include <capnp/blob.h>
-#include <kj/debug.h>
 
 #include "common/ids.hpp"
 #include "common/units.hpp"
 #include "messages/run.hpp"
 #include "wire/codec.hpp"
+#include "wire/require.hpp"
 
 /// Single values of the codec, for codec_run.cpp and codec_peer.cpp.
 namespace reedramp::wire {
@@ -49,7 +49,7 @@
 auto check_enum(From from, Into last) -> Into
 {
     const auto number = static_cast<std::uint16_t>(from);
-    KJ_REQUIRE(number <= static_cast<std::uint16_t>(last), "unknown enumerator", number);
+    require(number <= static_cast<std::uint16_t>(last), "unknown enumerator");
     return static_cast<Into>(number);
 }
 
@@ -63,14 +63,14 @@
 /// as fresh for as long as the sender likes; it is a sender's fault, and its message is refused.
 inline auto check_age(std::int64_t nanoseconds) -> common::duration
 {
-    KJ_REQUIRE(nanoseconds >= 0, "evidence from the future");
+    require(nanoseconds >= 0, "evidence from the future");
     return check_time(nanoseconds);
 }
 
 /// One value that is not a number would spoil each sum that it goes into.
 inline auto check_number(double from) -> double
 {
-    KJ_REQUIRE(std::isfinite(from), "not a finite number");
+    require(std::isfinite(from), "not a finite number");
     return from;
 }
 
--- a/source/core/wire/proof.cpp
+++ b/source/core/wire/proof.cpp
@@ -2,12 +2,13 @@
 
 #include <array>
 
-#include <kj/debug.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
 
+#include "wire/require.hpp"
+
 namespace reedramp::wire {
 
 namespace {
@@ -22,7 +23,7 @@
 auto make_nonce() -> std::string
 {
     std::array<unsigned char, nonce_bytes> bytes{};
-    KJ_REQUIRE(RAND_bytes(bytes.data(), nonce_bytes) == 1, "no random bytes");
+    require(RAND_bytes(bytes.data(), nonce_bytes) == 1, "no random bytes");
     return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
 }
 
@@ -45,7 +46,7 @@
         message.size(),
         digest.data(),
         &length);
-    KJ_REQUIRE(made != nullptr, "no HMAC");
+    require(made != nullptr, "no HMAC");
     return {reinterpret_cast<const char*>(digest.data()), length};
 }
 
--- a/source/core/wire/rpc_server.cpp
+++ b/source/core/wire/rpc_server.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include <capnp/rpc-twoparty.h>
-#include <kj/debug.h>
 
 #include "common/log.hpp"
 #include "wire/loop_thread.hpp"
@@ -55,6 +54,10 @@
     {
     }
 
+    server_loop(const server_loop&) = delete;
+    auto operator=(const server_loop&) -> server_loop& = delete;
+    virtual ~server_loop() = default;
+
     auto listen(const socket_address& where) -> std::uint16_t
     {
         auto address = this->io.getNetwork().getSockaddr(&where.storage, where.length);
--- a/source/core/wire/served_calls.cpp
+++ b/source/core/wire/served_calls.cpp
@@ -4,13 +4,12 @@
 #include <type_traits>
 #include <utility>
 
-#include <kj/debug.h>
-
 #include "common/log.hpp"
 #include "wire/codec.hpp"
 #include "wire/codec_values.hpp"
 #include "wire/payload.hpp"
 #include "wire/proof.hpp"
+#include "wire/require.hpp"
 #include "wire/served_run.hpp"
 
 namespace reedramp::wire {
@@ -128,6 +127,8 @@
 public:
     explicit agent_server(std::shared_ptr<server_core> of) : core(std::move(of)) {}
 
+    virtual ~agent_server() = default;
+
     auto run(RunContext context) -> kj::Promise<void> override
     {
         if (!this->core->agent.run) {
@@ -187,6 +188,8 @@
 public:
     explicit peer_server(std::shared_ptr<server_core> of) : core(std::move(of)) {}
 
+    virtual ~peer_server() = default;
+
     auto pull(PullContext context) -> kj::Promise<void> override
     {
         auto query = decode(context.getParams().getPull());
@@ -227,6 +230,8 @@
     {
     }
 
+    virtual ~login_server() = default;
+
     auto login(LoginContext context) -> kj::Promise<void> override
     {
         const bool tried = std::exchange(this->used, true);
@@ -235,7 +240,7 @@
             common::log(
                 common::log_part::wire, common::log_level::warning, "peer has a wrong shared key");
             this->login_of->close->fulfill();
-            KJ_FAIL_REQUIRE("wrong proof");
+            require(false, "wrong proof");
         }
         this->login_of->proved = true;
         context.getResults().setAgent(kj::heap<agent_server>(this->core));
@@ -257,11 +262,13 @@
     {
     }
 
+    virtual ~process_server() = default;
+
     auto challenge(ChallengeContext context) -> kj::Promise<void> override
     {
         const auto theirs = to_string(context.getParams().getNonce());
-        KJ_REQUIRE(theirs.size() == nonce_bytes, "nonce of a wrong size");
-        KJ_REQUIRE(!std::exchange(this->login_of->challenged, true), "second challenge");
+        require(theirs.size() == nonce_bytes, "nonce of a wrong size");
+        require(!std::exchange(this->login_of->challenged, true), "second challenge");
         const auto ours = make_nonce();
         const std::string_view key = this->core->options.shared_key;
         const auto proof = make_proof(key, proving_side::server, theirs, ours);
@@ -281,7 +288,7 @@
 } // namespace
 
 auto make_process(std::shared_ptr<server_core> core, std::shared_ptr<login_state> login)
-    -> schema::Process::Client
+    -> capnp::Capability::Client
 {
     return kj::heap<process_server>(std::move(core), std::move(login));
 }
--- a/source/core/wire/served_calls.hpp
+++ b/source/core/wire/served_calls.hpp
@@ -32,6 +32,6 @@
 
 /// The first object of a connection, which gives the others away for a proof of the key.
 auto make_process(std::shared_ptr<server_core> core, std::shared_ptr<login_state> login)
-    -> schema::Process::Client;
+    -> capnp::Capability::Client;
 
 } // namespace reedramp::wire
--- a/source/core/wire/served_run.hpp
+++ b/source/core/wire/served_run.hpp
@@ -53,6 +53,8 @@
 
     class failure_log final : public kj::TaskSet::ErrorHandler {
     public:
+        virtual ~failure_log() = default;
+
         auto taskFailed(kj::Exception&& /*why*/) -> void override {}
     };
 
--- a/source/core/wire/socket.hpp
+++ b/source/core/wire/socket.hpp
@@ -37,6 +37,7 @@
 class windowed_stream final : public kj::AsyncIoStream {
 public:
     windowed_stream(kj::Own<kj::AsyncIoStream> stream, std::size_t window_bytes);
+    virtual ~windowed_stream() = default;
 
     auto read(void* buffer, std::size_t least, std::size_t most)
         -> kj::Promise<std::size_t> override;
--- a/source/unit_tests/wire/runs_test.cpp
+++ b/source/unit_tests/wire/runs_test.cpp
@@ -78,9 +78,11 @@
         client->agents().run(server->address(), request, callers[index].sink());
     }
     std::vector<std::thread> threads;
+    threads.reserve(feeders);
     for (int feeder = 0; feeder < feeders; ++feeder) {
         threads.emplace_back([&agent] {
             std::vector<std::shared_ptr<fake_run>> mine;
+            mine.reserve(runs / feeders);
             for (int index = 0; index < runs / feeders; ++index) {
                 mine.push_back(*agent.runs.take());
             }
@@ -136,7 +138,7 @@
     // back; the window fills, then the agent's inbox, and the agent pauses the engine. What the
     // engine could send until then is bounded, whatever it has left. When the caller reads on, the
     // engine resumes and nothing is missing.
-    constexpr std::size_t window = 16 * 1024;
+    constexpr std::size_t window = 16'384;
     constexpr std::size_t bound = 8 * window;
     fake_agent agent;
     auto options = server_defaults();
