Add the entry's program

Cause: the core needs sockets, threads, timers and the other libraries around it. Change: reedramp-entry reads its settings, serves callers and operators over HTTP and peers over RPC, follows the configuration, keeps claims and bills, shares limits with the other entries, and shuts down gracefully: listener closed, streams finished within a limit, bills confirmed or handed over.

--- /dev/null
+++ b/source/entry/administration.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "billing/ledger.hpp"
+#include "common/hooks.hpp"
+#include "common/ids.hpp"
+#include "entry/admin_api.hpp"
+#include "entry/core.hpp"
+#include "inventory/follower.hpp"
+#include "inventory/publisher.hpp"
+#include "platform/hooks.hpp"
+
+namespace reedramp::entry_program {
+
+/// What operators ask of this entry.
+class administration : public std::enable_shared_from_this<administration> {
+public:
+    struct parts {
+        common::host_id self;
+        std::shared_ptr<inventory::follower> follower;
+        std::shared_ptr<inventory::publisher> publisher;
+        platform::log_hooks log;
+        common::clock_hook now;
+        common::wall_clock_hook wall_now;
+        common::random_hook random;
+        std::chrono::milliseconds publish_limit{};
+        std::function<auto()->entry::core_counters> counters;
+        std::function<auto()->bool> ready;
+    };
+
+    explicit administration(parts given) : with(std::move(given)) {}
+
+    auto hooks() -> entry::admin_hooks;
+
+private:
+    auto publish(const std::string& text, entry::text_answer_hook done) -> void;
+    auto withdraw(const common::version_id& version, const entry::text_answer_hook& done) -> void;
+    auto history() const -> std::string;
+    auto status() const -> std::string;
+    /// Reads the stream of bills on from where the last reading ended.
+    auto read_bills(entry::text_answer_hook done) -> void;
+    auto bills_text() -> std::string;
+
+    const parts with;
+    std::mutex lock;
+    billing::ledger ledger;
+};
+
+} // namespace reedramp::entry_program
--- /dev/null
+++ b/source/entry/claim_route.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <memory>
+
+#include "claims/client.hpp"
+#include "claims/keeper_set.hpp"
+#include "common/hooks.hpp"
+#include "host_watch.hpp"
+#include "membership/view.hpp"
+#include "messages/channel.hpp"
+
+namespace reedramp::entry_program {
+
+/// Brings claims to the entry that keeps their partition, which may be this one.
+class claim_route : public std::enable_shared_from_this<claim_route> {
+public:
+    struct parts {
+        common::host_id self;
+        std::shared_ptr<claims::keeper_set> keepers;
+        std::shared_ptr<host_watch> hosts;
+        std::shared_ptr<membership::view> members;
+        messages::peer_calls peers;
+        messages::agent_calls agents;
+        common::clock_hook now;
+        common::timer_hook timer;
+    };
+
+    explicit claim_route(parts given) : with(std::move(given)) {}
+
+    /// For `entry::collaborators::claim`.
+    auto claim_key(
+        messages::claim_request wanted,
+        common::time_point deadline,
+        std::function<auto(claims::claim_end end)->void> done) -> void;
+
+    /// For `entry::collaborators::claim_name`: the first keeper that answers decides.
+    auto
+    claim_name(messages::claim_request wanted, messages::answer_hook<messages::claim_answer> done)
+        -> void;
+
+private:
+    auto ask_keeper(
+        std::size_t rank,
+        messages::claim_request wanted,
+        messages::answer_hook<messages::claim_answer> done) -> void;
+    auto ask_agent(
+        const common::server_id& server,
+        const messages::outcome_query& query,
+        messages::answer_hook<messages::outcome_answer> done) -> void;
+    auto name_from(
+        std::size_t rank,
+        messages::claim_request wanted,
+        messages::answer_hook<messages::claim_answer> done) -> void;
+
+    const parts with;
+};
+
+} // namespace reedramp::entry_program
--- /dev/null
+++ b/source/entry/entry_metrics.cpp
@@ -0,0 +1,96 @@
+#include "entry_metrics.hpp"
+
+namespace reedramp::entry_program {
+
+auto entry_metrics::count_attempt(const entry::attempt_report& report) -> void
+{
+    if (report.end != entry::attempt_end::answered) {
+        return;
+    }
+    const auto version =
+        report.kind == messages::work_kind::chat ? report.version.value() : std::string("service");
+    const auto took = std::chrono::duration_cast<std::chrono::microseconds>(report.took);
+    this->registry
+        .histogram_of(
+            "reedramp_entry_attempt_us",
+            "Time from dispatch to the whole answer, microseconds",
+            {{"version", version}})
+        .record(static_cast<double>(took.count()));
+    this->registry
+        .counter_of(
+            "reedramp_entry_completion_tokens_total",
+            "Completion tokens of whole answers",
+            {{"version", version}})
+        .add(report.used.completion_tokens.value());
+}
+
+auto entry_metrics::raise(
+    const std::string& name, const char* help, const metrics::labels& which, std::uint64_t total)
+    -> void
+{
+    auto key = name;
+    for (const auto& one : which) {
+        key += '/' + one.value;
+    }
+    auto& before = this->shown[key];
+    this->registry.counter_of(name, help, which).add(total - before);
+    before = total;
+}
+
+auto entry_metrics::show(const char* name, const char* help, std::uint64_t value) -> void
+{
+    this->registry.gauge_of(name, help).set(static_cast<std::int64_t>(value));
+}
+
+auto entry_metrics::read_core(const entry::core_counters& counted) -> void
+{
+    this->raise("reedramp_entry_answered_total", "Whole answers", {}, counted.answered);
+    this->raise("reedramp_entry_retries_total", "Second tries", {}, counted.retries);
+    this->raise(
+        "reedramp_entry_continued_streams_total",
+        "Streams that went on at another server",
+        {},
+        counted.continued_streams);
+    this->raise(
+        "reedramp_entry_late_events_total",
+        "Events of earlier attempts that were dropped",
+        {},
+        counted.late_events);
+    this->raise(
+        "reedramp_entry_cut_total", "Requests cut by a shutdown", {}, counted.cut_by_shutdown);
+    for (const auto& [code, count] : counted.refusals) {
+        this->raise(
+            "reedramp_entry_refusals_total",
+            "Answers with an error, by code",
+            {{"code", std::string(common::row_of(code).name)}},
+            count);
+    }
+    for (const auto& [version, count] : counted.versions) {
+        this->raise(
+            "reedramp_entry_version_answers_total",
+            "Whole answers by version",
+            {{"version", version.value()}},
+            count);
+    }
+    this->show("reedramp_entry_in_flight", "Requests under way", counted.in_flight);
+}
+
+auto entry_metrics::text(const sources& from) -> std::string
+{
+    const std::lock_guard guard(this->lock);
+    this->read_core(from.core.counters());
+    const auto bills = from.bills.counters();
+    const auto claims = from.keepers.counters();
+    this->show("reedramp_entry_pending_bills", "Bills not read back", bills.pending_bills);
+    this->show("reedramp_entry_pending_bill_bytes", "Bytes of these", bills.pending_bytes);
+    this->raise("reedramp_entry_bill_appends_total", "Appends of bills", {}, bills.appends);
+    this->show("reedramp_entry_claim_keys", "Keys that the keepers hold", claims.keys);
+    this->raise("reedramp_entry_claim_appends_total", "Appends of claims", {}, claims.appends);
+    this->show(
+        "reedramp_entry_configuration_offset",
+        "Offset of the configuration in force",
+        from.follower.snapshot()->offset.value());
+    return this->registry.prometheus_text();
+}
+
+} // namespace reedramp::entry_program
--- /dev/null
+++ b/source/entry/entry_metrics.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "billing/collector.hpp"
+#include "claims/keeper_set.hpp"
+#include "entry/collaborators.hpp"
+#include "entry/core.hpp"
+#include "inventory/follower.hpp"
+#include "metrics/registry.hpp"
+
+namespace reedramp::entry_program {
+
+/// The entry's series for GET /metrics.
+class entry_metrics {
+public:
+    /// An attempt has ended.
+    auto count_attempt(const entry::attempt_report& report) -> void;
+
+    struct sources {
+        const entry::core& core;
+        const inventory::follower& follower;
+        const billing::collector& bills;
+        const claims::keeper_set& keepers;
+    };
+
+    auto text(const sources& from) -> std::string;
+
+private:
+    auto raise(
+        const std::string& name,
+        const char* help,
+        const metrics::labels& which,
+        std::uint64_t total) -> void;
+    auto show(const char* name, const char* help, std::uint64_t value) -> void;
+    auto read_core(const entry::core_counters& counted) -> void;
+
+    metrics::registry registry;
+    std::mutex lock;
+    /// Totals at the last reading, since the registry's counters take differences.
+    std::map<std::string, std::uint64_t> shown;
+};
+
+} // namespace reedramp::entry_program
--- /dev/null
+++ b/source/entry/entry_process.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "administration.hpp"
+#include "billing/collector.hpp"
+#include "claim_route.hpp"
+#include "claims/keeper_set.hpp"
+#include "daemon/io_pool.hpp"
+#include "entry/core.hpp"
+#include "entry/placer.hpp"
+#include "entry_metrics.hpp"
+#include "host_watch.hpp"
+#include "http/server.hpp"
+#include "inventory/follower.hpp"
+#include "inventory/publisher.hpp"
+#include "limits/share.hpp"
+#include "membership/view.hpp"
+#include "platform/hooks.hpp"
+#include "settings.hpp"
+#include "wire/rpc_client.hpp"
+#include "wire/rpc_server.hpp"
+
+namespace reedramp::entry_program {
+
+/// The whole process: connects the core and its parts to sockets, threads and timers. It decides
+/// nothing.
+class entry_process {
+public:
+    explicit entry_process(entry_settings wanted);
+    ~entry_process();
+    entry_process(const entry_process&) = delete;
+    entry_process(entry_process&&) = delete;
+    auto operator=(const entry_process&) -> entry_process& = delete;
+    auto operator=(entry_process&&) -> entry_process& = delete;
+
+    /// Opens the listeners and starts to follow the configuration. Requests are refused `not_run`
+    /// until there is one.
+    auto start() -> common::result<void>;
+
+    /// Lets the requests under way finish within the limit, then confirms or hands over the bills.
+    /// Calls `done` with the number of requests that were cut. Called once.
+    auto shut_down(std::function<auto(std::size_t cut)->void> done) -> void;
+
+    [[nodiscard]] auto rpc_address() const -> std::string;
+    [[nodiscard]] auto http_port() const -> std::uint16_t;
+
+    [[nodiscard]] auto pool() -> daemon::io_pool& { return this->threads; }
+
+private:
+    auto make_clients() -> void;
+    auto make_members() -> void;
+    auto make_follower() -> void;
+    auto make_claims() -> void;
+    auto make_bills() -> void;
+    auto make_core() -> void;
+    auto core_parts() -> entry::collaborators;
+    auto connect_rules(entry::collaborators& parts) -> void;
+    auto connect_accounts(entry::collaborators& parts) -> void;
+    auto open_rpc() -> common::result<void>;
+    auto open_http() -> common::result<void>;
+
+    auto configuration_changed(const inventory::snapshot_ptr& state) -> void;
+    auto entries_changed(std::vector<common::host_id> entries) -> void;
+    auto gossip_later() -> void;
+    auto send_gossip() -> void;
+    auto answer_gossip(const messages::gossip& news) -> messages::gossip;
+    auto settle_bills(common::time_point limit, std::function<auto()->void> done) -> void;
+    auto hand_over_bills(std::function<auto()->void> done) -> void;
+
+    const entry_settings settings;
+    daemon::io_pool threads;
+    entry_metrics metrics;
+    platform::log_hooks log;
+    platform::rating_hooks ratings;
+    std::shared_ptr<membership::view> members;
+    std::shared_ptr<host_watch> hosts;
+    std::shared_ptr<entry::placer> placer;
+    std::unique_ptr<wire::rpc_client> peers;
+    std::shared_ptr<inventory::follower> follower;
+    std::shared_ptr<inventory::publisher> publisher;
+    std::shared_ptr<claims::keeper_set> keepers;
+    std::shared_ptr<claim_route> claiming;
+    std::shared_ptr<billing::collector> bills;
+    std::unique_ptr<limits::share_keeper> shares;
+    std::shared_ptr<administration> admin;
+    std::shared_ptr<entry::core> core;
+    std::atomic<std::uint64_t> gossip_sequence{0};
+    std::mutex configuration_lock;
+    common::log_offset configured;
+    std::unique_ptr<wire::rpc_server> rpc;
+    std::unique_ptr<http::server> http;
+};
+
+} // namespace reedramp::entry_program
--- /dev/null
+++ b/source/entry/settings.cpp
@@ -0,0 +1,282 @@
+#include "settings.hpp"
+
+#include <limits>
+
+#include "daemon/logging.hpp"
+#include "daemon/secret.hpp"
+
+namespace reedramp::entry_program {
+
+using settings::value_type;
+
+namespace {
+
+constexpr double longest_ms = 24.0 * 3600 * 1000;
+constexpr double most = 1e9;
+constexpr auto session_key_variable = "REEDRAMP_SESSION_KEY";
+
+auto text_key(const char* path, const char* doc) -> settings::key
+{
+    return {.path = path, .type = value_type::text, .doc = doc, .lowest = 1, .highest = 200};
+}
+
+/// A path that may be left out.
+auto file_key(const char* path, const char* doc) -> settings::key
+{
+    return {
+        .path = path,
+        .type = value_type::text,
+        .doc = doc,
+        .fallback = std::string{},
+        .lowest = 0,
+        .highest = 4096};
+}
+
+auto address_key(const char* path, const char* doc) -> settings::key
+{
+    return {.path = path, .type = value_type::address, .doc = doc};
+}
+
+auto number_key(
+    const char* path, const char* doc, std::int64_t fallback, double lowest, double highest)
+    -> settings::key
+{
+    return {
+        .path = path,
+        .type = value_type::integer,
+        .doc = doc,
+        .fallback = fallback,
+        .lowest = lowest,
+        .highest = highest};
+}
+
+auto time_key(const char* path, const char* doc, std::int64_t fallback, double lowest = 1)
+    -> settings::key
+{
+    auto made = number_key(path, doc, fallback, lowest, longest_ms);
+    made.unit = "ms";
+    return made;
+}
+
+auto bytes_key(const char* path, const char* doc, std::int64_t fallback) -> settings::key
+{
+    auto made = number_key(path, doc, fallback, 1024, most);
+    made.unit = "bytes";
+    return made;
+}
+
+auto identity_keys() -> settings::schema
+{
+    return {
+        text_key("host", "Id of this host, as in the platform's list."),
+        text_key("data_centre", "Data centre of this host."),
+        text_key("region", "Region of this host."),
+        number_key("threads", "Threads for HTTP and timers.", 2, 1, 64),
+        number_key("rpc.threads", "Threads for calls to agents and other entries.", 1, 1, 64),
+        number_key(
+            "tailers",
+            "How many processes of a data centre read the log; the others ask them.",
+            2,
+            1,
+            64),
+    };
+}
+
+auto address_keys() -> settings::schema
+{
+    return {
+        address_key("http.listen", "Callers' and administration API, health, metrics."),
+        file_key("http.certificate_file", "Certificate chain (PEM); empty: no TLS."),
+        file_key("http.private_key_file", "Private key of the certificate (PEM)."),
+        number_key("http.connection_limit", "Callers' connections.", 2000, 1, 1e6),
+        bytes_key("http.body_limit", "Largest body of a request.", 4 << 20U),
+        bytes_key("http.header_limit", "Largest head of a request.", 16 << 10U),
+        time_key("http.read_timeout", "For a whole request, and for an idle connection.", 15'000),
+        address_key("rpc.listen", "Where other processes call."),
+        file_key(
+            "rpc.shared_key_file",
+            "File of the key that all processes of the system share; empty: REEDRAMP_SHARED_KEY."),
+        address_key("platform.log", "The platform's log."),
+        address_key("platform.hosts", "The platform's list of hosts."),
+        address_key("platform.ratings", "The platform's rating service."),
+        time_key("platform.log_timeout", "Longest silence of the log.", 5000),
+        {.path = "operators.key_hashes",
+         .type = value_type::text_list,
+         .doc = "SHA-256 in hexadecimal digits of the operators' keys.",
+         .fallback = settings::text_list{}},
+        time_key("operators.publish_limit", "Wait until a record is read back.", 10'000),
+    };
+}
+
+auto session_keys() -> settings::schema
+{
+    constexpr double last_id = std::numeric_limits<std::uint32_t>::max();
+    return {
+        file_key(
+            "sessions.key_file",
+            "File of the key that signs session tokens; empty: REEDRAMP_SESSION_KEY."),
+        number_key("sessions.key_id", "Id of that key.", 1, 0, last_id),
+        file_key(
+            "sessions.previous_key_file",
+            "File of the key before; tokens signed by it are still taken."),
+        number_key("sessions.previous_key_id", "Id of the key before.", 0, 0, last_id),
+        time_key("sessions.life", "How long a session lasts.", 12 * 3600 * 1000),
+        time_key("sessions.wait", "Wait for a server of the session's version.", 5000, 0),
+    };
+}
+
+auto request_keys() -> settings::schema
+{
+    return {
+        time_key("requests.deadline", "For a caller that names none.", 30'000),
+        time_key("requests.longest_deadline", "A longer one is cut to this.", 300'000),
+        number_key("requests.limit", "Requests under way; more are refused.", 20'000, 1, most),
+        number_key("requests.attempts", "Servers tried for one request.", 4, 1, 16),
+        number_key("requests.retry_permille", "Retries for a thousand requests.", 100, 0, 1000),
+        number_key("requests.rate_every", "Each so many chats one is rated; 0: none.", 1, 0, most),
+        time_key("requests.ask_limit", "Wait for word of a lost idempotent run.", 300),
+        bytes_key("streams.backlog_high", "Unsent bytes that pause a stream.", 256 << 10U),
+        bytes_key("streams.backlog_low", "Unsent bytes that resume it.", 64 << 10U),
+        bytes_key("streams.backlog_limit", "Unsent bytes that end it.", 8 << 20U),
+        bytes_key("streams.kept_text", "Longest text that another server goes on with.", 1 << 20U),
+        number_key("servers.subset", "Servers used for one version.", 8, 1, 1000),
+        number_key("servers.elsewhere", "Of these, in other data centres.", 2, 0, 1000),
+        bytes_key("bills.limit", "Unconfirmed bills at which new work is refused.", 16 << 20U),
+        time_key("shutdown.limit", "Then what still runs is cut.", 60'000),
+        time_key("shutdown.bills_limit", "For confirming or handing over bills.", 5000),
+    };
+}
+
+auto endpoint_of(const settings::values& from, std::string_view path) -> http::endpoint
+{
+    // The schema has checked it.
+    return http::parse_endpoint(from.text(path)).value_or(http::endpoint{});
+}
+
+auto signing_key_of(
+    const settings::values& from, std::string_view file, std::string_view id, const char* variable)
+    -> common::result<session::signing_key>
+{
+    auto secret = daemon::read_secret(from.text(file), variable);
+    if (!secret) {
+        return tl::unexpected(secret.error());
+    }
+    if (secret->size() < session::min_secret_bytes) {
+        return common::failure(
+            common::result_code::invalid_settings,
+            std::string(file) + ": a key of at least " + std::to_string(session::min_secret_bytes) +
+                " bytes is required");
+    }
+    const auto number = static_cast<std::uint32_t>(from.integer(id));
+    return session::signing_key{session::key_id(number), std::move(*secret)};
+}
+
+auto key_ring_of(const settings::values& from) -> common::result<session::key_ring>
+{
+    auto current =
+        signing_key_of(from, "sessions.key_file", "sessions.key_id", session_key_variable);
+    if (!current) {
+        return tl::unexpected(current.error());
+    }
+    session::key_ring ring{std::move(*current), std::nullopt};
+    if (from.text("sessions.previous_key_file").empty()) {
+        return ring;
+    }
+    auto previous = signing_key_of(
+        from, "sessions.previous_key_file", "sessions.previous_key_id", session_key_variable);
+    if (!previous) {
+        return tl::unexpected(previous.error());
+    }
+    ring.previous = std::move(*previous);
+    return ring;
+}
+
+auto http_of(const settings::values& from) -> http::server_options
+{
+    http::server_options options;
+    options.listen = endpoint_of(from, "http.listen");
+    options.header_limit_bytes = from.size("http.header_limit");
+    options.body_limit_bytes = from.size("http.body_limit");
+    options.read_timeout = from.milliseconds("http.read_timeout");
+    options.connection_limit = from.size("http.connection_limit");
+    const auto& certificate = from.text("http.certificate_file");
+    if (!certificate.empty()) {
+        options.tls = http::tls_files{certificate, from.text("http.private_key_file")};
+    }
+    return options;
+}
+
+auto core_of(const settings::values& from) -> entry::core_options
+{
+    constexpr double permille = 1000.0;
+    entry::core_options options;
+    options.headers.default_time = from.milliseconds("requests.deadline");
+    options.headers.longest_time = from.milliseconds("requests.longest_deadline");
+    options.attempt_limit = static_cast<std::uint32_t>(from.integer("requests.attempts"));
+    options.retries.retries_per_first_try =
+        static_cast<double>(from.integer("requests.retry_permille")) / permille;
+    options.rate_every = static_cast<std::uint32_t>(from.integer("requests.rate_every"));
+    options.ask_limit = from.milliseconds("requests.ask_limit");
+    options.request_limit = from.size("requests.limit");
+    options.session_life = from.milliseconds("sessions.life");
+    options.session_wait = from.milliseconds("sessions.wait");
+    options.backlog_high_bytes = from.size("streams.backlog_high");
+    options.backlog_low_bytes = from.size("streams.backlog_low");
+    options.backlog_limit_bytes = from.size("streams.backlog_limit");
+    options.sent_text_limit_bytes = from.size("streams.kept_text");
+    return options;
+}
+
+} // namespace
+
+auto settings_schema() -> settings::schema
+{
+    settings::schema all;
+    for (const auto& part :
+         {identity_keys(),
+          address_keys(),
+          session_keys(),
+          request_keys(),
+          daemon::logging_keys()}) {
+        all.insert(all.end(), part.begin(), part.end());
+    }
+    return all;
+}
+
+auto read_settings(const settings::values& from) -> common::result<entry_settings>
+{
+    auto key = daemon::read_secret(from.text("rpc.shared_key_file"), daemon::shared_key_variable);
+    if (!key) {
+        return tl::unexpected(key.error());
+    }
+    auto ring = key_ring_of(from);
+    if (!ring) {
+        return tl::unexpected(ring.error());
+    }
+    entry_settings read;
+    read.self.host = common::host_id{from.text("host")};
+    read.self.data_centre = common::data_centre_id{from.text("data_centre")};
+    read.self.region = common::region_id{from.text("region")};
+    read.threads = from.size("threads");
+    read.rpc_threads = from.size("rpc.threads");
+    read.tailers = from.size("tailers");
+    read.http = http_of(from);
+    read.rpc = endpoint_of(from, "rpc.listen");
+    read.shared_key = std::move(*key);
+    read.log = endpoint_of(from, "platform.log");
+    read.hosts = endpoint_of(from, "platform.hosts");
+    read.ratings = endpoint_of(from, "platform.ratings");
+    read.log_timeout = from.milliseconds("platform.log_timeout");
+    read.operator_key_hashes = from.texts("operators.key_hashes");
+    read.session_keys = std::move(*ring);
+    read.publish_limit = from.milliseconds("operators.publish_limit");
+    read.shutdown_limit = from.milliseconds("shutdown.limit");
+    read.bills_limit = from.milliseconds("shutdown.bills_limit");
+    read.bills_bytes = from.size("bills.limit");
+    read.core = core_of(from);
+    read.placer.self = read.self;
+    read.placer.subset = {from.size("servers.subset"), from.size("servers.elsewhere")};
+    return read;
+}
+
+} // namespace reedramp::entry_program
--- /dev/null
+++ b/source/entry/settings.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/ids.hpp"
+#include "common/result.hpp"
+#include "entry/core.hpp"
+#include "entry/placer.hpp"
+#include "http/message.hpp"
+#include "http/server.hpp"
+#include "session/pin.hpp"
+#include "settings/schema.hpp"
+
+namespace reedramp::entry_program {
+
+/// What an entry's settings file says, in the types that its parts take.
+struct entry_settings {
+    membership::location self;
+    std::size_t threads = 2;
+    std::size_t rpc_threads = 1;
+    std::size_t tailers = 2;
+    http::server_options http;
+    http::endpoint rpc;
+    std::string shared_key;
+    http::endpoint log;
+    http::endpoint hosts;
+    http::endpoint ratings;
+    std::chrono::milliseconds log_timeout{};
+    std::vector<std::string> operator_key_hashes;
+    session::key_ring session_keys;
+    std::chrono::milliseconds publish_limit{};
+    std::chrono::milliseconds shutdown_limit{};
+    std::chrono::milliseconds bills_limit{};
+    std::size_t bills_bytes = 0;
+    entry::core_options core;
+    entry::placer_settings placer;
+};
+
+auto settings_schema() -> settings::schema;
+
+/// Also reads the files of the keys. Errors: `invalid_settings`.
+auto read_settings(const settings::values& from) -> common::result<entry_settings>;
+
+} // namespace reedramp::entry_program
