Place without waiting while young probe answers are there

Cause: each request waited one trip for its probes, though the requests just before had brought answers; and all versions cost nothing for a session, whose tokens are not known, so that the first one by name was taken. Change: with two answers younger than 50 ms, the preferred server's among them, a request is placed at once and its probes serve the next ones. Sessions compare versions by 1000 tokens of each kind.

--- a/source/core/entry/filter_version_choice.cpp
+++ b/source/core/entry/filter_version_choice.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Tokens of each kind by which versions are compared for a session, whose requests are not known.
+constexpr common::token_count session_tokens(1000);
+
 auto question_of(const exchange& item) -> version_question
 {
     const auto& parts = item.context->parts;
@@ -22,6 +25,10 @@
     question.prompt_tokens = item.chat.prompt_tokens;
     question.max_tokens = item.chat.max_tokens;
     question.for_session = for_session;
+    if (for_session) {
+        question.prompt_tokens = session_tokens;
+        question.max_tokens = session_tokens;
+    }
     question.now = parts.now();
     question.deadline = item.deadline;
     question.current_until = parts.current_until();
--- a/source/core/entry/placer.cpp
+++ b/source/core/entry/placer.cpp
@@ -1,5 +1,6 @@
 #include "entry/placer.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <utility>
 
@@ -114,18 +115,40 @@
     item->done = std::move(done);
     const auto plan = this->chooser.plan(
         item->request, item->set->candidates, this->pool, this->hooks.now(), this->hooks.random);
-    if (plan.ask.empty()) {
+    if (plan.ask.empty() || this->knows_enough(*item, plan)) {
         this->decide(item);
-        return;
     }
-    this->hooks.timer(plan.place_at, [weak = this->weak_from_this(), item] {
-        if (const auto self = weak.lock()) {
-            self->decide(item);
-        }
-    });
+    else {
+        this->hooks.timer(plan.place_at, [weak = this->weak_from_this(), item] {
+            if (const auto self = weak.lock()) {
+                self->decide(item);
+            }
+        });
+    }
     this->send_probes(item, plan.ask);
 }
 
+/// Waiting for the probes would add a trip to each request; at a high rate the answers to the
+/// probes of the requests before are hardly older.
+auto placer::knows_enough(const pending& item, const placement::probe_plan& plan) -> bool
+{
+    const auto now = this->hooks.now();
+    const auto least = now + this->settings.pool.lifetime - this->settings.young;
+    const auto has_preferred = item.request.session_hash != 0 || item.request.prefix_hash != 0;
+    const auto& preferred = item.set->candidates[plan.ask.front()];
+    auto knows_preferred = !has_preferred;
+    std::size_t young = 0;
+    for (const auto& probe : this->pool.fresh(item.request.version, now)) {
+        if (probe.expires < least) {
+            continue;
+        }
+        ++young;
+        knows_preferred = knows_preferred || probe.hash == preferred.hash;
+    }
+    const auto wanted = std::min(this->settings.enough_young, item.set->candidates.size());
+    return knows_preferred && young >= wanted;
+}
+
 auto placer::send_probes(const pending_ptr& item, const std::vector<std::size_t>& ask) -> void
 {
     item->unanswered = ask.size();
--- a/source/core/entry/placer.hpp
+++ b/source/core/entry/placer.hpp
@@ -24,6 +24,10 @@
     membership::subset_config subset;
     placement::chooser_settings chooser;
     placement::probe_pool_settings pool;
+    /// A request does not wait for its probes when this many answers are no older than `young`, and
+    /// its preferred server is among them; its probes then serve the next requests.
+    std::size_t enough_young = 2;
+    common::duration young = std::chrono::milliseconds(50);
     /// How long a list of candidates is used while membership does not change.
     common::duration candidates_life = std::chrono::milliseconds(100);
     /// How long a server of which no life is known yet is asked for it.
@@ -83,6 +87,7 @@
 
     auto candidates_for(const placement_question& question) -> candidate_ptr;
     [[nodiscard]] auto make_candidates(const placement_question& question) const -> candidate_ptr;
+    [[nodiscard]] auto knows_enough(const pending& item, const placement::probe_plan& plan) -> bool;
     auto send_probes(const pending_ptr& item, const std::vector<std::size_t>& ask) -> void;
     auto take_probe(
         const common::version_id& version,
