--- a/source/core/claims/client.cpp
+++ b/source/core/claims/client.cpp
@@ -10,7 +10,7 @@
 using common::result_code;
 using common::time_point;
 
-/// One claim under way. It lives as long as a call or timer refers to it.
+/// One claim under way. It lives until its deadline.
 class claim_run : public std::enable_shared_from_this<claim_run> {
 public:
     claim_run(
@@ -26,11 +26,9 @@
 
     auto start() -> void
     {
-        this->hooks.timer(this->deadline, [weak = this->weak_from_this()] {
-            if (const auto self = weak.lock()) {
-                self->give_up();
-            }
-        });
+        // The timer holds the run: a keeper that is torn down drops its callbacks uncalled, and
+        // with them all else that refers to the run, whose caller would then wait for ever.
+        this->hooks.timer(this->deadline, [self = this->shared_from_this()] { self->give_up(); });
         this->step([](claimant& decide, time_point) { return decide.start(); }, 0);
     }
 
@@ -83,7 +81,7 @@
     template <typename End>
     auto carry_out(End& end, std::uint64_t /*turn*/) -> void
     {
-        this->done(std::move(end));
+        std::exchange(this->done, nullptr)(std::move(end));
     }
 
     auto take(const common::result<messages::claim_answer>& answer, std::uint64_t turn) -> void
--- a/source/core/claims/keeper_core.cpp
+++ b/source/core/claims/keeper_core.cpp
@@ -92,6 +92,7 @@
     counters.state = this->state;
     counters.keys = this->table.size();
     counters.pending = this->pending;
+    counters.reads = this->reads;
     return counters;
 }
 
--- a/source/core/claims/keeper_log.cpp
+++ b/source/core/claims/keeper_log.cpp
@@ -295,9 +295,8 @@
 
 auto keeper_core::take(log_offset offset, const claim_batch& batch, time_point now) -> void
 {
-    const auto before = this->table.applied();
     this->table.apply(offset, batch);
-    this->age.on_record(before, offset, now);
+    this->age.on_record(offset, now);
 }
 
 auto keeper_core::reached_head(std::uint64_t turn, time_point now, actions& todo) -> void
--- a/source/core/claims/key_age.cpp
+++ b/source/core/claims/key_age.cpp
@@ -17,13 +17,13 @@
     this->newest = {now, newest_read};
 }
 
-auto key_age::on_record(log_offset before, log_offset taken, time_point now) -> void
+auto key_age::on_record(log_offset taken, time_point now) -> void
 {
     const auto next = this->samples.empty()
                           ? time_point::min()
                           : this->samples.back().at + this->span / samples_per_span;
     if (now >= next) {
-        this->samples.push_back({now, before});
+        this->samples.push_back({now, taken});
     }
     // The one that answers for the whole span has to stay; those before it are of no more use.
     while (this->samples.size() > 1 && this->samples[1].at + this->span <= now) {
--- a/source/core/claims/key_age.hpp
+++ b/source/core/claims/key_age.hpp
@@ -18,9 +18,8 @@
     /// Forgets all; records up to `newest` count as read now.
     auto reset(common::log_offset newest, common::time_point now) -> void;
 
-    /// Call it when a record is taken; `before` is the offset of the one before it.
-    auto on_record(common::log_offset before, common::log_offset taken, common::time_point now)
-        -> void;
+    /// Call it when a record is taken.
+    auto on_record(common::log_offset taken, common::time_point now) -> void;
 
     /// The first offset that was not read `age` ago or earlier, at least 1.
     [[nodiscard]] auto first_younger_than(common::duration age, common::time_point now) const
--- a/source/unit_tests/claims/keeper_test.cpp
+++ b/source/unit_tests/claims/keeper_test.cpp
@@ -94,6 +94,25 @@
     }
 }
 
+TEST_CASE("a lost append answer is resolved by reading", "[claims]")
+{
+    // The log keeps both batches but its answers are lost. A slow read that was under way before
+    // the second answer was lost does not show that the second batch is missing: both claims are
+    // won, and no batch is appended a second time.
+    partition_fixture one;
+    const auto keeper = one.keep();
+    one.log.set_faults({.slow = 500ms, .lose_answer_every = 1});
+    const auto first = one.ask(keeper, make_claim(1, 1));
+    one.time.run_for(600ms);
+    one.log.set_faults({.slow = 10ms, .lose_answer_every = 1});
+    const auto second = one.ask(keeper, make_claim(2, 2));
+    one.time.run_for(2s);
+    REQUIRE((*first && *second));
+    CHECK((*first)->state == claim_state::won);
+    CHECK((*second)->state == claim_state::won);
+    CHECK(one.log.records(one.config.stream).size() == 2);
+}
+
 TEST_CASE("a keeper refuses until it has read the window", "[claims]")
 {
     // A key was claimed, then its keeper is lost and another entry takes over. A retry that comes
