Choose versions by cost at the quality target and move roll-outs

Cause: the entry chose by price alone; ratings, roll-outs and the guard's evidence were not connected. Change: version_policy joins the estimates, the roll-outs' shares, this entry's evidence and that of the others. Versions that are rolled out get only their share of what would go to the version they replace; replaced ones get nothing new. The program fetches ratings, passes evidence to the entries with the demand and to three random ones each second, and publishes what the controller proposes; a withdrawal that the log can't take goes from process to process.

--- a/source/core/entry/attempt.cpp
+++ b/source/core/entry/attempt.cpp
@@ -31,7 +31,13 @@
         }
         item.answer_text = std::move(answer->text);
     }
-    item.context->parts.rate(item.id, item.chat.question, std::move(item.answer_text));
+    item.context->parts.rate(
+        {item.id,
+         item.organisation,
+         item.headers.task,
+         item.version,
+         item.chat.question,
+         std::move(item.answer_text)});
 }
 
 /// A whole answer for a caller who asked for a stream: what the caller does not have yet. Errors
--- a/source/core/entry/collaborators.hpp
+++ b/source/core/entry/collaborators.hpp
@@ -85,6 +85,16 @@
     messages::usage used;
 };
 
+/// An answered chat for the rating service.
+struct rated_chat {
+    common::request_id request;
+    common::organisation_id organisation;
+    common::task_name task;
+    common::version_id version;
+    std::string question;
+    std::string answer;
+};
+
 /// The parts that the core's filters ask. Each may be called from any thread, outside locks; an
 /// answer through a callback may come at once or later, from any thread, exactly once.
 struct collaborators {
@@ -147,8 +157,7 @@
     std::function<auto(messages::bill item)->void> bill;
 
     /// Hands an answered question to the rating service. May be empty.
-    std::function<auto(common::request_id request, std::string question, std::string answer)->void>
-        rate;
+    std::function<auto(rated_chat item)->void> rate;
     std::function<auto()->std::string> metrics_text;
 };
 
--- /dev/null
+++ b/source/core/entry/version_policy.cpp
@@ -0,0 +1,284 @@
+#include "entry/version_policy.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+
+#include <xxhash.h>
+
+#include "common/log.hpp"
+#include "entry/prices.hpp"
+#include "entry/version_chooser.hpp"
+#include "inventory/rules.hpp"
+
+namespace reedramp::entry {
+
+namespace rules = inventory::rules;
+
+namespace {
+
+using version_list = std::vector<const inventory::version*>;
+
+constexpr double permille = 1000.0;
+
+auto holds(const version_list& versions, const common::version_id& id) -> bool
+{
+    return std::ranges::any_of(versions, [&id](const auto* one) { return one->id == id; });
+}
+
+/// All of the version's new work goes to a later version now.
+auto is_replaced(
+    const inventory::state& current, const version_list& eligible, const common::version_id& id)
+    -> bool
+{
+    return std::ranges::any_of(current.rollouts, [&](const auto& entry) {
+        const auto& item = entry.second;
+        return item.from == id && item.status == inventory::rollout_status::completed &&
+               holds(eligible, item.to);
+    });
+}
+
+/// Versions that are chosen by their merits. One that is being rolled out gets work only as the
+/// share of its roll-out; one that was replaced gets none. Where nothing else is left, they serve.
+auto established(const inventory::state& current, const version_list& eligible) -> version_list
+{
+    version_list found;
+    for (const auto* version : eligible) {
+        const auto is_new =
+            rules::stage_of(current, version->id) == inventory::version_stage::rollout;
+        if (!is_new && !is_replaced(current, eligible, version->id)) {
+            found.push_back(version);
+        }
+    }
+    return found.empty() ? eligible : found;
+}
+
+/// The same request or session always falls on the same side of a share.
+auto share_hash(const version_question& question, const std::string& rollout) -> std::uint64_t
+{
+    return XXH3_64bits_withSeed(
+        rollout.data(), rollout.size(), question.request.high ^ question.request.low);
+}
+
+auto rule_of(const inventory::state& current, const version_question& question)
+    -> const inventory::task_rule*
+{
+    const auto* owner = rules::find_organisation(current, question.organisation);
+    return owner == nullptr ? nullptr : rules::task_rule_of(*owner, question.task);
+}
+
+auto within_ceiling(const inventory::task_rule* rule, version_list versions) -> version_list
+{
+    if (rule != nullptr && rule->price_ceiling.value() > 0) {
+        std::erase_if(versions, [rule](const auto* one) {
+            return one->completion_price > rule->price_ceiling;
+        });
+    }
+    return versions;
+}
+
+auto is_named(const version_question& question, const version_list& eligible) -> bool
+{
+    return eligible.size() == 1 && eligible.front()->id.value() == question.model;
+}
+
+auto named_decision(const inventory::version& version) -> version_decision
+{
+    return {version.model, version.id, std::string(to_string(policy::choice_reason::named)), {}};
+}
+
+} // namespace
+
+version_policy::version_policy(version_policy_settings wanted)
+    : settings(std::move(wanted)), quality(settings.quality), awaiting(settings.awaiting_limit),
+      own_evidence(settings.rollouts.guard), rollouts(settings.rollouts)
+{
+}
+
+auto version_policy::choose(
+    const inventory::state& current, const version_question& question, double chance)
+    -> common::result<version_decision>
+{
+    auto eligible = eligible_versions(current, question);
+    if (!eligible) {
+        return tl::unexpected(eligible.error());
+    }
+    const auto affordable = within_ceiling(rule_of(current, question), std::move(*eligible));
+    if (affordable.empty()) {
+        return common::failure(
+            common::result_code::organisation_not_allowed, "all are above the price ceiling");
+    }
+    if (is_named(question, affordable)) {
+        return named_decision(*affordable.front());
+    }
+    const auto candidates = established(current, affordable);
+    auto decision = this->choose_among(current, question, candidates, chance);
+    if (!decision) {
+        return decision;
+    }
+    return this->follow_rollouts(current, question, affordable, std::move(*decision));
+}
+
+auto version_policy::options_for(
+    const inventory::state& current,
+    const version_question& question,
+    const std::vector<const inventory::version*>& candidates) -> std::vector<policy::option>
+{
+    const messages::usage expected{question.prompt_tokens, question.max_tokens};
+    std::vector<policy::option> options;
+    options.reserve(candidates.size());
+    for (const auto* version : candidates) {
+        policy::option option;
+        option.key.first = version->id;
+        const auto prior = static_cast<double>(version->prior.mean.value()) / permille;
+        this->quality.set_prior(option.key, question.task, prior);
+        option.quality = this->quality.estimate(option.key, question.task);
+        option.expected_cost = cost_of(current, version->id, expected);
+        options.push_back(std::move(option));
+    }
+    return options;
+}
+
+auto version_policy::price_of_quality(const account_key& key) -> double
+{
+    const std::lock_guard guard(this->lock);
+    return this->accounts[key].price();
+}
+
+auto version_policy::book(
+    const account_key& key,
+    const policy::choice& made,
+    const std::vector<policy::option>& options,
+    double target) -> void
+{
+    if (made.reason != policy::choice_reason::mixed_at_target) {
+        return;
+    }
+    const auto chosen = std::ranges::find(options, made.key, &policy::option::key);
+    const auto dearest = std::ranges::max(options, {}, &policy::option::expected_cost);
+    const std::lock_guard guard(this->lock);
+    this->accounts[key].book(chosen->quality, target, dearest.expected_cost);
+}
+
+auto version_policy::choose_among(
+    const inventory::state& current,
+    const version_question& question,
+    const std::vector<const inventory::version*>& candidates,
+    double chance) -> common::result<version_decision>
+{
+    const auto options = this->options_for(current, question, candidates);
+    const auto* rule = rule_of(current, question);
+    // Tasks are named by callers, so accounts are only kept for those that a rule names.
+    const account_key key{
+        question.organisation, rule == nullptr ? common::task_name() : rule->task};
+    policy::choice_input input;
+    input.options = options;
+    input.may_cascade = false;
+    input.explore_share = question.for_session ? 0.0 : this->settings.explore_share;
+    input.chance = chance;
+    if (rule != nullptr) {
+        input.quality_target = static_cast<double>(rule->quality_target.value()) / permille;
+        input.quality_price = this->price_of_quality(key);
+    }
+    const auto made = policy::choose(input);
+    if (!made) {
+        return common::failure(common::result_code::no_capacity, "no version fits the request");
+    }
+    this->book(key, *made, options, input.quality_target);
+    version_decision decision;
+    decision.version = made->key.first;
+    decision.reason = std::string(policy::to_string(made->reason));
+    if (made->runner_up) {
+        decision.runner_up = made->runner_up->first;
+    }
+    const auto* version = rules::find_version(current, decision.version);
+    decision.model = version == nullptr ? common::model_id() : version->model;
+    return decision;
+}
+
+auto version_policy::follow_rollouts(
+    const inventory::state& current,
+    const version_question& question,
+    const std::vector<const inventory::version*>& eligible,
+    version_decision decision) const -> version_decision
+{
+    for (const auto& [id, item] : current.rollouts) {
+        const auto is_running = item.status == inventory::rollout_status::running;
+        if (!is_running || item.from != decision.version || !holds(eligible, item.to)) {
+            continue;
+        }
+        if (this->rollouts.alarmed(item.to) ||
+            !policy::in_share(share_hash(question, id), item.share)) {
+            continue;
+        }
+        decision.runner_up = item.from;
+        decision.version = item.to;
+        decision.reason = std::string(policy::to_string(policy::choice_reason::rollout_share));
+        break;
+    }
+    return decision;
+}
+
+auto version_policy::on_attempt(const inventory::state& current, const attempt_report& report)
+    -> void
+{
+    const auto is_chat = report.kind == messages::work_kind::chat;
+    const auto has_run = report.end == attempt_end::answered || report.end == attempt_end::failed ||
+                         report.end == attempt_end::lost;
+    if (!is_chat || !has_run) {
+        return;
+    }
+    const auto failed = report.end != attempt_end::answered;
+    this->own_evidence.on_run(
+        current, {report.version, failed, report.took > this->settings.slow_after});
+}
+
+auto version_policy::on_submitted(const common::request_id& request, control::rated_answer answer)
+    -> void
+{
+    this->awaiting.add(request, std::move(answer));
+}
+
+auto version_policy::on_ratings(
+    const inventory::state& current, const std::vector<platform::rating>& ratings) -> void
+{
+    for (const auto& rating : ratings) {
+        const auto answer = this->awaiting.take(rating.request);
+        if (!answer) {
+            continue;
+        }
+        const auto drifts = this->quality.add({answer->version, {}}, answer->task, rating.score);
+        this->own_evidence.on_rating(current, answer->version, rating.score);
+        if (drifts) {
+            common::log(
+                common::log_part::policy,
+                common::log_level::warning,
+                "ratings have changed version=" + answer->version.value() +
+                    " task=" + answer->task.value());
+        }
+    }
+}
+
+auto version_policy::evidence() const -> std::vector<messages::version_evidence>
+{
+    return this->own_evidence.report();
+}
+
+auto version_policy::take_evidence(const messages::gossip& news) -> void
+{
+    this->board.take(news);
+}
+
+auto version_policy::tick(
+    const inventory::state& current, std::uint32_t rank, common::time_point now)
+    -> std::vector<control::rollout_action>
+{
+    for (const auto& [id, item] : current.rollouts) {
+        if (item.status == inventory::rollout_status::running) {
+            this->own_evidence.use_pooled(current, this->board.counts_of(item.from));
+        }
+    }
+    return this->rollouts.decide(current, this->board, rank, now);
+}
+
+} // namespace reedramp::entry
--- a/source/entry/entry_process.cpp
+++ b/source/entry/entry_process.cpp
@@ -3,8 +3,8 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "control/proposal.hpp"
 #include "daemon/clock.hpp"
-#include "entry/version_chooser.hpp"
 #include "platform/http_hosts.hpp"
 #include "platform/http_log.hpp"
 #include "platform/http_ratings.hpp"
@@ -13,7 +13,10 @@
 
 namespace {
 
-constexpr common::duration gossip_period = std::chrono::seconds(1);
+constexpr common::duration tick_period = std::chrono::seconds(1);
+/// Entries that hear of this one's evidence each second, besides those that get its demand.
+constexpr std::size_t evidence_fan_out = 3;
+constexpr auto rollout_rank_key = "rollouts";
 constexpr common::duration bills_check_period = std::chrono::milliseconds(50);
 
 /// The inventory's servers, as membership takes them.
@@ -76,6 +79,7 @@
     this->make_follower();
     this->make_claims();
     this->make_bills();
+    this->versions = std::make_unique<entry::version_policy>(entry::version_policy_settings{});
     this->make_core();
     if (auto opened = this->open_rpc(); !opened) {
         return opened;
@@ -85,7 +89,7 @@
     }
     this->hosts->start();
     this->follower->start();
-    this->gossip_later();
+    this->tick_later();
     return {};
 }
 
@@ -198,7 +202,11 @@
         return from->current_until();
     };
     parts.keys = this->settings.session_keys;
-    parts.choose_version = entry::cheapest_version;
+    parts.choose_version = [this](
+                               const inventory::state& current,
+                               const entry::version_question& question) {
+        return this->versions->choose(current, question, common::random_unit(daemon::random_bits));
+    };
     parts.take_limits = [this](const common::organisation_id& id, const limits::amounts& expected) {
         return this->shares->admit(id, expected, daemon::boot_time());
     };
@@ -225,7 +233,9 @@
     parts.bill = [to = this->bills](messages::bill item) {
         to->add(std::move(item));
     };
-    parts.rate = this->ratings.submit;
+    parts.rate = [this](entry::rated_chat item) {
+        this->rate(std::move(item));
+    };
     parts.metrics_text = [this] {
         return this->metrics.text({*this->core, *this->follower, *this->bills, *this->keepers});
     };
@@ -246,6 +256,7 @@
     };
     parts.attempt_ended = [this](const entry::attempt_report& report) {
         this->placer->attempt_ended(report);
+        this->versions->on_attempt(*this->follower->snapshot(), report);
         this->metrics.count_attempt(report);
     };
     return parts;
@@ -354,14 +365,38 @@
     this->shares->set_entries(std::move(sharing));
 }
 
-auto entry_process::gossip_later() -> void
+auto entry_process::tick_later() -> void
 {
-    this->threads.timers()(daemon::boot_time() + gossip_period, [this] {
+    this->threads.timers()(daemon::boot_time() + tick_period, [this] {
         this->send_gossip();
-        this->gossip_later();
+        this->fetch_ratings();
+        this->move_rollouts();
+        this->tick_later();
     });
 }
 
+auto entry_process::make_news() -> messages::gossip
+{
+    messages::gossip news;
+    news.from = this->settings.self.host;
+    news.sequence = ++this->gossip_sequence;
+    news.configuration = this->follower->snapshot()->offset;
+    news.evidence = this->versions->evidence();
+    return news;
+}
+
+auto entry_process::send_news(const messages::rpc_address& to, messages::gossip news) -> void
+{
+    this->peers->peers().talk(
+        to, std::move(news), [this](const common::result<messages::gossip>& answer) {
+            if (!answer) {
+                return;
+            }
+            this->versions->take_evidence(*answer);
+            this->shares->on_answer(answer->from, answer->demand, daemon::boot_time());
+        });
+}
+
 auto entry_process::send_gossip() -> void
 {
     for (auto& report : this->shares->reports(daemon::boot_time())) {
@@ -369,30 +404,93 @@
         if (address.value().empty()) {
             continue;
         }
-        messages::gossip news;
-        news.from = this->settings.self.host;
-        news.sequence = ++this->gossip_sequence;
-        news.configuration = this->follower->snapshot()->offset;
+        auto news = this->make_news();
         news.demand = std::move(report.rows);
-        this->peers->peers().talk(
-            address, std::move(news), [this](const common::result<messages::gossip>& answer) {
-                if (answer) {
-                    this->shares->on_answer(answer->from, answer->demand, daemon::boot_time());
-                }
-            });
+        this->send_news(address, std::move(news));
+    }
+    auto news = this->make_news();
+    this->versions->take_evidence(news);
+    if (news.evidence.empty()) {
+        return;
+    }
+    auto others = this->hosts->entries();
+    for (std::size_t count = 0; count < evidence_fan_out && !others.empty(); ++count) {
+        std::swap(others[daemon::random_bits() % others.size()], others.back());
+        this->send_news(others.back().rpc, news);
+        others.pop_back();
     }
 }
 
 auto entry_process::answer_gossip(const messages::gossip& news) -> messages::gossip
 {
-    messages::gossip answer;
-    answer.from = this->settings.self.host;
-    answer.sequence = ++this->gossip_sequence;
-    answer.configuration = this->follower->snapshot()->offset;
+    this->versions->take_evidence(news);
+    auto answer = this->make_news();
     answer.demand = this->shares->on_report(news.from, news.demand, daemon::boot_time());
     return answer;
 }
 
+auto entry_process::rate(entry::rated_chat item) -> void
+{
+    this->versions->on_submitted(item.request, {item.version, item.organisation, item.task});
+    this->ratings.submit(item.request, std::move(item.question), std::move(item.answer));
+}
+
+/// One fetch at a time: a slow rating service would else get more of them each second.
+auto entry_process::fetch_ratings() -> void
+{
+    if (this->fetching_ratings.exchange(true)) {
+        return;
+    }
+    this->ratings.fetch(
+        this->ratings_read, [this](const common::result<platform::rating_page>& page) {
+            if (page) {
+                this->ratings_read = page->next;
+                this->versions->on_ratings(*this->follower->snapshot(), page->ratings);
+            }
+            this->fetching_ratings = false;
+        });
+}
+
+auto entry_process::move_rollouts() -> void
+{
+    if (!this->follower->ready()) {
+        return;
+    }
+    const auto rank = this->hosts->rank_of_self(rollout_rank_key);
+    const auto state = this->follower->snapshot();
+    for (const auto& action : this->versions->tick(*state, rank, daemon::boot_time())) {
+        this->propose(action);
+    }
+}
+
+auto entry_process::propose(const control::rollout_action& action) -> void
+{
+    const auto record =
+        control::to_record(action, *this->follower->snapshot(), daemon::wall_time());
+    if (!record) {
+        return;
+    }
+    this->publisher->publish(
+        *record,
+        daemon::boot_time() + this->settings.publish_limit,
+        [this, action, id = record->id](const common::result<inventory::publication>& answer) {
+            const auto outcome = answer ? std::string("accepted")
+                                        : std::string(common::row_of(answer.error().code).name);
+            common::log(
+                common::log_part::rollout,
+                common::log_level::info,
+                "proposal " + outcome + " id=" + id.value());
+            const auto* stop = std::get_if<control::propose_stop>(&action);
+            const auto is_withdrawal =
+                stop != nullptr && stop->response == control::alarm_response::withdraw;
+            if (answer || !is_withdrawal) {
+                return;
+            }
+            // The log is down: the withdrawal goes from process to process meanwhile.
+            this->follower->withdraw(stop->version, id, "rollout-controller");
+        });
+}
+
 auto entry_process::shut_down(std::function<auto(std::size_t cut)->void> done) -> void
 {
     common::log(common::log_part::entry, common::log_level::info, "leaving");
--- a/source/entry/entry_process.hpp
+++ b/source/entry/entry_process.hpp
@@ -14,6 +14,7 @@
 #include "daemon/io_pool.hpp"
 #include "entry/core.hpp"
 #include "entry/placer.hpp"
+#include "entry/version_policy.hpp"
 #include "entry_metrics.hpp"
 #include "host_watch.hpp"
 #include "http/server.hpp"
@@ -67,9 +68,15 @@
 
     auto configuration_changed(const inventory::snapshot_ptr& state) -> void;
     auto entries_changed(std::vector<common::host_id> entries) -> void;
-    auto gossip_later() -> void;
+    auto tick_later() -> void;
     auto send_gossip() -> void;
+    auto send_news(const messages::rpc_address& to, messages::gossip news) -> void;
+    auto make_news() -> messages::gossip;
     auto answer_gossip(const messages::gossip& news) -> messages::gossip;
+    auto fetch_ratings() -> void;
+    auto move_rollouts() -> void;
+    auto propose(const control::rollout_action& action) -> void;
+    auto rate(entry::rated_chat item) -> void;
     auto settle_bills(common::time_point limit, std::function<auto()->void> done) -> void;
     auto hand_over_bills(std::function<auto()->void> done) -> void;
 
@@ -89,8 +96,11 @@
     std::shared_ptr<billing::collector> bills;
     std::unique_ptr<limits::share_keeper> shares;
     std::shared_ptr<administration> admin;
+    std::unique_ptr<entry::version_policy> versions;
     std::shared_ptr<entry::core> core;
     std::atomic<std::uint64_t> gossip_sequence{0};
+    std::atomic<std::uint64_t> ratings_read{0};
+    std::atomic<bool> fetching_ratings{false};
     std::mutex configuration_lock;
     common::log_offset configured;
     std::unique_ptr<wire::rpc_server> rpc;
