--- a/source/unit_tests/inventory/fixture.cpp
+++ b/source/unit_tests/inventory/fixture.cpp
@@ -83,6 +83,17 @@
     return *made;
 }
 
+auto world::names(const std::string& but, bool just_tailers) -> std::vector<messages::rpc_address>
+{
+    std::vector<messages::rpc_address> found;
+    for (const auto& [name, item] : this->all) {
+        if (name != but && (item->is_tailer || !just_tailers)) {
+            found.emplace_back(name);
+        }
+    }
+    return found;
+}
+
 auto world::deliver(std::weak_ptr<process> to, std::function<auto()->void> action) -> void
 {
     const auto self = to.lock();
@@ -110,6 +121,9 @@
                          std::chrono::milliseconds wait,
                          platform::answer_hook<platform::read_answer> done) {
         const auto later = [this, weak, done](common::result<platform::read_answer> answer) {
+            if (answer && answer->records.size() > this->read_limit) {
+                answer->records.resize(this->read_limit);
+            }
             this->deliver(weak, [done, answer] { done(answer); });
         };
         const auto reader = weak.lock();
@@ -128,14 +142,13 @@
         });
     };
     hooks.peers = [this, name] {
-        std::vector<messages::rpc_address> peers;
-        for (const auto& [other, item] : this->all) {
-            if (other != name) {
-                peers.emplace_back(other);
-            }
-        }
-        return peers;
+        return this->names(name, false);
     };
+    if (this->knows_tailers) {
+        hooks.tailers = [this, name] {
+            return this->names(name, true);
+        };
+    }
     hooks.is_tailer = [weak] {
         const auto found = weak.lock();
         return found && found->is_tailer;
--- a/source/unit_tests/inventory/fixture.hpp
+++ b/source/unit_tests/inventory/fixture.hpp
@@ -86,8 +86,13 @@
     platform::fake_time time;
     platform::fake_log log;
     follower_settings settings;
+    /// The log gives no more records than this in one answer.
+    std::size_t read_limit = 1000;
+    /// Whether processes know which of them tail the log.
+    bool knows_tailers = false;
 
 private:
+    auto names(const std::string& but, bool just_tailers) -> std::vector<messages::rpc_address>;
     /// Runs the action as soon as the process is not suspended.
     auto deliver(std::weak_ptr<process> to, std::function<auto()->void> action) -> void;
     auto hooks_of(const std::string& name, const std::shared_ptr<process>& self) -> follower_hooks;
--- a/source/unit_tests/inventory/follower_faults_test.cpp
+++ b/source/unit_tests/inventory/follower_faults_test.cpp
@@ -136,6 +136,29 @@
          CHECK(all.at("a").reader->evidence_time() <= all.time.now() - 3s);
          CHECK(all.serving("a", "v2") == ok);
      }},
+    {"log gives its records piece by piece: not current before the last piece",
+     [](world& all) {
+         // A process wakes far behind, and the log gives three records an answer. What it has in
+         // between is an old configuration; new sessions on a roll-out wait for the newest one.
+         auto& late = all.start("a");
+         all.run(1s);
+         late.paused_until = all.time.now() + 60s;
+         put_changes(all, 30);
+         all.read_limit = 3;
+         auto faults = all.log.faults();
+         faults.slow = 100ms;
+         all.log.set_faults(faults);
+         all.run(60s);
+         auto looks = 0;
+         while (all.offset("a") < 31) {
+             CHECK(all.serving("a", "v2") == stale);
+             all.run(10ms);
+             REQUIRE(++looks < 1000);
+         }
+         CHECK(looks > 10);
+         all.run(1s);
+         CHECK(all.serving("a", "v2") == ok);
+     }},
     {"log down past the freshness: what is stable goes on",
      [](world& all) {
          all.start("a");
@@ -375,7 +398,9 @@
 
 TEST_CASE("few read the log, the others learn from peers within seconds", "[follower]")
 {
+    const auto knows_tailers = GENERATE(false, true);
     world all;
+    all.knows_tailers = knows_tailers;
     all.put(first_record());
     all.start("tailer");
     for (auto index = 0; index < 20; ++index) {
@@ -383,7 +408,7 @@
     }
     all.run(10s);
     put_changes(all, 1);
-    all.run(8s);
+    all.run(knows_tailers ? 5s : 8s);
     std::uint64_t other_reads = 0;
     for (auto index = 0; index < 20; ++index) {
         const auto name = "p" + std::to_string(index);
--- a/source/unit_tests/inventory/full_size_test.cpp
+++ b/source/unit_tests/inventory/full_size_test.cpp
@@ -129,3 +129,38 @@
     CHECK(parse_checkpoint(text));
     report("checkpoint_parse_ms", seconds_since(begin) * 1000);
 }
+
+TEST_CASE("how long a change takes to all of a fleet, on virtual time", "[.bench]")
+{
+    // Processes of one fleet in one world; each pull takes 1 ms. Not a run over the network.
+    constexpr auto process_count = 1000;
+    constexpr auto tailer_count = 60;
+    const auto knows_tailers = GENERATE(false, true);
+    world all;
+    all.knows_tailers = knows_tailers;
+    all.put(first_record());
+    for (auto number = 0; number < process_count; ++number) {
+        all.start(numbered("p", number), number < tailer_count);
+    }
+    all.run(10s);
+    all.put(record_text("change", 1, put_version("v1", 9)));
+    const auto begin = all.time.now();
+    auto reached = 0;
+    while (reached < process_count) {
+        all.run(100ms);
+        reached = 0;
+        for (auto number = 0; number < process_count; ++number) {
+            reached += all.offset(numbered("p", number)) == 2 ? 1 : 0;
+        }
+    }
+    const auto last = std::chrono::duration<double>(all.time.now() - begin).count();
+    double oldest = 0;
+    for (auto number = 0; number < process_count; ++number) {
+        const auto as_of = all.at(numbered("p", number)).reader->evidence_time();
+        oldest =
+            std::max(oldest, std::chrono::duration<double>(all.time.now() - as_of.value()).count());
+    }
+    const std::string suffix = knows_tailers ? "_tailers_known" : "";
+    report(("virtual_in_force_s" + suffix).c_str(), last);
+    report(("virtual_oldest_evidence_s" + suffix).c_str(), oldest);
+}
--- a/source/unit_tests/inventory/prefix_property_test.cpp
+++ b/source/unit_tests/inventory/prefix_property_test.cpp
@@ -51,6 +51,7 @@
     trial()
     {
         this->all.put(first_record());
+        this->all.read_limit = 3;
         for (const auto* name : process_names) {
             this->all.start(name, std::string(name) != "c");
         }
@@ -148,6 +149,7 @@
             this->restart(name);
             break;
         case event::old_replica:
+            this->has_old_replica = true;
             this->all.freeze_replica();
             chosen.reads_old_replica = true;
             break;
@@ -193,6 +195,7 @@
             this->history.push_back(item);
             apply(this->reference, item);
             this->digests[item.offset.value()] = digest(this->reference);
+            this->seen_at.emplace_back(this->all.time.now());
         }
     }
 
@@ -206,6 +209,7 @@
             if (process.reader->ready()) {
                 RC_ASSERT(digest(*current) == this->digests.at(current->offset.value()));
             }
+            this->check_evidence(process);
             auto& seen = this->seen_withdrawn[name];
             for (const auto& id : seen) {
                 RC_ASSERT(current->is_withdrawn(id));
@@ -217,8 +221,25 @@
         }
     }
 
+    /// What a process believes to be current as of a time holds all records that were in the log
+    /// by then. A replica that gets no new records can't be told from the log itself by a process
+    /// that has nothing newer, so schedules with one are left out here.
+    auto check_evidence(const process& item) -> void
+    {
+        const auto as_of = item.reader->evidence_time();
+        if (!as_of || this->has_old_replica) {
+            return;
+        }
+        const auto by_then = std::ranges::lower_bound(this->seen_at, *as_of);
+        const auto held = std::distance(this->seen_at.begin(), by_then);
+        RC_ASSERT(item.reader->snapshot()->offset.value() >= static_cast<std::uint64_t>(held));
+    }
+
     world all;
     state reference;
+    /// When each record was in the log, at the latest.
+    std::vector<reedramp::common::time_point> seen_at;
+    bool has_old_replica = false;
     std::vector<reedramp::messages::log_record> history{{log_offset{1}, first_record()}};
     std::map<std::uint64_t, std::string> digests{{0, digest(state{})}};
     std::map<std::string, std::set<version_id>> seen_withdrawn;
