Tell callers the usage of the whole answer of a continued stream

Cause: after a lost engine the last chunk showed only the last attempt's usage, with the sent tokens counted as prompt. Change: the caller gets one prompt and the whole answer; the bill keeps a line for each attempt.

--- a/source/core/entry/reply.cpp
+++ b/source/core/entry/reply.cpp
@@ -1,5 +1,6 @@
 #include "entry/reply.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/log.hpp"
@@ -21,6 +22,20 @@
     item.out->start(std::move(head));
 }
 
+/// Usage as the caller sees it. A server that goes on with a stream reads what was sent as part of
+/// its prompt; the caller has asked for one prompt and got one answer.
+auto usage_of_whole(const exchange& item, const messages::usage& last) -> messages::usage
+{
+    const auto continued = item.attempt.first_token;
+    if (continued == 0) {
+        return last;
+    }
+    const auto prompt = last.prompt_tokens.value();
+    return {
+        common::token_count(prompt - std::min(prompt, continued)),
+        common::token_count(item.tokens.sent())};
+}
+
 auto log_end(const exchange& item, common::result_code code, common::execution run) -> void
 {
     std::string line = "request ended request=" + common::to_string(item.id);
@@ -98,7 +113,7 @@
     item.answer = answer_phase::ended;
     std::optional<messages::usage> used;
     if (item.chat.include_usage) {
-        used = finished.used;
+        used = usage_of_whole(item, finished.used);
     }
     item.out->write(item.events.ending(finished.finish_reason, used));
     item.out->finish();
