--- a/source/core/agent/event_outbox.cpp
+++ b/source/core/agent/event_outbox.cpp
@@ -40,11 +40,13 @@
 
 auto event_outbox::release_if_empty() -> bool
 {
+    messages::run_sink dropped;
     const std::lock_guard guard(this->lock);
     if (!this->waiting.empty()) {
         return false;
     }
     this->busy = false;
+    this->drop_sink_if_over(dropped);
     return true;
 }
 
@@ -55,19 +57,26 @@
 
 auto event_outbox::close() -> void
 {
+    messages::run_sink dropped;
     const std::lock_guard guard(this->lock);
     this->closed = true;
     this->waiting.clear();
+    if (!this->busy) {
+        this->drop_sink_if_over(dropped);
+    }
 }
 
 auto event_outbox::deliver() -> void
 {
+    // Destroyed after the lock is free: what the reader holds may call back.
+    messages::run_sink dropped;
     while (true) {
         messages::run_event next;
         {
             const std::lock_guard guard(this->lock);
             if (this->waiting.empty()) {
                 this->busy = false;
+                this->drop_sink_if_over(dropped);
                 return;
             }
             next = std::move(this->waiting.front());
@@ -77,4 +86,11 @@
     }
 }
 
+auto event_outbox::drop_sink_if_over(messages::run_sink& dropped) -> void
+{
+    if (this->ended || this->closed) {
+        dropped.swap(this->sink);
+    }
+}
+
 } // namespace reedramp::agent
--- a/source/core/agent/event_outbox.hpp
+++ b/source/core/agent/event_outbox.hpp
@@ -32,6 +32,9 @@
 private:
     auto push(messages::run_event event) -> void;
     auto deliver() -> void;
+    /// Lets go of the reader once nothing more can come: it may hold this run's handle, and the two
+    /// would keep each other for ever.
+    auto drop_sink_if_over(messages::run_sink& dropped) -> void;
 
     messages::run_sink sink;
     std::mutex lock;
--- a/source/unit_tests/agent/agent_fixture.hpp
+++ b/source/unit_tests/agent/agent_fixture.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <variant>
@@ -16,8 +17,8 @@
 struct fake_backend final : backend_handle {
     backend_call call;
     backend_events events;
-    bool cancelled = false;
-    bool paused = false;
+    std::atomic<bool> cancelled = false;
+    std::atomic<bool> paused = false;
 
     auto cancel() -> void override { this->cancelled = true; }
 
@@ -178,6 +179,14 @@
         this->service = this->agent->service();
     }
 
+    /// Ends what still runs, so that calls and readers let go of each other.
+    ~harness()
+    {
+        this->agent->drain();
+        this->agent->cut();
+        this->time.run_due();
+    }
+
     harness(const harness&) = delete;
     auto operator=(const harness&) -> harness& = delete;
 
