--- /dev/null
+++ b/source/unit_tests/entry/version_policy_test.cpp
@@ -0,0 +1,168 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "entry/version_policy.hpp"
+
+namespace reedramp::entry::test {
+
+namespace {
+
+auto add_version(inventory::state& state, const std::string& id, std::int64_t price) -> void
+{
+    inventory::version version;
+    version.id = common::version_id(id);
+    version.model = common::model_id("m");
+    version.prompt_price = common::micro_money(price);
+    version.completion_price = common::micro_money(price);
+    version.prior = {common::permille(900), 50};
+    state.versions[version.id] = version;
+}
+
+/// Model "m" with versions "old" and "dear"; "new" is rolled out in place of "old".
+auto make_state() -> inventory::state
+{
+    inventory::state state;
+    state.offset = common::log_offset(1);
+    add_version(state, "old", 1'000'000);
+    add_version(state, "new", 900'000);
+    add_version(state, "dear", 9'000'000);
+    inventory::rollout rollout;
+    rollout.id = "r";
+    rollout.model = common::model_id("m");
+    rollout.from = common::version_id("old");
+    rollout.to = common::version_id("new");
+    rollout.share = common::permille(200);
+    state.rollouts["r"] = rollout;
+    inventory::organisation owner;
+    owner.id = common::organisation_id("o");
+    owner.models = {common::model_id("m")};
+    owner.tasks = {{common::task_name(), common::permille(500), common::micro_money(5'000'000)}};
+    state.organisations[owner.id] = owner;
+    return state;
+}
+
+auto ask(const std::string& model, std::uint64_t number) -> version_question
+{
+    version_question question;
+    question.request = {number, number * 0x9e3779b97f4a7c15ULL};
+    question.organisation = common::organisation_id("o");
+    question.model = model;
+    question.prompt_tokens = common::token_count(100);
+    question.max_tokens = common::token_count(100);
+    question.current_until = common::never;
+    return question;
+}
+
+using shares = std::map<std::string, int>;
+
+auto choose_many(version_policy& subject, const inventory::state& state) -> shares
+{
+    constexpr int questions = 1000;
+    shares found;
+    for (int number = 0; number < questions; ++number) {
+        const auto decision =
+            subject.choose(state, ask("m", static_cast<std::uint64_t>(number)), 1.0);
+        REQUIRE(decision.has_value());
+        ++found[decision->version.value()];
+    }
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("a roll-out gets its share of what it replaces, by status", "[version_policy]")
+{
+    struct row {
+        std::string name;
+        std::function<auto(inventory::state& state)->void> edit;
+        int least_new;
+        int most_new;
+    };
+
+    const auto set_status = [](inventory::rollout_status status) {
+        return [status](inventory::state& state) {
+            state.rollouts["r"].status = status;
+        };
+    };
+    const std::vector<row> rows{
+        {"running", [](auto&) {}, 150, 250},
+        {"paused", set_status(inventory::rollout_status::paused), 0, 0},
+        {"aborted", set_status(inventory::rollout_status::aborted), 0, 0},
+        {"completed", set_status(inventory::rollout_status::completed), 1000, 1000},
+        {"withdrawn",
+         [](auto& state) { state.withdrawn_early.insert(common::version_id("new")); },
+         0,
+         0},
+        {"old one withdrawn",
+         [](auto& state) { state.withdrawn_early.insert(common::version_id("old")); },
+         1000,
+         1000},
+    };
+    for (const auto& row : rows) {
+        INFO(row.name);
+        version_policy subject({});
+        auto state = make_state();
+        row.edit(state);
+        auto found = choose_many(subject, state);
+        CHECK(found["new"] >= row.least_new);
+        CHECK(found["new"] <= row.most_new);
+        CHECK(found["dear"] == 0);
+    }
+}
+
+TEST_CASE("a request stays on its side of a share", "[version_policy]")
+{
+    version_policy subject({});
+    const auto state = make_state();
+    for (std::uint64_t number = 0; number < 50; ++number) {
+        const auto first = subject.choose(state, ask("m", number), 1.0);
+        const auto second = subject.choose(state, ask("m", number), 1.0);
+        CHECK(first->version == second->version);
+    }
+}
+
+TEST_CASE("named versions, ceilings and refused versions bound the choice", "[version_policy]")
+{
+    version_policy subject({});
+    const auto state = make_state();
+    CHECK(subject.choose(state, ask("new", 1), 1.0)->version.value() == "new");
+    const auto dear = subject.choose(state, ask("dear", 1), 1.0);
+    REQUIRE_FALSE(dear.has_value());
+    CHECK(dear.error().code == common::result_code::organisation_not_allowed);
+    auto question = ask("old", 1);
+    question.refused = {common::version_id("old")};
+    const auto refused = subject.choose(state, question, 1.0);
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().code == common::result_code::version_withdrawn);
+}
+
+// The new version of a roll-out gets low ratings, the old one good ones. This entry stops giving it
+// new work by its own evidence, before anything is in the log, and proposes the withdrawal.
+TEST_CASE("bad ratings end a roll-out's share", "[version_policy]")
+{
+    version_policy subject({});
+    const auto state = make_state();
+    std::vector<control::rollout_action> actions;
+    auto now = common::time_point(std::chrono::hours(1));
+    for (std::uint64_t number = 0; number < 400 && actions.empty(); ++number) {
+        const common::request_id request{1, number};
+        const auto is_new = number % 2 == 0;
+        const common::version_id version(is_new ? "new" : "old");
+        subject.on_submitted(request, {version, common::organisation_id("o"), {}});
+        subject.on_ratings(state, {{request, is_new ? 0.1 : 0.9}});
+        messages::gossip news;
+        news.from = common::host_id("self");
+        news.sequence = number + 1;
+        news.evidence = subject.evidence();
+        subject.take_evidence(news);
+        now += std::chrono::seconds(1);
+        actions = subject.tick(state, 0, now);
+    }
+    REQUIRE(actions.size() == 1);
+    CHECK(std::get<control::propose_stop>(actions[0]).version.value() == "new");
+    auto found = choose_many(subject, state);
+    CHECK(found["new"] == 0);
+}
+
+} // namespace reedramp::entry::test
--- a/source/unit_tests/entry/world.cpp
+++ b/source/unit_tests/entry/world.cpp
@@ -236,7 +236,7 @@
 
 auto world::restart() -> void
 {
-    this->subject = core::create(this->options, this->hooks(), admin_api());
+    this->subject = core::create(this->options, this->hooks(), admin_api(this->operators, {}));
 }
 
 auto world::change(const std::function<auto(inventory::state& state)->void>& edit) -> void
--- a/source/unit_tests/entry/world.hpp
+++ b/source/unit_tests/entry/world.hpp
@@ -124,6 +124,8 @@
     std::optional<common::error> limit;
     limits::amounts settled;
     core_options options;
+    /// Hashes of operators' keys.
+    std::vector<std::string> operators;
     std::shared_ptr<core> subject;
 
     /// Makes the core again, after a change of `options`.
