--- a/source/core/inventory/follower_core.hpp
+++ b/source/core/inventory/follower_core.hpp
@@ -155,6 +155,7 @@
         common::time_point now,
         follower_actions& actions) -> void;
     auto take_peer_checkpoint(const std::string& text, follower_actions& actions) -> void;
+    auto drop_scan() -> void;
     auto take_withdrawals(
         const std::vector<messages::withdrawal>& items,
         common::time_point now,
--- a/source/unit_tests/inventory/fixture.cpp
+++ b/source/unit_tests/inventory/fixture.cpp
@@ -189,6 +189,9 @@
     if (is_reached) {
         answer = found->second->reader->answer(pull);
     }
+    if (this->only_push) {
+        answer = *this->only_push;
+    }
     this->deliver(from, [done, answer] { done(answer); });
 }
 
--- a/source/unit_tests/inventory/fixture.hpp
+++ b/source/unit_tests/inventory/fixture.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -88,6 +89,8 @@
     follower_settings settings;
     /// The log gives no more records than this in one answer.
     std::size_t read_limit = 1000;
+    /// If set, each pull gets this answer.
+    std::optional<messages::configuration_push> only_push;
     /// Whether processes know which of them tail the log.
     bool knows_tailers = false;
 
--- a/source/unit_tests/inventory/follower_faults_test.cpp
+++ b/source/unit_tests/inventory/follower_faults_test.cpp
@@ -7,6 +7,7 @@
 
 using namespace reedramp::inventory;
 using namespace reedramp::inventory::testing;
+namespace common = reedramp::common;
 namespace messages = reedramp::messages;
 
 namespace {
@@ -380,8 +381,72 @@
      }},
 };
 
+/// What a peer may answer to a process that is at offset 3 and has lost the log.
+struct push_row {
+    const char* name;
+    messages::configuration_push push;
+    std::uint64_t offset;
+    /// Whether the answer renews the freshness.
+    bool is_current;
+};
+
+auto change_at(std::uint64_t offset) -> messages::log_record
+{
+    return {
+        log_offset{offset},
+        record_text("p" + std::to_string(offset), offset - 1, put_version("v1", 7))};
+}
+
+auto push_rows() -> std::vector<push_row>
+{
+    const auto older = format_checkpoint(folded({first_record()}));
+    auto state_at_9 = folded({first_record()});
+    state_at_9.offset = log_offset{9};
+    const auto newer = format_checkpoint(state_at_9);
+    const auto torn = newer.substr(0, newer.size() - 9);
+    return {
+        {"nothing new", {log_offset{3}, 1s, {}, {}, {}}, 3, true},
+        {"evidence that is too old", {log_offset{3}, 16s, {}, {}, {}}, 3, false},
+        {"evidence of the future", {log_offset{3}, -1h, {}, {}, {}}, 3, false},
+        {"no evidence", {log_offset{3}, common::duration::max(), {}, {}, {}}, 3, false},
+        {"an older state, said to be current", {log_offset{2}, 1s, {}, {}, {}}, 3, false},
+        {"an older checkpoint", {log_offset{1}, 1s, {}, older, {}}, 3, false},
+        {"a checkpoint older than claimed", {log_offset{4}, 1s, {}, older, {}}, 3, false},
+        {"a newer checkpoint", {log_offset{9}, 1s, {}, newer, {}}, 9, true},
+        {"a torn checkpoint", {log_offset{9}, 1s, {}, torn, {}}, 3, false},
+        {"two records", {log_offset{5}, 1s, {change_at(4), change_at(5)}, {}, {}}, 5, true},
+        {"records that are here already",
+         {log_offset{4}, 1s, {change_at(2), change_at(3), change_at(4)}, {}, {}},
+         4,
+         true},
+        {"fewer records than claimed", {log_offset{5}, 1s, {change_at(4)}, {}, {}}, 4, false},
+    };
+}
+
 } // namespace
 
+TEST_CASE("what a peer says is taken only as far as it leads on", "[faults]")
+{
+    // A peer may be behind, may have been suspended, or may run a defect. The process asks it
+    // with the log down; it must neither go back nor believe to be current without good reason.
+    for (const auto& row : push_rows()) {
+        INFO(row.name);
+        world all;
+        all.put(first_record());
+        put_changes(all, 2);
+        all.start("a");
+        all.start("peer", false);
+        all.run(2s);
+        REQUIRE(all.offset("a") == 3);
+        all.set_down(true);
+        all.only_push = row.push;
+        all.run(20s);
+        CHECK(all.offset("a") == row.offset);
+        CHECK((all.serving("a", "v2") == ok) == row.is_current);
+        CHECK(std::ranges::is_sorted(all.offsets_of("a")));
+    }
+}
+
 TEST_CASE("the follower's faults", "[faults]")
 {
     for (const auto& row : fault_rows) {
--- a/source/unit_tests/inventory/full_size_test.cpp
+++ b/source/unit_tests/inventory/full_size_test.cpp
@@ -134,7 +134,7 @@
 {
     // Processes of one fleet in one world; each pull takes 1 ms. Not a run over the network.
     constexpr auto process_count = 1000;
-    constexpr auto tailer_count = 60;
+    const auto tailer_count = GENERATE(18, 60);
     const auto knows_tailers = GENERATE(false, true);
     world all;
     all.knows_tailers = knows_tailers;
@@ -160,7 +160,8 @@
         oldest =
             std::max(oldest, std::chrono::duration<double>(all.time.now() - as_of.value()).count());
     }
-    const std::string suffix = knows_tailers ? "_tailers_known" : "";
+    const auto suffix =
+        "_" + std::to_string(tailer_count) + (knows_tailers ? "_known_tailers" : "_tailers");
     report(("virtual_in_force_s" + suffix).c_str(), last);
     report(("virtual_oldest_evidence_s" + suffix).c_str(), oldest);
 }
