--- a/source/standin/service_part.cpp
+++ b/source/standin/service_part.cpp
@@ -78,6 +78,10 @@
             out->send(json_response(status_ok, this->counters()));
             return;
         }
+        if (asked.target == "/runs/bodies" && asked.method == "GET") {
+            out->send(json_response(status_ok, this->all_bodies()));
+            return;
+        }
         const auto id = http::find_header(asked.headers, request_header).value_or("");
         ++this->runs;
         count_run(this->by_request, std::string(id), asked);
@@ -116,6 +120,17 @@
         return boost::json::serialize(body);
     }
 
+    /// Each body with its runs, so that a reader can add up several services.
+    [[nodiscard]] auto all_bodies() const -> std::string
+    {
+        boost::json::array rows;
+        rows.reserve(this->by_body.size());
+        for (const auto& [body, count] : this->by_body) {
+            rows.emplace_back(boost::json::object{{"key", body}, {"runs", count.runs}});
+        }
+        return boost::json::serialize(boost::json::object{{"bodies", std::move(rows)}});
+    }
+
     part_server& server;
     service_settings wanted;
     std::uint64_t runs = 0;
