--- a/source/unit_tests/agent/core_faults_test.cpp
+++ b/source/unit_tests/agent/core_faults_test.cpp
@@ -72,6 +72,12 @@
         row{"agent is leaving",
             [](harness& at, auto&) { at.agent->drain(); },
             "refused server_leaving not_run"},
+        row{"agent is leaving, and behind the entry",
+            [](harness& at, auto& r) {
+                at.agent->drain();
+                r.configuration = common::log_offset{newest.value() + 1};
+            },
+            "refused server_leaving not_run"},
         row{"meant for a predecessor",
             [](harness&, auto& r) { r.key.incarnation = common::incarnation_id{40}; },
             "refused wrong_incarnation not_run"});
@@ -296,7 +302,9 @@
 {
     // The caller sees one invoice although an entry with an old inventory thinks that the call may
     // be repeated and sends a second attempt.
-    harness at;
+    core_options options;
+    options.queue.capacity.slots = 4;
+    harness at(options);
     for (const auto attempt : {1U, 2U}) {
         auto request = harness::invoice(1, attempt);
         request.repeat = messages::repeat_rule::idempotent;
--- a/source/unit_tests/agent/core_threads_test.cpp
+++ b/source/unit_tests/agent/core_threads_test.cpp
@@ -74,7 +74,7 @@
     std::atomic<std::int64_t> now = 3'600'000'000'000;
     std::mutex posted_lock;
     std::vector<std::function<auto()->void>> posted;
-    const inventory::snapshot_ptr state = std::make_shared<const inventory::state>(make_state());
+    inventory::snapshot_ptr state = std::make_shared<const inventory::state>(make_state());
     core_options options;
     options.server = common::server_id{"s1"};
     options.incarnation = incarnation;
@@ -103,7 +103,7 @@
         calls.add(handle);
         return handle;
     };
-    hooks.snapshot = [state] {
+    hooks.snapshot = [&state] {
         return state;
     };
     hooks.current_until = [] {
