Test the parts of the agent's program and its start with the platform down; name the cost bound for what it is

The settings key backend.kv_tokens bounded not tokens in a cache but the queue's cost (expected completion tokens and a sixteenth of the prompt); it is backend.cost_limit now.

--- a/source/agent/settings.cpp
+++ b/source/agent/settings.cpp
@@ -94,8 +94,9 @@
     return {
         number_key("backend.slots", "Requests that the backend server gets at once.", 8, 1, most),
         number_key(
-            "backend.kv_tokens",
-            "Tokens of all running requests that its KV cache holds; 0 for no bound.",
+            "backend.cost_limit",
+            "Bound for the cost of all running requests: their expected completion tokens and a "
+            "sixteenth of their prompt tokens; 0 for none.",
             0,
             0,
             most_tokens),
@@ -139,7 +140,7 @@
     options.server = common::server_id{from.text("server")};
     auto& queue = options.queue;
     queue.capacity.slots = from.size("backend.slots");
-    queue.capacity.tokens = common::token_count{from.size("backend.kv_tokens")};
+    queue.capacity.tokens = common::token_count{from.size("backend.cost_limit")};
     queue.max_queued = from.size("queue.limit");
     queue.quantum = common::token_count{from.size("queue.quantum")};
     queue.expected_stream_rate = static_cast<double>(from.integer("queue.expected_token_rate"));
--- /dev/null
+++ b/source/unit_tests/agent/program_test.cpp
@@ -0,0 +1,200 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <future>
+
+#include "agent/registration.hpp"
+#include "agent_process.hpp"
+#include "daemon/clock.hpp"
+#include "host_watch.hpp"
+#include "inventory/hash.hpp"
+#include "operations_api.hpp"
+#include "platform/fake_platform.hpp"
+#include "platform/fake_time.hpp"
+
+namespace reedramp::agent_program {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Keeps the answer.
+class kept_answer final : public http::responder {
+public:
+    auto send(http::response answer) -> void override { this->sent = std::move(answer); }
+
+    auto start(http::response) -> void override {}
+
+    auto write(std::string) -> void override {}
+
+    auto finish() -> void override {}
+
+    auto abort() -> void override {}
+
+    [[nodiscard]] auto backlog() const -> std::size_t override { return 0; }
+
+    auto when_drained(std::size_t, std::function<auto()->void>) -> void override {}
+
+    auto on_disconnect(std::function<auto()->void>) -> void override {}
+
+    http::response sent;
+};
+
+auto host(const char* name, const char* data_centre, platform::host_state state)
+    -> platform::host_entry
+{
+    return {
+        common::host_id{name},
+        common::data_centre_id{data_centre},
+        {},
+        platform::host_role::server,
+        state,
+        std::string(name) + ":1",
+        {}};
+}
+
+} // namespace
+
+TEST_CASE("The operations interface answers by table")
+{
+    struct row {
+        const char* method;
+        const char* target;
+        const char* authorization;
+        bool ready;
+        bool leaving;
+        std::uint16_t status;
+        bool drains;
+    };
+
+    const auto row_of_table = GENERATE(
+        row{"GET", "/health/live", "", false, false, 200, false},
+        row{"GET", "/health/ready", "", false, false, 503, false},
+        row{"GET", "/health/ready", "", true, false, 200, false},
+        row{"GET", "/health/ready", "", true, true, 503, false},
+        row{"GET", "/metrics", "", true, false, 200, false},
+        row{"POST", "/metrics", "", true, false, 405, false},
+        row{"GET", "/nothing", "", true, false, 404, false},
+        row{"POST", "/drain", "", true, false, 403, false},
+        row{"POST", "/drain", "Bearer wrong", true, false, 403, false},
+        row{"POST", "/drain", "Basic right", true, false, 403, false},
+        row{"GET", "/drain", "Bearer right", true, false, 405, false},
+        row{"POST", "/drain", "Bearer right", true, false, 200, true});
+    INFO(row_of_table.method << " " << row_of_table.target << " " << row_of_table.authorization);
+    bool drained = false;
+    const operations_api api(
+        {[&] { return row_of_table.leaving; },
+         [&] { return row_of_table.ready; },
+         [] { return std::string("series"); },
+         [&] {
+             drained = true;
+         }},
+        {inventory::sha256_hex("right")});
+    const auto out = std::make_shared<kept_answer>();
+    http::request asked;
+    asked.method = row_of_table.method;
+    asked.target = row_of_table.target;
+    asked.headers.push_back({"authorization", row_of_table.authorization});
+    api.handle(asked, out);
+    CHECK(out->sent.status == row_of_table.status);
+    CHECK(drained == row_of_table.drains);
+}
+
+TEST_CASE("A few processes of each data centre read the log, the others ask live peers")
+{
+    platform::fake_time time;
+    platform::fake_hosts list(time.clock(), time.timers());
+    list.set_down(true);
+    std::vector<std::shared_ptr<host_watch>> watches;
+    for (const auto* name : {"a", "b", "c", "d"}) {
+        const host_watch::place self{common::host_id{name}, common::data_centre_id{"dc1"}, 2};
+        watches.push_back(std::make_shared<host_watch>(
+            self, host_watch::hooks{list.hooks(), time.clock(), time.timers()}));
+        watches.back()->start();
+    }
+    const auto tailers = [&watches] {
+        return std::count_if(
+            watches.begin(), watches.end(), [](const auto& one) { return one->is_tailer(); });
+    };
+    time.run_for(1500ms);
+    CHECK(tailers() == 4);
+    for (const auto* name : {"a", "b", "c", "d"}) {
+        list.put(host(name, "dc1", platform::host_state::live));
+    }
+    list.put(host("e", "dc1", platform::host_state::leaving));
+    list.put(host("f", "dc2", platform::host_state::live));
+    list.set_down(false);
+    time.run_for(1500ms);
+    CHECK(tailers() == 2);
+    CHECK(watches[0]->peers().size() == 4);
+    list.set_down(true);
+    time.run_for(5s);
+    CHECK(watches[0]->peers().size() == 4);
+}
+
+TEST_CASE("An agent that starts while the platform is down refuses, and ends when told")
+{
+    // The caller is answered by another server. Log and list of hosts can't be reached: the agent
+    // takes a random incarnation, answers probes, refuses work for lack of a configuration, and a
+    // shutdown ends it without cutting anything.
+    agent_settings wanted;
+    wanted.shared_key = "a key that tests share";
+    wanted.rpc = {"127.0.0.1", 0};
+    wanted.http = {"127.0.0.1", 0};
+    // Nothing listens on port 1.
+    wanted.backend = wanted.log = wanted.hosts = {"127.0.0.1", 1};
+    wanted.backend_idle = wanted.log_timeout = 1s;
+    wanted.registration_limit = 50ms;
+    wanted.drain_limit = 10s;
+    wanted.core.server = common::server_id{"s1"};
+    agent_process process(wanted);
+    std::promise<void> serving;
+    REQUIRE(process.start([&serving] { serving.set_value(); }));
+    serving.get_future().get();
+
+    wire::client_options options;
+    options.shared_key = wanted.shared_key;
+    options.now = daemon::boot_time;
+    const auto client = wire::rpc_client::create(options);
+    const messages::rpc_address there{process.rpc_address()};
+    std::promise<messages::probe_answer> probed;
+    client->agents().probe(there, {}, [&probed](auto answer) {
+        probed.set_value(answer.value_or(messages::probe_answer{}));
+    });
+    const auto answer = probed.get_future().get();
+    CHECK(answer.server == wanted.core.server);
+    CHECK((answer.incarnation.value() & agent::random_incarnation_bit) != 0);
+
+    messages::run_request request;
+    request.key = {{1, 1}, common::attempt_number{1}, answer.incarnation};
+    request.time_left = 10s;
+    std::promise<messages::run_event> ended;
+    const auto handle = client->agents().run(
+        there, request, [&ended](messages::run_event event) { ended.set_value(std::move(event)); });
+    const auto event = ended.get_future().get();
+    REQUIRE(std::holds_alternative<messages::refused_event>(event));
+    CHECK(std::get<messages::refused_event>(event).why.code == common::result_code::not_ready);
+
+    std::promise<std::size_t> stopped;
+    process.shut_down([&stopped](std::size_t cut) { stopped.set_value(cut); });
+    CHECK(stopped.get_future().get() == 0);
+}
+
+TEST_CASE("The settings' defaults make sense together, and the key is not among them")
+{
+    const auto parsed = settings::parse(settings_schema(), R"({
+        "server": "s1", "host": "h1", "data_centre": "d1",
+        "rpc": {"listen": "127.0.0.1:0", "shared_key_file": "no/such/file"},
+        "http": {"listen": "[::1]:0"}, "backend": {"address": "127.0.0.1:1"},
+        "platform": {"log": "127.0.0.1:1", "hosts": "127.0.0.1:1"}})");
+    REQUIRE(parsed);
+    const auto without_key = read_settings(*parsed);
+    REQUIRE_FALSE(without_key);
+    CHECK(without_key.error().code == common::result_code::invalid_settings);
+
+    const auto problems = settings::parse(settings_schema(), R"({"server": 1, "other": 2})");
+    REQUIRE_FALSE(problems);
+    CHECK(problems.error().size() >= 8);
+}
+
+} // namespace reedramp::agent_program
