--- a/source/core/inventory/follower.cpp
+++ b/source/core/inventory/follower.cpp
@@ -23,8 +23,11 @@
     /// When the earliest timer that was asked for fires; `never` if none is.
     common::time_point next_timer = common::never;
 
-    // Read without the lock by those who decide about requests.
-    std::atomic<snapshot_ptr> shared = std::make_shared<const state>();
+    // Read without the lock above by those who decide about requests. The snapshot has a lock of
+    // its own, held for one copy of a pointer: atomic<shared_ptr> of libstdc++ 12 gives its inner
+    // lock back without release order after a load, which is a data race with the next store.
+    std::mutex shared_lock;
+    snapshot_ptr shared = std::make_shared<const state>();
     std::atomic<common::time_point> until = common::time_point::min();
     std::atomic<bool> ready = false;
     std::atomic<bool> is_stopped = false;
@@ -100,7 +103,9 @@
     auto& mine = *this->all;
     const auto is_ready = mine.core.is_ready();
     if (is_ready && actions.changed) {
-        mine.shared.store(std::make_shared<const state>(mine.core.current()));
+        auto newer = std::make_shared<const state>(mine.core.current());
+        const std::lock_guard guard(mine.shared_lock);
+        mine.shared = std::move(newer);
     }
     mine.until.store(mine.core.current_until());
     mine.ready.store(is_ready);
@@ -194,7 +199,8 @@
 
 auto follower::snapshot() const -> snapshot_ptr
 {
-    return this->all->shared.load();
+    const std::lock_guard guard(this->all->shared_lock);
+    return this->all->shared;
 }
 
 auto follower::current_until() const -> common::time_point
