--- a/source/unit_tests/wire/calls_test.cpp
+++ b/source/unit_tests/wire/calls_test.cpp
@@ -193,6 +193,19 @@
     require_not_reached(probe(*client, silent_address));
 }
 
+TEST_CASE("connections over the limit are closed, and those within it stay")
+{
+    fake_agent agent;
+    auto options = server_defaults();
+    options.connection_limit = 1;
+    const auto server = start_server(options, agent.service());
+    const auto first = rpc_client::create(client_defaults());
+    REQUIRE(probe(*first, server->address()));
+    const auto second = rpc_client::create(client_defaults());
+    require_not_reached(probe(*second, server->address()));
+    CHECK(probe(*first, server->address()));
+}
+
 TEST_CASE("without the shared key there is nothing to call")
 {
     // One side has another key, say from a settings file of another installation. The client is not
--- a/source/unit_tests/wire/runs_test.cpp
+++ b/source/unit_tests/wire/runs_test.cpp
@@ -171,6 +171,72 @@
     CHECK(caller.text.size() == sent * piece.size());
 }
 
+TEST_CASE("the end waits for the tokens before it, also when the engine ignores a pause")
+{
+    // A paused reader has not taken all tokens when the end arrives. Handed over first, the end
+    // would make the answer look whole without them. The engine here does not stop when it is
+    // paused: what gathers is sent in messages of one window each, under the limit of the reader.
+    constexpr std::uint64_t count = 400;
+    fake_agent agent;
+    auto served = server_defaults();
+    served.stream_window_bytes = 16'384;
+    const auto server = start_server(served, agent.service());
+    auto options = client_defaults();
+    options.message_limit_bytes = 100'000;
+    const auto client = rpc_client::create(options);
+    reader caller;
+    const auto handle = client->agents().run(server->address(), {}, caller.sink());
+    const auto run = *agent.runs.take();
+    const auto settle = [&] {
+        REQUIRE(call<messages::probe_answer>(
+            client->agents().probe, server->address(), messages::probe_request{}));
+    };
+    handle->pause();
+    settle();
+    run->sink(tokens(0, "first"));
+    settle();
+    run->sink(tokens(1, "second"));
+    settle();
+    for (std::uint64_t index = 2; index < count; ++index) {
+        run->sink(tokens(index, std::string(1000, 'x')));
+    }
+    run->sink(finished(count));
+    settle();
+    CHECK(caller.events->size() == 1);
+    handle->resume();
+    CHECK(caller.wait_end() == messages::run_event{finished(count)});
+    CHECK(caller.in_order);
+    CHECK(caller.next_index == count);
+}
+
+TEST_CASE("the end of a paused run comes when all tokens have gone, not with the answer alone")
+{
+    // Here all tokens fit the window, so that the call's answer is there while the reader still
+    // holds back the second message.
+    fake_agent agent;
+    const auto server = start_server(agent.service());
+    const auto client = rpc_client::create(client_defaults());
+    reader caller;
+    const auto handle = client->agents().run(server->address(), {}, caller.sink());
+    const auto run = *agent.runs.take();
+    const auto settle = [&] {
+        REQUIRE(call<messages::probe_answer>(
+            client->agents().probe, server->address(), messages::probe_request{}));
+    };
+    handle->pause();
+    settle();
+    for (std::uint64_t index = 0; index < 3; ++index) {
+        run->sink(tokens(index, "t"));
+        settle();
+    }
+    run->sink(finished(3));
+    settle();
+    CHECK(caller.events->size() == 1);
+    handle->resume();
+    CHECK(caller.wait_end() == messages::run_event{finished(3)});
+    CHECK(caller.text == "ttt");
+}
+
 TEST_CASE("a server that dies during a run ends it once, as lost and unknown")
 {
     // The agent's process goes away in the middle of a stream. The entry's connection closes; the
