Give each message of a load run a text of its own

Cause: the number of a session's message could be that of another arrival of the same task; two requests with one prompt have one right answer, and the check for a foreign answer would not see them swapped. Change: messages are numbered by arrival and turn.

--- a/source/load/arrivals.cpp
+++ b/source/load/arrivals.cpp
@@ -66,10 +66,11 @@
     return text;
 }
 
-auto make_message(const mix_settings& kind, std::uint64_t seed, std::uint64_t number) -> std::string
+auto make_message(const mix_settings& kind, std::uint64_t seed, message_number number)
+    -> std::string
 {
-    auto text =
-        "[" + kind.task + "] request " + std::to_string(seed) + "-" + std::to_string(number);
+    auto text = "[" + kind.task + "] request " + std::to_string(seed) + "-" +
+                std::to_string(number.arrival) + "." + std::to_string(number.turn);
     append_words(text, kind.prompt_words);
     return text + " tokens=" + std::to_string(kind.tokens);
 }
--- a/source/load/arrivals.hpp
+++ b/source/load/arrivals.hpp
@@ -48,8 +48,14 @@
     [[nodiscard]] auto hashed_text() const -> std::string;
 };
 
-/// A caller's message that no other request has.
-auto make_message(const mix_settings& kind, std::uint64_t seed, std::uint64_t number)
+/// Names one message of a run: an arrival and its turn within a session, 0 outside of one.
+struct message_number {
+    std::uint64_t arrival = 0;
+    std::uint32_t turn = 0;
+};
+
+/// A caller's message that no other request of the run has.
+auto make_message(const mix_settings& kind, std::uint64_t seed, message_number number)
     -> std::string;
 
 auto make_system_message(const mix_settings& kind) -> std::string;
--- a/source/load/runner.cpp
+++ b/source/load/runner.cpp
@@ -123,7 +123,7 @@
     const auto& kind = this->settings.mix[what.mix];
     chat_prompt prompt;
     prompt.system = make_system_message(kind);
-    prompt.callers.push_back(make_message(kind, this->settings.seed, what.number));
+    prompt.callers.push_back(make_message(kind, this->settings.seed, {what.number, 0}));
     const auto item =
         this->make_exchange(what, "/v1/chat/completions", make_chat_body(kind, prompt));
     this->expect_chat(item, prompt);
@@ -177,7 +177,7 @@
 auto runner::next_turn(const conversation_pointer& talk) -> void
 {
     const auto& kind = *talk->kind;
-    const auto number = talk->origin.number * kind.turns + talk->turn;
+    const message_number number{talk->origin.number, talk->turn};
     talk->prompt.callers.push_back(make_message(kind, this->settings.seed, number));
     const auto item = this->make_exchange(
         talk->origin, "/v1/chat/completions", make_chat_body(kind, talk->prompt));
