Drop all pending work of the pool while every context is there

The core file shows the HTTP client's destructor posting to an io_context that was already destroyed: a handler pending in another context owned the host watch, and through it the client. Ruled out: the order of members in the entry's process, since the owner is a handler, not a member. Change: io_pool destroys timers and handlers of all contexts before it destroys the first one; the HTTP client closes idle connections directly when its context has stopped. Conclusion: mended at the pool, which all daemons share.

--- a/source/core/daemon/io_pool.cpp
+++ b/source/core/daemon/io_pool.cpp
@@ -13,6 +13,18 @@
 
 namespace reedramp::daemon {
 
+namespace {
+
+/// An io_context whose pending handlers can be destroyed before the context is.
+class droppable_context : public boost::asio::io_context {
+public:
+    droppable_context() : boost::asio::io_context(1) {}
+
+    auto drop_handlers() -> void { this->shutdown(); }
+};
+
+} // namespace
+
 struct io_pool::worker {
     worker()
         : guard(this->context.get_executor()),
@@ -20,7 +32,7 @@
     {
     }
 
-    boost::asio::io_context context{1};
+    droppable_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard;
     std::shared_ptr<timer_queue> timers;
 };
@@ -42,6 +54,14 @@
 io_pool::~io_pool()
 {
     this->stop();
+    // A pending handler of one context may own what uses another one: a timer's action owns an HTTP
+    // client, whose end reaches into the client's context. If contexts went one by one, the last
+    // handlers would reach into one that is gone, seen as a crash at the end of a graceful
+    // shutdown. So all handlers go first, while all contexts are there.
+    for (const auto& one : this->workers) {
+        one->timers->clear();
+        one->context.drop_handlers();
+    }
 }
 
 auto io_pool::start() -> void
--- a/source/core/daemon/timer_queue.cpp
+++ b/source/core/daemon/timer_queue.cpp
@@ -33,6 +33,20 @@
     boost::asio::dispatch(this->context, [keep = this->shared_from_this()] { keep->arm(); });
 }
 
+auto timer_queue::clear() -> void
+{
+    while (true) {
+        decltype(this->entries) dropped;
+        {
+            const std::lock_guard guard(this->lock);
+            std::swap(dropped, this->entries);
+        }
+        if (dropped.empty()) {
+            return;
+        }
+    }
+}
+
 /// On the context's thread.
 auto timer_queue::arm() -> void
 {
--- a/source/core/daemon/timer_queue.hpp
+++ b/source/core/daemon/timer_queue.hpp
@@ -26,6 +26,9 @@
     /// From any thread.
     auto add(common::time_point when, std::function<auto()->void> action) -> void;
 
+    /// Destroys all actions that have not run, and those that they add by being destroyed.
+    auto clear() -> void;
+
 private:
     struct entry {
         common::time_point when;
--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -132,6 +132,12 @@
 
     ~pooled_client() override
     {
+        // A stopped context runs nothing more; a handler left in it would only be destroyed with
+        // the context, after the services that its sockets need.
+        if (this->context.stopped()) {
+            this->links->close_all();
+            return;
+        }
         asio::post(this->context, [links = this->links] { links->close_all(); });
     }
 
--- a/source/unit_tests/daemon/io_pool_test.cpp
+++ b/source/unit_tests/daemon/io_pool_test.cpp
@@ -3,6 +3,7 @@
 #include <future>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 
 #include "daemon/clock.hpp"
@@ -87,3 +88,42 @@
     CHECK(first != random_bits());
     CHECK(first != other.get());
 }
+
+namespace {
+
+/// Reaches into a context when it ends, as an HTTP client does to close its idle connections.
+struct reaches_out {
+    explicit reaches_out(boost::asio::io_context& other) : target(other) {}
+
+    ~reaches_out()
+    {
+        boost::asio::post(this->target, [] {});
+    }
+
+    reaches_out(const reaches_out&) = delete;
+    reaches_out(reaches_out&&) = delete;
+    auto operator=(const reaches_out&) -> reaches_out& = delete;
+    auto operator=(reaches_out&&) -> reaches_out& = delete;
+
+    boost::asio::io_context& target;
+};
+
+} // namespace
+
+// What the operator sees: a daemon that has cut no request crashes as the last step of a graceful
+// shutdown. A timer and a handler that never ran are destroyed with their context, and own what
+// uses the pool's other contexts. All must go while all contexts are there.
+TEST_CASE("work that never ran may own what uses other contexts of the pool")
+{
+    for (int round = 0; round < 50; ++round) {
+        io_pool pool(3);
+        const auto contexts = pool.contexts();
+        for (auto* from : contexts) {
+            for (auto* to : contexts) {
+                auto owned = std::make_shared<reaches_out>(*to);
+                boost::asio::post(*from, [owned] {});
+                pool.timers()(common::never, [owned = std::move(owned)] {});
+            }
+        }
+    }
+}
