Name the refusals that the load tool tries again

Cause: the report counted 'Retry-After' for all refusals that were tried again, and the demo's 39 of them had no visible reason; for streamed requests the refusal's body was not read, since it comes in pieces. Change: retries are counted by the refusal's name, also for streams; the time of a first token is that of the last try. The entry's log shows the no_capacity refusals in the first second after start, before a server was chosen (server=, attempts=0).

--- a/source/load/report.cpp
+++ b/source/load/report.cpp
@@ -299,7 +299,7 @@
         table += format_line("  %-34s %8llu\n", name.c_str(), number(count));
     }
     for (const auto& [name, count] : this->retries) {
-        table += format_line("  tried again after %-16s %8llu\n", name.c_str(), number(count));
+        table += format_line("  tried again after %-26s %8llu\n", name.c_str(), number(count));
     }
     table +=
         format_line("  %-34s %8s %10s %10s %10s\n", "latency in ms", "count", "p50", "p90", "p99");
--- a/source/load/runner.cpp
+++ b/source/load/runner.cpp
@@ -236,6 +236,7 @@
 {
     ++item->tries;
     item->received.clear();
+    item->first_token = {};
     item->target = this->pick_target();
     http::call_events events;
     if (item->expected && item->expected->stream) {
@@ -311,17 +312,17 @@
 
 auto runner::take_answer(const exchange_pointer& item, http::response answer) -> void
 {
+    if (!item->received.empty()) {
+        answer.body = std::move(item->received);
+    }
     const auto wait = retry_after(answer);
-    const auto is_refused = check_refusal(answer).has_value();
+    const auto refusal = check_refusal(answer);
     const auto follows = this->settings.follow_retry_after && item->tries < this->settings.tries;
-    if (is_refused && wait && follows) {
-        this->results.count_retry("Retry-After");
+    if (refusal && wait && follows) {
+        this->results.count_retry("refusal " + refusal->why);
         this->retry_later(item, *wait);
         return;
     }
-    if (!item->received.empty()) {
-        answer.body = std::move(item->received);
-    }
     if (item->expected) {
         this->end(item, check_chat(answer, *item->expected), answer);
         return;
