--- a/source/unit_tests/agent/program_test.cpp
+++ b/source/unit_tests/agent/program_test.cpp
@@ -1,11 +1,14 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <filesystem>
+#include <fstream>
 #include <future>
 
 #include "agent/registration.hpp"
 #include "agent_process.hpp"
 #include "daemon/clock.hpp"
+#include "daemon/secret.hpp"
 #include "host_watch.hpp"
 #include "inventory/hash.hpp"
 #include "operations_api.hpp"
@@ -180,6 +183,22 @@
     CHECK(stopped.get_future().get() == 0);
 }
 
+TEST_CASE("A secret is read from a file or the environment, and is long enough")
+{
+    const auto path = std::filesystem::temp_directory_path() /
+                      ("reedramp-secret-" + std::to_string(daemon::random_bits()));
+    const auto read_back = [&path](const std::string& text) {
+        std::ofstream(path, std::ios::binary) << text;
+        return daemon::read_secret(path.string(), "REEDRAMP_TEST_UNSET");
+    };
+    CHECK(read_back("sixteen letters.\r\n").value_or("") == "sixteen letters.");
+    CHECK_FALSE(read_back("fifteen letters\n"));
+    CHECK_FALSE(read_back(""));
+    std::filesystem::remove(path);
+    CHECK_FALSE(daemon::read_secret(path.string(), "REEDRAMP_TEST_UNSET"));
+    CHECK_FALSE(daemon::read_secret("", "REEDRAMP_TEST_UNSET"));
+}
+
 TEST_CASE("The settings' defaults make sense together, and the key is not among them")
 {
     const auto parsed = settings::parse(settings_schema(), R"({
