Abort at once, let slow readers read on, and split the connection by halves

An abort waited for the write under way; a caller that read nothing held the connection until the write timeout. It now closes at once. The write timeout counted for a whole write, which cut a caller that read a large answer slowly; each piece moves the deadline now, also for a request's upload in the client.

That a slow but steady reader is not cut has no test of its own: it would need real seconds.

--- a/source/core/http/client_link.cpp
+++ b/source/core/http/client_link.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t smallest_read = 4096;
 constexpr std::size_t largest_read = 64UL * 1024UL;
+constexpr std::size_t largest_write = 256UL * 1024UL;
 
 } // namespace
 
@@ -105,10 +106,14 @@
     this->reader.emplace(this->call->asked.method == "HEAD");
     this->head_delivered = false;
     this->writing = true;
-    this->timer.expires_after(this->options.idle_timeout);
+    const auto piece_limit = [this](error_code problem, std::size_t) -> std::size_t {
+        this->timer.expires_after(this->options.idle_timeout);
+        return problem ? 0 : largest_write;
+    };
     asio::async_write(
         this->socket,
         asio::buffer(this->output),
+        piece_limit,
         [this, keep = this->shared_from_this()](error_code problem, std::size_t size) {
             this->on_sent(problem, size);
         });
--- a/source/core/http/connection.cpp
+++ b/source/core/http/connection.cpp
@@ -2,7 +2,8 @@
 
 #include <utility>
 
-#include "http/stream_connection.hpp"
+#include "http/stream_connection_input.hpp"
+#include "http/stream_connection_output.hpp"
 
 namespace reedramp::http {
 
--- a/source/core/http/exchange.cpp
+++ b/source/core/http/exchange.cpp
@@ -135,6 +135,12 @@
     return taken;
 }
 
+auto exchange::is_cut() -> bool
+{
+    const std::lock_guard guard(this->lock);
+    return this->pending.cut;
+}
+
 auto exchange::written() -> void
 {
     std::vector<action> ready;
--- a/source/core/http/exchange.hpp
+++ b/source/core/http/exchange.hpp
@@ -64,6 +64,8 @@
     // For the connection's thread.
     /// Takes all that is there; nullopt when there is nothing new.
     auto take() -> std::optional<outgoing>;
+    /// The answer was broken off; what the socket has not taken is not wanted any more.
+    auto is_cut() -> bool;
     /// The socket has taken all of the last `take`.
     auto written() -> void;
     /// The caller has left, or has closed its sending side.
--- a/source/unit_tests/http/server_test.cpp
+++ b/source/unit_tests/http/server_test.cpp
@@ -111,6 +111,25 @@
     CHECK(out->backlog() == 0);
 }
 
+TEST_CASE("an abort does not wait for a caller that reads nothing")
+{
+    loop server_loop;
+    held_answer held;
+    server_options options;
+    options.write_timeout = 1h;
+    const auto serving = open_server({&server_loop.context}, held.handler(), options);
+    raw_caller caller{address_of(*serving)};
+    caller.send(plain_get);
+    const auto out = held.out.get();
+    std::promise<void> left;
+    out->start({});
+    out->write(std::string(64UL * 1024UL * 1024UL, 'x'));
+    caller.read_until("\r\n\r\n");
+    out->when_drained(1, [&left] { left.set_value(); });
+    out->abort();
+    CHECK(left.get_future().wait_for(10s) == std::future_status::ready);
+}
+
 // What the caller sees: an answer without its last chunk (or, in HTTP/1.0, a reset), so that it
 // cannot take a broken answer for a whole one.
 TEST_CASE("an aborted answer looks broken, a dropped or failed one is an error")
