Add reedramp-ctl: commands for inventory, roll-outs, bills and status

Cause: operators had only curl against the administration API. Change: library operators (requests, answers, record drafts, differences, tables, watch; no I/O) and the program reedramp-ctl around it. A record file without id gets one from its content and base; a lost answer is resolved by asking the history for the id.

--- /dev/null
+++ b/source/core/operators/answers.cpp
@@ -0,0 +1,159 @@
+#include "operators/answers.hpp"
+
+#include <algorithm>
+
+#include "inventory/entity_json.hpp"
+#include "platform/json_fields.hpp"
+
+namespace reedramp::operators {
+
+namespace json = boost::json;
+using common::execution;
+using common::failure;
+using common::result_code;
+
+namespace {
+
+constexpr std::uint16_t first_bad_status = 300;
+constexpr std::uint16_t codes_in_group = 100;
+
+auto code_by_name(std::string_view name) -> std::optional<result_code>
+{
+    const auto rows = common::result_table();
+    const auto found = std::ranges::find(rows, name, &common::result_row::name);
+    if (found == rows.end()) {
+        return std::nullopt;
+    }
+    return found->code;
+}
+
+auto execution_by_name(std::string_view name, execution fallback) -> execution
+{
+    for (const auto value : {execution::not_run, execution::ran, execution::unknown}) {
+        if (common::to_string(value) == name) {
+            return value;
+        }
+    }
+    return fallback;
+}
+
+/// The error of an answer that is not a good one.
+auto read_problem(const http::response& answer) -> common::error
+{
+    const auto body = platform::parse_object(answer.body).value_or(json::object{});
+    const auto code = code_by_name(platform::string_field(body, "name").value_or(""));
+    if (!code) {
+        return common::make_error(
+            result_code::peer_unavailable,
+            "answer with status " + std::to_string(answer.status) + " and no result code");
+    }
+    auto made = common::make_error(*code, platform::string_field(body, "detail").value_or(""));
+    made.run = execution_by_name(platform::string_field(body, "execution").value_or(""), made.run);
+    return made;
+}
+
+} // namespace
+
+auto exit_code_of(result_code code) -> int
+{
+    return static_cast<int>(code) / codes_in_group;
+}
+
+auto body_of(const common::result<http::response>& answer) -> common::result<std::string>
+{
+    if (!answer) {
+        auto made = common::make_error(result_code::peer_unavailable, answer.error().detail);
+        made.run = answer.error().run;
+        return tl::unexpected(std::move(made));
+    }
+    if (answer->status >= first_bad_status) {
+        return tl::unexpected(read_problem(*answer));
+    }
+    return answer->body;
+}
+
+auto may_ask_next(const common::error& why) -> bool
+{
+    switch (why.code) {
+    case result_code::peer_unavailable:
+    case result_code::not_ready:
+    case result_code::shutting_down:
+    case result_code::log_unavailable:
+    case result_code::append_unknown:
+        return true;
+    default:
+        return false;
+    }
+}
+
+auto published_offset(std::string_view body) -> common::result<common::log_offset>
+{
+    const auto answer = platform::parse_object(body);
+    const auto offset = answer ? platform::count_field(*answer, "offset") : std::nullopt;
+    if (!offset) {
+        return failure(result_code::internal_error, "the entry's answer names no offset");
+    }
+    return common::log_offset{*offset};
+}
+
+auto find_published(std::string_view history, const common::record_id& id)
+    -> std::optional<common::result<common::log_offset>>
+{
+    const auto answer = platform::parse_object(history).value_or(json::object{});
+    const auto* records = platform::array_field(answer, "records");
+    if (records == nullptr) {
+        return std::nullopt;
+    }
+    for (const auto& row : *records) {
+        const auto* item = row.if_object();
+        if (item == nullptr || platform::string_field(*item, "id") != id.value()) {
+            continue;
+        }
+        const auto code = code_by_name(platform::string_field(*item, "result").value_or(""))
+                              .value_or(result_code::internal_error);
+        if (code != result_code::ok) {
+            return failure(code, platform::string_field(*item, "why").value_or(""));
+        }
+        return common::log_offset{platform::count_field(*item, "offset").value_or(0)};
+    }
+    return std::nullopt;
+}
+
+auto read_state(std::string_view body) -> common::result<inventory::state>
+{
+    json::error_code failed;
+    const auto parsed = json::parse({body.data(), body.size()}, failed);
+    if (failed) {
+        return failure(result_code::malformed_json, "the state is not JSON");
+    }
+    return inventory::state_from_json(parsed);
+}
+
+auto error_text(const common::error& why) -> std::string
+{
+    const auto& row = common::row_of(why.code);
+    auto text = std::string(row.name) + " (" + std::to_string(static_cast<int>(why.code)) +
+                "): " + std::string(row.explanation);
+    if (!why.detail.empty()) {
+        text += "\n  " + why.detail;
+    }
+    if (why.run == execution::unknown) {
+        text += "\n  It is not known whether it took effect.";
+    }
+    return text + "\n";
+}
+
+auto error_json(const common::error& why) -> std::string
+{
+    const auto& row = common::row_of(why.code);
+    const auto run = common::to_string(why.run);
+    return json::serialize(json::object{
+        {"error",
+         json::object{
+             {"code", static_cast<int>(why.code)},
+             {"name", json::string_view(row.name.data(), row.name.size())},
+             {"execution", json::string_view(run.data(), run.size())},
+             {"detail", why.detail}}}});
+}
+
+} // namespace reedramp::operators
--- /dev/null
+++ b/source/core/operators/status_view.cpp
@@ -0,0 +1,243 @@
+#include "operators/views.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "operators/answers.hpp"
+#include "operators/table.hpp"
+#include "platform/http_hosts.hpp"
+#include "platform/json_fields.hpp"
+
+namespace reedramp::operators {
+
+namespace json = boost::json;
+using platform::bool_field;
+using platform::count_field;
+using platform::number_field;
+using platform::object_field;
+using platform::string_field;
+
+namespace {
+
+using counts = std::map<std::string, std::uint64_t>;
+
+auto read_status(const entry_report& report) -> json::object
+{
+    if (!report.status) {
+        return {};
+    }
+    return platform::parse_object(*report.status).value_or(json::object{});
+}
+
+auto add_counts(const json::object& from, const char* member, counts& into) -> void
+{
+    const auto* found = object_field(from, member);
+    if (found == nullptr) {
+        return;
+    }
+    for (const auto& item : *found) {
+        const std::string name(item.key().data(), item.key().size());
+        into[name] += count_field(*found, name).value_or(0);
+    }
+}
+
+/// Sum over all entries that answered.
+auto sum_of(const system_report& report, const char* member) -> counts
+{
+    counts made;
+    for (const auto& entry : report.entries) {
+        add_counts(read_status(entry), member, made);
+    }
+    return made;
+}
+
+auto freshness_text(const json::object& status) -> std::string
+{
+    const auto left = number_field(status, "current_for_ms");
+    if (!left) {
+        return "";
+    }
+    return *left > 0 ? std::to_string(static_cast<std::int64_t>(*left)) + " ms" : "STALE";
+}
+
+auto entries_table(const system_report& report) -> std::string
+{
+    text_table table(
+        {"entry", "host", "ready", "revision", "fresh for", "in flight", "answered", "retries"});
+    for (const auto& entry : report.entries) {
+        if (!entry.status) {
+            const auto name = std::string(common::row_of(entry.status.error().code).name);
+            table.add({entry.entry, "", name});
+            continue;
+        }
+        const auto status = read_status(entry);
+        const auto count = [&status](const char* name) {
+            return std::to_string(count_field(status, name).value_or(0));
+        };
+        table.add(
+            {entry.entry,
+             string_field(status, "host").value_or(""),
+             bool_field(status, "ready").value_or(false) ? "yes" : "NO",
+             count("offset"),
+             freshness_text(status),
+             count("in_flight"),
+             count("answered"),
+             count("retries")});
+    }
+    return table.text();
+}
+
+auto hosts_table(const std::vector<platform::host_entry>& hosts) -> std::string
+{
+    text_table table({"host", "role", "data centre", "region", "state", "http"});
+    for (const auto& row : hosts) {
+        table.add(
+            {row.host.value(),
+             row.role == platform::host_role::entry ? "entry" : "server",
+             row.data_centre.value(),
+             row.region.value(),
+             row.state == platform::host_state::live ? "live" : "LEAVING",
+             row.http});
+    }
+    return table.text();
+}
+
+/// Share of the whole answers since the entries started.
+auto share_of(const counts& answers, const std::string& version) -> std::uint64_t
+{
+    constexpr std::uint64_t whole = 1000;
+    std::uint64_t total = 0;
+    for (const auto& [name, count] : answers) {
+        total += count;
+    }
+    const auto found = answers.find(version);
+    return found == answers.end() || total == 0 ? 0 : found->second * whole / total;
+}
+
+/// Answers by version; those of the inventory that have none yet are listed too.
+auto versions_table(const system_report& report) -> std::string
+{
+    auto answers = sum_of(report, "versions");
+    if (report.state) {
+        for (const auto& [id, item] : report.state->versions) {
+            answers.try_emplace(id.value(), 0);
+        }
+    }
+    text_table table({"version", "model", "stage", "answers", "share"});
+    for (const auto& [name, count] : answers) {
+        std::string model;
+        std::string stage;
+        if (report.state) {
+            const common::version_id id(name);
+            const auto found = report.state->versions.find(id);
+            const auto is_known = found != report.state->versions.end();
+            model = is_known ? found->second.model.value() : "";
+            const auto is_new =
+                is_known && found->second.stage == inventory::version_stage::rollout;
+            stage = report.state->is_withdrawn(id) ? "WITHDRAWN" : is_new ? "rollout" : "stable";
+        }
+        table.add(
+            {name, model, stage, std::to_string(count), percent_text(share_of(answers, name))});
+    }
+    return table.text();
+}
+
+auto refusals_table(const system_report& report) -> std::string
+{
+    text_table table({"refusal", "count"});
+    for (const auto& [name, count] : sum_of(report, "refusals")) {
+        table.add({name, std::to_string(count)});
+    }
+    return table.text();
+}
+
+auto organisations_table(const std::string& bills) -> std::string
+{
+    constexpr std::size_t most = 10;
+
+    struct row {
+        std::string name;
+        std::uint64_t cost = 0;
+        std::uint64_t requests = 0;
+    };
+
+    const auto answer = platform::parse_object(bills).value_or(json::object{});
+    const auto* sums = object_field(answer, "organisations");
+    if (sums == nullptr) {
+        return {};
+    }
+    std::vector<row> rows;
+    for (const auto& item : *sums) {
+        if (const auto* sum = item.value().if_object()) {
+            rows.push_back(
+                {std::string(item.key().data(), item.key().size()),
+                 count_field(*sum, "cost_micro").value_or(0),
+                 count_field(*sum, "requests").value_or(0)});
+        }
+    }
+    std::ranges::stable_sort(rows, std::greater<>(), &row::cost);
+    rows.resize(std::min(rows.size(), most));
+    text_table table({"organisation", "requests", "money"});
+    for (const auto& item : rows) {
+        const auto cost = static_cast<std::int64_t>(item.cost);
+        table.add({item.name, std::to_string(item.requests), money_text(cost)});
+    }
+    return table.text();
+}
+
+auto add_part(std::string& into, const std::string& part) -> void
+{
+    if (!part.empty()) {
+        into += (into.empty() ? "" : "\n") + part;
+    }
+}
+
+} // namespace
+
+auto status_text(const system_report& report) -> std::string
+{
+    std::string made;
+    add_part(made, entries_table(report));
+    if (report.hosts) {
+        add_part(made, hosts_table(*report.hosts));
+    }
+    if (report.state) {
+        add_part(made, state_text(*report.state, "server").value_or(""));
+    }
+    add_part(made, versions_table(report));
+    if (report.state) {
+        add_part(made, state_text(*report.state, "rollout").value_or(""));
+    }
+    add_part(made, refusals_table(report));
+    if (report.bills) {
+        add_part(made, organisations_table(*report.bills));
+    }
+    return made;
+}
+
+auto status_json(const system_report& report) -> std::string
+{
+    json::array entries;
+    for (const auto& entry : report.entries) {
+        json::object row{{"entry", entry.entry}};
+        if (entry.status) {
+            row["status"] = read_status(entry);
+        }
+        else {
+            row["error"] = json::parse(error_json(entry.status.error())).at("error");
+        }
+        entries.push_back(std::move(row));
+    }
+    json::object made{{"entries", std::move(entries)}};
+    if (report.hosts) {
+        made["hosts"] = json::parse(platform::format_hosts(*report.hosts)).at("hosts");
+    }
+    if (report.bills) {
+        made["bills"] = platform::parse_object(*report.bills).value_or(json::object{});
+    }
+    return json::serialize(made);
+}
+
+} // namespace reedramp::operators
--- /dev/null
+++ b/source/core/operators/watch.cpp
@@ -0,0 +1,213 @@
+#include "operators/watch.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <set>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "operators/table.hpp"
+
+namespace reedramp::operators {
+
+namespace json = boost::json;
+using common::failure;
+using common::result_code;
+
+namespace {
+
+constexpr std::string_view offset_metric = "_configuration_offset ";
+
+auto role_text(platform::host_role role) -> std::string
+{
+    return role == platform::host_role::entry ? "entry" : "agent";
+}
+
+auto lacks(const watched_process& item) -> bool
+{
+    return !item.in_force_at.has_value();
+}
+
+} // namespace
+
+auto parse_revision(std::string_view word) -> common::result<common::log_offset>
+{
+    std::uint64_t value = 0;
+    const auto* const end = word.data() + word.size();
+    const auto read = std::from_chars(word.data(), end, value);
+    if (word.empty() || read.ec != std::errc{} || read.ptr != end) {
+        return failure(result_code::malformed_request, "not a revision: " + std::string(word));
+    }
+    return common::log_offset{value};
+}
+
+auto configuration_offset(std::string_view metrics) -> std::optional<common::log_offset>
+{
+    while (!metrics.empty()) {
+        const auto line = metrics.substr(0, metrics.find('\n'));
+        metrics.remove_prefix(std::min(line.size() + 1, metrics.size()));
+        const auto place = line.find(offset_metric);
+        if (line.starts_with('#') || place == std::string_view::npos) {
+            continue;
+        }
+        const auto number = line.substr(place + offset_metric.size());
+        double value = 0; // Prometheus text holds floating-point numbers.
+        const auto read = std::from_chars(number.data(), number.data() + number.size(), value);
+        if (read.ec == std::errc{} && value >= 0) {
+            return common::log_offset{static_cast<std::uint64_t>(value)};
+        }
+    }
+    return std::nullopt;
+}
+
+watch::watch(common::log_offset wanted, common::time_point now) : revision(wanted), begin(now) {}
+
+auto watch::take_hosts(const std::vector<platform::host_entry>& rows) -> void
+{
+    std::set<common::host_id> live;
+    for (const auto& row : rows) {
+        if (row.state != platform::host_state::live || row.http.empty()) {
+            continue;
+        }
+        live.insert(row.host);
+        auto& item = this->processes[row.host];
+        const auto is_replaced = item.row.http != row.http;
+        if (is_replaced) {
+            item = {};
+        }
+        item.row = row;
+    }
+    std::erase_if(
+        this->processes, [&live](const auto& item) { return !live.contains(item.first); });
+}
+
+auto watch::take_metrics(
+    const common::host_id& host, const common::result<std::string>& metrics, common::time_point now)
+    -> void
+{
+    const auto found = this->processes.find(host);
+    if (found == this->processes.end()) {
+        return;
+    }
+    auto& item = found->second;
+    if (!metrics) {
+        item.problem = metrics.error().detail.empty() ? "no answer" : metrics.error().detail;
+        return;
+    }
+    item.problem.clear();
+    item.offset = configuration_offset(*metrics);
+    if (!item.offset) {
+        item.problem = "its metrics show no configuration";
+    }
+    else if (*item.offset >= this->revision && lacks(item)) {
+        item.in_force_at = now;
+    }
+}
+
+auto watch::waiting() const -> std::vector<watched_process>
+{
+    std::vector<watched_process> made;
+    for (const auto& [host, item] : this->processes) {
+        if (lacks(item)) {
+            made.push_back(item);
+        }
+    }
+    return made;
+}
+
+auto watch::in_force() const -> std::size_t
+{
+    return this->processes.size() - this->waiting().size();
+}
+
+auto watch::complete() const -> bool
+{
+    return !this->processes.empty() && this->waiting().empty();
+}
+
+auto watch::outcome() const -> common::result<void>
+{
+    if (this->complete()) {
+        return {};
+    }
+    const auto late = this->waiting();
+    std::string names;
+    auto all_silent = true;
+    for (const auto& item : late) {
+        names += (names.empty() ? "" : ", ") + item.row.host.value();
+        all_silent = all_silent && !item.problem.empty();
+    }
+    if (late.empty()) {
+        return failure(result_code::peer_unavailable, "the host list names no live process");
+    }
+    const auto code = all_silent ? result_code::peer_unavailable : result_code::stale_configuration;
+    return failure(
+        code, "revision " + std::to_string(this->revision.value()) + " lacks on " + names);
+}
+
+auto watch::progress_text() const -> std::string
+{
+    return "revision " + std::to_string(this->revision.value()) + " in force on " +
+           std::to_string(this->in_force()) + " of " + std::to_string(this->size()) + " processes";
+}
+
+auto watch::slowest_first() const -> std::vector<watched_process>
+{
+    std::vector<watched_process> made;
+    for (const auto& [host, item] : this->processes) {
+        made.push_back(item);
+    }
+    std::ranges::stable_sort(made, [](const auto& left, const auto& right) {
+        const auto left_at = left.in_force_at.value_or(common::never);
+        return left_at > right.in_force_at.value_or(common::never);
+    });
+    return made;
+}
+
+auto watch::milliseconds(common::time_point when) const -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(when - this->begin).count();
+}
+
+auto watch::text() const -> std::string
+{
+    text_table table({"host", "role", "data centre", "offset", "in force after ms", "problem"});
+    for (const auto& item : this->slowest_first()) {
+        table.add(
+            {item.row.host.value(),
+             role_text(item.row.role),
+             item.row.data_centre.value(),
+             item.offset ? std::to_string(item.offset->value()) : "",
+             item.in_force_at ? std::to_string(this->milliseconds(*item.in_force_at)) : "",
+             item.problem});
+    }
+    return table.text() + this->progress_text() + "\n";
+}
+
+auto watch::json() const -> std::string
+{
+    json::array rows;
+    for (const auto& item : this->slowest_first()) {
+        json::object row{
+            {"host", item.row.host.value()},
+            {"role", role_text(item.row.role)},
+            {"data_centre", item.row.data_centre.value()},
+            {"problem", item.problem}};
+        if (item.offset) {
+            row["offset"] = item.offset->value();
+        }
+        if (item.in_force_at) {
+            row["in_force_after_ms"] = this->milliseconds(*item.in_force_at);
+        }
+        rows.push_back(std::move(row));
+    }
+    return json::serialize(json::object{
+        {"revision", this->revision.value()},
+        {"in_force", this->in_force()},
+        {"processes", std::move(rows)},
+        {"complete", this->complete()}});
+}
+
+} // namespace reedramp::operators
--- /dev/null
+++ b/source/ctl/options.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <chrono>
+#include <iosfwd>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/ids.hpp"
+#include "common/units.hpp"
+#include "http/message.hpp"
+#include "inventory/register_import.hpp"
+#include "operators/commands.hpp"
+
+namespace reedramp::ctl {
+
+/// The command line, read and checked.
+struct options {
+    operators::command_row command;
+    /// After the command's name.
+    std::vector<std::string> words;
+
+    std::vector<http::endpoint> entries;
+    /// The platform's list of hosts.
+    std::optional<http::endpoint> hosts;
+    /// Empty: the key is in the environment.
+    std::string key_file;
+    bool as_json = false;
+
+    std::string author;
+    std::optional<common::log_offset> base;
+    std::chrono::seconds timeout{};
+    std::size_t limit = 0;
+
+    std::string model;
+    std::string from;
+    std::string to;
+    std::optional<common::permille> share;
+
+    /// Empty for none, "-" for standard output.
+    std::string out;
+    bool publish = false;
+    inventory::register_columns columns;
+};
+
+/// The options, or the code to exit with; what the operator should read has then been written.
+auto read_options(
+    int argument_count, const char* const* arguments, std::ostream& out, std::ostream& errors)
+    -> std::variant<options, int>;
+
+} // namespace reedramp::ctl
