Serve what comes on open connections during a graceful shutdown

Cause: a request that came on a kept-alive connection after SIGTERM was refused, and the process could end while an idle connection was about to bring one: an error that the caller had not caused. Change: readiness turns false first and the listener closes after shutdown.announce (500 ms), so that the balancer can turn away; requests on open connections are served, and the process waits until those are closed. Only from the shutdown's deadline on are requests refused.

--- a/source/core/entry/context.hpp
+++ b/source/core/entry/context.hpp
@@ -86,7 +86,10 @@
     const filter_chain work_chain;
     const filter_chain models_chain;
     const filter_chain session_chain;
+    /// Not ready any more; what comes on open connections is still served.
     std::atomic<bool> leaving{false};
+    /// The shutdown's deadline has passed.
+    std::atomic<bool> closed{false};
     /// Called when a request has ended while the process is leaving.
     std::function<auto()->void> request_ended;
 };
--- a/source/core/entry/core.cpp
+++ b/source/core/entry/core.cpp
@@ -187,9 +187,9 @@
 {
     auto& shared = *this->context;
     const auto is_full = shared.requests.size() > shared.options.request_limit;
-    if (shared.leaving || is_full) {
+    if (shared.closed || is_full) {
         const auto code =
-            shared.leaving ? common::result_code::shutting_down : common::result_code::no_capacity;
+            shared.closed ? common::result_code::shutting_down : common::result_code::no_capacity;
         auto why = common::make_error(code);
         why.retry_at = shared.parts.now() + shared.options.retry_after;
         refuse(item, std::move(why));
@@ -238,6 +238,7 @@
         if (!self) {
             return;
         }
+        self->context->closed = true;
         for (const auto& item : self->context->requests.all()) {
             post(item, cut_exchange);
         }
--- a/source/core/entry/core.hpp
+++ b/source/core/entry/core.hpp
@@ -77,9 +77,10 @@
     /// One request of the callers' or the administration API.
     virtual auto handle(http::request asked, std::shared_ptr<http::responder> out) -> void = 0;
 
-    /// Starts the graceful shutdown: readiness turns false and new requests are refused, those
-    /// under way go on. `done` runs once, when none is left or at `deadline`, with the number of
-    /// requests that were cut by it.
+    /// Starts the graceful shutdown: readiness turns false, requests under way go on, and those
+    /// that still come on open connections are served too, as refusing them would be an error that
+    /// the caller has not caused. `done` runs once, when none is left or at `deadline`, with the
+    /// number of requests that were cut by it; from the deadline on new ones are refused.
     virtual auto
     shut_down(common::time_point deadline, std::function<auto(std::size_t cut)->void> done)
         -> void = 0;
--- a/source/core/entry/placer.cpp
+++ b/source/core/entry/placer.cpp
@@ -46,6 +46,8 @@
     done_hook done;
     std::atomic<std::size_t> unanswered{0};
     std::atomic<bool> decided{false};
+    /// Rounds of probes sent.
+    std::atomic<std::size_t> rounds{1};
 
     /// True for the one caller that comes first.
     auto take() -> bool { return !this->decided.exchange(true); }
@@ -114,7 +116,7 @@
     item->question = std::move(question);
     item->done = std::move(done);
     const auto plan = this->chooser.plan(
-        item->request, item->set->candidates, this->pool, this->hooks.now(), this->hooks.random);
+        item->request, item->set->candidates, this->pool, 0, this->hooks.now(), this->hooks.random);
     if (plan.ask.empty() || this->knows_enough(*item, plan)) {
         this->decide(item);
     }
@@ -165,12 +167,33 @@
                 }
                 self->take_probe(item->request.version, item->set->candidates[index], answer);
                 if (item->unanswered.fetch_sub(1) == 1) {
-                    self->decide(item);
+                    self->all_answered(item);
                 }
             });
     }
 }
 
+/// Asks further servers while those that answered are all busy. The time to decide stays what it
+/// was.
+auto placer::all_answered(const pending_ptr& item) -> void
+{
+    if (item->decided) {
+        return;
+    }
+    const auto more = this->chooser.plan(
+        item->request,
+        item->set->candidates,
+        this->pool,
+        item->rounds.fetch_add(1),
+        this->hooks.now(),
+        this->hooks.random);
+    if (more.ask.empty()) {
+        this->decide(item);
+        return;
+    }
+    this->send_probes(item, more.ask);
+}
+
 auto placer::take_probe(
     const common::version_id& version,
     const placement::candidate& from,
--- a/source/core/entry/placer.hpp
+++ b/source/core/entry/placer.hpp
@@ -89,6 +89,7 @@
     [[nodiscard]] auto make_candidates(const placement_question& question) const -> candidate_ptr;
     [[nodiscard]] auto knows_enough(const pending& item, const placement::probe_plan& plan) -> bool;
     auto send_probes(const pending_ptr& item, const std::vector<std::size_t>& ask) -> void;
+    auto all_answered(const pending_ptr& item) -> void;
     auto take_probe(
         const common::version_id& version,
         const placement::candidate& from,
--- a/source/entry/entry_process.cpp
+++ b/source/entry/entry_process.cpp
@@ -17,7 +17,7 @@
 /// Entries that hear of this one's evidence each second, besides those that get its demand.
 constexpr std::size_t evidence_fan_out = 3;
 constexpr auto rollout_rank_key = "rollouts";
-constexpr common::duration bills_check_period = std::chrono::milliseconds(50);
+constexpr common::duration check_period = std::chrono::milliseconds(50);
 
 /// The inventory's servers, as membership takes them.
 auto server_rows(const inventory::state& state) -> std::vector<membership::server_row>
@@ -494,14 +494,40 @@
 auto entry_process::shut_down(std::function<auto(std::size_t cut)->void> done) -> void
 {
     common::log(common::log_part::entry, common::log_level::info, "leaving");
-    this->http->close_listener();
-    const auto limit = daemon::boot_time() + this->settings.shutdown_limit;
-    this->core->shut_down(limit, [this, done = std::move(done)](std::size_t cut) {
-        this->bills->flush();
-        this->settle_bills(daemon::boot_time() + this->settings.bills_limit, [this, cut, done] {
-            this->keepers->stop();
-            this->threads.post([done, cut] { done(cut); });
-        });
+    const auto now = daemon::boot_time();
+    const auto limit = now + this->settings.shutdown_limit;
+    // The balancer sees that this entry is not ready before connections are refused.
+    this->threads.timers()(
+        now + this->settings.shutdown_announce, [this] { this->http->close_listener(); });
+    this->core->shut_down(limit, [this, limit, done = std::move(done)](std::size_t cut) {
+        this->wait_for_callers(limit, [this, cut, done] { this->leave(cut, done); });
+    });
+}
+
+/// Open connections may bring a request at any moment, so they are waited for, too: the HTTP server
+/// closes each after its next answer or a short silence.
+auto entry_process::wait_for_callers(common::time_point limit, std::function<auto()->void> done)
+    -> void
+{
+    const auto now = daemon::boot_time();
+    const auto is_open = this->http->open_connections() > 0 || this->core->counters().in_flight > 0;
+    const auto is_announced = now >= limit - this->settings.shutdown_limit +
+                                         this->settings.shutdown_announce + check_period;
+    if (now >= limit || (!is_open && is_announced)) {
+        done();
+        return;
+    }
+    this->threads.timers()(now + check_period, [this, limit, done = std::move(done)] {
+        this->wait_for_callers(limit, done);
+    });
+}
+
+auto entry_process::leave(std::size_t cut, std::function<auto(std::size_t cut)->void> done) -> void
+{
+    this->bills->flush();
+    this->settle_bills(daemon::boot_time() + this->settings.bills_limit, [this, cut, done] {
+        this->keepers->stop();
+        this->threads.post([done, cut] { done(cut); });
     });
 }
 
@@ -517,7 +543,7 @@
         this->hand_over_bills(std::move(done));
         return;
     }
-    this->threads.timers()(now + bills_check_period, [this, limit, done = std::move(done)] {
+    this->threads.timers()(now + check_period, [this, limit, done = std::move(done)] {
         this->settle_bills(limit, done);
     });
 }
--- a/source/entry/entry_process.hpp
+++ b/source/entry/entry_process.hpp
@@ -77,6 +77,8 @@
     auto move_rollouts() -> void;
     auto propose(const control::rollout_action& action) -> void;
     auto rate(entry::rated_chat item) -> void;
+    auto wait_for_callers(common::time_point limit, std::function<auto()->void> done) -> void;
+    auto leave(std::size_t cut, std::function<auto(std::size_t cut)->void> done) -> void;
     auto settle_bills(common::time_point limit, std::function<auto()->void> done) -> void;
     auto hand_over_bills(std::function<auto()->void> done) -> void;
 
--- a/source/entry/settings.cpp
+++ b/source/entry/settings.cpp
@@ -120,7 +120,7 @@
             "sessions.previous_key_file",
             "File of the key before; tokens signed by it are still taken."),
         number_key("sessions.previous_key_id", "Id of the key before.", 0, 0, last_id),
-        time_key("sessions.life", "How long a session lasts.", 12 * 3600 * 1000),
+        time_key("sessions.life", "How long a session lasts.", 43'200'000),
         time_key("sessions.wait", "Wait for a server of the session's version.", 5000, 0),
     };
 }
@@ -142,6 +142,7 @@
         number_key("servers.subset", "Servers used for one version.", 8, 1, 1000),
         number_key("servers.elsewhere", "Of these, in other data centres.", 2, 0, 1000),
         bytes_key("bills.limit", "Unconfirmed bills at which new work is refused.", 16 << 20U),
+        time_key("shutdown.announce", "Not ready, before the listener closes.", 500, 0),
         time_key("shutdown.limit", "Then what still runs is cut.", 60'000),
         time_key("shutdown.bills_limit", "For confirming or handing over bills.", 5000),
     };
@@ -270,6 +271,7 @@
     read.operator_key_hashes = from.texts("operators.key_hashes");
     read.session_keys = std::move(*ring);
     read.publish_limit = from.milliseconds("operators.publish_limit");
+    read.shutdown_announce = from.milliseconds("shutdown.announce");
     read.shutdown_limit = from.milliseconds("shutdown.limit");
     read.bills_limit = from.milliseconds("shutdown.bills_limit");
     read.bills_bytes = from.size("bills.limit");
--- a/source/entry/settings.hpp
+++ b/source/entry/settings.hpp
@@ -33,6 +33,7 @@
     std::vector<std::string> operator_key_hashes;
     session::key_ring session_keys;
     std::chrono::milliseconds publish_limit{};
+    std::chrono::milliseconds shutdown_announce{};
     std::chrono::milliseconds shutdown_limit{};
     std::chrono::milliseconds bills_limit{};
     std::size_t bills_bytes = 0;
--- a/source/unit_tests/entry/world.hpp
+++ b/source/unit_tests/entry/world.hpp
@@ -131,8 +131,10 @@
     /// Makes the core again, after a change of `options`.
     auto restart() -> void;
 
-private:
+    /// The fakes as the core gets them.
     auto hooks() -> collaborators;
+
+private:
     auto place(const placement_question& question) -> common::result<placement_decision>;
 
     inventory::snapshot_ptr state;
