--- a/source/core/operators/answers.cpp
+++ b/source/core/operators/answers.cpp
@@ -72,6 +72,19 @@
     return answer->body;
 }
 
+auto health_word(const common::result<http::response>& answer) -> std::string
+{
+    if (!answer) {
+        return "NO ANSWER";
+    }
+    if (answer->status < first_bad_status) {
+        return "ready";
+    }
+    const auto body = platform::parse_object(answer->body).value_or(json::object{});
+    const auto why = platform::string_field(body, "why").value_or("not ready");
+    return why == "leaving" ? "LEAVING" : why;
+}
+
 auto may_ask_next(const common::error& why) -> bool
 {
     switch (why.code) {
--- a/source/core/operators/answers.hpp
+++ b/source/core/operators/answers.hpp
@@ -21,6 +21,10 @@
 /// the process did not answer, with the `execution` that the HTTP client knows.
 auto body_of(const common::result<http::response>& answer) -> common::result<std::string>;
 
+/// Whether a process takes work, by its answer to `health_request`: "ready", "LEAVING", why it is
+/// not ready, or "NO ANSWER".
+auto health_word(const common::result<http::response>& answer) -> std::string;
+
 /// True if another entry may know what this one did not: it is gone, or cannot reach the log.
 auto may_ask_next(const common::error& why) -> bool;
 
--- a/source/core/operators/commands.cpp
+++ b/source/core/operators/commands.cpp
@@ -77,7 +77,7 @@
      1,
      false,
      "timeout",
-     "watch REV --hosts IP:PORT [--timeout SECONDS]",
+     "watch REV|latest --hosts IP:PORT [--timeout SECONDS]",
      "Waits until a revision is in force in all processes."},
     {explain,
      "explain",
--- a/source/core/operators/requests.cpp
+++ b/source/core/operators/requests.cpp
@@ -56,6 +56,11 @@
     return get("/metrics");
 }
 
+auto health_request() -> http::request
+{
+    return get("/health/ready");
+}
+
 auto with_key(http::request asked, const std::string& key) -> http::request
 {
     asked.headers.push_back({"Authorization", "Bearer " + key});
--- a/source/core/operators/requests.hpp
+++ b/source/core/operators/requests.hpp
@@ -24,6 +24,9 @@
 /// To any process.
 auto metrics_request() -> http::request;
 
+/// To any process: whether it takes work.
+auto health_request() -> http::request;
+
 /// The request with the operator's key. The key goes into this header only, never into a log line.
 auto with_key(http::request asked, const std::string& key) -> http::request;
 
--- a/source/core/operators/status_view.cpp
+++ b/source/core/operators/status_view.cpp
@@ -89,16 +89,17 @@
     return table.text();
 }
 
-auto hosts_table(const std::vector<platform::host_entry>& hosts) -> std::string
+auto hosts_table(const std::vector<host_report>& hosts) -> std::string
 {
-    text_table table({"host", "role", "data centre", "region", "state", "http"});
-    for (const auto& row : hosts) {
+    text_table table({"host", "role", "data centre", "region", "listed", "says", "http"});
+    for (const auto& [row, health] : hosts) {
         table.add(
             {row.host.value(),
              row.role == platform::host_role::entry ? "entry" : "server",
              row.data_centre.value(),
              row.region.value(),
              row.state == platform::host_state::live ? "live" : "LEAVING",
+             health,
              row.http});
     }
     return table.text();
@@ -116,27 +117,48 @@
     return found == answers.end() || total == 0 ? 0 : found->second * whole / total;
 }
 
+/// Versions that any entry takes for withdrawn, also before the log has the record.
+auto withdrawn_anywhere(const system_report& report) -> std::set<std::string>
+{
+    std::set<std::string> made;
+    for (const auto& entry : report.entries) {
+        const auto status = read_status(entry);
+        const auto* names = platform::array_field(status, "withdrawn");
+        if (names == nullptr) {
+            continue;
+        }
+        for (const auto& name : *names) {
+            if (const auto* text = name.if_string()) {
+                made.emplace(text->data(), text->size());
+            }
+        }
+    }
+    return made;
+}
+
 /// Answers by version; those of the inventory that have none yet are listed too.
 auto versions_table(const system_report& report) -> std::string
 {
-    auto answers = sum_of(report, "versions");
-    if (report.state) {
-        for (const auto& [id, item] : report.state->versions) {
-            answers.try_emplace(id.value(), 0);
-        }
+    const auto answers = sum_of(report, "versions");
+    auto listed = answers;
+    auto withdrawn = withdrawn_anywhere(report);
+    inventory::state nothing;
+    const auto& current = report.state ? *report.state : nothing;
+    for (const auto& [id, item] : current.versions) {
+        listed.try_emplace(id.value(), 0);
     }
     text_table table({"version", "model", "stage", "answers", "share"});
-    for (const auto& [name, count] : answers) {
+    for (const auto& [name, count] : listed) {
+        const auto found = current.versions.find(common::version_id(name));
         std::string model;
         std::string stage;
-        if (report.state) {
-            const common::version_id id(name);
-            const auto found = report.state->versions.find(id);
-            const auto is_known = found != report.state->versions.end();
-            model = is_known ? found->second.model.value() : "";
-            const auto is_new =
-                is_known && found->second.stage == inventory::version_stage::rollout;
-            stage = report.state->is_withdrawn(id) ? "WITHDRAWN" : is_new ? "rollout" : "stable";
+        if (found != current.versions.end()) {
+            const auto is_new = found->second.stage == inventory::version_stage::rollout;
+            model = found->second.model.value();
+            stage = is_new ? "rollout" : "stable";
+        }
+        if (withdrawn.contains(name) || current.is_withdrawn(common::version_id(name))) {
+            stage = "WITHDRAWN";
         }
         table.add(
             {name, model, stage, std::to_string(count), percent_text(share_of(answers, name))});
@@ -232,7 +254,13 @@
     }
     json::object made{{"entries", std::move(entries)}};
     if (report.hosts) {
-        made["hosts"] = json::parse(platform::format_hosts(*report.hosts)).at("hosts");
+        json::array hosts;
+        for (const auto& [row, health] : *report.hosts) {
+            auto host = platform::parse_object(platform::format_host(row)).value_or(json::object{});
+            host["says"] = health;
+            hosts.push_back(std::move(host));
+        }
+        made["hosts"] = std::move(hosts);
     }
     if (report.bills) {
         made["bills"] = platform::parse_object(*report.bills).value_or(json::object{});
--- a/source/core/operators/views.hpp
+++ b/source/core/operators/views.hpp
@@ -34,11 +34,17 @@
     common::result<std::string> status;
 };
 
+/// A row of the host list, with the process's own word (as of `health_word`): the list lags.
+struct host_report {
+    platform::host_entry row;
+    std::string health;
+};
+
 /// What `status` shows; parts that could not be had are missing.
 struct system_report {
     std::vector<entry_report> entries;
     std::optional<inventory::state> state;
-    std::optional<std::vector<platform::host_entry>> hosts;
+    std::optional<std::vector<host_report>> hosts;
     /// Answer of `bills`.
     std::optional<std::string> bills;
 };
--- a/source/core/operators/watch.cpp
+++ b/source/core/operators/watch.cpp
@@ -6,9 +6,8 @@
 #include <set>
 #include <utility>
 
-#include <boost/json.hpp>
-
 #include "operators/table.hpp"
+#include "platform/json_fields.hpp"
 
 namespace reedramp::operators {
 
@@ -43,6 +42,12 @@
     return common::log_offset{value};
 }
 
+auto status_offset(std::string_view status) -> common::log_offset
+{
+    const auto answer = platform::parse_object(status).value_or(boost::json::object{});
+    return common::log_offset{platform::count_field(answer, "offset").value_or(0)};
+}
+
 auto configuration_offset(std::string_view metrics) -> std::optional<common::log_offset>
 {
     while (!metrics.empty()) {
--- a/source/core/operators/watch.hpp
+++ b/source/core/operators/watch.hpp
@@ -14,6 +14,9 @@
 
 namespace reedramp::operators {
 
+/// In place of a number: the newest revision that any entry has.
+inline constexpr std::string_view newest_revision = "latest";
+
 /// Errors: `malformed_request`.
 auto parse_revision(std::string_view word) -> common::result<common::log_offset>;
 
@@ -21,6 +24,9 @@
 /// they do not show it.
 auto configuration_offset(std::string_view metrics) -> std::optional<common::log_offset>;
 
+/// Offset in the answer of `status`; 0 if there is none.
+auto status_offset(std::string_view status) -> common::log_offset;
+
 /// One process of the system, as far as the watch knows it.
 struct watched_process {
     platform::host_entry row;
--- a/source/ctl/caller.cpp
+++ b/source/ctl/caller.cpp
@@ -69,19 +69,34 @@
     return this->send(this->patient, where, operators::with_key(std::move(asked), this->key));
 }
 
-auto caller::ask_all(const std::vector<addressed_request>& questions, bool with_key)
-    -> std::vector<common::result<std::string>>
+auto caller::answers_of(const std::vector<addressed_request>& questions)
+    -> std::vector<common::result<http::response>>
 {
     std::vector<answer_future> under_way;
     under_way.reserve(questions.size());
     for (const auto& [where, asked] : questions) {
-        auto sent = with_key ? operators::with_key(asked, this->key) : asked;
-        under_way.push_back(start(this->quick, where, std::move(sent)));
+        under_way.push_back(start(this->quick, where, asked));
     }
-    std::vector<common::result<std::string>> made;
+    std::vector<common::result<http::response>> made;
     made.reserve(questions.size());
     for (auto& future : under_way) {
-        made.push_back(operators::body_of(future.get()));
+        made.push_back(future.get());
+    }
+    return made;
+}
+
+auto caller::ask_all(std::vector<addressed_request> questions, bool with_key)
+    -> std::vector<common::result<std::string>>
+{
+    if (with_key) {
+        for (auto& question : questions) {
+            question.asked = operators::with_key(std::move(question.asked), this->key);
+        }
+    }
+    std::vector<common::result<std::string>> made;
+    made.reserve(questions.size());
+    for (const auto& answer : this->answers_of(questions)) {
+        made.push_back(operators::body_of(answer));
     }
     return made;
 }
--- a/source/ctl/caller.hpp
+++ b/source/ctl/caller.hpp
@@ -36,9 +36,13 @@
 
     /// Asks all at once; answers in the order of the questions. A process that is silent for two
     /// seconds counts as not answering. Without the operator's key if `with_key` is false.
-    auto ask_all(const std::vector<addressed_request>& questions, bool with_key)
+    auto ask_all(std::vector<addressed_request> questions, bool with_key)
         -> std::vector<common::result<std::string>>;
 
+    /// As `ask_all` without the key, but gives answers with any status.
+    auto answers_of(const std::vector<addressed_request>& questions)
+        -> std::vector<common::result<http::response>>;
+
     /// Asks one entry after the other until one answers for good. Only for what may be asked twice.
     auto ask_any(const std::vector<http::endpoint>& entries, const http::request& asked)
         -> common::result<std::string>;
--- a/source/ctl/change_commands.cpp
+++ b/source/ctl/change_commands.cpp
@@ -9,18 +9,17 @@
 #include "operators/answers.hpp"
 #include "operators/difference.hpp"
 #include "operators/drafts.hpp"
+#include "operators/publishing.hpp"
 #include "operators/requests.hpp"
 
 namespace reedramp::ctl {
 
 namespace json = boost::json;
-using common::execution;
 using common::failure;
 using common::result_code;
 
 namespace {
 
-constexpr int publish_rounds = 3;
 constexpr std::chrono::milliseconds round_pause{500};
 
 auto accepted(const options& given, const common::record_id& id, common::log_offset offset)
@@ -44,19 +43,6 @@
     return "nothing to change; revision " + std::to_string(offset.value()) + "\n";
 }
 
-/// What the entry knows of a record that may be in the log.
-auto look_up(caller& by, const http::endpoint& where, const common::record_id& id)
-    -> std::optional<common::result<common::log_offset>>
-{
-    const auto history = by.ask(where, operators::read_request("history"));
-    return history ? operators::find_published(*history, id) : std::nullopt;
-}
-
-/// Publishes at the first entry that decides.
-///
-/// The connection may be lost after the record has reached the log. The next entry is then asked
-/// for the record's id first, and gets the same record only if it does not know it; should both
-/// copies land, the id makes the second a no-op. So the operator sees one change, or the refusal.
 auto publish_record(caller& by, const options& given, const inventory::record& item)
     -> common::result<common::log_offset>
 {
@@ -64,33 +50,15 @@
     if (!entries) {
         return tl::unexpected(entries.error());
     }
-    auto why = common::make_error(result_code::peer_unavailable, "no entry is known");
-    auto may_be_there = false;
-    for (int round = 0; round < publish_rounds; ++round) {
-        for (const auto& where : *entries) {
-            if (may_be_there) {
-                if (auto known = look_up(by, where, item.id)) {
-                    return *known;
-                }
-            }
-            const auto answer = by.ask(where, operators::publish_request(item));
-            if (answer) {
-                return operators::published_offset(*answer);
-            }
-            if (!operators::may_ask_next(answer.error())) {
-                return tl::unexpected(answer.error());
-            }
-            may_be_there = may_be_there || answer.error().run != execution::not_run;
-            why = answer.error();
-        }
-        std::this_thread::sleep_for(round_pause);
-    }
-    if (may_be_there) {
-        why = common::make_error(
-            result_code::append_unknown,
-            why.detail + "; publishing record " + item.id.value() + " again is safe");
-    }
-    return tl::unexpected(why);
+    const operators::publishing way{
+        entries->size(),
+        [&](std::size_t entry, http::request asked) {
+            return by.ask(entries->at(entry), std::move(asked));
+        },
+        [] {
+            std::this_thread::sleep_for(round_pause);
+        }};
+    return operators::publish(way, item);
 }
 
 auto publish_and_tell(caller& by, const options& given, const inventory::record& item) -> printed
@@ -143,8 +111,14 @@
     if (!entries) {
         return tl::unexpected(entries.error());
     }
-    // Withdrawing twice is withdrawing once, so a lost answer is met by asking the next entry.
     const common::version_id version(given.words.front());
+    const auto current = fetch_state(by, given);
+    // A misspelt name would be withdrawn for ever without a word. An entry that cannot show its
+    // state must not delay a withdrawal.
+    if (current && !current->versions.contains(version)) {
+        return failure(result_code::not_found, "there is no version " + version.value());
+    }
+    // Withdrawing twice is withdrawing once, so a lost answer is met by asking the next entry.
     const auto body = by.ask_any(*entries, operators::withdraw_request(version));
     if (!body || given.as_json) {
         return body.map([](const std::string& text) { return text + "\n"; });
--- a/source/ctl/main.cpp
+++ b/source/ctl/main.cpp
@@ -1,3 +1,4 @@
+#include <cstdlib>
 #include <iostream>
 #include <string>
 #include <variant>
@@ -6,6 +7,7 @@
 #include "daemon/logging.hpp"
 #include "daemon/secret.hpp"
 #include "operators/answers.hpp"
+#include "operators/watch.hpp"
 #include "options.hpp"
 
 /// The operators' program. Exit codes are on docs/RESULT_CODES.md.
@@ -16,12 +18,21 @@
 
 constexpr auto operator_key_variable = "REEDRAMP_OPERATOR_KEY";
 
+auto variable(const char* name) -> std::string
+{
+    // Only at start, before there are threads that could change the environment.
+    const auto* text = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
+    return text == nullptr ? "" : text;
+}
+
 /// Whether the command talks to a process that asks for the operator's key.
 auto needs_key(const ctl::options& given) -> bool
 {
     switch (given.command.kind) {
-    case command_kind::watch:
+    case command_kind::result_codes:
         return false;
+    case command_kind::watch:
+        return given.words.front() == operators::newest_revision;
     case command_kind::check:
         return !given.entries.empty() || given.hosts;
     default:
@@ -77,15 +88,12 @@
 
 auto main(int argument_count, char** arguments) -> int
 {
-    const auto read = ctl::read_options(argument_count, arguments, std::cout, std::cerr);
+    const ctl::environment around{variable("REEDRAMP_ENTRY"), variable("REEDRAMP_HOSTS")};
+    const auto read = ctl::read_options(argument_count, arguments, around, std::cout, std::cerr);
     if (const auto* code = std::get_if<int>(&read)) {
         return *code;
     }
     const auto& given = std::get<ctl::options>(read);
-    if (given.command.kind == command_kind::result_codes) {
-        std::cout << common::result_table_markdown();
-        return 0;
-    }
     daemon::start_logging(arguments[0], common::log_level::warning);
     std::string key;
     if (needs_key(given)) {
--- a/source/ctl/options.cpp
+++ b/source/ctl/options.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ostream>
+#include <sstream>
 #include <utility>
 
 #include <tclap/CmdLine.h>
@@ -27,9 +28,20 @@
     TCLAP::CmdLine line{
         "Drives reedramp: inventory, roll-outs, withdrawals, bills", ' ', program_version};
     TCLAP::MultiArg<std::string> entry{
-        "e", "entry", "An entry; may be given several times", false, "IP:PORT", line};
+        "e",
+        "entry",
+        "An entry; may be given several times; without it REEDRAMP_ENTRY",
+        false,
+        "IP:PORT",
+        line};
     TCLAP::ValueArg<std::string> hosts{
-        "", "hosts", "The platform's list of hosts", false, "", "IP:PORT", line};
+        "",
+        "hosts",
+        "The platform's list of hosts; without it REEDRAMP_HOSTS",
+        false,
+        "",
+        "IP:PORT",
+        line};
     TCLAP::ValueArg<std::string> key_file{
         "k",
         "key-file",
@@ -111,25 +123,39 @@
     return made;
 }
 
-auto read_endpoints(arguments_form& form, options& into) -> std::string
+auto split(const std::string& text, char separator) -> std::vector<std::string>
+{
+    std::vector<std::string> made;
+    std::istringstream from(text);
+    std::string word;
+    while (std::getline(from, word, separator)) {
+        made.push_back(word);
+    }
+    return made;
+}
+
+auto read_endpoints(const arguments_form& form, const environment& around, options& into)
+    -> std::string
 {
-    for (const auto& text : form.entry.getValue()) {
+    const auto entries = form.entry.isSet() ? form.entry.getValue() : split(around.entries, ',');
+    for (const auto& text : entries) {
         const auto where = http::parse_endpoint(text);
         if (!where) {
             return "--entry: not IP:PORT: " + text;
         }
         into.entries.push_back(*where);
     }
-    if (form.hosts.isSet()) {
-        into.hosts = http::parse_endpoint(form.hosts.getValue());
+    const auto hosts = form.hosts.isSet() ? form.hosts.getValue() : around.hosts;
+    if (!hosts.empty()) {
+        into.hosts = http::parse_endpoint(hosts);
         if (!into.hosts) {
-            return "--hosts: not IP:PORT: " + form.hosts.getValue();
+            return "--hosts: not IP:PORT: " + hosts;
         }
     }
     return {};
 }
 
-auto read_columns(arguments_form& form, inventory::register_columns& into) -> std::string
+auto read_columns(const arguments_form& form, inventory::register_columns& into) -> std::string
 {
     const std::vector<std::pair<std::string, std::string*>> known = {
         {"id", &into.id},
@@ -153,7 +179,7 @@
     return {};
 }
 
-auto read_numbers(arguments_form& form, options& into) -> std::string
+auto read_numbers(const arguments_form& form, options& into) -> std::string
 {
     if (form.timeout.getValue() < 0 || form.limit.getValue() < 0) {
         return "--timeout and --limit must not be negative";
@@ -185,8 +211,9 @@
         return "--hosts is needed";
     }
     if (read.command.kind == kind::watch) {
-        const auto revision = operators::parse_revision(read.words.front());
-        return revision ? "" : revision.error().detail;
+        const auto& word = read.words.front();
+        const auto revision = operators::parse_revision(word);
+        return word == operators::newest_revision || revision ? "" : revision.error().detail;
     }
     if (read.command.kind == kind::rollout) {
         const auto starts = read.words.front() == "start";
@@ -207,7 +234,7 @@
     return {};
 }
 
-auto take(arguments_form& form) -> common::result<options>
+auto take(const arguments_form& form, const environment& around) -> common::result<options>
 {
     const auto& words = form.words.getValue();
     const auto command = operators::find_command(words, given_options(form));
@@ -226,7 +253,7 @@
     made.out = form.out.getValue();
     made.publish = form.publish.getValue();
     for (const auto& problem :
-         {read_endpoints(form, made),
+         {read_endpoints(form, around, made),
           read_columns(form, made.columns),
           read_numbers(form, made),
           find_missing(made)}) {
@@ -240,8 +267,11 @@
 } // namespace
 
 auto read_options(
-    int argument_count, const char* const* arguments, std::ostream& out, std::ostream& errors)
-    -> std::variant<options, int>
+    int argument_count,
+    const char* const* arguments,
+    const environment& around,
+    std::ostream& out,
+    std::ostream& errors) -> std::variant<options, int>
 {
     arguments_form form;
     help_output pages(out);
@@ -258,7 +288,7 @@
     catch (const TCLAP::ExitException& end) {
         return end.getExitStatus();
     }
-    auto read = take(form);
+    auto read = take(form, around);
     if (!read) {
         errors << "reedramp-ctl: " << read.error().detail << "\n";
         return operators::bad_command_line;
--- a/source/ctl/options.hpp
+++ b/source/ctl/options.hpp
@@ -44,9 +44,19 @@
     inventory::register_columns columns;
 };
 
+/// What the environment says where the command line does not.
+struct environment {
+    /// Entries, "IP:PORT[,IP:PORT]...".
+    std::string entries;
+    std::string hosts;
+};
+
 /// The options, or the code to exit with; what the operator should read has then been written.
 auto read_options(
-    int argument_count, const char* const* arguments, std::ostream& out, std::ostream& errors)
-    -> std::variant<options, int>;
+    int argument_count,
+    const char* const* arguments,
+    const environment& around,
+    std::ostream& out,
+    std::ostream& errors) -> std::variant<options, int>;
 
 } // namespace reedramp::ctl
--- a/source/ctl/process_commands.cpp
+++ b/source/ctl/process_commands.cpp
@@ -35,6 +35,38 @@
     return *where;
 }
 
+/// The newest one that an entry has folded; publications are answered only after that.
+auto newest_of_entries(caller& by, const options& given) -> common::result<common::log_offset>
+{
+    const auto entries = entries_of(by, given);
+    if (!entries) {
+        return tl::unexpected(entries.error());
+    }
+    std::vector<addressed_request> questions;
+    for (const auto& where : *entries) {
+        questions.push_back({where, operators::read_request("status")});
+    }
+    auto found = common::result<common::log_offset>(
+        failure(result_code::peer_unavailable, "no entry answers"));
+    for (const auto& answer : by.ask_all(questions, true)) {
+        if (answer) {
+            const auto offset = operators::status_offset(*answer);
+            found = std::max(found.value_or(offset), offset);
+        }
+        else if (!found) {
+            found = tl::unexpected(answer.error());
+        }
+    }
+    return found;
+}
+
+auto wanted_revision(caller& by, const options& given) -> common::result<common::log_offset>
+{
+    const auto& word = given.words.front();
+    return word == operators::newest_revision ? newest_of_entries(by, given)
+                                              : operators::parse_revision(word);
+}
+
 /// Asks all processes that lack the revision, and shows progress when there is some.
 auto look(caller& by, operators::watch& progress, bool shows) -> void
 {
@@ -86,7 +118,7 @@
 
 auto watch(caller& by, const options& given) -> printed
 {
-    const auto revision = operators::parse_revision(given.words.front());
+    const auto revision = wanted_revision(by, given);
     if (!revision) {
         return tl::unexpected(revision.error());
     }
--- a/source/ctl/read_commands.cpp
+++ b/source/ctl/read_commands.cpp
@@ -31,6 +31,30 @@
     return text + "\n";
 }
 
+/// The host list with what each process says of itself; nothing if there is no list.
+auto ask_hosts(caller& by, const options& given)
+    -> std::optional<std::vector<operators::host_report>>
+{
+    if (!given.hosts) {
+        return std::nullopt;
+    }
+    const auto rows = by.hosts(*given.hosts);
+    if (!rows) {
+        return std::nullopt;
+    }
+    std::vector<addressed_request> questions;
+    for (const auto& row : *rows) {
+        const auto where = http::parse_endpoint(row.http);
+        questions.push_back({where.value_or(http::endpoint{}), operators::health_request()});
+    }
+    const auto answers = by.answers_of(questions);
+    std::vector<operators::host_report> made;
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        made.push_back({rows->at(index), operators::health_word(answers[index])});
+    }
+    return made;
+}
+
 auto given_draft(const options& given) -> common::result<operators::draft>
 {
     const auto text = read_file(given.words.front());
@@ -160,11 +184,7 @@
     if (auto bills = read_resource(by, given, "bills")) {
         report.bills = std::move(*bills);
     }
-    if (given.hosts) {
-        if (auto hosts = by.hosts(*given.hosts)) {
-            report.hosts = std::move(*hosts);
-        }
-    }
+    report.hosts = ask_hosts(by, given);
     return given.as_json ? line(operators::status_json(report)) : operators::status_text(report);
 }
 
