--- /dev/null
+++ b/source/entry/entry_process_ticks.cpp
@@ -0,0 +1,146 @@
+#include <utility>
+
+#include "common/log.hpp"
+#include "control/proposal.hpp"
+#include "daemon/clock.hpp"
+#include "entry_process.hpp"
+
+/// What an entry does each second: news to the other entries, ratings, roll-outs.
+namespace reedramp::entry_program {
+
+namespace {
+
+constexpr common::duration tick_period = std::chrono::seconds(1);
+/// Entries that hear of this one's evidence each second, besides those that get its demand.
+constexpr std::size_t evidence_fan_out = 3;
+constexpr auto rollout_rank_key = "rollouts";
+
+} // namespace
+
+auto entry_process::tick_later() -> void
+{
+    this->threads.timers()(daemon::boot_time() + tick_period, [this] {
+        this->send_gossip();
+        this->fetch_ratings();
+        this->move_rollouts();
+        this->tick_later();
+    });
+}
+
+auto entry_process::make_news() -> messages::gossip
+{
+    messages::gossip news;
+    news.from = this->settings.self.host;
+    news.sequence = ++this->gossip_sequence;
+    news.configuration = this->follower->snapshot()->offset;
+    news.evidence = this->versions->evidence();
+    return news;
+}
+
+auto entry_process::send_news(const messages::rpc_address& to, messages::gossip news) -> void
+{
+    this->peers->peers().talk(
+        to, std::move(news), [this](const common::result<messages::gossip>& answer) {
+            if (!answer) {
+                return;
+            }
+            this->versions->take_evidence(*answer);
+            this->shares->on_answer(answer->from, answer->demand, daemon::boot_time());
+        });
+}
+
+auto entry_process::send_gossip() -> void
+{
+    for (auto& report : this->shares->reports(daemon::boot_time())) {
+        const auto address = this->hosts->address_of(report.to);
+        if (address.value().empty()) {
+            continue;
+        }
+        auto news = this->make_news();
+        news.demand = std::move(report.rows);
+        this->send_news(address, std::move(news));
+    }
+    auto news = this->make_news();
+    this->versions->take_evidence(news);
+    if (news.evidence.empty()) {
+        return;
+    }
+    auto others = this->hosts->entries();
+    for (std::size_t count = 0; count < evidence_fan_out && !others.empty(); ++count) {
+        std::swap(others[daemon::random_bits() % others.size()], others.back());
+        this->send_news(others.back().rpc, news);
+        others.pop_back();
+    }
+}
+
+auto entry_process::answer_gossip(const messages::gossip& news) -> messages::gossip
+{
+    this->versions->take_evidence(news);
+    auto answer = this->make_news();
+    answer.demand = this->shares->on_report(news.from, news.demand, daemon::boot_time());
+    return answer;
+}
+
+auto entry_process::rate(entry::rated_chat item) -> void
+{
+    this->versions->on_submitted(item.request, {item.version, item.organisation, item.task});
+    this->ratings.submit(item.request, std::move(item.question), std::move(item.answer));
+}
+
+/// One fetch at a time: a slow rating service would else get more of them each second.
+auto entry_process::fetch_ratings() -> void
+{
+    if (this->fetching_ratings.exchange(true)) {
+        return;
+    }
+    this->ratings.fetch(
+        this->ratings_read, [this](const common::result<platform::rating_page>& page) {
+            if (page) {
+                this->ratings_read = page->next;
+                this->versions->on_ratings(*this->follower->snapshot(), page->ratings);
+            }
+            this->fetching_ratings = false;
+        });
+}
+
+auto entry_process::move_rollouts() -> void
+{
+    if (!this->follower->ready()) {
+        return;
+    }
+    const auto rank = this->hosts->rank_of_self(rollout_rank_key);
+    const auto state = this->follower->snapshot();
+    for (const auto& action : this->versions->tick(*state, rank, daemon::boot_time())) {
+        this->propose(action);
+    }
+}
+
+auto entry_process::propose(const control::rollout_action& action) -> void
+{
+    const auto record =
+        control::to_record(action, *this->follower->snapshot(), daemon::wall_time());
+    if (!record) {
+        return;
+    }
+    this->publisher->publish(
+        *record,
+        daemon::boot_time() + this->settings.publish_limit,
+        [this, action, id = record->id](const common::result<inventory::publication>& answer) {
+            const auto outcome = answer ? std::string("accepted")
+                                        : std::string(common::row_of(answer.error().code).name);
+            common::log(
+                common::log_part::rollout,
+                common::log_level::info,
+                "proposal " + outcome + " id=" + id.value());
+            const auto* stop = std::get_if<control::propose_stop>(&action);
+            const auto is_withdrawal =
+                stop != nullptr && stop->response == control::alarm_response::withdraw;
+            if (answer || !is_withdrawal) {
+                return;
+            }
+            // The log is down: the withdrawal goes from process to process meanwhile.
+            this->follower->withdraw(stop->version, id, "rollout-controller");
+        });
+}
+
+} // namespace reedramp::entry_program
--- a/source/unit_tests/entry/core_threads_test.cpp
+++ b/source/unit_tests/entry/core_threads_test.cpp
@@ -133,6 +133,7 @@
     };
     const auto subject = core::create({}, parts, {});
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     std::atomic<int> left{0};
     for (int index = 0; index < callers; ++index) {
         threads.emplace_back([&] {
