Probe in rounds of 1, 2 and 4; keep two servers for each cache

Cause: two probes for each request cost 9.3 kB/s at full size (360 bytes a probe, 2.39 probes, 10.8 requests a second) where 8 kB/s are allowed, although one is enough for most requests; and a busy preferred server sent its requests anywhere, so that caches held everything.

--- a/source/bench/cluster.hpp
+++ b/source/bench/cluster.hpp
@@ -1,14 +1,9 @@
 #pragma once
 
-#include <deque>
-#include <functional>
-#include <optional>
-#include <queue>
 #include <vector>
 
 #include "placement/chooser.hpp"
 #include "placement/probe_pool.hpp"
-#include "placement/retry_budget.hpp"
 #include "workload.hpp"
 
 namespace reedramp::bench {
@@ -37,6 +32,8 @@
     double slowness = 1.0;
     /// A data centre is lost after a half of the time.
     bool lose_data_centre = false;
+    /// The agents' queues know neither organisations nor deadlines.
+    bool first_come = false;
     /// Requests carry the hash of their prefix.
     bool use_prefix = false;
     placement::chooser_settings chooser;
@@ -49,16 +46,16 @@
     std::vector<double> waits;
     std::vector<double> latencies;
     std::size_t offered = 0;
-    std::size_t in_time = 0;
     std::size_t refused = 0;
     std::size_t late = 0;
     std::size_t hits = 0;
     std::size_t probes = 0;
-    /// Seconds of slots spent on answers that came in time, and the seconds offered, by
-    /// organisation.
-    std::vector<double> useful_seconds;
-    std::vector<double> offered_seconds;
-    /// Waits of requests whose cost is at least three times the mean.
+    /// Seconds of slots spent on answers that came in time.
+    double useful_seconds = 0.0;
+    /// Seconds without caches of what came in time, and of what was offered, by organisation.
+    std::vector<double> answered_work;
+    std::vector<double> offered_work;
+    /// Waits of requests whose prompt is at least three times the mean.
     std::vector<double> large_waits;
 };
 
--- a/source/bench/workload.cpp
+++ b/source/bench/workload.cpp
@@ -112,13 +112,19 @@
     placement::queued_request made;
     made.key.request = {1, item.number};
     made.organisation = common::organisation_id("o" + std::to_string(item.organisation));
-    // Prefill is that much faster than decoding, so that a prompt's token costs that much less.
-    const auto cost = item.prompt * decode_rate / prefill_rate + this->owner.completion_tokens;
-    made.cost = common::token_count(static_cast<std::uint64_t>(std::max(1.0, cost)));
+    auto expected = item;
+    expected.truth.completion = this->owner.completion_tokens;
+    made.cost = spent(expected);
     made.deadline = item.deadline;
     return made;
 }
 
+auto fake_server::spent(const job& item) -> common::token_count
+{
+    const auto cost = item.prompt * decode_rate / prefill_rate + item.truth.completion;
+    return common::token_count(static_cast<std::uint64_t>(std::max(1.0, cost)));
+}
+
 auto fake_server::run_seconds(const job& item, bool& hit) -> double
 {
     const auto found = std::ranges::find(this->cache, item.prefix);
--- a/source/bench/workload.hpp
+++ b/source/bench/workload.hpp
@@ -98,6 +98,9 @@
     /// What the queue is told of a request: the completion is only expected.
     [[nodiscard]] auto ask_for(const job& item) const -> placement::queued_request;
 
+    /// What it costs in tokens of completion; a prompt's token is read that much faster.
+    [[nodiscard]] static auto spent(const job& item) -> common::token_count;
+
     /// Seconds that it runs here; takes its prefix into the cache.
     auto run_seconds(const job& item, bool& hit) -> double;
 
--- a/source/core/placement/affinity.cpp
+++ b/source/core/placement/affinity.cpp
@@ -1,5 +1,6 @@
 #include "placement/affinity.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <xxhash.h>
@@ -34,16 +35,32 @@
 auto preferred(std::span<const candidate> candidates, std::uint64_t key)
     -> std::optional<std::size_t>
 {
-    std::optional<std::size_t> best;
-    std::uint64_t best_weight = 0;
+    const auto first = preferred(candidates, key, 1);
+    return first.empty() ? std::nullopt : std::optional(first.front());
+}
+
+auto preferred(std::span<const candidate> candidates, std::uint64_t key, std::size_t count)
+    -> std::vector<std::size_t>
+{
+    // Few are wanted of many, so that insertion into a short list beats sorting them all.
+    std::vector<std::pair<std::uint64_t, std::size_t>> best;
+    best.reserve(count + 1);
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const auto weight = mix(candidates[index].hash ^ key);
-        if (!best || weight > best_weight) {
-            best = index;
-            best_weight = weight;
+        if (best.size() == count && weight <= best.back().first) {
+            continue;
         }
+        const auto place = std::ranges::find_if(
+            best, [weight](const auto& other) { return other.first < weight; });
+        best.insert(place, {weight, index});
+        best.resize(std::min(best.size(), count));
+    }
+    std::vector<std::size_t> indexes;
+    indexes.reserve(best.size());
+    for (const auto& [weight, index] : best) {
+        indexes.push_back(index);
     }
-    return best;
+    return indexes;
 }
 
 } // namespace reedramp::placement
--- a/source/core/placement/affinity.hpp
+++ b/source/core/placement/affinity.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 #include "common/ids.hpp"
 
@@ -32,4 +33,8 @@
 auto preferred(std::span<const candidate> candidates, std::uint64_t key)
     -> std::optional<std::size_t>;
 
+/// The indexes of the first `count` candidates in the same ranking, or of all if there are fewer.
+auto preferred(std::span<const candidate> candidates, std::uint64_t key, std::size_t count)
+    -> std::vector<std::size_t>;
+
 } // namespace reedramp::placement
--- a/source/core/placement/chooser.cpp
+++ b/source/core/placement/chooser.cpp
@@ -8,24 +8,26 @@
 
 namespace {
 
+/// How many servers may hold the cache of one session or prefix.
+constexpr std::size_t preferred_servers = 2;
+
 auto contains(const std::vector<common::server_id>& servers, const common::server_id& wanted)
     -> bool
 {
     return std::ranges::find(servers, wanted) != servers.end();
 }
 
-/// The server where this request's cache is likely to be. A session's own server goes before that
-/// of its prefix: it holds the longer part of the conversation.
+/// The servers where this request's cache is likely to be, the likeliest first: its requests go to
+/// the second one when the first is busy. A session's own servers go before those of its prefix,
+/// since they hold the longer part of the conversation.
 auto preferred_for(const place_request& request, std::span<const candidate> candidates)
-    -> std::optional<std::size_t>
+    -> std::vector<std::size_t>
 {
-    if (request.session_hash != 0) {
-        return preferred(candidates, request.session_hash);
+    const auto key = request.session_hash != 0 ? request.session_hash : request.prefix_hash;
+    if (key == 0) {
+        return {};
     }
-    if (request.prefix_hash != 0) {
-        return preferred(candidates, request.prefix_hash);
-    }
-    return std::nullopt;
+    return preferred(candidates, key, preferred_servers);
 }
 
 /// Indexes of the candidates of this region, or of the other ones, that are not excluded.
@@ -43,26 +45,72 @@
     return indexes;
 }
 
-/// Moves one random element of `from` to `to`, unless it is there already.
+/// True if some fresh answer says that its server would start the request at once.
+auto knows_free(const place_request& request, std::span<const probe> fresh) -> bool
+{
+    return std::ranges::any_of(fresh, [&request](const probe& item) {
+        return item.estimated_wait == common::duration(0) &&
+               !contains(request.excluded, item.server);
+    });
+}
+
+/// True for a candidate that may be asked and is neither known already nor in `to`.
+struct may_ask {
+    const place_request& request;
+    std::span<const candidate> candidates;
+    std::span<const probe> known;
+    const std::vector<std::size_t>& to;
+
+    auto operator()(std::size_t index) const -> bool
+    {
+        const auto& item = this->candidates[index];
+        return std::ranges::find(this->known, item.hash, &probe::hash) == this->known.end() &&
+               std::ranges::find(this->to, index) == this->to.end() &&
+               !contains(this->request.excluded, item.server);
+    }
+};
+
+/// Adds one random candidate of this region (or of another one) to `to`. False if there is none.
 auto draw(
-    std::vector<std::size_t>& from, std::vector<std::size_t>& to, const common::random_hook& random)
-    -> void
+    const may_ask& allowed,
+    bool near,
+    std::vector<std::size_t>& to,
+    const common::random_hook& random) -> bool
 {
-    const auto drawn = random() % from.size();
-    std::swap(from[drawn], from.back());
-    const auto index = from.back();
-    from.pop_back();
-    if (std::ranges::find(to, index) == to.end()) {
-        to.push_back(index);
+    const auto is_wanted = [&allowed, near](std::size_t index) {
+        const auto is_near = allowed.candidates[index].away != distance::other_region;
+        return is_near == near && allowed(index);
+    };
+    // Nearly all candidates may be asked, so that a few throws mostly find one without a list.
+    constexpr int throws = 4;
+    for (int turn = 0; turn < throws && !allowed.candidates.empty(); ++turn) {
+        const auto index = static_cast<std::size_t>(random() % allowed.candidates.size());
+        if (is_wanted(index)) {
+            to.push_back(index);
+            return true;
+        }
     }
+    std::vector<std::size_t> wanted;
+    for (std::size_t index = 0; index < allowed.candidates.size(); ++index) {
+        if (is_wanted(index)) {
+            wanted.push_back(index);
+        }
+    }
+    if (wanted.empty()) {
+        return false;
+    }
+    to.push_back(wanted[random() % wanted.size()]);
+    return true;
 }
 
-auto hot_above(std::span<const probe> probes, double quantile) -> std::uint32_t
+using probe_list = std::vector<const probe*>;
+
+auto hot_above(const probe_list& probes, double quantile) -> std::uint32_t
 {
     std::vector<std::uint32_t> loads;
     loads.reserve(probes.size());
-    for (const auto& item : probes) {
-        loads.push_back(item.in_flight);
+    for (const auto* item : probes) {
+        loads.push_back(item->in_flight);
     }
     const auto last = static_cast<double>(loads.size() - 1);
     const auto place = static_cast<std::ptrdiff_t>(std::floor(quantile * last));
@@ -71,12 +119,12 @@
 }
 
 /// The best probe of another server than the chosen one.
-auto runner_up(std::span<const probe> best_first, const probe& chosen)
+auto runner_up(const probe_list& best_first, const probe& chosen)
     -> std::optional<common::server_id>
 {
     const auto other = std::ranges::find_if(
-        best_first, [&chosen](const probe& item) { return item.hash != chosen.hash; });
-    return other == best_first.end() ? std::nullopt : std::optional(other->server);
+        best_first, [&chosen](const probe* item) { return item->hash != chosen.hash; });
+    return other == best_first.end() ? std::nullopt : std::optional((*other)->server);
 }
 
 } // namespace
@@ -102,58 +150,51 @@
     const place_request& request,
     std::span<const candidate> candidates,
     probe_pool& pool,
+    std::size_t round,
     common::time_point now,
     const common::random_hook& random) const -> probe_plan
 {
     probe_plan made;
-    const auto first = preferred_for(request, candidates);
-    if (first && !contains(request.excluded, candidates[*first].server)) {
-        made.ask.push_back(*first);
-    }
-    auto near = indexes_of(request, candidates, true);
-    auto far = indexes_of(request, candidates, false);
-    if (near.empty()) {
-        std::swap(near, far);
-    }
-    for (std::size_t count = 0; count < this->settings.random_probes && !near.empty(); ++count) {
-        draw(near, made.ask, random);
+    made.place_at = now;
+    if (round >= this->settings.probes_by_round.size()) {
+        return made;
     }
-    if (!far.empty() && this->near_is_busy(pool.fresh(request.version, now))) {
-        draw(far, made.ask, random);
+    pool.with_fresh(request.version, now, [&](std::span<const probe> fresh) {
+        if (round == 0 || !knows_free(request, fresh)) {
+            this->fill(made.ask, request, candidates, fresh, round, random);
+        }
+    });
+    if (!made.ask.empty()) {
+        made.place_at = now + this->settings.probe_timeout;
     }
-    made.place_at = made.ask.empty() ? now : now + this->settings.probe_timeout;
     return made;
 }
 
-auto chooser::plan_more(
+auto chooser::fill(
+    std::vector<std::size_t>& ask,
     const place_request& request,
     std::span<const candidate> candidates,
-    probe_pool& pool,
-    common::time_point now,
-    const common::random_hook& random) const -> probe_plan
+    std::span<const probe> fresh,
+    std::size_t round,
+    const common::random_hook& random) const -> void
 {
-    probe_plan made;
-    made.place_at = now;
-    const auto fresh = pool.fresh(request.version, now);
-    const auto is_free = [&request](const probe& item) {
-        return item.estimated_wait == common::duration(0) &&
-               !contains(request.excluded, item.server);
-    };
-    if (std::ranges::any_of(fresh, is_free)) {
-        return made;
+    const auto wanted = this->settings.probes_by_round[round];
+    const may_ask unknown{request, candidates, fresh, ask};
+    for (const auto index : preferred_for(request, candidates)) {
+        if (ask.size() < wanted && unknown(index)) {
+            ask.push_back(index);
+        }
     }
-    auto unknown = indexes_of(request, candidates, true);
-    std::erase_if(unknown, [&](std::size_t index) {
-        const auto known = std::ranges::find(fresh, candidates[index].hash, &probe::hash);
-        return known != fresh.end();
-    });
-    for (std::size_t count = 0; count < this->settings.more_probes && !unknown.empty(); ++count) {
-        draw(unknown, made.ask, random);
+    // The first round asks even a known server, since a later answer is a better one.
+    const auto allowed = round == 0 ? may_ask{request, candidates, {}, ask}
+                                    : may_ask{request, candidates, fresh, ask};
+    const auto has_near = std::ranges::any_of(
+        candidates, [](const candidate& item) { return item.away != distance::other_region; });
+    while (ask.size() < wanted && draw(allowed, has_near, ask, random)) {
     }
-    if (!made.ask.empty()) {
-        made.place_at = now + this->settings.probe_timeout;
+    if (has_near && this->near_is_busy(fresh)) {
+        draw(allowed, false, ask, random);
     }
-    return made;
 }
 
 auto chooser::place(
@@ -163,42 +204,60 @@
     common::time_point now,
     const common::random_hook& random) const -> std::optional<placement>
 {
-    auto probes = pool.fresh(request.version, now);
-    std::erase_if(probes, [&](const probe& item) {
+    const auto by_probes = [&](std::span<const probe> fresh) {
+        return this->place_probed(request, candidates, fresh, random);
+    };
+    auto chosen = pool.with_fresh(request.version, now, by_probes);
+    if (!chosen) {
+        return this->place_unprobed(request, candidates, random);
+    }
+    pool.note_sent(request.version, chosen->server);
+    return chosen;
+}
+
+auto chooser::place_probed(
+    const place_request& request,
+    std::span<const candidate> candidates,
+    std::span<const probe> fresh,
+    const common::random_hook& random) const -> std::optional<placement>
+{
+    probe_list probes;
+    for (const auto& item : fresh) {
         // A server that membership has removed since must get nothing, however fresh its answer.
         const auto known = std::ranges::find(candidates, item.hash, &candidate::hash);
-        return known == candidates.end() || contains(request.excluded, item.server);
-    });
+        if (known != candidates.end() && !contains(request.excluded, item.server)) {
+            probes.push_back(&item);
+        }
+    }
     if (probes.empty()) {
-        return this->place_unprobed(request, candidates, random);
+        return std::nullopt;
     }
     const auto limit = hot_above(probes, this->settings.hot_quantile);
     // Equal probes are taken in random order; else all entries would agree on the first.
     const auto first = static_cast<std::ptrdiff_t>(random() % probes.size());
     std::rotate(probes.begin(), probes.begin() + first, probes.end());
-    std::ranges::stable_sort(probes, {}, [&](const probe& item) {
-        const auto hot = item.in_flight > limit;
-        return std::tuple(hot, this->expected_wait(item), item.in_flight, item.away);
+    std::ranges::stable_sort(probes, {}, [&](const probe* item) {
+        const auto hot = item->in_flight > limit;
+        return std::tuple(hot, this->expected_wait(*item), item->in_flight, item->away);
     });
-    const auto chosen = this->take(request, candidates, probes);
-    pool.note_sent(request.version, chosen.server);
-    return chosen;
+    return this->take(request, candidates, probes);
 }
 
 auto chooser::take(
     const place_request& request,
     std::span<const candidate> candidates,
-    std::span<const probe> best_first) const -> placement
-{
-    const auto& best = best_first.front();
-    const auto first = preferred_for(request, candidates);
-    if (first) {
-        const auto kept = std::ranges::find(best_first, candidates[*first].hash, &probe::hash);
-        const auto bound = this->expected_wait(best) + this->settings.affinity_worth;
-        if (kept != best_first.end() && this->expected_wait(*kept) <= bound) {
+    const std::vector<const probe*>& best_first) const -> placement
+{
+    const auto& best = *best_first.front();
+    const auto bound = this->expected_wait(best) + this->settings.affinity_worth;
+    for (const auto index : preferred_for(request, candidates)) {
+        const auto kept = std::ranges::find(
+            best_first, candidates[index].hash, [](const probe* item) { return item->hash; });
+        if (kept != best_first.end() && this->expected_wait(**kept) <= bound) {
             const auto reason = request.session_hash != 0 ? place_reason::session_server
                                                           : place_reason::prefix_server;
-            return {kept->server, reason, runner_up(best_first, *kept), kept->estimated_wait};
+            const auto& own = **kept;
+            return {own.server, reason, runner_up(best_first, own), own.estimated_wait};
         }
     }
     return {
--- a/source/core/placement/chooser.hpp
+++ b/source/core/placement/chooser.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -30,10 +31,8 @@
 auto to_string(place_reason reason) -> std::string_view;
 
 struct chooser_settings {
-    /// Random servers probed for a request, besides the preferred one.
-    std::size_t random_probes = 2;
-    /// Servers probed in addition when all that have answered are busy.
-    std::size_t more_probes = 4;
+    /// Servers probed in each round. The next round is asked only while all that answered are busy.
+    std::array<std::size_t, 3> probes_by_round{1, 2, 4};
     /// How long a request waits for its probes' answers; then it is placed by what is there.
     common::duration probe_timeout = std::chrono::milliseconds(20);
     /// A server is hot when its requests in flight are above this quantile of the fresh probes.
@@ -42,8 +41,8 @@
     common::duration region_trip = std::chrono::milliseconds(15);
     /// One server of another region is probed too when all fresh near probes wait longer than this.
     common::duration spill_wait = std::chrono::seconds(2);
-    /// Wait that a session's or prefix's kept cache is worth.
-    common::duration affinity_worth = std::chrono::milliseconds(300);
+    /// Wait that a session's or prefix's kept cache is worth: about the prefill time that it saves.
+    common::duration affinity_worth = std::chrono::milliseconds(50);
 };
 
 /// What placement has to know of a request.
@@ -79,21 +78,14 @@
 public:
     explicit chooser(chooser_settings settings);
 
-    /// First step: which servers to probe for this request.
+    /// First step, for each round from 0 on: which servers to probe for this request, those that
+    /// are likely to hold its cache first. Nothing to ask in a later round means: place. Most
+    /// requests need one round, so that few probes find what many would.
     [[nodiscard]] auto plan(
         const place_request& request,
         std::span<const candidate> candidates,
         probe_pool& pool,
-        common::time_point now,
-        const common::random_hook& random) const -> probe_plan;
-
-    /// Second step, when the answers are in the pool: further servers to probe, if all that are
-    /// known to be fresh have a wait. Most requests need none, so that few probes find what many
-    /// would.
-    [[nodiscard]] auto plan_more(
-        const place_request& request,
-        std::span<const candidate> candidates,
-        probe_pool& pool,
+        std::size_t round,
         common::time_point now,
         const common::random_hook& random) const -> probe_plan;
 
@@ -107,10 +99,22 @@
         const common::random_hook& random) const -> std::optional<placement>;
 
 private:
+    auto fill(
+        std::vector<std::size_t>& ask,
+        const place_request& request,
+        std::span<const candidate> candidates,
+        std::span<const probe> fresh,
+        std::size_t round,
+        const common::random_hook& random) const -> void;
+    [[nodiscard]] auto place_probed(
+        const place_request& request,
+        std::span<const candidate> candidates,
+        std::span<const probe> fresh,
+        const common::random_hook& random) const -> std::optional<placement>;
     [[nodiscard]] auto take(
         const place_request& request,
         std::span<const candidate> candidates,
-        std::span<const probe> best_first) const -> placement;
+        const std::vector<const probe*>& best_first) const -> placement;
     [[nodiscard]] auto place_unprobed(
         const place_request& request,
         std::span<const candidate> candidates,
--- a/source/core/placement/probe_pool.cpp
+++ b/source/core/placement/probe_pool.cpp
@@ -54,18 +54,17 @@
 auto probe_pool::fresh(const common::version_id& version, common::time_point now)
     -> std::vector<probe>
 {
-    return this->pools.with_shard(version, [&](auto& shard) -> std::vector<probe> {
-        const auto found = shard.find(version);
-        if (found == shard.end()) {
-            return {};
-        }
-        std::erase_if(found->second, [now](const probe& item) {
-            return item.uses_left == 0 || item.expires < now;
-        });
-        return found->second;
+    return this->with_fresh(version, now, [](std::span<const probe> probes) {
+        return std::vector<probe>(probes.begin(), probes.end());
     });
 }
 
+auto probe_pool::drop_unusable(std::vector<probe>& probes, common::time_point now) -> void
+{
+    std::erase_if(
+        probes, [now](const probe& item) { return item.uses_left == 0 || item.expires < now; });
+}
+
 auto probe_pool::note_sent(const common::version_id& version, const common::server_id& server)
     -> void
 {
--- a/source/core/placement/probe_pool.hpp
+++ b/source/core/placement/probe_pool.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <vector>
 
 #include "common/ids.hpp"
@@ -58,6 +59,22 @@
     [[nodiscard]] auto fresh(const common::version_id& version, common::time_point now)
         -> std::vector<probe>;
 
+    /// Gives the same answers to `action(std::span<const probe>)` without copying them, and returns
+    /// what it returns. It runs under the version's lock and must not call the pool.
+    template <typename Action>
+    auto with_fresh(const common::version_id& version, common::time_point now, Action&& action)
+        -> decltype(auto)
+    {
+        return this->pools.with_shard(version, [&](auto& shard) -> decltype(auto) {
+            const auto found = shard.find(version);
+            if (found == shard.end()) {
+                return action(std::span<const probe>());
+            }
+            drop_unusable(found->second, now);
+            return action(std::span<const probe>(found->second));
+        });
+    }
+
     /// A request of this entry goes to the server: its answer counts one more in flight, a longer
     /// wait, and one use less.
     auto note_sent(const common::version_id& version, const common::server_id& server) -> void;
@@ -66,6 +83,8 @@
     auto forget(const common::server_id& server) -> void;
 
 private:
+    static auto drop_unusable(std::vector<probe>& probes, common::time_point now) -> void;
+
     probe_pool_settings settings;
     common::sharded_map<common::version_id, std::vector<probe>> pools;
 };
