Make a turn of the fair queue worth one request; keep a margin for long runs

And requests waited until the deadline left just the mean run, so that long ones ended too late. Change: a turn is worth the mean cost; a waiting request keeps three times its expected run free; one that can start at once needs just the run. The agent's setting queue.quantum becomes queue.run_margin.

--- a/source/agent/settings.cpp
+++ b/source/agent/settings.cpp
@@ -102,7 +102,12 @@
             most_tokens),
         time_key("backend.idle_timeout", "Longest silence of the backend server.", 60'000),
         number_key("queue.limit", "Requests that wait; more are refused.", 256, 0, most),
-        number_key("queue.quantum", "Tokens an organisation may spend a round.", 1024, 1, most),
+        number_key(
+            "queue.run_margin",
+            "Times its expected run that a waiting request keeps free before its deadline.",
+            3,
+            1,
+            20),
         number_key(
             "queue.expected_token_rate",
             "Tokens a second of one request, until the first ones have finished.",
@@ -142,7 +147,7 @@
     queue.capacity.slots = from.size("backend.slots");
     queue.capacity.tokens = common::token_count{from.size("backend.cost_limit")};
     queue.max_queued = from.size("queue.limit");
-    queue.quantum = common::token_count{from.size("queue.quantum")};
+    queue.run_margin = static_cast<double>(from.integer("queue.run_margin"));
     queue.expected_stream_rate = static_cast<double>(from.integer("queue.expected_token_rate"));
     if (const auto slack = from.milliseconds("queue.passing_slack"); slack.count() > 0) {
         queue.passing_slack = slack;
--- a/source/core/placement/fair_queue.cpp
+++ b/source/core/placement/fair_queue.cpp
@@ -50,13 +50,17 @@
     if (this->lane_is_full(request.organisation)) {
         return refusal(common::result_code::queue_full, now + this->estimated_wait());
     }
-    const auto latest_start = request.deadline == common::never
-                                  ? common::never
-                                  : request.deadline - this->run_time(request.cost.value());
-    if (latest_start < now) {
+    const auto run = this->run_time(request.cost.value());
+    if (request.deadline != common::never && request.deadline - run < now) {
         // Even an idle server would be too slow, so that no later time is better.
         return refusal(common::result_code::deadline_too_near, std::nullopt);
     }
+    auto latest_start = common::never;
+    if (request.deadline != common::never) {
+        const auto kept_free =
+            std::chrono::duration_cast<common::duration>(run * this->settings.run_margin);
+        latest_start = std::max(now, request.deadline - kept_free);
+    }
     const auto expected_start = now + this->estimated_wait(request, now);
     if (expected_start > latest_start) {
         // The queue has to get shorter by this much before the same request would be accepted.
@@ -311,7 +315,7 @@
         const auto place = this->lanes.find(this->turns.front());
         auto& item = place->second;
         if (!this->turn_credited) {
-            item.deficit += static_cast<double>(this->settings.quantum.value()) * item.weight;
+            item.deficit += this->turn_tokens() * item.weight;
             this->turn_credited = true;
         }
         const auto cost = item.requests.front().request.cost.value();
@@ -322,6 +326,13 @@
     }
 }
 
+auto fair_queue::turn_tokens() const -> double
+{
+    // With turns of many requests, a round of all organisations takes longer than deadlines leave,
+    // and the small ones are refused although they ask for less than their share.
+    return std::max(this->mean_cost, 1.0);
+}
+
 auto fair_queue::end_turn() -> void
 {
     this->turns.push_back(this->turns.front());
--- a/source/core/placement/fair_queue.hpp
+++ b/source/core/placement/fair_queue.hpp
@@ -40,10 +40,12 @@
     server_capacity capacity;
     /// The queue refuses more than this.
     std::size_t max_queued = 256;
-    /// Tokens that an organisation of weight 1 may spend in one round.
-    common::token_count quantum = common::token_count{1024};
     /// Tokens a second of one running request, until the first ones have finished.
     double expected_stream_rate = 50.0;
+    /// A request waits no longer than leaves it this many times its expected run before its
+    /// deadline, since many runs take longer than expected. One that can start at once needs just
+    /// the run.
+    double run_margin = 3.0;
     /// By how much smaller requests that pass a large one may delay it after its fair start; empty
     /// lets none pass.
     std::optional<common::duration> passing_slack;
@@ -52,7 +54,8 @@
 };
 
 /// The queue before one backend server: bounded, fair between organisations in tokens (deficit
-/// round robin), and never holding a request that can no longer finish in time.
+/// round robin; a turn is worth a mean request), and never holding a request that can no longer
+/// finish in time.
 ///
 /// The surrounding agent calls `push` for each new request, then `take_hopeless` and `pop` until it
 /// is empty, whenever something was pushed or finished and at `next_check()`. It is not
@@ -140,6 +143,7 @@
     [[nodiscard]] auto lane_is_full(const common::organisation_id& organisation) const -> bool;
     auto insert(waiting item) -> void;
     auto lane_in_turn() -> lane_map::iterator;
+    [[nodiscard]] auto turn_tokens() const -> double;
     auto end_turn() -> void;
     auto start(lane_map::iterator from, std::size_t index, common::time_point now)
         -> queued_request;
