Ask many processes in batches, and name only a few late ones

Cause: a watch opened one connection to each of the processes at once and kept it. With 1,010 stand-ins for processes and a limit of 400 open files it ended after 20 s with exit code 6 although all had the revision.

--- a/source/core/operators/watch.cpp
+++ b/source/core/operators/watch.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+/// How many late processes an error names; the table has them all.
+constexpr std::size_t named_processes = 10;
 constexpr std::string_view offset_metric = "_configuration_offset ";
 
 auto role_text(platform::host_role role) -> std::string
@@ -24,6 +26,18 @@
     return role == platform::host_role::entry ? "entry" : "agent";
 }
 
+auto names_of(const std::vector<watched_process>& items) -> std::string
+{
+    std::string made;
+    for (std::size_t index = 0; index < std::min(items.size(), named_processes); ++index) {
+        made += (index == 0 ? "" : ", ") + items[index].row.host.value();
+    }
+    if (items.size() > named_processes) {
+        made += ", and " + std::to_string(items.size() - named_processes) + " more";
+    }
+    return made;
+}
+
 auto lacks(const watched_process& item) -> bool
 {
     return !item.in_force_at.has_value();
@@ -138,18 +152,16 @@
         return {};
     }
     const auto late = this->waiting();
-    std::string names;
-    auto all_silent = true;
-    for (const auto& item : late) {
-        names += (names.empty() ? "" : ", ") + item.row.host.value();
-        all_silent = all_silent && !item.problem.empty();
-    }
     if (late.empty()) {
         return failure(result_code::peer_unavailable, "the host list names no live process");
     }
+    const auto all_silent =
+        std::ranges::none_of(late, &std::string::empty, &watched_process::problem);
     const auto code = all_silent ? result_code::peer_unavailable : result_code::stale_configuration;
     return failure(
-        code, "revision " + std::to_string(this->revision.value()) + " lacks on " + names);
+        code,
+        "revision " + std::to_string(this->revision.value()) + " is not in force on " +
+            names_of(late));
 }
 
 auto watch::progress_text() const -> std::string
--- a/source/ctl/caller.cpp
+++ b/source/ctl/caller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <future>
+#include <span>
 
 #include "operators/answers.hpp"
 #include "operators/requests.hpp"
@@ -13,6 +14,8 @@
 
 constexpr std::chrono::milliseconds publish_silence{20'000};
 constexpr std::chrono::milliseconds quick_silence{2'000};
+/// Two thousand connections at once would pass the usual limit of open files.
+constexpr std::size_t most_under_way = 256;
 constexpr std::size_t state_limit_bytes = 256UL << 20U;
 
 using answer_future = std::future<common::result<http::response>>;
@@ -34,6 +37,7 @@
     -> std::shared_ptr<http::client>
 {
     http::client_options wanted;
+    wanted.idle_connections = 0;
     wanted.idle_timeout = silence;
     wanted.body_limit_bytes = state_limit_bytes;
     return http::client::create(pool.next_context(), wanted);
@@ -72,15 +76,17 @@
 auto caller::answers_of(const std::vector<addressed_request>& questions)
     -> std::vector<common::result<http::response>>
 {
-    std::vector<answer_future> under_way;
-    under_way.reserve(questions.size());
-    for (const auto& [where, asked] : questions) {
-        under_way.push_back(start(this->quick, where, asked));
-    }
     std::vector<common::result<http::response>> made;
     made.reserve(questions.size());
-    for (auto& future : under_way) {
-        made.push_back(future.get());
+    while (made.size() < questions.size()) {
+        const auto count = std::min(most_under_way, questions.size() - made.size());
+        std::vector<answer_future> under_way;
+        for (const auto& [where, asked] : std::span(questions).subspan(made.size(), count)) {
+            under_way.push_back(start(this->quick, where, asked));
+        }
+        for (auto& future : under_way) {
+            made.push_back(future.get());
+        }
     }
     return made;
 }
--- a/source/ctl/change_commands.cpp
+++ b/source/ctl/change_commands.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds round_pause{500};
+constexpr auto standard_output = "-";
 
 auto accepted(const options& given, const common::record_id& id, common::log_offset offset)
     -> std::string
@@ -187,6 +188,9 @@
     if (given.publish) {
         return publish_and_tell(by, given, item);
     }
+    if (given.out == standard_output) {
+        return inventory::format_record(item) + "\n";
+    }
     if (!given.out.empty()) {
         std::ofstream file(given.out);
         file << inventory::format_record(item) << "\n";
--- a/source/unit_tests/operators/watch_test.cpp
+++ b/source/unit_tests/operators/watch_test.cpp
@@ -145,3 +145,15 @@
         CHECK((outcome ? result_code::ok : outcome.error().code) == row.outcome);
     }
 }
+
+TEST_CASE("A watch on many late processes names a few")
+{
+    watch progress(log_offset{5}, begin);
+    std::vector<platform::host_entry> rows;
+    for (int index = 0; index < 12; ++index) {
+        rows.push_back(host("h" + std::to_string(index), host_role::server));
+    }
+    progress.take_hosts(rows);
+    const auto detail = progress.outcome().error().detail;
+    CHECK_THAT(detail, Catch::Contains("h0, ") && Catch::EndsWith(", and 2 more"));
+}
