Check that a log read began at or before the state it is folded into

Cause: a process that searches the log for a checkpoint reads from an offset near the head. When a peer gave it an older state in the middle of the search, only the line in drop_scan that forgot the read under way kept its answer from being folded into that state; no test failed without that line. Without it the records in between are left out for good. Change: a read remembers the offset that it began after, and take_records drops an answer that began past our own offset. drop_scan is gone: this one check replaces its line, and an answer that does fit is now used.

--- a/source/core/inventory/follower_core.cpp
+++ b/source/core/inventory/follower_core.cpp
@@ -98,7 +98,7 @@
         this->scan.emplace(scan_window * this->settings.checkpoint_records);
     }
     const auto is_waiting = this->around.is_tailer || this->expected > this->folded.offset;
-    flight sent{++this->last_ticket, now, {}};
+    flight sent{++this->last_ticket, now, {}, {}};
     read_order order{this->folded.offset, {}, sent.ticket};
     if (this->scan) {
         order.after = this->scan->next_read();
@@ -107,6 +107,7 @@
         order.wait = this->settings.log_wait;
     }
     sent.wait = order.wait;
+    sent.after = order.after;
     this->read_under_way = sent;
     this->refresh_wanted = false;
     ++this->counts.log_reads;
@@ -173,6 +174,12 @@
     common::time_point now,
     follower_actions& actions) -> void
 {
+    if (sent.after > this->folded.offset) {
+        // Sent while the log was searched for a checkpoint; since then a peer gave an older state.
+        // Folding this answer would leave out the records in between, and no later read brings
+        // them.
+        return;
+    }
     for (const auto& item : answer.records) {
         this->fold(item, actions);
     }
--- a/source/core/inventory/follower_core.hpp
+++ b/source/core/inventory/follower_core.hpp
@@ -123,6 +123,8 @@
         std::uint64_t ticket = 0;
         common::time_point sent;
         std::chrono::milliseconds wait{};
+        /// The answer brings what comes after this offset.
+        common::log_offset after;
     };
 
     /// What is due now: reads, pulls, appends.
@@ -155,7 +157,6 @@
         common::time_point now,
         follower_actions& actions) -> void;
     auto take_peer_checkpoint(const std::string& text, follower_actions& actions) -> void;
-    auto drop_scan() -> void;
     auto take_withdrawals(
         const std::vector<messages::withdrawal>& items,
         common::time_point now,
--- a/source/core/inventory/follower_peers.cpp
+++ b/source/core/inventory/follower_peers.cpp
@@ -106,7 +106,8 @@
         this->fold(item, actions);
     }
     if (this->folded.offset > before) {
-        this->drop_scan();
+        // The peer was faster than the search of the log.
+        this->scan.reset();
     }
     if (this->folded.offset < push.offset) {
         ++this->counts.peer_failures;
@@ -121,16 +122,6 @@
     }
 }
 
-/// The peer was faster than the search of the log, whose read under way starts from an offset that
-/// need not fit to the state now; its answer is dropped with it.
-auto follower_core::drop_scan() -> void
-{
-    if (this->scan) {
-        this->scan.reset();
-        this->read_under_way.reset();
-    }
-}
-
 auto follower_core::take_peer_checkpoint(const std::string& text, follower_actions& actions) -> void
 {
     auto sound = parse_checkpoint(text);
