--- a/source/bench/main.cpp
+++ b/source/bench/main.cpp
@@ -17,6 +17,7 @@
     {"policy", policy_bench},
     {"exposure", exposure_bench},
     {"placement", placement_bench},
+    {"limits", limits_bench},
 };
 
 } // namespace
--- a/source/bench/parts.hpp
+++ b/source/bench/parts.hpp
@@ -11,4 +11,7 @@
 /// Waits, caches, surges and fairness of placement and queues.
 auto placement_bench() -> void;
 
+/// Shared limits with entries that are lost, join or do not hear each other.
+auto limits_bench() -> void;
+
 } // namespace reedramp::bench
