Start a long request at an idle server in place of refusing it

Cause: a request that could start at once but whose three expected runs are longer than its deadline leaves got the moment of the check as its latest start. The agent's clock moves on before it looks for hopeless requests, so that each chat without max_tokens (512 tokens expected, at 50 a second, deadline 30 s) was refused deadline_too_near by a fresh, idle agent; seen with one entry and one agent as processes: 9 of 9 refused, with max_tokens 1 answered. Change: one that can start at once has until its deadline less the run. The owner of the queue should look at it once more.

--- a/source/core/placement/fair_queue.cpp
+++ b/source/core/placement/fair_queue.cpp
@@ -55,13 +55,15 @@
         // Even an idle server would be too slow, so that no later time is better.
         return refusal(common::result_code::deadline_too_near, std::nullopt);
     }
+    const auto expected_start = now + this->estimated_wait(request, now);
     auto latest_start = common::never;
     if (request.deadline != common::never) {
-        const auto kept_free =
-            std::chrono::duration_cast<common::duration>(run * this->settings.run_margin);
-        latest_start = std::max(now, request.deadline - kept_free);
+        // One that can start at once needs just the run. The clock goes on between this check and
+        // the start: without the rest of its time it would be given up on before an idle server.
+        const auto margin = expected_start <= now ? 1.0 : this->settings.run_margin;
+        latest_start =
+            request.deadline - std::chrono::duration_cast<common::duration>(run * margin);
     }
-    const auto expected_start = now + this->estimated_wait(request, now);
     if (expected_start > latest_start) {
         // The queue has to get shorter by this much before the same request would be accepted.
         const auto excess = expected_start - latest_start;
--- a/source/unit_tests/placement/fair_queue_test.cpp
+++ b/source/unit_tests/placement/fair_queue_test.cpp
@@ -167,6 +167,19 @@
     CHECK(queue.pop(start).has_value() == (accepted && !is_busy));
 }
 
+TEST_CASE("a long request to an idle server is not given up on before it starts", "[fair_queue]")
+{
+    // A caller that names no length gets an answer, though three expected runs are longer than the
+    // deadline leaves. The agent's clock moves on a little between taking the request and starting
+    // it; with nothing left but the moment of the check, each such request would be refused.
+    auto settings = one_slot();
+    settings.run_margin = 3.0;
+    fair_queue queue(settings);
+    REQUIRE(queue.push(request(1, "a", 100, start + 2s), start));
+    CHECK(queue.take_hopeless(start + 1ms).empty());
+    CHECK(queue.pop(start + 1ms));
+}
+
 TEST_CASE("a queued request is given up on as soon as it can't finish", "[fair_queue]")
 {
     // The running request takes longer than expected. The one behind it had until second 2 to
