Order engines to load the versions that are listed for them

Cause: the decisions on orders had no caller; a version listed for a server whose engine had not loaded it was placed there and refused by the engine. Change: with the setting platform.weights, the agent's program ticks control/engine_orders: it compares the engine's GET /load with the inventory, takes the weights out of the store (orders.weight_bytes, the same for each version, since the inventory has no size) and posts the order with the offset of its registration as fencing number. agent/registration_tail follows the registrations from the own record on: an answer that does not reach the head, or of a replica that is behind, proves nothing, and a copy of the own record (an append repeated after a lost answer) is no other agent's. Nothing is unloaded: a run under way may need a withdrawn version to its end. Tests: registration_tail_test, a table; what the plan of an engine holds; agent_test passes.

--- /dev/null
+++ b/source/agent/engine_control.cpp
@@ -0,0 +1,184 @@
+#include "engine_control.hpp"
+
+#include <set>
+#include <utility>
+#include <variant>
+
+#include <boost/json.hpp>
+
+#include "platform/json_fields.hpp"
+
+namespace reedramp::agent_program {
+
+using common::failure;
+using common::result_code;
+
+namespace {
+
+constexpr std::uint16_t status_ok = 200;
+constexpr std::uint16_t status_conflict = 409;
+
+auto loaded_of(const common::result<http::response>& answer)
+    -> common::result<std::set<common::version_id>>
+{
+    if (!answer) {
+        return tl::unexpected(answer.error());
+    }
+    const auto body = platform::parse_object(answer->body);
+    const auto* versions = body ? platform::array_field(*body, "versions") : nullptr;
+    if (answer->status != status_ok || versions == nullptr) {
+        return failure(result_code::server_failed, "no report of load");
+    }
+    std::set<common::version_id> loaded;
+    for (const auto& item : *versions) {
+        if (const auto* name = item.if_string()) {
+            loaded.emplace(std::string(name->data(), name->size()));
+        }
+    }
+    return loaded;
+}
+
+auto outcome_of(const common::result<http::response>& answer) -> common::result<void>
+{
+    if (!answer) {
+        return tl::unexpected(answer.error());
+    }
+    if (answer->status == status_conflict) {
+        return failure(result_code::fencing_refused);
+    }
+    if (answer->status != status_ok) {
+        return failure(result_code::server_failed, "status=" + std::to_string(answer->status));
+    }
+    return {};
+}
+
+auto order_request(const control::give_order& step) -> http::request
+{
+    const auto is_load = step.order.action == control::order_action::load;
+    http::request asked;
+    asked.method = "POST";
+    asked.target = "/orders";
+    asked.headers.push_back({"Content-Type", "application/json"});
+    asked.body = boost::json::serialize(boost::json::object{
+        {"action", is_load ? "load" : "unload"},
+        {"version", step.order.version.value()},
+        {"fencing", step.fencing}});
+    return asked;
+}
+
+} // namespace
+
+auto plan_for(const inventory::state& current, const common::server_id& server)
+    -> control::engine_plan
+{
+    control::engine_plan plan;
+    const auto found = current.servers.find(server);
+    if (found == current.servers.end() || found->second.kind != inventory::server_kind::engine) {
+        return plan;
+    }
+    plan.checks_fencing = found->second.checks_fencing;
+    for (const auto& version : found->second.versions) {
+        if (!current.is_withdrawn(version)) {
+            plan.wanted.insert(version);
+        }
+    }
+    return plan;
+}
+
+engine_control::engine_control(parts given, common::log_offset lease, common::time_point asked_at)
+    : with(std::move(given)), orders(control::order_settings{}, lease, asked_at, this->with.now()),
+      registrations(this->with.server, this->with.registration, lease)
+{
+}
+
+auto engine_control::tick(const inventory::state& current) -> void
+{
+    const auto plan = plan_for(current, this->with.server);
+    for (const auto& step : this->orders.tick(plan, this->with.now())) {
+        std::visit([this](const auto& item) { this->carry_out(item); }, step);
+    }
+}
+
+auto engine_control::carry_out(const control::read_registrations& step) -> void
+{
+    common::log_offset after;
+    {
+        const std::lock_guard guard(this->lock);
+        after = this->registrations.next_read();
+    }
+    this->with.log.read(
+        platform::streams::registrations,
+        after,
+        std::chrono::milliseconds(0),
+        [self = this->shared_from_this(),
+         step](const common::result<platform::read_answer>& answer) {
+            self->take_registrations(step, answer);
+        });
+}
+
+auto engine_control::take_registrations(
+    const control::read_registrations& step, const common::result<platform::read_answer>& answer)
+    -> void
+{
+    common::result<common::log_offset> newest = failure(result_code::log_unavailable);
+    if (answer) {
+        const std::lock_guard guard(this->lock);
+        newest = this->registrations.take(*answer);
+    }
+    if (newest && *newest == common::log_offset{}) {
+        this->carry_out(step);
+        return;
+    }
+    this->orders.on_registrations(step.ticket, newest, this->with.now());
+}
+
+auto engine_control::carry_out(const control::read_engine& step) -> void
+{
+    http::request asked;
+    asked.method = "GET";
+    asked.target = "/load";
+    http::call_events events;
+    events.on_done = [self = this->shared_from_this(),
+                      step](const common::result<http::response>& answer) {
+        self->orders.on_engine(step.ticket, loaded_of(answer), self->with.now());
+    };
+    this->with.client->send(this->with.engine, std::move(asked), std::move(events));
+}
+
+auto engine_control::carry_out(const control::fetch_weights& step) -> void
+{
+    this->with.weights.fetch(
+        step.version,
+        this->with.weight_bytes,
+        [self = this->shared_from_this(),
+         step](const common::result<platform::weight_answer>& answer) {
+            const auto now = self->with.now();
+            common::result<void> outcome;
+            if (!answer) {
+                outcome = tl::unexpected(answer.error());
+            }
+            else if (!answer->fetched) {
+                auto why = common::make_error(result_code::platform_unavailable);
+                why.retry_at = now + answer->retry_after;
+                outcome = tl::unexpected(std::move(why));
+            }
+            self->orders.on_weights(step.ticket, outcome, now);
+        });
+}
+
+auto engine_control::carry_out(const control::give_order& step) -> void
+{
+    const auto now = this->with.now();
+    if (!this->orders.authorise(step.ticket, now)) {
+        this->orders.on_order(step.ticket, failure(result_code::lease_lost), now);
+        return;
+    }
+    http::call_events events;
+    events.on_done = [self = this->shared_from_this(),
+                      step](const common::result<http::response>& answer) {
+        self->orders.on_order(step.ticket, outcome_of(answer), self->with.now());
+    };
+    this->with.client->send(this->with.engine, order_request(step), std::move(events));
+}
+
+} // namespace reedramp::agent_program
--- /dev/null
+++ b/source/core/agent/registration_tail.cpp
@@ -0,0 +1,41 @@
+#include "agent/registration_tail.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "platform/json_fields.hpp"
+
+namespace reedramp::agent {
+
+registration_tail::registration_tail(
+    common::server_id whose, std::string text, common::log_offset own)
+    : server(std::move(whose)), own_text(std::move(text)), cursor(own), newest(own)
+{
+}
+
+auto registration_tail::take(const platform::read_answer& answer)
+    -> common::result<common::log_offset>
+{
+    if (answer.head < this->cursor) {
+        return common::failure(common::result_code::log_unavailable, "the replica is behind");
+    }
+    for (const auto& item : answer.records) {
+        this->cursor = std::max(this->cursor, item.offset);
+        // A copy of the own record is no other agent's: the append was repeated when its answer
+        // was lost.
+        if (item.data == this->own_text) {
+            continue;
+        }
+        const auto fields = platform::parse_object(item.data);
+        const auto named = fields ? platform::string_field(*fields, "server") : std::nullopt;
+        if (named == this->server.value()) {
+            this->newest = std::max(this->newest, item.offset);
+        }
+    }
+    if (this->cursor < answer.head) {
+        return common::log_offset{};
+    }
+    return this->newest;
+}
+
+} // namespace reedramp::agent
