Say that an entry is ready only when it knows its servers; one host watch for both programs

The entry says that it is ready as soon as it has a configuration. The list of hosts lags (500 ms there) and is read once a second, so its first reading held none of the servers that the inventory named; waiting for one reading alone would not have helped. Change: membership/readiness. An entry is ready when it has a configuration, has read the list, and the list shows all servers of the inventory, or 3 s after the first two. Without a reading it is never ready: the list is the only source of addresses, so it could place nothing, and the balancer does better with another entry. Once ready it stays so when the list is down. A server that is gone from the list delays a start by 3 s at most. host_watch stood in both programs; membership/host_watch is one, with hooks, and agents and entries now choose who reads the log by the same code: one process in 16 of a data centre, at least two (setting tailers). Both programs give the follower the tailers of their data centre, which it pulls every other time. sha256_hex stood twice; the inventory's is left. The entry's second now also appends checkpoints when it is its turn, and its collector forwards bills to the gatherer above 16 entries. The settings of both programs use the short key declarations, which came with the same files.

--- a/source/agent/agent_process.cpp
+++ b/source/agent/agent_process.cpp
@@ -7,6 +7,7 @@
 #include "daemon/clock.hpp"
 #include "platform/http_hosts.hpp"
 #include "platform/http_log.hpp"
+#include "platform/http_weights.hpp"
 
 namespace reedramp::agent_program {
 
@@ -61,12 +62,14 @@
     calls.now = daemon::boot_time;
     this->peers = wire::rpc_client::create(calls);
     auto client = http::client::create(this->threads.next_context(), {});
-    this->hosts = std::make_shared<host_watch>(
-        host_watch::place{this->settings.host, this->settings.data_centre, this->settings.tailers},
-        host_watch::hooks{
+    this->hosts = std::make_shared<membership::host_watch>(
+        membership::location{this->settings.host, this->settings.data_centre, {}},
+        this->settings.tailers,
+        membership::host_watch_hooks{
             platform::make_http_hosts(client, this->settings.hosts),
             daemon::boot_time,
-            this->threads.timers()});
+            this->threads.timers()},
+        std::make_shared<membership::view>());
     this->follower = this->make_follower();
     if (auto opened = this->open_rpc(); !opened) {
         return opened;
@@ -99,6 +102,9 @@
     hooks.peers = [watch = this->hosts] {
         return watch->peers();
     };
+    hooks.tailers = [watch = this->hosts] {
+        return watch->tailers();
+    };
     hooks.is_tailer = [watch = this->hosts] {
         return watch->is_tailer();
     };
@@ -217,12 +223,14 @@
         this->log, this->threads.timers(), daemon::boot_time, daemon::random_bits};
     const agent::registration_record record{
         this->settings.server, this->settings.host, this->rpc_address(), daemon::wall_time()};
+    const auto asked_at = daemon::boot_time();
     agent::register_agent(
         std::move(hooks),
         record,
         daemon::boot_time() + this->settings.registration_limit,
-        [this, serving = std::move(serving)](common::incarnation_id incarnation) {
+        [this, record, asked_at, serving = std::move(serving)](common::incarnation_id incarnation) {
             this->make_core(incarnation);
+            this->start_orders(record, incarnation, asked_at);
             this->tick_later();
             serving();
         });
@@ -263,10 +271,38 @@
     }
 }
 
+auto agent_process::start_orders(
+    const agent::registration_record& record,
+    common::incarnation_id incarnation,
+    common::time_point asked_at) -> void
+{
+    const auto has_lease = (incarnation.value() & agent::random_incarnation_bit) == 0;
+    if (!has_lease || !this->settings.weights) {
+        return;
+    }
+    engine_control::parts parts;
+    parts.server = this->settings.server;
+    parts.registration = agent::format_registration(record);
+    parts.engine = this->settings.backend;
+    parts.weight_bytes = this->settings.weight_bytes;
+    http::client_options options;
+    // Loading and fetching answer when they are done.
+    options.idle_timeout = std::chrono::minutes(2);
+    parts.client = http::client::create(this->threads.next_context(), options);
+    parts.log = this->log;
+    parts.weights = platform::make_http_weights(parts.client, *this->settings.weights);
+    parts.now = daemon::boot_time;
+    this->orders = std::make_shared<engine_control>(
+        std::move(parts), common::log_offset{incarnation.value()}, asked_at);
+}
+
 auto agent_process::tick_later() -> void
 {
     this->threads.timers()(daemon::boot_time() + tick_period, [this] {
         this->current_core()->tick();
+        if (this->orders && !this->leaving) {
+            this->orders->tick(*this->follower->snapshot());
+        }
         this->tick_later();
     });
 }
--- a/source/agent/agent_process.hpp
+++ b/source/agent/agent_process.hpp
@@ -5,12 +5,14 @@
 #include <memory>
 
 #include "agent/core.hpp"
+#include "agent/registration.hpp"
 #include "backend_client.hpp"
 #include "core_metrics.hpp"
 #include "daemon/io_pool.hpp"
-#include "host_watch.hpp"
+#include "engine_control.hpp"
 #include "http/server.hpp"
 #include "inventory/follower.hpp"
+#include "membership/host_watch.hpp"
 #include "operations_api.hpp"
 #include "platform/hooks.hpp"
 #include "settings.hpp"
@@ -52,6 +54,11 @@
     auto open_http() -> common::result<void>;
     auto register_self(std::function<auto()->void> serving) -> void;
     auto make_core(common::incarnation_id incarnation) -> void;
+    /// Begins to give the engine orders, if there is a lease and a weight store.
+    auto start_orders(
+        const agent::registration_record& record,
+        common::incarnation_id incarnation,
+        common::time_point asked_at) -> void;
     auto agent_hooks() -> messages::agent_service;
     auto tick_later() -> void;
     auto wait_until_idle(common::time_point limit, std::function<auto(std::size_t cut)->void> done)
@@ -62,11 +69,13 @@
     const agent_settings settings;
     daemon::io_pool threads;
     core_metrics metrics;
-    std::shared_ptr<host_watch> hosts;
+    std::shared_ptr<membership::host_watch> hosts;
     std::unique_ptr<wire::rpc_client> peers;
     std::shared_ptr<inventory::follower> follower;
     platform::log_hooks log;
     std::atomic<std::shared_ptr<agent::core>> core;
+    /// Set before the ticks begin; empty if the engine gets no orders.
+    std::shared_ptr<engine_control> orders;
     std::atomic<bool> leaving = false;
     std::unique_ptr<wire::rpc_server> rpc;
     std::unique_ptr<http::server> http;
--- a/source/agent/settings.cpp
+++ b/source/agent/settings.cpp
@@ -2,54 +2,20 @@
 
 #include "daemon/logging.hpp"
 #include "daemon/secret.hpp"
+#include "settings/keys.hpp"
 
 namespace reedramp::agent_program {
 
+using settings::address_key;
+using settings::bytes_key;
+using settings::number_key;
+using settings::optional_text_key;
+using settings::text_key;
+using settings::time_key;
 using settings::value_type;
 
 namespace {
 
-constexpr double longest_ms = 24.0 * 3600 * 1000;
-
-auto text_key(const char* path, const char* doc) -> settings::key
-{
-    return {.path = path, .type = value_type::text, .doc = doc, .lowest = 1, .highest = 200};
-}
-
-auto address_key(const char* path, const char* doc) -> settings::key
-{
-    return {.path = path, .type = value_type::address, .doc = doc};
-}
-
-auto number_key(
-    const char* path, const char* doc, std::int64_t fallback, double lowest, double highest)
-    -> settings::key
-{
-    return {
-        .path = path,
-        .type = value_type::integer,
-        .doc = doc,
-        .fallback = fallback,
-        .lowest = lowest,
-        .highest = highest};
-}
-
-auto time_key(const char* path, const char* doc, std::int64_t fallback, double lowest = 1)
-    -> settings::key
-{
-    auto made = number_key(path, doc, fallback, lowest, longest_ms);
-    made.unit = "ms";
-    return made;
-}
-
-auto bytes_key(const char* path, const char* doc, std::int64_t fallback) -> settings::key
-{
-    constexpr double most = 1e10;
-    auto made = number_key(path, doc, fallback, 0, most);
-    made.unit = "bytes";
-    return made;
-}
-
 auto identity_keys() -> settings::schema
 {
     return {
@@ -59,7 +25,7 @@
         number_key("threads", "Threads for HTTP and timers; RPC has one more.", 2, 1, 64),
         number_key(
             "tailers",
-            "How many processes of a data centre read the log; the others ask them.",
+            "Least number of processes of a data centre that read the log; one in 16 does.",
             2,
             1,
             64),
@@ -68,11 +34,12 @@
 
 auto address_keys() -> settings::schema
 {
-    auto key_file = text_key(
+    auto key_file = optional_text_key(
         "rpc.shared_key_file",
         "File of the key that all processes of the system share; empty: REEDRAMP_SHARED_KEY.");
-    key_file.fallback = std::string{};
-    key_file.lowest = 0;
+    auto weights = optional_text_key(
+        "platform.weights",
+        "The platform's weight store; empty: the engine gets no orders to load or unload.");
     return {
         address_key("rpc.listen", "Where entries and peers call."),
         key_file,
@@ -80,6 +47,7 @@
         address_key("backend.address", "The model engine or plain service."),
         address_key("platform.log", "The platform's log."),
         address_key("platform.hosts", "The platform's list of hosts."),
+        weights,
         {.path = "operators.key_hashes",
          .type = value_type::text_list,
          .doc = "SHA-256 in hexadecimal digits of the keys that may drain.",
@@ -127,6 +95,7 @@
         time_key("configuration.catch_up", "Wait for a configuration that an entry has.", 2000),
         time_key("platform.log_timeout", "Longest silence of the log.", 5000),
         time_key("registration.limit", "Then a random incarnation is taken.", 3000),
+        bytes_key("orders.weight_bytes", "Bytes of a version that a load fetches.", 1 << 30U),
         time_key("drain.limit", "Then what still runs is cut.", 60'000),
         time_key("drain.linger", "Answering outcome queries after the last run.", 1000, 0),
     };
@@ -192,6 +161,15 @@
     read.registration_limit = from.milliseconds("registration.limit");
     read.drain_limit = from.milliseconds("drain.limit");
     read.drain_linger = from.milliseconds("drain.linger");
+    if (const auto& text = from.text("platform.weights"); !text.empty()) {
+        read.weights = http::parse_endpoint(text);
+        if (!read.weights) {
+            return common::failure(
+                common::result_code::invalid_settings,
+                "$.platform.weights: has to be an address like 127.0.0.1:8080");
+        }
+    }
+    read.weight_bytes = from.size("orders.weight_bytes");
     read.core = core_of(from);
     return read;
 }
--- a/source/agent/settings.hpp
+++ b/source/agent/settings.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,9 @@
     http::endpoint backend;
     http::endpoint log;
     http::endpoint hosts;
+    /// Without it the agent gives its engine no orders.
+    std::optional<http::endpoint> weights;
+    std::uint64_t weight_bytes = 0;
     std::vector<std::string> operator_key_hashes;
     std::size_t threads = 2;
     std::size_t tailers = 2;
--- a/source/core/entry/admin_api.cpp
+++ b/source/core/entry/admin_api.cpp
@@ -1,15 +1,14 @@
 #include "entry/admin_api.hpp"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include <openssl/crypto.h>
-#include <openssl/sha.h>
 
 #include <boost/json.hpp>
 
 #include "entry/callers_api.hpp"
+#include "inventory/hash.hpp"
 
 namespace reedramp::entry {
 
@@ -138,23 +137,6 @@
 
 } // namespace
 
-auto sha256_hex(std::string_view text) -> std::string
-{
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(
-        reinterpret_cast<const unsigned char*>(text.data()), // OpenSSL takes unsigned bytes
-        text.size(),
-        digest.data());
-    std::string hex;
-    hex.reserve(digest.size() * 2);
-    for (const auto byte : digest) {
-        hex.push_back(digits[byte >> 4U]);
-        hex.push_back(digits[byte & 0xfU]);
-    }
-    return hex;
-}
-
 admin_api::admin_api(std::vector<std::string> key_hashes, admin_hooks given)
     : hooks(std::move(given)), operator_key_hashes(std::move(key_hashes))
 {
@@ -166,7 +148,7 @@
     if (!given || !given->starts_with(bearer_prefix)) {
         return false;
     }
-    const auto hash = sha256_hex(given->substr(bearer_prefix.size()));
+    const auto hash = inventory::sha256_hex(given->substr(bearer_prefix.size()));
     return std::any_of(
         this->operator_key_hashes.begin(),
         this->operator_key_hashes.end(),
--- a/source/core/entry/admin_api.hpp
+++ b/source/core/entry/admin_api.hpp
@@ -35,9 +35,6 @@
     std::function<auto(const common::request_id& request)->std::optional<std::string>> explain;
 };
 
-/// SHA-256 as 64 lower-case hexadecimal digits.
-auto sha256_hex(std::string_view text) -> std::string;
-
 /// The administration API under /admin/v1/. Its credentials are apart from the callers': a
 /// caller's key opens nothing here, an operator's key runs no request.
 class admin_api {
--- a/source/core/entry/collaborators.hpp
+++ b/source/core/entry/collaborators.hpp
@@ -109,6 +109,9 @@
     /// Until when the configuration is known to be current.
     std::function<auto()->common::time_point> current_until;
 
+    /// Whether enough backend servers are known to be sent requests; may be empty.
+    std::function<auto()->bool> knows_servers;
+
     /// Signs and checks session tokens.
     session::key_ring keys;
 
--- a/source/core/entry/core.cpp
+++ b/source/core/entry/core.cpp
@@ -42,7 +42,8 @@
         const auto& parts = this->context->parts;
         const auto state = parts.snapshot();
         const auto has_state = state != nullptr && state->offset.value() > 0;
-        return !this->context->leaving && has_state && parts.accepts_bills();
+        const auto knows_servers = !parts.knows_servers || parts.knows_servers();
+        return !this->context->leaving && has_state && knows_servers && parts.accepts_bills();
     }
 
     [[nodiscard]] auto counters() const -> core_counters override
--- a/source/core/entry/filter_authenticate.cpp
+++ b/source/core/entry/filter_authenticate.cpp
@@ -2,6 +2,7 @@
 #include "entry/context.hpp"
 #include "entry/filter.hpp"
 #include "entry/reply.hpp"
+#include "inventory/hash.hpp"
 #include "inventory/rules.hpp"
 
 namespace reedramp::entry {
@@ -24,7 +25,7 @@
         refuse(item, common::make_error(common::result_code::unauthenticated, "no bearer token"));
         return filter_step::stop;
     }
-    const auto hash = sha256_hex(item->headers.bearer);
+    const auto hash = inventory::sha256_hex(item->headers.bearer);
     const auto* owner = inventory::rules::organisation_of_key(*item->state, hash);
     if (owner == nullptr) {
         refuse(item, common::make_error(common::result_code::unauthenticated, "unknown key"));
--- a/source/core/membership/view.cpp
+++ b/source/core/membership/view.cpp
@@ -79,6 +79,7 @@
         listed.insert_or_assign(std::move(host), std::move(row));
     }
     this->hosts = std::move(listed);
+    this->list_was_read = true;
     ++this->changes;
 }
 
@@ -212,6 +213,21 @@
     return all;
 }
 
+auto view::coverage() const -> server_coverage
+{
+    const std::lock_guard guard(this->lock);
+    server_coverage seen;
+    seen.list_was_read = this->list_was_read;
+    for (const auto& [id, server] : this->servers) {
+        if (!server.in_inventory) {
+            continue;
+        }
+        ++seen.servers;
+        seen.listed += this->host_of(server) != nullptr ? 1U : 0U;
+    }
+    return seen;
+}
+
 auto view::peers(platform::host_role role) const -> std::vector<peer_view>
 {
     const std::lock_guard guard(this->lock);
--- a/source/core/membership/view.hpp
+++ b/source/core/membership/view.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -41,6 +42,14 @@
     common::incarnation_id incarnation;
 };
 
+/// How many of the inventory's servers the list of hosts shows.
+struct server_coverage {
+    /// Whether the list was read at least once.
+    bool list_was_read = false;
+    std::size_t servers = 0;
+    std::size_t listed = 0;
+};
+
 /// An entry or agent process that can be asked.
 struct peer_view {
     common::host_id host;
@@ -119,6 +128,8 @@
     /// Every server of the inventory with its state, for operators.
     [[nodiscard]] auto statuses(common::time_point now) const -> std::vector<server_status>;
 
+    [[nodiscard]] auto coverage() const -> server_coverage;
+
     /// Entries and agents of the list that are not leaving.
     [[nodiscard]] auto peers(platform::host_role role) const -> std::vector<peer_view>;
 
@@ -152,6 +163,7 @@
     mutable std::mutex lock;
     std::map<common::server_id, server_state> servers;
     std::map<common::host_id, platform::host_entry> hosts;
+    bool list_was_read = false;
     std::uint64_t changes = 0;
 };
 
--- a/source/entry/claim_route.hpp
+++ b/source/entry/claim_route.hpp
@@ -5,7 +5,7 @@
 #include "claims/client.hpp"
 #include "claims/keeper_set.hpp"
 #include "common/hooks.hpp"
-#include "host_watch.hpp"
+#include "membership/host_watch.hpp"
 #include "membership/view.hpp"
 #include "messages/channel.hpp"
 
@@ -17,7 +17,7 @@
     struct parts {
         common::host_id self;
         std::shared_ptr<claims::keeper_set> keepers;
-        std::shared_ptr<host_watch> hosts;
+        std::shared_ptr<membership::host_watch> hosts;
         std::shared_ptr<membership::view> members;
         messages::peer_calls peers;
         messages::agent_calls agents;
--- a/source/entry/entry_process.cpp
+++ b/source/entry/entry_process.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "billing/forward.hpp"
 #include "daemon/clock.hpp"
 #include "platform/http_hosts.hpp"
 #include "platform/http_log.hpp"
@@ -110,7 +111,7 @@
 auto entry_process::make_members() -> void
 {
     this->members = std::make_shared<membership::view>();
-    host_watch::hooks watching;
+    membership::host_watch_hooks watching;
     watching.list = platform::make_http_hosts(
         http::client::create(this->threads.next_context(), {}), this->settings.hosts);
     watching.now = daemon::boot_time;
@@ -118,7 +119,7 @@
     watching.entries_changed = [this](std::vector<common::host_id> entries) {
         this->entries_changed(std::move(entries));
     };
-    this->hosts = std::make_shared<host_watch>(
+    this->hosts = std::make_shared<membership::host_watch>(
         this->settings.self, this->settings.tailers, std::move(watching), this->members);
     entry::placer_hooks placing;
     placing.now = daemon::boot_time;
@@ -139,6 +140,9 @@
     hooks.peers = [watch = this->hosts] {
         return watch->peers();
     };
+    hooks.tailers = [watch = this->hosts] {
+        return watch->tailers();
+    };
     hooks.is_tailer = [watch = this->hosts] {
         return watch->is_tailer();
     };
@@ -182,6 +186,16 @@
     hooks.now = daemon::boot_time;
     hooks.timer = this->threads.timers();
     hooks.random = daemon::random_bits;
+    billing::forward_hooks ways;
+    ways.self = this->settings.self.host;
+    ways.entries = [watch = this->hosts] {
+        return watch->entry_hosts();
+    };
+    ways.address_of = [watch = this->hosts](const common::host_id& entry) {
+        return watch->address_of(entry);
+    };
+    ways.hand_over = this->peers->peers().hand_over;
+    hooks.forward = billing::make_forward(std::move(ways));
     this->bills = billing::collector::create(config, std::move(hooks));
 }
 
@@ -193,6 +207,12 @@
     parts.current_until = [from = this->follower] {
         return from->current_until();
     };
+    parts.knows_servers = [this] {
+        return this->readiness.update(
+            this->follower->ready() && this->follower->snapshot()->offset.value() > 0,
+            this->members->coverage(),
+            daemon::boot_time());
+    };
     parts.keys = this->settings.session_keys;
     parts.choose_version = [this](
                                const inventory::state& current,
--- a/source/entry/entry_process.hpp
+++ b/source/entry/entry_process.hpp
@@ -11,16 +11,18 @@
 #include "billing/collector.hpp"
 #include "claim_route.hpp"
 #include "claims/keeper_set.hpp"
+#include "control/checkpointer.hpp"
 #include "daemon/io_pool.hpp"
 #include "entry/core.hpp"
 #include "entry/placer.hpp"
 #include "entry/version_policy.hpp"
 #include "entry_metrics.hpp"
-#include "host_watch.hpp"
 #include "http/server.hpp"
 #include "inventory/follower.hpp"
 #include "inventory/publisher.hpp"
 #include "limits/share.hpp"
+#include "membership/host_watch.hpp"
+#include "membership/readiness.hpp"
 #include "membership/view.hpp"
 #include "platform/hooks.hpp"
 #include "settings.hpp"
@@ -75,6 +77,7 @@
     auto answer_gossip(const messages::gossip& news) -> messages::gossip;
     auto fetch_ratings() -> void;
     auto move_rollouts() -> void;
+    auto append_checkpoint() -> void;
     auto propose(const control::rollout_action& action) -> void;
     auto rate(entry::rated_chat item) -> void;
     auto wait_for_callers(common::time_point limit, std::function<auto()->void> done) -> void;
@@ -88,7 +91,9 @@
     platform::log_hooks log;
     platform::rating_hooks ratings;
     std::shared_ptr<membership::view> members;
-    std::shared_ptr<host_watch> hosts;
+    std::shared_ptr<membership::host_watch> hosts;
+    membership::readiness readiness;
+    control::checkpointer checkpoints;
     std::shared_ptr<entry::placer> placer;
     std::unique_ptr<wire::rpc_client> peers;
     std::shared_ptr<inventory::follower> follower;
--- a/source/entry/entry_process_ticks.cpp
+++ b/source/entry/entry_process_ticks.cpp
@@ -4,8 +4,9 @@
 #include "control/proposal.hpp"
 #include "daemon/clock.hpp"
 #include "entry_process.hpp"
+#include "inventory/checkpoint.hpp"
 
-/// What an entry does each second: news to the other entries, ratings, roll-outs.
+/// What an entry does each second: news to the other entries, ratings, roll-outs, checkpoints.
 namespace reedramp::entry_program {
 
 namespace {
@@ -14,6 +15,7 @@
 /// Entries that hear of this one's evidence each second, besides those that get its demand.
 constexpr std::size_t evidence_fan_out = 3;
 constexpr auto rollout_rank_key = "rollouts";
+constexpr auto checkpoint_rank_key = "checkpoints";
 
 } // namespace
 
@@ -23,6 +25,7 @@
         this->send_gossip();
         this->fetch_ratings();
         this->move_rollouts();
+        this->append_checkpoint();
         this->tick_later();
     });
 }
@@ -115,6 +118,28 @@
     }
 }
 
+/// New processes start from the checkpoint when the log has dropped its first records.
+auto entry_process::append_checkpoint() -> void
+{
+    const auto rank = this->hosts->rank_of_self(checkpoint_rank_key);
+    const auto is_due = this->follower->checkpoint_due();
+    if (!this->checkpoints.should_append(is_due, rank, daemon::boot_time())) {
+        return;
+    }
+    const auto state = this->follower->snapshot();
+    this->log.append(
+        platform::streams::configuration,
+        inventory::format_checkpoint(*state),
+        [offset = state->offset](const common::result<common::log_offset>& answer) {
+            const auto outcome =
+                answer ? std::string("ok") : std::string(common::row_of(answer.error().code).name);
+            common::log(
+                common::log_part::config,
+                answer ? common::log_level::info : common::log_level::warning,
+                "checkpoint appended=" + outcome + " of=" + std::to_string(offset.value()));
+        });
+}
+
 auto entry_process::propose(const control::rollout_action& action) -> void
 {
     const auto record =
--- a/source/entry/settings.cpp
+++ b/source/entry/settings.cpp
@@ -4,67 +4,24 @@
 
 #include "daemon/logging.hpp"
 #include "daemon/secret.hpp"
+#include "settings/keys.hpp"
 
 namespace reedramp::entry_program {
 
+using settings::address_key;
+using settings::bytes_key;
+using settings::number_key;
+using settings::optional_text_key;
+using settings::text_key;
+using settings::time_key;
 using settings::value_type;
 
 namespace {
 
-constexpr double longest_ms = 24.0 * 3600 * 1000;
 constexpr double most = 1e9;
+constexpr double least_bytes = 1024;
 constexpr auto session_key_variable = "REEDRAMP_SESSION_KEY";
 
-auto text_key(const char* path, const char* doc) -> settings::key
-{
-    return {.path = path, .type = value_type::text, .doc = doc, .lowest = 1, .highest = 200};
-}
-
-/// A path that may be left out.
-auto file_key(const char* path, const char* doc) -> settings::key
-{
-    return {
-        .path = path,
-        .type = value_type::text,
-        .doc = doc,
-        .fallback = std::string{},
-        .lowest = 0,
-        .highest = 4096};
-}
-
-auto address_key(const char* path, const char* doc) -> settings::key
-{
-    return {.path = path, .type = value_type::address, .doc = doc};
-}
-
-auto number_key(
-    const char* path, const char* doc, std::int64_t fallback, double lowest, double highest)
-    -> settings::key
-{
-    return {
-        .path = path,
-        .type = value_type::integer,
-        .doc = doc,
-        .fallback = fallback,
-        .lowest = lowest,
-        .highest = highest};
-}
-
-auto time_key(const char* path, const char* doc, std::int64_t fallback, double lowest = 1)
-    -> settings::key
-{
-    auto made = number_key(path, doc, fallback, lowest, longest_ms);
-    made.unit = "ms";
-    return made;
-}
-
-auto bytes_key(const char* path, const char* doc, std::int64_t fallback) -> settings::key
-{
-    auto made = number_key(path, doc, fallback, 1024, most);
-    made.unit = "bytes";
-    return made;
-}
-
 auto identity_keys() -> settings::schema
 {
     return {
@@ -75,7 +32,7 @@
         number_key("rpc.threads", "Threads for calls to agents and other entries.", 1, 1, 64),
         number_key(
             "tailers",
-            "How many processes of a data centre read the log; the others ask them.",
+            "Least number of processes of a data centre that read the log; one in 16 does.",
             2,
             1,
             64),
@@ -86,14 +43,14 @@
 {
     return {
         address_key("http.listen", "Callers' and administration API, health, metrics."),
-        file_key("http.certificate_file", "Certificate chain (PEM); empty: no TLS."),
-        file_key("http.private_key_file", "Private key of the certificate (PEM)."),
+        optional_text_key("http.certificate_file", "Certificate chain (PEM); empty: no TLS."),
+        optional_text_key("http.private_key_file", "Private key of the certificate (PEM)."),
         number_key("http.connection_limit", "Callers' connections.", 2000, 1, 1e6),
-        bytes_key("http.body_limit", "Largest body of a request.", 4 << 20U),
-        bytes_key("http.header_limit", "Largest head of a request.", 16 << 10U),
+        bytes_key("http.body_limit", "Largest body of a request.", 4 << 20U, least_bytes),
+        bytes_key("http.header_limit", "Largest head of a request.", 16 << 10U, least_bytes),
         time_key("http.read_timeout", "For a whole request, and for an idle connection.", 15'000),
         address_key("rpc.listen", "Where other processes call."),
-        file_key(
+        optional_text_key(
             "rpc.shared_key_file",
             "File of the key that all processes of the system share; empty: REEDRAMP_SHARED_KEY."),
         address_key("platform.log", "The platform's log."),
@@ -112,11 +69,11 @@
 {
     constexpr double last_id = std::numeric_limits<std::uint32_t>::max();
     return {
-        file_key(
+        optional_text_key(
             "sessions.key_file",
             "File of the key that signs session tokens; empty: REEDRAMP_SESSION_KEY."),
         number_key("sessions.key_id", "Id of that key.", 1, 0, last_id),
-        file_key(
+        optional_text_key(
             "sessions.previous_key_file",
             "File of the key before; tokens signed by it are still taken."),
         number_key("sessions.previous_key_id", "Id of the key before.", 0, 0, last_id),
@@ -135,13 +92,22 @@
         number_key("requests.retry_permille", "Retries for a thousand requests.", 100, 0, 1000),
         number_key("requests.rate_every", "Each so many chats one is rated; 0: none.", 1, 0, most),
         time_key("requests.ask_limit", "Wait for word of a lost idempotent run.", 300),
-        bytes_key("streams.backlog_high", "Unsent bytes that pause a stream.", 256 << 10U),
-        bytes_key("streams.backlog_low", "Unsent bytes that resume it.", 64 << 10U),
-        bytes_key("streams.backlog_limit", "Unsent bytes that end it.", 8 << 20U),
-        bytes_key("streams.kept_text", "Longest text that another server goes on with.", 1 << 20U),
+        bytes_key(
+            "streams.backlog_high", "Unsent bytes that pause a stream.", 256 << 10U, least_bytes),
+        bytes_key("streams.backlog_low", "Unsent bytes that resume it.", 64 << 10U, least_bytes),
+        bytes_key("streams.backlog_limit", "Unsent bytes that end it.", 8 << 20U, least_bytes),
+        bytes_key(
+            "streams.kept_text",
+            "Longest text that another server goes on with.",
+            1 << 20U,
+            least_bytes),
         number_key("servers.subset", "Servers used for one version.", 8, 1, 1000),
         number_key("servers.elsewhere", "Of these, in other data centres.", 2, 0, 1000),
-        bytes_key("bills.limit", "Unconfirmed bills at which new work is refused.", 16 << 20U),
+        bytes_key(
+            "bills.limit",
+            "Unconfirmed bills at which new work is refused.",
+            16 << 20U,
+            least_bytes),
         time_key("shutdown.announce", "Not ready, before the listener closes.", 500, 0),
         time_key("shutdown.limit", "Then what still runs is cut.", 60'000),
         time_key("shutdown.bills_limit", "For confirming or handing over bills.", 5000),
--- a/source/unit_tests/agent/program_test.cpp
+++ b/source/unit_tests/agent/program_test.cpp
@@ -1,19 +1,17 @@
 #include <catch2/catch.hpp>
 
-#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <set>
 
 #include "agent/registration.hpp"
 #include "agent_process.hpp"
 #include "daemon/clock.hpp"
 #include "daemon/secret.hpp"
-#include "host_watch.hpp"
+#include "engine_control.hpp"
 #include "inventory/hash.hpp"
 #include "operations_api.hpp"
-#include "platform/fake_platform.hpp"
-#include "platform/fake_time.hpp"
 
 namespace reedramp::agent_program {
 
@@ -43,19 +41,6 @@
     http::response sent;
 };
 
-auto host(const char* name, const char* data_centre, platform::host_state state)
-    -> platform::host_entry
-{
-    return {
-        common::host_id{name},
-        common::data_centre_id{data_centre},
-        {},
-        platform::host_role::server,
-        state,
-        std::string(name) + ":1",
-        {}};
-}
-
 } // namespace
 
 TEST_CASE("The operations interface answers by table")
@@ -103,36 +88,20 @@
     CHECK(drained == row_of_table.drains);
 }
 
-TEST_CASE("A few processes of each data centre read the log, the others ask live peers")
+TEST_CASE("An engine is to have what is listed for it and not withdrawn")
 {
-    platform::fake_time time;
-    platform::fake_hosts list(time.clock(), time.timers());
-    list.set_down(true);
-    std::vector<std::shared_ptr<host_watch>> watches;
-    for (const auto* name : {"a", "b", "c", "d"}) {
-        const host_watch::place self{common::host_id{name}, common::data_centre_id{"dc1"}, 2};
-        watches.push_back(std::make_shared<host_watch>(
-            self, host_watch::hooks{list.hooks(), time.clock(), time.timers()}));
-        watches.back()->start();
-    }
-    const auto tailers = [&watches] {
-        return std::count_if(
-            watches.begin(), watches.end(), [](const auto& one) { return one->is_tailer(); });
-    };
-    time.run_for(1500ms);
-    CHECK(tailers() == 4);
-    for (const auto* name : {"a", "b", "c", "d"}) {
-        list.put(host(name, "dc1", platform::host_state::live));
-    }
-    list.put(host("e", "dc1", platform::host_state::leaving));
-    list.put(host("f", "dc2", platform::host_state::live));
-    list.set_down(false);
-    time.run_for(1500ms);
-    CHECK(tailers() == 2);
-    CHECK(watches[0]->peers().size() == 4);
-    list.set_down(true);
-    time.run_for(5s);
-    CHECK(watches[0]->peers().size() == 4);
+    const common::server_id server{"s"};
+    const common::version_id v1{"v1"};
+    const common::version_id v2{"v2"};
+    inventory::state current;
+    CHECK(plan_for(current, server).wanted.empty());
+    current.servers[server].versions = {v1, v2};
+    current.servers[server].checks_fencing = true;
+    current.withdrawn[v2] = common::log_offset{3};
+    const auto plan = plan_for(current, server);
+    CHECK(plan.wanted == std::set{v1});
+    CHECK(plan.unwanted.empty());
+    CHECK(plan.checks_fencing);
 }
 
 TEST_CASE("An agent that starts while the platform is down refuses, and ends when told")
--- a/source/unit_tests/entry/admin_api_test.cpp
+++ b/source/unit_tests/entry/admin_api_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "entry/admin_api.hpp"
+#include "inventory/hash.hpp"
 #include "world.hpp"
 
 namespace reedramp::entry::test {
@@ -56,7 +57,7 @@
         {"POST", "withdrawals", "key", R"({"version":"v"})", 403, "operator_not_allowed"},
         {"GET", "explain/zz", "op", "", 404, "not_found"},
     };
-    const admin_api subject({sha256_hex("op")}, make_hooks());
+    const admin_api subject({inventory::sha256_hex("op")}, make_hooks());
     for (const auto& row : rows) {
         INFO(row.method << " " << row.path << " " << row.body);
         const auto caller = std::make_shared<fake_caller>();
@@ -74,7 +75,7 @@
 TEST_CASE("an entry explains its decisions, and an operator's key runs nothing", "[admin]")
 {
     world test;
-    test.operators = {sha256_hex("op")};
+    test.operators = {inventory::sha256_hex("op")};
     test.restart();
     const auto caller = test.chat();
     test.run(0).refuse(common::result_code::queue_full);
--- a/source/unit_tests/entry/core_faults_test.cpp
+++ b/source/unit_tests/entry/core_faults_test.cpp
@@ -381,6 +381,21 @@
     CHECK(test.bills[0].lines[0].used.completion_tokens.value() == 3);
 }
 
+// An entry has its configuration before it has seen its servers in the list of hosts. The balancer
+// must not send it requests yet, since it could place none of them; what comes all the same is
+// still answered, and readiness follows as soon as the servers are known.
+TEST_CASE("an entry that knows no servers is not ready", "[faults]")
+{
+    world test;
+    CHECK(test.subject->ready());
+    test.knows_servers = false;
+    CHECK_FALSE(test.subject->ready());
+    CHECK(test.call({"GET", "/health/ready", {}, "", {}})->head.status == 503);
+    CHECK(test.call({"GET", "/health/live", {}, "", {}})->head.status == 200);
+    test.knows_servers = true;
+    CHECK(test.call({"GET", "/health/ready", {}, "", {}})->head.status == 200);
+}
+
 // An entry shuts down during two streams. Readiness is off at once; a stream finishes whole, and so
 // does a request that comes late on an open connection. What is left at the deadline is cut with an
 // error event and counted, and from then on all is refused `not_run`.
--- a/source/unit_tests/entry/world.cpp
+++ b/source/unit_tests/entry/world.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include "entry/version_chooser.hpp"
+#include "inventory/hash.hpp"
 
 namespace reedramp::entry::test {
 
@@ -192,7 +193,7 @@
 {
     inventory::organisation made;
     made.id = common::organisation_id(id);
-    made.key_hashes = {sha256_hex(key)};
+    made.key_hashes = {inventory::sha256_hex(key)};
     made.models = {common::model_id(model)};
     return made;
 }
@@ -295,6 +296,9 @@
     parts.snapshot = [this] {
         return this->state;
     };
+    parts.knows_servers = [this] {
+        return this->knows_servers;
+    };
     parts.current_until = [this] {
         return this->current_until;
     };
--- a/source/unit_tests/entry/world.hpp
+++ b/source/unit_tests/entry/world.hpp
@@ -120,6 +120,7 @@
     std::optional<claims::claim_end> claim_end;
     std::vector<messages::claim_request> claims;
     bool accepts_bills = true;
+    bool knows_servers = true;
     common::time_point current_until = common::never;
     std::optional<common::error> limit;
     limits::amounts settled;
--- /dev/null
+++ b/source/unit_tests/membership/host_watch_test.cpp
@@ -0,0 +1,150 @@
+#include "membership/host_watch.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "platform/fake_platform.hpp"
+#include "platform/fake_time.hpp"
+
+namespace reedramp::membership {
+
+namespace {
+
+using namespace std::chrono_literals;
+using platform::host_role;
+using platform::host_state;
+
+const std::string home = "dc1";
+
+auto entry_of(
+    const std::string& name,
+    const std::string& data_centre = home,
+    host_role role = host_role::server,
+    host_state state = host_state::live) -> platform::host_entry
+{
+    return {
+        common::host_id{name},
+        common::data_centre_id{data_centre},
+        {},
+        role,
+        state,
+        name + ":1",
+        {}};
+}
+
+/// Processes that watch one list.
+class world {
+public:
+    auto start(const std::string& name) -> host_watch&
+    {
+        const location self{common::host_id{name}, common::data_centre_id{home}, {}};
+        host_watch_hooks hooks{this->list.hooks(), this->time.clock(), this->time.timers()};
+        hooks.entries_changed = [this](std::vector<common::host_id> now_live) {
+            this->entries = std::move(now_live);
+        };
+        this->watches.push_back(
+            std::make_shared<host_watch>(self, 2, std::move(hooks), std::make_shared<view>()));
+        this->watches.back()->start();
+        return *this->watches.back();
+    }
+
+    auto run_for(common::duration span) -> void { this->time.run_for(span); }
+
+    [[nodiscard]] auto count_tailers() const -> std::ptrdiff_t
+    {
+        return std::ranges::count_if(
+            this->watches, [](const auto& one) { return one->is_tailer(); });
+    }
+
+    platform::fake_time time;
+    platform::fake_hosts list{time.clock(), time.timers()};
+    std::vector<std::shared_ptr<host_watch>> watches;
+    std::vector<common::host_id> entries;
+};
+
+} // namespace
+
+TEST_CASE("A few processes of each data centre read the log, the others ask live peers")
+{
+    // With the list down each process reads the log itself, since it knows nobody to ask. When the
+    // list is down again later, what it said last stays: configuration still comes.
+    world all;
+    all.list.set_down(true);
+    for (const auto* name : {"a", "b", "c", "d"}) {
+        all.start(name);
+    }
+    all.run_for(1500ms);
+    CHECK(all.count_tailers() == 4);
+    for (const auto* name : {"a", "b", "c", "d"}) {
+        all.list.put(entry_of(name));
+    }
+    all.list.put(entry_of("e", home, host_role::server, host_state::leaving));
+    all.list.put(entry_of("f", "dc2"));
+    all.list.set_down(false);
+    all.run_for(1500ms);
+    CHECK(all.count_tailers() == 2);
+    CHECK(all.watches[0]->peers().size() == 4);
+    all.list.set_down(true);
+    all.run_for(5s);
+    CHECK(all.watches[0]->peers().size() == 4);
+}
+
+TEST_CASE("All agree on who reads the log, and one process in sixteen does")
+{
+    CHECK(tailer_count(0, 2) == 2);
+    CHECK(tailer_count(32, 2) == 2);
+    CHECK(tailer_count(33, 2) == 3);
+    CHECK(tailer_count(168, 2) == 11);
+    world all;
+    for (int index = 0; index < 80; ++index) {
+        all.list.put(entry_of("h" + std::to_string(index)));
+        all.list.put(entry_of("g" + std::to_string(index), "dc2"));
+    }
+    for (int index = 0; index < 80; ++index) {
+        all.start("h" + std::to_string(index));
+    }
+    all.run_for(1ms);
+    std::vector<std::string> reading;
+    for (int index = 0; index < 80; ++index) {
+        if (all.watches[index]->is_tailer()) {
+            reading.push_back("h" + std::to_string(index) + ":1");
+        }
+    }
+    CHECK(reading.size() == 5);
+    for (int index = 0; index < 80; ++index) {
+        const auto& watch = *all.watches[index];
+        const auto others = watch.tailers();
+        CHECK(others.size() == (watch.is_tailer() ? 4U : 5U));
+        for (const auto& address : others) {
+            CHECK(std::ranges::count(reading, address.value()) == 1);
+            CHECK(address.value() != "h" + std::to_string(index) + ":1");
+        }
+    }
+}
+
+TEST_CASE("Entries are told apart from agents, and ranked alike by all")
+{
+    world all;
+    for (const auto* name : {"e1", "e2", "e3"}) {
+        all.list.put(entry_of(name, home, host_role::entry));
+        all.start(name);
+    }
+    all.list.put(entry_of("agent"));
+    all.run_for(1500ms);
+    CHECK(all.entries.size() == 3);
+    CHECK(all.watches[0]->entries().size() == 2);
+    CHECK(all.watches[0]->address_of(common::host_id{"e2"}).value() == "e2:1");
+    CHECK(all.watches[0]->address_of(common::host_id{"agent"}).value().empty());
+    std::vector<std::uint32_t> ranks;
+    for (const auto& watch : all.watches) {
+        ranks.push_back(watch->rank_of_self("rollouts"));
+    }
+    std::ranges::sort(ranks);
+    CHECK(ranks == std::vector<std::uint32_t>{0, 1, 2});
+}
+
+} // namespace reedramp::membership
