Add make bench and make capacity over whole processes

Cause: the figures of whole processes and the slopes for the size to come had no command. Units were added to the measurements of inventory and wire, which print METRIC lines now; no check was changed.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 JOBS ?= $(shell nproc)
 SECONDS_TO_RUN ?= $(if $(filter command line,$(origin SECONDS)),$(SECONDS),60)
 
-.PHONY: build setup demo test bench lint format docs
+.PHONY: build setup demo test bench capacity lint format docs
 
 build: setup
 	@cmake -S . -B $(BUILD) -G Ninja -DSANITIZE=$(SANITIZE) > $(BUILD).log 2>&1 || { cat $(BUILD).log; exit 1; }
@@ -25,6 +25,10 @@
 bench: build
 	@tools/bench $(BUILD)
 
+# What processes cost at several sizes, up to a hundred of them, and what follows for docs/CAPACITY.md.
+capacity: build
+	@tools/capacity $(BUILD)
+
 lint: build
 	@tools/lint $(BUILD)
 
--- a/source/unit_tests/inventory/full_size_test.cpp
+++ b/source/unit_tests/inventory/full_size_test.cpp
@@ -76,9 +76,9 @@
     return std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
 }
 
-auto report(const char* name, double value) -> void
+auto report(const char* name, double value, const char* unit) -> void
 {
-    std::cout << "METRIC " << name << " " << value << "\n";
+    std::cout << "METRIC " << name << " " << value << " " << unit << "\n";
 }
 
 } // namespace
@@ -107,7 +107,7 @@
     for (const auto& text : texts) {
         apply(current, {log_offset{current.offset.value() + 1}, text});
     }
-    report("fold_records_per_s", folded_records / seconds_since(begin));
+    report("fold_records_per_s", folded_records / seconds_since(begin), "records/s");
     CHECK(current.problems.empty());
 
     constexpr auto copies = 20;
@@ -118,16 +118,16 @@
     for (auto count = 0; count < copies; ++count) {
         kept.push_back(current);
     }
-    report("state_copy_ms", seconds_since(begin) * 1000 / copies);
-    report("state_bytes", static_cast<double>(::mallinfo2().uordblks - before) / copies);
+    report("state_copy_ms", seconds_since(begin) * 1000 / copies, "ms");
+    report("state_bytes", static_cast<double>(::mallinfo2().uordblks - before) / copies, "B");
 
     begin = std::chrono::steady_clock::now();
     const auto text = format_checkpoint(current);
-    report("checkpoint_format_ms", seconds_since(begin) * 1000);
-    report("checkpoint_bytes", static_cast<double>(text.size()));
+    report("checkpoint_format_ms", seconds_since(begin) * 1000, "ms");
+    report("checkpoint_bytes", static_cast<double>(text.size()), "B");
     begin = std::chrono::steady_clock::now();
     CHECK(parse_checkpoint(text));
-    report("checkpoint_parse_ms", seconds_since(begin) * 1000);
+    report("checkpoint_parse_ms", seconds_since(begin) * 1000, "ms");
 }
 
 TEST_CASE("how long a change takes to all of a fleet, on virtual time", "[.bench]")
@@ -162,6 +162,6 @@
     }
     const auto suffix =
         "_" + std::to_string(tailer_count) + (knows_tailers ? "_known_tailers" : "_tailers");
-    report(("virtual_in_force_s" + suffix).c_str(), last);
-    report(("virtual_oldest_evidence_s" + suffix).c_str(), oldest);
+    report(("virtual_in_force_s" + suffix).c_str(), last, "s");
+    report(("virtual_oldest_evidence_s" + suffix).c_str(), oldest, "s");
 }
--- a/source/unit_tests/wire/measure_test.cpp
+++ b/source/unit_tests/wire/measure_test.cpp
@@ -33,6 +33,11 @@
     return std::chrono::duration<double>(steady::now() - start).count();
 }
 
+auto report(const char* name, double value, const char* unit) -> void
+{
+    std::cout << "METRIC " << name << " " << value << " " << unit << "\n";
+}
+
 /// An agent that answers at once, on the server's thread.
 auto prompt_agent() -> messages::agent_service
 {
@@ -67,8 +72,8 @@
         }
     }
     std::ranges::sort(micros);
-    std::cout << "unary_run_p50_us " << micros[micros.size() / 2] << "\nunary_run_p99_us "
-              << micros[micros.size() / 100 * 99] << '\n';
+    report("wire_unary_run_p50_us", micros[micros.size() / 2], "us");
+    report("wire_unary_run_p99_us", micros[micros.size() / 100 * 99], "us");
 }
 
 TEST_CASE("unary runs a second, 64 at a time", "[.measure]")
@@ -92,8 +97,8 @@
         }
     }
     constexpr double total = 1.0 * width * rounds;
-    std::cout << "unary_runs_per_s " << total / seconds_since(start) << "\nprocessor_us_per_run "
-              << 1e6 * (processor_seconds() - used) / total << '\n';
+    report("wire_unary_runs_per_s", total / seconds_since(start), "runs/s");
+    report("wire_processor_us_per_run", 1e6 * (processor_seconds() - used) / total, "us");
 }
 
 TEST_CASE("tokens a second, 32 streams of single tokens", "[.measure]")
@@ -136,9 +141,9 @@
     }
     CHECK(taken == streams * count);
     const auto total = static_cast<double>(taken);
-    std::cout << "stream_tokens_per_s " << total / seconds_since(start)
-              << "\nprocessor_ns_per_token " << 1e9 * (processor_seconds() - used) / total
-              << "\ntokens_per_event " << total / static_cast<double>(events) << '\n';
+    report("wire_stream_tokens_per_s", total / seconds_since(start), "tokens/s");
+    report("wire_processor_ns_per_token", 1e9 * (processor_seconds() - used) / total, "ns");
+    report("wire_tokens_per_event", total / static_cast<double>(events), "tokens");
 }
 
 } // namespace reedramp::wire
