Count a checkpoint's age from the start of the process, not of the host

Cause: seen with the entry's first checkpoints running: one was appended right after the first record. Without a checkpoint in the state its time was that of the clock's zero, the start of the host, so on a host that has been up for an hour each process took one for due at once. Change: the age counts from the start of the process until a checkpoint comes into force.

--- a/source/core/inventory/follower_core.cpp
+++ b/source/core/inventory/follower_core.cpp
@@ -44,6 +44,7 @@
     if (!this->has_started) {
         this->has_started = true;
         this->own_read_at = now + this->settings.own_read_after;
+        this->checkpoint_seen_at = now;
     }
     this->step(now, actions);
     return actions;
--- a/source/core/inventory/follower_core.hpp
+++ b/source/core/inventory/follower_core.hpp
@@ -187,6 +187,7 @@
     std::optional<common::time_point> evidence;
     common::log_offset log_oldest;
     common::log_offset seen_checkpoint;
+    /// When the newest checkpoint came into force here, or this process started without one.
     common::time_point checkpoint_seen_at{};
 
     std::optional<flight> read_under_way;
--- a/source/unit_tests/inventory/fixture.cpp
+++ b/source/unit_tests/inventory/fixture.cpp
@@ -213,4 +213,12 @@
     return answer ? result_code::ok : answer.error().code;
 }
 
+auto put_changes(world& all, int count) -> void
+{
+    for (auto index = 0; index < count; ++index) {
+        const auto base = all.log.head(configuration).value();
+        all.put(record_text("c" + std::to_string(base), base, put_version("v1", index)));
+    }
+}
+
 } // namespace reedramp::inventory::testing
--- a/source/unit_tests/inventory/fixture.hpp
+++ b/source/unit_tests/inventory/fixture.hpp
@@ -112,4 +112,7 @@
     std::uint64_t seed = 0;
 };
 
+/// Puts records that change v1, each on the newest base.
+auto put_changes(world& all, int count) -> void;
+
 } // namespace reedramp::inventory::testing
