Read a long list of hosts less often

Change: the pause after a reading is 30 ms a row, at least a second, so that up to 33 rows nothing changes and the bytes a second stay below 4.7 KB/s above.

--- a/source/core/membership/host_watch.cpp
+++ b/source/core/membership/host_watch.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr common::duration period = std::chrono::seconds(1);
+constexpr common::duration shortest_period = std::chrono::seconds(1);
 constexpr auto tailer_key = "configuration/";
 
 } // namespace
@@ -27,6 +27,11 @@
 {
 }
 
+auto list_period(std::size_t rows) -> common::duration
+{
+    return std::max<common::duration>(shortest_period, rows * period_for_row);
+}
+
 auto host_watch::start() -> void
 {
     this->ask();
@@ -40,10 +45,12 @@
             if (!watch) {
                 return;
             }
+            auto pause = shortest_period;
             if (rows) {
+                pause = list_period(rows->size());
                 watch->take(std::move(*rows));
             }
-            watch->hooks.timer(watch->hooks.now() + period, [weak] {
+            watch->hooks.timer(watch->hooks.now() + pause, [weak] {
                 if (const auto again = weak.lock()) {
                     again->ask();
                 }
--- a/source/core/membership/host_watch.hpp
+++ b/source/core/membership/host_watch.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -24,6 +25,15 @@
 /// a share of the others, so that each of them answers the pulls of a few only.
 auto tailer_count(std::size_t processes, std::size_t least) -> std::size_t;
 
+/// How much longer each row makes the pause between two readings of the list.
+inline constexpr std::chrono::milliseconds period_for_row{30};
+
+/// Pause after a reading of so many rows, at least a second. Every process reads the whole list: at
+/// a thousand rows of 139 bytes, once a second would be 140 KB/s for each. So the rate of bytes is
+/// bounded in place of the pause; hosts that leave are told by themselves, by probes and by closed
+/// connections, and a host that joins is found up to a pause later.
+auto list_period(std::size_t rows) -> common::duration;
+
 struct host_watch_hooks {
     platform::host_hooks list;
     common::clock_hook now;
@@ -32,9 +42,9 @@
     std::function<auto(std::vector<common::host_id> entries)->void> entries_changed = nullptr;
 };
 
-/// Reads the platform's list of hosts each second into a view of the members, and derives from it
-/// whom to ask for configuration and who reads the log. Used by entries and agents alike, so that
-/// all agree on who reads the log. Thread-safe; hooks are called outside the lock.
+/// Reads the platform's list of hosts again and again into a view of the members, and derives from
+/// it whom to ask for configuration and who reads the log. Used by entries and agents alike, so
+/// that all agree on who reads the log. Thread-safe; hooks are called outside the lock.
 ///
 /// While the list can't be read, what it said last stays.
 class host_watch : public std::enable_shared_from_this<host_watch> {
--- a/source/unit_tests/membership/host_watch_test.cpp
+++ b/source/unit_tests/membership/host_watch_test.cpp
@@ -68,6 +68,25 @@
 
 } // namespace
 
+TEST_CASE("A long list is read less often, so that its bytes a second stay the same")
+{
+    CHECK(list_period(3) == 1s);
+    CHECK(list_period(33) == 1s);
+    CHECK(list_period(1010) == 30'300ms);
+    world all;
+    for (auto number = 0; number < 200; ++number) {
+        all.list.put(entry_of("h" + std::to_string(number)));
+    }
+    const auto& watch = all.start("a");
+    all.run_for(100ms);
+    CHECK(watch.peers().size() == 200);
+    all.list.put(entry_of("late"));
+    all.run_for(5800ms);
+    CHECK(watch.peers().size() == 200);
+    all.run_for(200ms);
+    CHECK(watch.peers().size() == 201);
+}
+
 TEST_CASE("A few processes of each data centre read the log, the others ask live peers")
 {
     // With the list down each process reads the log itself, since it knows nobody to ask. When the
