Run two entries, three agents and the platform in one process on virtual time

It found one fault: when a key came to two entries at once, the second could ask the agent about the first's attempt before that attempt arrived, and so have it refused. The first entry then had no server left that it had not tried and told its caller 503 already_refused, though the other copy ran. The refusal was true, but the caller had to ask again.

--- a/source/core/entry/attempt.cpp
+++ b/source/core/entry/attempt.cpp
@@ -118,6 +118,11 @@
         common::log_part::entry,
         {"retry", item->placed.server.value(), std::string(common::row_of(why.code).name), {}});
     item->last_failure = why;
+    if (why.code == common::result_code::already_refused) {
+        // Another entry with the same key asked about this attempt before it arrived. The server is
+        // sound, and may be the only one; the next claim tells who holds the key now.
+        std::erase(item->tried, item->placed.server);
+    }
     if (why.code == common::result_code::version_withdrawn && item->tokens.sent() == 0) {
         item->refused_versions.push_back(item->version);
         item->tried.clear();
--- /dev/null
+++ b/source/unit_tests/whole_path/fleet.cpp
@@ -0,0 +1,455 @@
+#include "fleet.hpp"
+
+#include <utility>
+
+#include "unit_tests/whole_path/inventory.hpp"
+
+namespace reedramp::whole_path {
+
+namespace {
+
+constexpr auto shared_key = "the key that all processes of the test share";
+constexpr common::duration shutdown_limit = 40s;
+constexpr common::duration bills_limit = 5s;
+constexpr common::duration hand_over_limit = 30s;
+constexpr common::duration hand_over_pause = 500ms;
+constexpr common::duration check_period = 50ms;
+constexpr common::duration publish_limit = 5s;
+
+/// The same bits for the same seed on all machines (SplitMix64). Copies of the hook share one
+/// state; with a state each, two entries would draw the same request ids.
+auto random_from(std::uint64_t seed) -> common::random_hook
+{
+    return [state = std::make_shared<std::uint64_t>(seed)] {
+        *state += 0x9e3779b97f4a7c15ULL;
+        auto mixed = *state;
+        mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+        mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+        return mixed ^ (mixed >> 31U);
+    };
+}
+
+auto allow_all(const inventory::snapshot_ptr& state) -> inventory::snapshot_ptr
+{
+    auto next = std::make_shared<inventory::state>(*state);
+    for (auto& [id, owner] : next->organisations) {
+        owner.versions.clear();
+    }
+    return next;
+}
+
+auto server_rows(const inventory::state& state) -> std::vector<membership::server_row>
+{
+    std::vector<membership::server_row> rows;
+    for (const auto& [id, server] : state.servers) {
+        membership::server_row row;
+        row.server = id;
+        row.host = server.host;
+        row.data_centre = server.data_centre;
+        row.region = server.region;
+        row.versions = server.versions;
+        if (!server.service.value().empty()) {
+            row.services.push_back(server.service);
+        }
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+/// Answers of the platform reach only the life that asked.
+template <typename Answer>
+auto for_life(const life_ptr& alive, platform::answer_hook<Answer> done)
+    -> platform::answer_hook<Answer>
+{
+    return [alive, done = std::move(done)](common::result<Answer> answer) {
+        alive->post([done, answer = std::move(answer)] { done(answer); });
+    };
+}
+
+} // namespace
+
+fleet::fleet(std::uint64_t seed, mutation wanted)
+    : log(time.clock(), time.timers()), hosts(time.clock(), time.timers()),
+      ratings(time.clock(), time.timers(), [](const auto&) { return 1.0; }),
+      net(time, random_from(seed ^ 0x6e6574ULL)), fault(wanted), random(random_from(seed))
+{
+    this->log.put(platform::streams::configuration, first_record());
+}
+
+fleet::~fleet()
+{
+    // Ends what runs, so that calls and their readers let go of each other.
+    for (const auto& [name, node] : this->agents) {
+        if (node->core) {
+            node->core->drain();
+            node->core->cut();
+        }
+    }
+    for (const auto& [name, node] : this->entries) {
+        node->core->shut_down(this->time.now(), [](std::size_t) {});
+        node->keepers->stop();
+        node->follower->stop();
+    }
+    this->time.run_due();
+}
+
+auto fleet::log_for(const life_ptr& alive) -> platform::log_hooks
+{
+    const auto all = this->log.hooks();
+    platform::log_hooks own;
+    own.append = [all, alive](auto stream, auto data, auto done) {
+        all.append(
+            std::move(stream),
+            std::move(data),
+            for_life<common::log_offset>(alive, std::move(done)));
+    };
+    own.read = [all, alive](auto stream, auto after, auto wait, auto done) {
+        all.read(
+            std::move(stream),
+            after,
+            wait,
+            for_life<platform::read_answer>(alive, std::move(done)));
+    };
+    return own;
+}
+
+auto fleet::list_for(const life_ptr& alive) -> platform::host_hooks
+{
+    return {[list = this->hosts.hooks(), alive](auto done) {
+        list.list(for_life<std::vector<platform::host_entry>>(alive, std::move(done)));
+    }};
+}
+
+auto fleet::seen_by(const inventory::snapshot_ptr& state) const -> inventory::snapshot_ptr
+{
+    return this->fault == mutation::all_allowed ? allow_all(state) : state;
+}
+
+auto fleet::list_agent(const agent_node& node, platform::host_state state) -> void
+{
+    this->hosts.put(
+        {node.host,
+         common::data_centre_id(data_centre),
+         {},
+         platform::host_role::server,
+         state,
+         node.address.value(),
+         {}});
+}
+
+auto fleet::list_entry(const entry_node& node, platform::host_state state) -> void
+{
+    this->hosts.put(
+        {node.host,
+         common::data_centre_id(data_centre),
+         {},
+         platform::host_role::entry,
+         state,
+         node.address.value(),
+         {}});
+}
+
+auto fleet::make_follower(const life_ptr& alive) -> inventory::follower_hooks
+{
+    inventory::follower_hooks hooks;
+    hooks.log = this->log_for(alive);
+    hooks.pull = this->net.peers_for(alive).pull;
+    hooks.clock = this->time.clock();
+    hooks.wall_clock = [this] {
+        return common::wall_time_ms(this->time.now().time_since_epoch() / 1ms);
+    };
+    hooks.timer = alive->timers();
+    hooks.random = this->random;
+    hooks.shared_key = shared_key;
+    return hooks;
+}
+
+auto fleet::start_entry(const std::string& host) -> void
+{
+    auto node = std::make_shared<entry_node>();
+    node->host = common::host_id(host);
+    node->address = messages::rpc_address(host + "/" + std::to_string(++this->lives));
+    node->alive = std::make_shared<life>(this->time);
+    this->make_members(*node);
+    node->follower = this->entry_follower(*node);
+    node->publisher = inventory::publisher::create(
+        {this->log_for(node->alive), this->time.clock(), node->alive->timers()}, node->follower);
+    this->make_claims(*node);
+    billing::collector_hooks billed;
+    billed.log = this->log_for(node->alive);
+    billed.now = this->time.clock();
+    billed.timer = node->alive->timers();
+    billed.random = this->random;
+    node->bills = billing::collector::create({}, std::move(billed));
+    entry::version_policy_settings policy;
+    policy.explore_share = 0;
+    node->versions = std::make_shared<entry::version_policy>(policy);
+    this->make_core(node);
+    this->open_entry(node);
+    node->hosts->start();
+    node->follower->start();
+    this->list_entry(*node, platform::host_state::live);
+    this->earlier_entries.push_back(std::exchange(this->entries[host], node));
+}
+
+auto fleet::entry_follower(const entry_node& node) -> std::shared_ptr<inventory::follower>
+{
+    auto hooks = this->make_follower(node.alive);
+    hooks.peers = [watch = node.hosts] {
+        return watch->peers();
+    };
+    hooks.tailers = [watch = node.hosts] {
+        return watch->tailers();
+    };
+    hooks.is_tailer = [watch = node.hosts] {
+        return watch->is_tailer();
+    };
+    hooks.changed = [members = node.members](const inventory::snapshot_ptr& state) {
+        members->update_servers(server_rows(*state));
+    };
+    return inventory::follower::create(std::move(hooks), {});
+}
+
+auto fleet::forget_configuration(const std::string& host) -> void
+{
+    auto& node = *this->entries.at(host);
+    node.follower->stop();
+    node.follower = this->entry_follower(node);
+    node.follower->start();
+}
+
+auto fleet::make_members(entry_node& node) -> void
+{
+    const membership::location here{node.host, common::data_centre_id(data_centre), {}};
+    node.members = std::make_shared<membership::view>();
+    membership::host_watch_hooks watching;
+    watching.list = this->list_for(node.alive);
+    watching.now = this->time.clock();
+    watching.timer = node.alive->timers();
+    watching.entries_changed = [at = &node](std::vector<common::host_id> found) {
+        at->keepers->update_entries(std::move(found));
+    };
+    node.hosts = std::make_shared<membership::host_watch>(
+        here, std::size_t{2}, std::move(watching), node.members);
+    entry::placer_settings placing;
+    placing.self = here;
+    node.placer = entry::placer::create(
+        placing,
+        {this->time.clock(),
+         node.alive->timers(),
+         this->random,
+         this->net.agents_for(node.alive).probe},
+        node.members);
+    node.shares = std::make_shared<limits::share_keeper>(
+        limits::share_settings{node.host, common::data_centre_id(data_centre)}, this->random());
+}
+
+auto fleet::make_claims(entry_node& node) -> void
+{
+    node.keepers = std::make_shared<claims::keeper_set>(
+        claims::keeper_set_config{node.host},
+        claims::keeper_hooks{
+            this->log_for(node.alive), this->time.clock(), node.alive->timers(), this->random});
+    entry_program::claim_route::parts route;
+    route.self = node.host;
+    route.keepers = node.keepers;
+    route.hosts = node.hosts;
+    route.members = node.members;
+    route.peers = this->net.peers_for(node.alive);
+    route.agents = this->net.agents_for(node.alive);
+    route.now = this->time.clock();
+    route.timer = node.alive->timers();
+    node.claiming = std::make_shared<entry_program::claim_route>(std::move(route));
+}
+
+auto fleet::connect_rules(const entry_ptr& node, entry::collaborators& parts) -> void
+{
+    auto* at = node.get();
+    parts.snapshot = [this, at]() -> inventory::snapshot_ptr {
+        return at->follower->ready() ? this->seen_by(at->follower->snapshot()) : nullptr;
+    };
+    parts.current_until = [at] {
+        return at->follower->current_until();
+    };
+    parts.keys.current = {session::key_id(1), std::string(session::min_secret_bytes, 'k')};
+    parts.choose_version = [this, at](const auto& current, const auto& question) {
+        return at->versions->choose(current, question, common::random_unit(this->random));
+    };
+    parts.take_limits = [this, at](const auto& owner, const auto& expected) {
+        return at->shares->admit(owner, expected, this->time.now());
+    };
+    parts.settle_limits = [at](const auto& owner, const auto& expected, const auto& used) {
+        at->shares->settle(owner, expected, used);
+    };
+    parts.place = [at](auto question, auto done) {
+        at->placer->place(std::move(question), std::move(done));
+    };
+    parts.attempt_ended = [at](const entry::attempt_report& report) {
+        at->placer->attempt_ended(report);
+        at->versions->on_attempt(*at->follower->snapshot(), report);
+    };
+}
+
+auto fleet::connect_accounts(const entry_ptr& node, entry::collaborators& parts) -> void
+{
+    auto* at = node.get();
+    parts.claim = [at](auto claim, auto deadline, auto done) {
+        at->claiming->claim_key(std::move(claim), deadline, std::move(done));
+    };
+    parts.claim_name = [at](auto claim, auto done) {
+        at->claiming->claim_name(std::move(claim), std::move(done));
+    };
+    parts.accepts_bills = [at] {
+        return at->bills->accepts_work();
+    };
+    parts.bill = [this, at](messages::bill item) {
+        if (this->fault == mutation::doubled_bill) {
+            auto copy = item;
+            copy.request.low ^= 1U;
+            at->bills->add(std::move(copy));
+        }
+        at->bills->add(std::move(item));
+    };
+    parts.rate = [at, submit = this->ratings.hooks().submit](entry::rated_chat item) {
+        at->versions->on_submitted(item.request, {item.version, item.organisation, item.task});
+        submit(item.request, std::move(item.question), std::move(item.answer));
+    };
+}
+
+auto fleet::make_core(const entry_ptr& node) -> void
+{
+    entry::collaborators parts;
+    parts.now = this->time.clock();
+    parts.wall_now = [this] {
+        return common::wall_time_ms(this->time.now().time_since_epoch() / 1ms);
+    };
+    parts.random = this->random;
+    parts.timer = node->alive->timers();
+    parts.agents = this->net.agents_for(node->alive);
+    if (this->fault == mutation::moved_session) {
+        parts.agents.run = [run = parts.agents.run](const auto& to, auto request, auto sink) {
+            if (request.session) {
+                const auto is_first = request.version.value() == "v1";
+                request.version = common::version_id(is_first ? "v2" : "v1");
+            }
+            return run(to, std::move(request), std::move(sink));
+        };
+    }
+    this->connect_rules(node, parts);
+    this->connect_accounts(node, parts);
+    node->core =
+        entry::core::create(entry::core_options{}, std::move(parts), entry::admin_api({}, {}));
+}
+
+auto fleet::open_entry(const entry_ptr& node) -> void
+{
+    auto offered = std::make_shared<endpoint>();
+    offered->owner = node->alive;
+    auto* at = node.get();
+    offered->peer.pull = [at](const auto& pull, const auto& done) {
+        done(at->follower->answer(pull));
+    };
+    offered->peer.claim = [at](auto claim, auto done) {
+        at->keepers->claim(std::move(claim), std::move(done));
+    };
+    offered->peer.hand_over = [at](auto items, auto done) {
+        at->bills->receive(std::move(items), std::move(done));
+    };
+    this->net.open(node->address, std::move(offered));
+}
+
+auto fleet::kill_entry(const std::string& host) -> void
+{
+    const auto node = this->entries.at(host);
+    node->alive->kill();
+    this->net.close(node->address);
+}
+
+auto fleet::stop_entry(const std::string& host) -> void
+{
+    auto& node = *this->entries.at(host);
+    node.leaving = true;
+    this->list_entry(node, platform::host_state::leaving);
+    const auto span = this->fault == mutation::hasty_shutdown ? 0s : shutdown_limit;
+    node.core->shut_down(this->time.now() + span, [this, &node](std::size_t cut) {
+        node.cut = cut;
+        this->wait_for_callers(node, this->time.now() + shutdown_limit);
+    });
+}
+
+/// As the daemon does: open connections may still bring a call.
+auto fleet::wait_for_callers(entry_node& node, common::time_point limit) -> void
+{
+    const auto is_busy = node.unread > 0 || node.core->counters().in_flight > 0;
+    if (is_busy && this->time.now() < limit) {
+        node.alive->at(
+            this->time.now() + 50ms, [this, &node, limit] { this->wait_for_callers(node, limit); });
+        return;
+    }
+    node.closed = true;
+    node.bills->flush();
+    this->settle_bills(node, this->time.now() + bills_limit);
+}
+
+auto fleet::settle_bills(entry_node& node, common::time_point limit) -> void
+{
+    const auto now = this->time.now();
+    if (node.bills->empty() || now >= limit + hand_over_limit) {
+        this->leave(node);
+        return;
+    }
+    const auto look_after = [this, &node, limit](common::duration pause) {
+        node.alive->at(
+            this->time.now() + pause, [this, &node, limit] { this->settle_bills(node, limit); });
+    };
+    const auto others = node.hosts->entries();
+    if (now < limit || others.empty()) {
+        look_after(check_period);
+        return;
+    }
+    const auto items = node.bills->hand_over();
+    this->net.peers_for(node.alive)
+        .hand_over(
+            others.front().rpc,
+            items,
+            [&node, items, look_after](const common::result<messages::accepted>& answer) {
+                if (answer) {
+                    node.bills->release(items);
+                }
+                look_after(hand_over_pause);
+            });
+}
+
+auto fleet::leave(entry_node& node) -> void
+{
+    node.keepers->stop();
+    node.left = true;
+    node.alive->kill();
+    this->net.close(node.address);
+}
+
+auto fleet::publish(
+    const std::string& host,
+    const std::string& id,
+    const std::string& changes,
+    std::function<auto(common::result<inventory::publication> answer)->void> done) -> void
+{
+    const auto& node = this->entries.at(host);
+    const auto base = node->follower->snapshot()->offset;
+    const auto record = inventory::parse_record(record_text(id, base.value(), changes));
+    node->publisher->publish(record.value(), this->time.now() + publish_limit, std::move(done));
+}
+
+auto fleet::call(const std::string& host, http::request request) -> std::shared_ptr<fake_caller>
+{
+    auto caller = std::make_shared<fake_caller>();
+    const auto node = this->entries.at(host);
+    ++node->unread;
+    node->alive->post([node, caller, request = std::move(request)]() mutable {
+        --node->unread;
+        node->core->handle(std::move(request), caller);
+    });
+    return caller;
+}
+
+} // namespace reedramp::whole_path
--- /dev/null
+++ b/source/unit_tests/whole_path/fleet_agents.cpp
@@ -0,0 +1,248 @@
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "agent/registration.hpp"
+#include "fleet.hpp"
+
+/// The agents of a fleet, and their backend servers.
+namespace reedramp::whole_path {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr common::duration agent_tick = 100ms;
+constexpr common::duration token_time = 5ms;
+constexpr common::duration work_time = 10ms;
+constexpr std::uint32_t answer_tokens = 4;
+
+auto token_text(const std::string& mark, const std::string& version, std::uint64_t index)
+    -> std::string
+{
+    return mark + "." + version + "." + std::to_string(index) + " ";
+}
+
+struct engine_order {
+    std::string version;
+    std::string mark;
+    std::uint64_t first_token = 0;
+};
+
+auto read_order(const std::string& body) -> engine_order
+{
+    const auto value = json::parse(body);
+    engine_order order;
+    order.version = std::string(value.at("model").as_string());
+    order.mark = std::string(value.at("messages").as_array().at(0).at("content").as_string());
+    if (const auto* from = value.as_object().if_contains("resume_after_tokens")) {
+        order.first_token = from->to_number<std::uint64_t>();
+    }
+    return order;
+}
+
+} // namespace
+
+auto fleet::answer_text(const std::string& mark, const std::string& version) -> std::string
+{
+    std::string text;
+    for (std::uint32_t index = 0; index < answer_tokens; ++index) {
+        text += token_text(mark, version, index);
+    }
+    return text;
+}
+
+auto fleet::start_agent(const std::string& server) -> void
+{
+    auto node = std::make_shared<agent_node>();
+    node->server = common::server_id(server);
+    node->host = common::host_id("h-" + server);
+    node->address = messages::rpc_address(server);
+    node->alive = std::make_shared<life>(this->time);
+    node->hosts = std::make_shared<membership::host_watch>(
+        membership::location{node->host, common::data_centre_id(data_centre), {}},
+        std::size_t{2},
+        membership::host_watch_hooks{
+            this->list_for(node->alive), this->time.clock(), node->alive->timers()},
+        std::make_shared<membership::view>());
+    auto hooks = this->make_follower(node->alive);
+    hooks.peers = [watch = node->hosts] {
+        return watch->peers();
+    };
+    hooks.tailers = [watch = node->hosts] {
+        return watch->tailers();
+    };
+    hooks.is_tailer = [watch = node->hosts] {
+        return watch->is_tailer();
+    };
+    hooks.changed = [at = node.get()](const auto&) {
+        if (at->core) {
+            at->core->configuration_changed();
+        }
+    };
+    node->follower = inventory::follower::create(std::move(hooks), {});
+    node->hosts->start();
+    node->follower->start();
+    this->list_agent(*node, platform::host_state::live);
+    this->earlier_agents.push_back(std::exchange(this->agents[server], node));
+    agent::register_agent(
+        {this->log_for(node->alive), node->alive->timers(), this->time.clock(), this->random},
+        {node->server, node->host, server, {}},
+        this->time.now() + 1s,
+        [this, at = node.get()](common::incarnation_id incarnation) {
+            this->serve_agent(*at, incarnation);
+        });
+}
+
+auto fleet::serve_agent(agent_node& node, common::incarnation_id incarnation) -> void
+{
+    const auto& server = node.server.value();
+    const auto is_known = this->last_incarnation.contains(server);
+    if (this->fault == mutation::forgetful_agent && is_known) {
+        incarnation = this->last_incarnation.at(server);
+    }
+    this->last_incarnation[server] = incarnation;
+    node.incarnation = incarnation;
+    agent::core_options options;
+    options.server = node.server;
+    options.incarnation = incarnation;
+    options.queue.capacity.slots = 2;
+    agent::core_hooks hooks;
+    hooks.now = this->time.clock();
+    hooks.timer = node.alive->timers();
+    hooks.post = [alive = node.alive](auto action) {
+        alive->post(std::move(action));
+    };
+    hooks.start = [this, &node](const agent::backend_call& call, agent::backend_events events) {
+        return this->start_work(node, call, std::move(events));
+    };
+    hooks.snapshot = [this, &node] {
+        return this->snapshot_for(node);
+    };
+    hooks.current_until = [follower = node.follower] {
+        return follower->current_until();
+    };
+    hooks.catch_up = [follower = node.follower](common::log_offset wanted) {
+        follower->expect(wanted);
+    };
+    node.core = agent::core::create(options, std::move(hooks));
+    auto offered = std::make_shared<endpoint>();
+    offered->owner = node.alive;
+    offered->agent = node.core->service();
+    offered->peer.pull = [follower = node.follower](const auto& pull, const auto& done) {
+        done(follower->answer(pull));
+    };
+    this->net.open(node.address, std::move(offered));
+    this->tick_agent(node);
+}
+
+auto fleet::tick_agent(agent_node& node) -> void
+{
+    node.alive->at(this->time.now() + agent_tick, [this, &node] {
+        node.core->tick();
+        this->tick_agent(node);
+    });
+}
+
+auto fleet::snapshot_for(const agent_node& node) -> inventory::snapshot_ptr
+{
+    auto current = this->seen_by(node.follower->snapshot());
+    if (this->fault != mutation::deaf_agent || !node.follower->ready()) {
+        return current;
+    }
+    const auto& first = this->first_seen.emplace(node.server.value(), current).first->second;
+    auto old = std::make_shared<inventory::state>(*first);
+    old->offset = current->offset;
+    return old;
+}
+
+auto fleet::kill_agent(const std::string& server) -> void
+{
+    const auto node = this->agents.at(server);
+    node->alive->kill();
+    this->net.close(node->address);
+}
+
+auto fleet::drain_agent(const std::string& server) -> void
+{
+    const auto node = this->agents.at(server);
+    this->list_agent(*node, platform::host_state::leaving);
+    node->drained_at = this->time.now();
+    if (node->core && this->fault != mutation::undrained_agent) {
+        node->core->drain();
+    }
+}
+
+auto fleet::start_work(
+    const agent_node& node, const agent::backend_call& call, agent::backend_events events)
+    -> std::shared_ptr<agent::backend_handle>
+{
+    auto work = std::make_shared<agent::test::fake_backend>();
+    work->call = call;
+    work->events = std::move(events);
+    work_start item{node.server, node.incarnation, call.request, {}, call.body, this->time.now()};
+    const auto is_chat = call.kind == messages::work_kind::chat;
+    if (is_chat) {
+        const auto order = read_order(call.body);
+        item.version = common::version_id(order.version);
+        item.mark = order.mark;
+    }
+    if (this->on_start) {
+        this->on_start(item);
+    }
+    this->starts.push_back(item);
+    if (this->net.chance(this->broken_calls)) {
+        node.alive->at(this->time.now() + token_time, [work, is_chat] {
+            if (is_chat && work->call.stream) {
+                work->head("text/event-stream");
+            }
+            work->break_off(common::execution::unknown);
+        });
+        return work;
+    }
+    if (!is_chat) {
+        node.alive->at(
+            this->time.now() + work_time, [work, item] { work->answer("done " + item.mark); });
+        return work;
+    }
+    if (this->fault == mutation::foreign_answer) {
+        item.mark = this->starts.front().mark;
+    }
+    this->answer_chat(node, work, item);
+    return work;
+}
+
+auto fleet::answer_chat(
+    const agent_node& node,
+    const std::shared_ptr<agent::test::fake_backend>& work,
+    const work_start& item) -> void
+{
+    const auto version = item.version.value();
+    const auto begin = this->time.now() + token_time;
+    if (!work->call.stream) {
+        const auto text = answer_text(item.mark, version);
+        node.alive->at(begin + work_time, [work, text] {
+            work->head("application/json");
+            work->events.chunk(entry::test::chat_body(text));
+            work->events.done({});
+        });
+        return;
+    }
+    const auto first = read_order(work->call.body).first_token;
+    node.alive->at(begin, [work] { work->head("text/event-stream"); });
+    for (auto index = first; index < answer_tokens; ++index) {
+        const auto text = token_text(item.mark, version, index);
+        node.alive->at(begin + (index - first + 1) * token_time, [work, text] {
+            if (!work->cancelled) {
+                work->token(text);
+            }
+        });
+    }
+    node.alive->at(begin + (answer_tokens + 1) * token_time, [work] {
+        if (!work->cancelled) {
+            work->end_stream();
+        }
+    });
+}
+
+} // namespace reedramp::whole_path
