Give no orders beside a plain service

Cause: the agent's look at GET /load goes to whatever stands beside it; a plain service would take it for a call, and count a run that nobody asked for. Change: while the configuration lists no version for the server, as for each plain service, the agent asks it nothing.

--- a/source/agent/engine_control.cpp
+++ b/source/agent/engine_control.cpp
@@ -94,6 +94,10 @@
 auto engine_control::tick(const inventory::state& current) -> void
 {
     const auto plan = plan_for(current, this->with.server);
+    if (plan.wanted.empty()) {
+        // Perhaps a plain service, for which a look at its load would be a run.
+        return;
+    }
     for (const auto& step : this->orders.tick(plan, this->with.now())) {
         std::visit([this](const auto& item) { this->carry_out(item); }, step);
     }
--- a/source/unit_tests/agent/program_test.cpp
+++ b/source/unit_tests/agent/program_test.cpp
@@ -102,6 +102,8 @@
     CHECK(plan.wanted == std::set{v1});
     CHECK(plan.unwanted.empty());
     CHECK(plan.checks_fencing);
+    current.servers[server].kind = inventory::server_kind::service;
+    CHECK(plan_for(current, server).wanted.empty());
 }
 
 TEST_CASE("An agent that starts while the platform is down refuses, and ends when told")
