--- a/source/agent/settings.cpp
+++ b/source/agent/settings.cpp
@@ -87,6 +87,14 @@
 
 auto promise_keys() -> settings::schema
 {
+    constexpr double most_weight_bytes = 1e13;
+    auto weights = number_key(
+        "orders.weight_bytes",
+        "Bytes of a version that a load fetches.",
+        1 << 30U,
+        0,
+        most_weight_bytes);
+    weights.unit = "bytes";
     return {
         time_key("records.window", "How long an ended request is remembered.", 900'000, 1000),
         number_key("records.limit", "Records that new work may use.", 100'000, 1, 1e8),
@@ -95,7 +103,7 @@
         time_key("configuration.catch_up", "Wait for a configuration that an entry has.", 2000),
         time_key("platform.log_timeout", "Longest silence of the log.", 5000),
         time_key("registration.limit", "Then a random incarnation is taken.", 3000),
-        bytes_key("orders.weight_bytes", "Bytes of a version that a load fetches.", 1 << 30U),
+        weights,
         time_key("drain.limit", "Then what still runs is cut.", 60'000),
         time_key("drain.linger", "Answering outcome queries after the last run.", 1000, 0),
     };
