Let go of requests that are under way when the core ends

A core that is destroyed with requests under way never freed them. Change: sinks hold weak references, as the registry keeps an exchange until it has ended; the core's end empties the registry.

--- a/source/core/entry/context.cpp
+++ b/source/core/entry/context.cpp
@@ -92,6 +92,17 @@
     return found;
 }
 
+auto request_registry::clear() -> void
+{
+    for (auto& part : this->shards) {
+        // Exchanges go outside the lock, as their last steps may call hooks.
+        std::unordered_map<common::request_id, exchange_ptr> items;
+        const std::lock_guard guard(part.lock);
+        items.swap(part.items);
+        part.due.clear();
+    }
+}
+
 core_context::core_context(core_options wanted, collaborators hooks, admin_api operators)
     : options(wanted), parts(std::move(hooks)), admin(std::move(operators)),
       decisions(wanted.decision_limit), budget(wanted.retries), work_chain(
--- a/source/core/entry/context.hpp
+++ b/source/core/entry/context.hpp
@@ -51,6 +51,8 @@
     auto remove(const exchange& item) -> void;
     auto take_overdue(common::time_point now) -> std::vector<exchange_ptr>;
     auto all() -> std::vector<exchange_ptr>;
+    /// Lets go of all, when the core ends before its requests.
+    auto clear() -> void;
 
     [[nodiscard]] auto size() const -> std::size_t { return this->count.load(); }
 
--- a/source/core/entry/core.cpp
+++ b/source/core/entry/core.cpp
@@ -20,6 +20,13 @@
     {
     }
 
+    ~core_impl() override { this->context->requests.clear(); }
+
+    core_impl(const core_impl&) = delete;
+    core_impl(core_impl&&) = delete;
+    auto operator=(const core_impl&) -> core_impl& = delete;
+    auto operator=(core_impl&&) -> core_impl& = delete;
+
     auto start() -> void
     {
         auto& operators = this->context->admin.hooks;
--- a/source/core/entry/filter_dispatch.cpp
+++ b/source/core/entry/filter_dispatch.cpp
@@ -196,9 +196,17 @@
     attempt.handle = context.parts.agents.run(
         item->placed.address,
         run_request_of(*item),
-        [item, number = attempt.number](messages::run_event event) {
-            post(item, [number, event = std::move(event)](const exchange_ptr& self) mutable {
-                take_event(self, number, std::move(event));
+        // The registry keeps the exchange until it has ended; a handle that kept its own sink, and
+        // through it the exchange that holds the handle, would never go.
+        [weak = std::weak_ptr<exchange>(item), shared = item->context, number = attempt.number](
+            messages::run_event event) {
+            const auto self = weak.lock();
+            if (!self) {
+                ++shared->counted.late_events;
+                return;
+            }
+            post(self, [number, event = std::move(event)](const exchange_ptr& present) mutable {
+                take_event(present, number, std::move(event));
             });
         });
     return filter_step::stop;
