--- a/source/core/control/orders.cpp
+++ b/source/core/control/orders.cpp
@@ -54,7 +54,7 @@
         return steps;
     }
     this->expire(now);
-    if (this->needs_lease(plan)) {
+    if (this->needs_lease(plan) || now >= this->renewal_sent + this->settings.idle_period) {
         this->renew(now, steps);
     }
     if (this->now_doing != stage::idle) {
@@ -69,8 +69,8 @@
     return steps;
 }
 
-/// Agents with nothing to order ask the log nothing; hundreds that renew all the time would take
-/// the log's reads from those that need them.
+/// Agents with nothing to order hardly ask the log; hundreds that renew all the time would take the
+/// log's reads from those that need them.
 auto engine_orders::needs_lease(const engine_plan& plan) const -> bool
 {
     if (this->now_doing == stage::fetching || this->now_doing == stage::ordering) {
--- a/source/core/control/orders.hpp
+++ b/source/core/control/orders.hpp
@@ -18,6 +18,9 @@
     common::duration lease_time = std::chrono::seconds(10);
     /// Time between two looks for a newer registration, while there is an order to give.
     common::duration renew_period = std::chrono::seconds(3);
+    /// The same while there is none. It has to be shorter than the log keeps its records: a reader
+    /// that has not read on since can't know what it missed, and would never get its lease back.
+    common::duration idle_period = std::chrono::minutes(5);
     /// How long after its check an order may still reach the engine.
     common::duration order_time = std::chrono::seconds(5);
     /// A call that has not answered by then counts as one whose answer is lost.
--- a/source/unit_tests/control/orders_test.cpp
+++ b/source/unit_tests/control/orders_test.cpp
@@ -94,6 +94,7 @@
 
     auto carry_out(const agent_ptr& who, const read_registrations& step) -> void
     {
+        ++this->reads;
         common::result<common::log_offset> answer = common::log_offset(this->newest);
         if (this->log_down) {
             answer = common::failure(result_code::log_unavailable);
@@ -206,6 +207,7 @@
     common::duration log_delay = 1ms;
     common::time_point store_busy_until{};
     int fetches = 0;
+    int reads = 0;
 };
 
 struct fault_row {
@@ -364,6 +366,18 @@
          all.run(10s);
          CHECK(all.engine.loaded == std::set{v1, v2});
      }},
+    {"nothing to order for long: the log is read seldom, but within its retention",
+     [](world& all) {
+         // An agent that did not read on for longer than the log keeps its records could not tell
+         // whether it was replaced meanwhile, and would give no order any more.
+         all.engine.loaded = {v1};
+         all.start_agent();
+         all.run(4min + 59s);
+         CHECK(all.reads == 1);
+         all.run(56min);
+         CHECK(all.reads >= 11);
+         CHECK(all.reads <= 13);
+     }},
     {"no registration in the log: no lease, no order",
      [](world& all) {
          all.start_agent(false);
