Settle schedules by the log's head; gather bills; a refusal that is not recorded

In half of the schedules e2 now passes its bills on to e1. The schedule now goes on until the head has been quiet for 6 s, which the check still holds every process to.

--- a/source/unit_tests/whole_path/calls.cpp
+++ b/source/unit_tests/whole_path/calls.cpp
@@ -54,4 +54,20 @@
     return answer ? answer->text : std::string();
 }
 
+auto request_of(const fake_caller& caller) -> std::optional<common::request_id>
+{
+    return common::parse_request_id(caller.header("Reedramp-Request-Id"));
+}
+
+auto is_stream(const fake_caller& caller) -> bool
+{
+    return caller.header("Content-Type") == "text/event-stream";
+}
+
+auto is_answered(const fake_caller& caller) -> bool
+{
+    const auto is_whole = is_stream(caller) ? caller.is_whole_stream() : caller.finished;
+    return is_whole && caller.head.status == 200;
+}
+
 } // namespace reedramp::whole_path
--- a/source/unit_tests/whole_path/calls.hpp
+++ b/source/unit_tests/whole_path/calls.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
+#include "common/ids.hpp"
 #include "http/message.hpp"
 #include "unit_tests/entry/world.hpp"
 
@@ -37,4 +39,12 @@
 /// Text of a whole chat answer; empty for another body.
 auto answer_of(const fake_caller& caller) -> std::string;
 
+/// Id of the request in the answer, if one came.
+auto request_of(const fake_caller& caller) -> std::optional<common::request_id>;
+
+auto is_stream(const fake_caller& caller) -> bool;
+
+/// A whole answer with status 200 has come.
+auto is_answered(const fake_caller& caller) -> bool;
+
 } // namespace reedramp::whole_path
--- a/source/unit_tests/whole_path/fleet.cpp
+++ b/source/unit_tests/whole_path/fleet.cpp
@@ -175,12 +175,7 @@
     node->publisher = inventory::publisher::create(
         {this->log_for(node->alive), this->time.clock(), node->alive->timers()}, node->follower);
     this->make_claims(*node);
-    billing::collector_hooks billed;
-    billed.log = this->log_for(node->alive);
-    billed.now = this->time.clock();
-    billed.timer = node->alive->timers();
-    billed.random = this->random;
-    node->bills = billing::collector::create({}, std::move(billed));
+    node->bills = this->make_bills(*node);
     entry::version_policy_settings policy;
     policy.explore_share = 0;
     node->versions = std::make_shared<entry::version_policy>(policy);
@@ -262,6 +257,28 @@
     node.claiming = std::make_shared<entry_program::claim_route>(std::move(route));
 }
 
+/// Where the daemons choose a gatherer among many entries, here e1 is the one of e2.
+auto fleet::make_bills(const entry_node& node) -> std::shared_ptr<billing::collector>
+{
+    billing::collector_hooks hooks;
+    hooks.log = this->log_for(node.alive);
+    hooks.now = this->time.clock();
+    hooks.timer = node.alive->timers();
+    hooks.random = this->random;
+    if (this->gathers_bills && node.host.value() != "e1") {
+        hooks.forward = [hosts = node.hosts,
+                         to = this->net.peers_for(node.alive).hand_over](auto bills, auto done) {
+            const auto others = hosts->entries();
+            if (others.empty()) {
+                done(common::failure(common::result_code::peer_unavailable));
+                return;
+            }
+            to(others.front().rpc, std::move(bills), std::move(done));
+        };
+    }
+    return billing::collector::create({}, std::move(hooks));
+}
+
 auto fleet::connect_rules(const entry_ptr& node, entry::collaborators& parts) -> void
 {
     auto* at = node.get();
--- a/source/unit_tests/whole_path/fleet.hpp
+++ b/source/unit_tests/whole_path/fleet.hpp
@@ -63,6 +63,8 @@
     foreign_answer,
     /// A replaced agent says that it is the one before, without that one's table.
     forgetful_agent,
+    /// An agent says that it has refused a request that it does not know, and records nothing.
+    unrecorded_refusal,
     /// A draining agent goes on taking work.
     undrained_agent,
     /// A leaving entry gives up what runs.
@@ -172,6 +174,8 @@
     std::vector<work_start> starts;
     /// Chance, in thousandths, that a backend server loses a call after it has begun.
     std::uint64_t broken_calls = 0;
+    /// e2 passes its bills on to e1, which appends them with its own.
+    bool gathers_bills = false;
     /// Called at each start, before it is recorded.
     std::function<auto(const work_start& item)->void> on_start = nullptr;
     const mutation fault;
@@ -181,6 +185,7 @@
     auto make_claims(entry_node& node) -> void;
     auto make_follower(const life_ptr& alive) -> inventory::follower_hooks;
     auto entry_follower(const entry_node& node) -> std::shared_ptr<inventory::follower>;
+    auto make_bills(const entry_node& node) -> std::shared_ptr<billing::collector>;
     auto make_core(const entry_ptr& node) -> void;
     auto connect_rules(const entry_ptr& node, entry::collaborators& parts) -> void;
     auto connect_accounts(const entry_ptr& node, entry::collaborators& parts) -> void;
--- a/source/unit_tests/whole_path/fleet_agents.cpp
+++ b/source/unit_tests/whole_path/fleet_agents.cpp
@@ -41,6 +41,21 @@
     return order;
 }
 
+using ask_hook = decltype(messages::agent_service::ask);
+
+auto unrecorded(ask_hook ask) -> ask_hook
+{
+    return [ask = std::move(ask)](messages::outcome_query query, const auto& done) {
+        query.refuse_if_unknown = false;
+        ask(query, [done](common::result<messages::outcome_answer> answer) {
+            if (answer && answer->state == messages::outcome_state::unknown) {
+                answer->state = messages::outcome_state::refused;
+            }
+            done(answer);
+        });
+    };
+}
+
 } // namespace
 
 auto fleet::answer_text(const std::string& mark, const std::string& version) -> std::string
@@ -129,6 +144,9 @@
     auto offered = std::make_shared<endpoint>();
     offered->owner = node.alive;
     offered->agent = node.core->service();
+    if (this->fault == mutation::unrecorded_refusal) {
+        offered->agent.ask = unrecorded(offered->agent.ask);
+    }
     offered->peer.pull = [follower = node.follower](const auto& pull, const auto& done) {
         done(follower->answer(pull));
     };
--- a/source/unit_tests/whole_path/promises_test.cpp
+++ b/source/unit_tests/whole_path/promises_test.cpp
@@ -73,7 +73,7 @@
         mutation_case{mutation::moved_session, promise::session_keeps_version},
         mutation_case{mutation::doubled_bill, promise::billed_once},
         mutation_case{mutation::foreign_answer, promise::whole_own_answer},
-        mutation_case{mutation::forgetful_agent, promise::not_run_is_true},
+        mutation_case{mutation::unrecorded_refusal, promise::not_run_is_true},
         mutation_case{mutation::forgetful_agent, promise::at_most_once},
         mutation_case{mutation::undrained_agent, promise::nothing_new_on_leaving},
         mutation_case{mutation::hasty_shutdown, promise::shutdown_cuts_nothing},
--- a/source/unit_tests/whole_path/schedule.cpp
+++ b/source/unit_tests/whole_path/schedule.cpp
@@ -1,5 +1,6 @@
 #include "schedule.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "calls.hpp"
@@ -17,6 +18,9 @@
 /// Callers' deadlines are 5 s; a bill that met a fault may wait 5 s for its next append.
 constexpr common::duration settling_time = 14s;
 constexpr std::uint64_t longest_pause_ms = 3000;
+/// A withdrawal that was taken while the log was down may be appended late; from then on it has to
+/// be in force everywhere within this time.
+constexpr common::duration in_force_within = 6s;
 
 const std::vector<std::string> entry_names{"e1", "e2"};
 const std::vector<std::string> agent_names{"a1", "a2", "a3"};
@@ -48,6 +52,7 @@
 
 auto schedule::start() -> void
 {
+    this->all.gathers_bills = this->draw(2) == 0;
     for (const auto& name : entry_names) {
         this->all.start_entry(name);
     }
@@ -81,9 +86,14 @@
     this->all.broken_calls = 0;
     this->all.log.set_faults({});
     this->revive();
-    for (auto part = 0; part < 4; ++part) {
-        this->all.run(settling_time / 4);
+    auto head = this->all.log.head(platform::streams::configuration);
+    auto end = this->all.time.now() + settling_time;
+    while (this->all.time.now() < end) {
+        this->all.run(1s);
         this->check_offsets();
+        const auto newest = this->all.log.head(platform::streams::configuration);
+        end = newest == head ? end : std::max(end, this->all.time.now() + in_force_within);
+        head = newest;
     }
 }
 
@@ -91,29 +101,19 @@
 
 auto schedule::make_call() -> void
 {
-    switch (this->draw(8)) {
-    case 0:
-        this->open_sessions();
-        return;
-    case 1:
-    case 2:
-        this->call_session();
-        return;
-    case 3:
-    case 4:
-        this->call_note();
-        return;
-    case 5:
-        this->leave_one();
-        return;
-    default:
-        this->call_chat();
-        return;
-    }
+    static const std::vector<void (schedule::*)()> kinds{
+        &schedule::call_chat,
+        &schedule::call_chat,
+        &schedule::call_session,
+        &schedule::call_session,
+        &schedule::call_note,
+        &schedule::call_note,
+        &schedule::open_sessions,
+        &schedule::leave_one};
+    (this->*kinds[this->draw(kinds.size())])();
 }
 
-auto schedule::send(const std::string& organisation, const std::string& mark, http::request request)
-    -> void
+auto schedule::send(const std::string& mark, http::request request) -> void
 {
     const auto host = this->one_of(entry_names);
     const auto& node = this->all.entries.at(host);
@@ -121,8 +121,7 @@
         return;
     }
     const auto is_chat = request.target == "/v1/chat/completions";
-    this->calls.push_back(
-        {mark, organisation, node, this->all.call(host, std::move(request)), is_chat});
+    this->calls.push_back({mark, node, this->all.call(host, std::move(request)), is_chat});
 }
 
 auto schedule::call_chat() -> void
@@ -132,7 +131,7 @@
     chat_options options;
     options.stream = this->draw(2) == 0;
     options.model = this->draw(4) == 0 ? this->one_of({"v1", "v2", "v3"}) : "m";
-    this->send(organisation, mark, chat(organisation, mark, options));
+    this->send(mark, chat(organisation, mark, options));
 }
 
 auto schedule::call_session() -> void
@@ -150,7 +149,7 @@
     chat_options options;
     options.session = token;
     options.stream = this->draw(2) == 0;
-    this->send("one", mark, chat("one", mark, options));
+    this->send(mark, chat("one", mark, options));
 }
 
 /// A caller's tool may send the same call to both entries, at once or after a while.
@@ -164,7 +163,7 @@
     const auto key = this->draw(2) == 0 ? "key-" + mark : std::string();
     const auto copies = key.empty() ? 1 : 1 + this->draw(3);
     for (std::uint64_t copy = 0; copy < copies; ++copy) {
-        this->send("one", mark, note_call("one", mark, key, method));
+        this->send(mark, note_call("one", mark, key, method));
         this->all.run(this->draw(2) == 0 ? 0s : milliseconds(this->draw(longest_step_ms)));
     }
 }
@@ -205,11 +204,11 @@
     switch (this->draw(7)) {
     case 0:
     case 1:
-        this->disturb_entry();
+        this->disturb_entry(this->one_of(entry_names));
         return;
     case 2:
     case 3:
-        this->disturb_agent();
+        this->disturb_agent(this->one_of(agent_names));
         return;
     case 4:
         this->disturb_log();
@@ -223,51 +222,41 @@
     }
 }
 
-auto schedule::disturb_entry() -> void
+auto schedule::disturb_entry(const std::string& name) -> void
 {
-    const auto name = this->one_of(entry_names);
     const auto node = this->all.entries.at(name);
+    const auto kind = this->draw(3);
     if (node->alive->is_ended()) {
         this->all.start_entry(name);
-        return;
     }
-    switch (this->draw(3)) {
-    case 0:
+    else if (kind == 0) {
         this->all.kill_entry(name);
-        return;
-    case 1:
+    }
+    else if (kind == 1) {
         node->alive->suspend(milliseconds(this->draw(longest_pause_ms)));
-        return;
-    default:
-        if (!node->leaving) {
-            this->all.stop_entry(name);
-            this->stopped_entries.push_back(node);
-        }
-        return;
+    }
+    else if (!node->leaving) {
+        this->all.stop_entry(name);
+        this->stopped_entries.push_back(node);
     }
 }
 
-auto schedule::disturb_agent() -> void
+auto schedule::disturb_agent(const std::string& name) -> void
 {
-    const auto name = this->one_of(agent_names);
     const auto node = this->all.agents.at(name);
+    const auto kind = this->draw(3);
     if (node->alive->is_ended()) {
         this->all.start_agent(name);
-        return;
     }
-    switch (this->draw(3)) {
-    case 0:
+    else if (kind == 0) {
         this->all.kill_agent(name);
-        return;
-    case 1:
+    }
+    else if (kind == 1) {
         node->alive->suspend(milliseconds(this->draw(longest_pause_ms)));
-        return;
-    default:
-        if (!node->drained_at && node->core) {
-            this->all.drain_agent(name);
-            this->drained_agents.push_back(node);
-        }
-        return;
+    }
+    else if (!node->drained_at && node->core) {
+        this->all.drain_agent(name);
+        this->drained_agents.push_back(node);
     }
 }
 
--- a/source/unit_tests/whole_path/schedule.hpp
+++ b/source/unit_tests/whole_path/schedule.hpp
@@ -34,7 +34,6 @@
 /// One call of a caller.
 struct made_call {
     std::string mark;
-    std::string organisation;
     std::shared_ptr<entry_node> at;
     std::shared_ptr<fake_caller> caller;
     bool is_chat = true;
@@ -53,11 +52,6 @@
     [[nodiscard]] auto answered() const -> std::size_t;
 
 private:
-    struct named_session {
-        std::string organisation;
-        std::shared_ptr<fake_caller> opened;
-    };
-
     auto draw(std::uint64_t below) -> std::uint64_t { return this->random() % below; }
 
     auto one_of(const std::vector<std::string>& names) -> std::string
@@ -70,8 +64,7 @@
     auto heal() -> void;
 
     auto make_call() -> void;
-    auto send(const std::string& organisation, const std::string& mark, http::request request)
-        -> void;
+    auto send(const std::string& mark, http::request request) -> void;
     auto call_chat() -> void;
     auto call_session() -> void;
     auto call_note() -> void;
@@ -79,8 +72,8 @@
     auto leave_one() -> void;
 
     auto make_fault() -> void;
-    auto disturb_entry() -> void;
-    auto disturb_agent() -> void;
+    auto disturb_entry(const std::string& name) -> void;
+    auto disturb_agent(const std::string& name) -> void;
     auto disturb_log() -> void;
     auto change_configuration() -> void;
     auto withdraw() -> void;
@@ -92,9 +85,23 @@
     auto check_call(const made_call& call) -> void;
     auto check_refusal(const made_call& call) -> void;
     auto check_answer(const made_call& call) -> void;
+    auto check_stream(const made_call& call, const std::string& wanted) -> void;
     auto check_bills() -> void;
     auto check_departures() -> void;
     auto check_configuration() -> void;
+
+    /// Calls `look(name, node)` for each process that is the newest of its name.
+    template <typename Look>
+    auto for_processes(Look look) -> void
+    {
+        for (const auto& [name, node] : this->all.entries) {
+            look(name, *node);
+        }
+        for (const auto& [name, node] : this->all.agents) {
+            look(name, *node);
+        }
+    }
+
     auto report(promise which, std::string what) -> void;
 
     fleet all;
--- a/source/unit_tests/whole_path/schedule_checks.cpp
+++ b/source/unit_tests/whole_path/schedule_checks.cpp
@@ -12,21 +12,10 @@
 
 constexpr common::duration leaving_limit = 2s;
 
-auto id_of(const fake_caller& caller) -> std::optional<common::request_id>
+/// It ended without a word, so that nothing more came from it.
+auto was_killed(const entry_node& node) -> bool
 {
-    return common::parse_request_id(caller.header("Reedramp-Request-Id"));
-}
-
-auto is_stream(const fake_caller& caller) -> bool
-{
-    return caller.header("Content-Type") == "text/event-stream";
-}
-
-auto is_answered(const made_call& call) -> bool
-{
-    const auto& caller = *call.caller;
-    const auto is_whole = is_stream(caller) ? caller.is_whole_stream() : caller.finished;
-    return is_whole && caller.head.status == 200;
+    return node.alive->is_ended() && !node.left;
 }
 
 /// A request that may have been sent is billed, with no tokens if none were seen.
@@ -47,7 +36,9 @@
 auto schedule::answered() const -> std::size_t
 {
     return static_cast<std::size_t>(
-        std::count_if(this->calls.begin(), this->calls.end(), is_answered));
+        std::count_if(this->calls.begin(), this->calls.end(), [](const auto& call) {
+            return is_answered(*call.caller);
+        }));
 }
 
 /// What a backend server must never be given, looked at when it is.
@@ -76,20 +67,14 @@
 
 auto schedule::check_offsets() -> void
 {
-    const auto check = [this](const std::string& name, const auto& node) {
+    this->for_processes([this](const std::string& name, const auto& node) {
         const auto now = node.follower->snapshot()->offset.value();
         auto& before = this->offsets[node.alive.get()];
         if (now < before) {
             this->report(promise::configuration_only_forward, name + " went back");
         }
         before = now;
-    };
-    for (const auto& [name, node] : this->all.entries) {
-        check(name, *node);
-    }
-    for (const auto& [name, node] : this->all.agents) {
-        check(name, *node);
-    }
+    });
 }
 
 auto schedule::check_end() -> void
@@ -105,11 +90,10 @@
 auto schedule::check_call(const made_call& call) -> void
 {
     const auto& caller = *call.caller;
-    const auto is_lost = call.at->alive->is_ended() && !call.at->left;
     if (caller.answers > 1) {
         this->report(promise::whole_own_answer, call.mark + " was answered twice");
     }
-    if (!caller.finished && !caller.aborted && !call.has_left && !is_lost) {
+    if (!caller.finished && !caller.aborted && !call.has_left && !was_killed(*call.at)) {
         this->report(promise::whole_own_answer, call.mark + " was never answered");
     }
     this->check_answer(call);
@@ -125,13 +109,7 @@
     const auto version = caller.header("Reedramp-Version");
     const auto wanted = call.is_chat ? fleet::answer_text(call.mark, version) : "done " + call.mark;
     if (is_stream(caller)) {
-        const auto text = caller.streamed_text();
-        const auto is_right = caller.is_whole_stream() ? text == wanted : wanted.starts_with(text);
-        const auto is_plain_end =
-            caller.finished && !caller.is_whole_stream() && caller.problem_name().empty();
-        if (!is_right || is_plain_end) {
-            this->report(promise::whole_own_answer, call.mark + " got the stream " + text);
-        }
+        this->check_stream(call, wanted);
         return;
     }
     const auto text = call.is_chat ? answer_of(caller) : caller.body;
@@ -140,9 +118,22 @@
     }
 }
 
+/// A stream that is not whole says so, and what came of it is the answer's start.
+auto schedule::check_stream(const made_call& call, const std::string& wanted) -> void
+{
+    const auto& caller = *call.caller;
+    const auto text = caller.streamed_text();
+    const auto is_whole = caller.is_whole_stream();
+    const auto is_right = is_whole ? text == wanted : wanted.starts_with(text);
+    const auto says_so = is_whole || !caller.finished || !caller.problem_name().empty();
+    if (!is_right || !says_so) {
+        this->report(promise::whole_own_answer, call.mark + " got the stream " + text);
+    }
+}
+
 auto schedule::check_refusal(const made_call& call) -> void
 {
-    const auto id = id_of(*call.caller);
+    const auto id = request_of(*call.caller);
     if (!id || call.caller->execution() != "not_run") {
         return;
     }
@@ -164,7 +155,7 @@
         known.insert(item.request);
     }
     for (const auto& call : this->calls) {
-        known.insert(id_of(*call.caller).value_or(common::request_id{}));
+        known.insert(request_of(*call.caller).value_or(common::request_id{}));
     }
     std::set<common::request_id> billed;
     for (const auto& record : this->all.log.records(platform::streams::bills)) {
@@ -178,9 +169,8 @@
         }
     }
     for (const auto& call : this->calls) {
-        const auto was_killed = call.at->alive->is_ended() && !call.at->left;
-        const auto id = id_of(*call.caller);
-        if (is_answered(call) && !was_killed && id && !billed.contains(*id)) {
+        const auto id = request_of(*call.caller);
+        if (is_answered(*call.caller) && !was_killed(*call.at) && id && !billed.contains(*id)) {
             this->report(promise::billed_once, call.mark + " is not billed");
         }
     }
@@ -205,7 +195,7 @@
 auto schedule::check_configuration() -> void
 {
     const auto head = this->all.log.head(platform::streams::configuration);
-    const auto check = [this, head](const std::string& name, const auto& node) {
+    this->for_processes([this, head](const std::string& name, const auto& node) {
         if (node.alive->is_ended()) {
             return;
         }
@@ -224,13 +214,7 @@
                 this->report(promise::configuration_only_forward, std::move(what));
             }
         }
-    };
-    for (const auto& [name, node] : this->all.entries) {
-        check(name, *node);
-    }
-    for (const auto& [name, node] : this->all.agents) {
-        check(name, *node);
-    }
+    });
 }
 
 } // namespace reedramp::whole_path
