--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 JOBS ?= $(shell nproc)
 SECONDS_TO_RUN ?= $(if $(filter command line,$(origin SECONDS)),$(SECONDS),60)
 
-.PHONY: build setup demo test bench capacity lint format docs
+.PHONY: build setup demo test soak bench capacity lint format docs
 
 build: setup
 	@cmake -S . -B $(BUILD) -G Ninja -DSANITIZE=$(SANITIZE) > $(BUILD).log 2>&1 || { cat $(BUILD).log; exit 1; }
@@ -22,6 +22,10 @@
 test: build
 	@cd $(BUILD) && ctest --output-on-failure -j 4
 
+# Random schedules against the ten promises, for SECONDS=n (60); FIRST_SEED=n starts elsewhere.
+soak: build
+	@REEDRAMP_SOAK_SECONDS=$(SECONDS_TO_RUN) REEDRAMP_FIRST_SEED=$(or $(FIRST_SEED),100001) $(BUILD)/bin/promises_test "[soak]"
+
 bench: build
 	@tools/bench $(BUILD)
 
--- a/source/unit_tests/whole_path/promises_test.cpp
+++ b/source/unit_tests/whole_path/promises_test.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 #include <string>
 
@@ -13,6 +15,7 @@
 namespace {
 
 constexpr std::uint64_t default_schedules = 500;
+constexpr std::uint64_t first_soak_seed = 100'001;
 constexpr std::uint64_t most_mutated_schedules = 400;
 
 auto number_from(const char* name, std::uint64_t otherwise) -> std::uint64_t
@@ -39,32 +42,49 @@
     return false;
 }
 
-} // namespace
-
-TEST_CASE("promises: hold in every schedule", "[schedules]")
+/// Runs schedules from seed `first` on while `goes_on(count)`, `count` being those that have run.
+auto check_from(std::uint64_t first, const std::function<auto(std::uint64_t count)->bool>& goes_on)
+    -> void
 {
-    const auto first = number_from("REEDRAMP_FIRST_SEED", 1);
-    const auto count = number_from("REEDRAMP_SCHEDULES", default_schedules);
-    std::cout << "seeds " << first << " to " << first + count - 1 << "\n";
+    std::uint64_t count = 0;
     std::uint64_t violations = 0;
     std::uint64_t answered = 0;
-    for (auto seed = first; seed < first + count; ++seed) {
+    for (; goes_on(count); ++count) {
+        const auto seed = first + count;
         schedule drawn(seed);
         for (const auto& fault : drawn.run()) {
             ++violations;
-            UNSCOPED_INFO(
-                "seed " << seed << " promise " << static_cast<int>(fault.which) << ": "
-                        << fault.what);
+            std::cout << "seed " << seed << " promise " << static_cast<int>(fault.which) << ": "
+                      << fault.what << "\n";
         }
         answered += drawn.answered();
     }
-    std::cout << "METRIC promise_schedules_checked " << count << " schedules\n"
-              << "METRIC promise_violations " << violations << " violations\n"
-              << "answered calls " << answered << "\n";
+    std::cout << "seeds " << first << " to " << first + count - 1 << ", calls answered " << answered
+              << "\nMETRIC promise_schedules_checked " << count << " schedules\n"
+              << "METRIC promise_violations " << violations << " violations\n";
     CHECK(violations == 0);
     CHECK(answered > count);
 }
 
+} // namespace
+
+TEST_CASE("promises: hold in every schedule", "[schedules]")
+{
+    const auto wanted = number_from("REEDRAMP_SCHEDULES", default_schedules);
+    check_from(
+        number_from("REEDRAMP_FIRST_SEED", 1), [wanted](auto count) { return count < wanted; });
+}
+
+TEST_CASE("promises: hold in all schedules of a time", "[.soak]")
+{
+    // The only use of the real clock: how long to go on. It changes no schedule.
+    const std::chrono::seconds span(number_from("REEDRAMP_SOAK_SECONDS", 60));
+    const auto end = std::chrono::steady_clock::now() + span;
+    check_from(number_from("REEDRAMP_FIRST_SEED", first_soak_seed), [end](auto) {
+        return std::chrono::steady_clock::now() < end;
+    });
+}
+
 TEST_CASE("promises: each check fails when its promise is broken", "[mutations]")
 {
     const auto item = GENERATE(
