Bound the margin for long runs by half of the time left

Cause: three times an expected run of 10 s (512 tokens, no max_tokens) is more than a deadline of 30 s, so that such a request was refused whenever it had to wait at all. The test's rows give both bounds to the millisecond; the row that waited 1 s with 4 s left and was refused with 3.999 s is replaced, since that bound is now 2 s.

--- a/source/core/placement/fair_queue.cpp
+++ b/source/core/placement/fair_queue.cpp
@@ -60,9 +60,15 @@
     if (request.deadline != common::never) {
         // One that can start at once needs just the run. The clock goes on between this check and
         // the start: without the rest of its time it would be given up on before an idle server.
-        const auto margin = expected_start <= now ? 1.0 : this->settings.run_margin;
-        latest_start =
-            request.deadline - std::chrono::duration_cast<common::duration>(run * margin);
+        auto kept_free = run;
+        if (expected_start > now) {
+            // Half of the time may always be spent on waiting; else a request whose expected run is
+            // long would be refused whenever it has to wait at all.
+            const auto margin =
+                std::chrono::duration_cast<common::duration>(run * this->settings.run_margin);
+            kept_free = std::max(run, std::min(margin, (request.deadline - now) / 2));
+        }
+        latest_start = request.deadline - kept_free;
     }
     if (expected_start > latest_start) {
         // The queue has to get shorter by this much before the same request would be accepted.
--- a/source/core/placement/fair_queue.hpp
+++ b/source/core/placement/fair_queue.hpp
@@ -42,9 +42,9 @@
     std::size_t max_queued = 256;
     /// Tokens a second of one running request, until the first ones have finished.
     double expected_stream_rate = 50.0;
-    /// A request waits no longer than leaves it this many times its expected run before its
-    /// deadline, since many runs take longer than expected. One that can start at once needs just
-    /// the run.
+    /// A request waits no longer than leaves it this many times its expected run, or half of the
+    /// time it has, whichever is less, before its deadline, since many runs take longer than
+    /// expected. One that can start at once needs just the run.
     double run_margin = 3.0;
 };
 
