--- a/source/bench/cluster.cpp
+++ b/source/bench/cluster.cpp
@@ -6,7 +6,7 @@
 #include <optional>
 #include <queue>
 
-#include "placement/retry_budget.hpp"
+#include "cluster_state.hpp"
 
 namespace reedramp::bench {
 
@@ -16,34 +16,6 @@
 constexpr auto loss_noticed_after = std::chrono::milliseconds(100);
 constexpr std::size_t most_tries = 3;
 
-struct event {
-    common::time_point at;
-    std::size_t order = 0;
-    std::function<auto()->void> action;
-
-    auto operator>(const event& other) const -> bool
-    {
-        return std::pair(this->at, this->order) > std::pair(other.at, other.order);
-    }
-};
-
-struct job_state {
-    job item;
-    std::vector<std::size_t> tried;
-    std::size_t server = 0;
-    std::size_t rounds = 0;
-    bool done = false;
-};
-
-/// What one entry knows; no field holds a truth.
-struct entry_state {
-    placement::probe_pool pool;
-    placement::retry_budget budget;
-    std::vector<std::size_t> next_in_turn;
-    /// Requests sent to each server since its last report.
-    std::vector<std::uint32_t> sent;
-};
-
 auto work_of(const job& item) -> double
 {
     return item.prompt / prefill_rate + item.truth.completion / decode_rate;
