Try a request again whose agent cancelled it for a lost connection

An agent that loses the connection to an entry takes the caller for gone and cancels the run. The entry that asked about the lost attempt took 'cancelled' for the end of the request and told its caller so, though the caller was still there and the request could run elsewhere. The reason is now the loss of the connection. Three rows of the table of lost answers hold it; the first of them fails with the code before.

--- a/source/core/entry/attempt_outcome.cpp
+++ b/source/core/entry/attempt_outcome.cpp
@@ -66,11 +66,20 @@
     lose_attempt(item, attempt_fate::failed, std::move(why));
 }
 
+/// Why the attempt ended, as its agent recorded it. An agent that loses the connection to its entry
+/// takes the caller for gone and cancels. This caller is still there: the reason is the loss, after
+/// which the request may be tried elsewhere; "cancelled" would be its end.
+auto reason_of(const exchange& item, const messages::outcome_answer& answer) -> common::error
+{
+    const auto is_cancelled = answer.why && answer.why->code == common::result_code::cancelled;
+    return answer.why && !is_cancelled ? *answer.why : item.attempt.lost;
+}
+
 auto take_outcome(const exchange_ptr& item, messages::outcome_answer answer) -> void
 {
     switch (answer.state) {
     case messages::outcome_state::refused: {
-        auto why = answer.why.value_or(item->attempt.lost);
+        auto why = reason_of(*item, answer);
         why.run = common::execution::not_run;
         lose_attempt(item, attempt_fate::refused, std::move(why));
         return;
@@ -80,7 +89,7 @@
         return;
     case messages::outcome_state::failed: {
         add_bill_line(*item, answer.used);
-        auto why = answer.why.value_or(item->attempt.lost);
+        auto why = reason_of(*item, answer);
         why.run = common::execution::ran;
         lose_attempt(item, attempt_fate::failed, std::move(why));
         return;
--- a/source/unit_tests/entry/core_faults_test.cpp
+++ b/source/unit_tests/entry/core_faults_test.cpp
@@ -26,6 +26,14 @@
     return answer;
 }
 
+/// What an agent says that took the lost connection for a caller that left.
+auto cancelled_as(outcome_state state) -> messages::outcome_answer
+{
+    auto answer = outcome_of(state);
+    answer.why = common::make_error(result_code::cancelled);
+    return answer;
+}
+
 auto key_header() -> std::vector<http::header>
 {
     return {{"Idempotency-Key", "k1"}};
@@ -60,6 +68,14 @@
          1,
          "outcome_unknown",
          "unknown"},
+        {"cancelled before it ran", "POST", cancelled_as(outcome_state::refused), 2, "", ""},
+        {"cancelled in its run",
+         "POST",
+         cancelled_as(outcome_state::failed),
+         1,
+         "server_lost",
+         "ran"},
+        {"cancelled, may run twice", "GET", cancelled_as(outcome_state::failed), 2, "", ""},
         {"no agent, may run twice", "GET", std::nullopt, 2, "", ""},
         {"it goes on, may run twice", "GET", outcome_of(outcome_state::running), 2, "", ""},
     };
--- a/source/unit_tests/whole_path/fleet_agents.cpp
+++ b/source/unit_tests/whole_path/fleet_agents.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr common::duration agent_tick = 100ms;
-constexpr common::duration token_time = 5ms;
-constexpr common::duration work_time = 10ms;
+constexpr common::duration token_time = 40ms;
+constexpr common::duration work_time = 60ms;
 constexpr std::uint32_t answer_tokens = 4;
 
 auto token_text(const std::string& mark, const std::string& version, std::uint64_t index)
--- a/source/unit_tests/whole_path/schedule.cpp
+++ b/source/unit_tests/whole_path/schedule.cpp
@@ -128,10 +128,8 @@
 {
     const std::string organisation = this->draw(3) == 0 ? "two" : "one";
     const auto mark = organisation + "-" + std::to_string(++this->marks);
-    chat_options options;
-    options.stream = this->draw(2) == 0;
-    options.model = this->draw(4) == 0 ? this->one_of({"v1", "v2", "v3"}) : "m";
-    this->send(mark, chat(organisation, mark, options));
+    const auto model = this->draw(4) == 0 ? this->one_of({"v1", "v2", "v3"}) : "m";
+    this->send(mark, chat(organisation, mark, {this->draw(2) == 0, {}, model}));
 }
 
 auto schedule::call_session() -> void
@@ -141,15 +139,11 @@
     }
     const auto& opened = *this->sessions[this->draw(this->sessions.size())];
     const auto token = opened.header("Reedramp-Session");
-    if (token.empty()) {
-        return;
+    if (!token.empty()) {
+        const auto mark = "one-" + std::to_string(++this->marks);
+        this->pinned_marks[mark] = opened.header("Reedramp-Version");
+        this->send(mark, chat("one", mark, {this->draw(2) == 0, token}));
     }
-    const auto mark = "one-" + std::to_string(++this->marks);
-    this->pinned_marks[mark] = opened.header("Reedramp-Version");
-    chat_options options;
-    options.session = token;
-    options.stream = this->draw(2) == 0;
-    this->send(mark, chat("one", mark, options));
 }
 
 /// A caller's tool may send the same call to both entries, at once or after a while.
@@ -201,60 +195,57 @@
 
 auto schedule::make_fault() -> void
 {
-    switch (this->draw(7)) {
+    static const std::vector<void (schedule::*)()> kinds{
+        &schedule::disturb_entry,
+        &schedule::disturb_entry,
+        &schedule::disturb_agent,
+        &schedule::disturb_agent,
+        &schedule::disturb_log,
+        &schedule::change_configuration,
+        &schedule::revive};
+    (this->*kinds[this->draw(kinds.size())])();
+}
+
+/// Kills or suspends the process; false if it is to leave gracefully instead.
+auto schedule::disturb(life& alive, const std::function<auto()->void>& kill) -> bool
+{
+    switch (this->draw(3)) {
     case 0:
+        kill();
+        return true;
     case 1:
-        this->disturb_entry(this->one_of(entry_names));
-        return;
-    case 2:
-    case 3:
-        this->disturb_agent(this->one_of(agent_names));
-        return;
-    case 4:
-        this->disturb_log();
-        return;
-    case 5:
-        this->change_configuration();
-        return;
+        alive.suspend(milliseconds(this->draw(longest_pause_ms)));
+        return true;
     default:
-        this->revive();
-        return;
+        return false;
     }
 }
 
-auto schedule::disturb_entry(const std::string& name) -> void
+auto schedule::disturb_entry() -> void
 {
+    const auto name = this->one_of(entry_names);
     const auto node = this->all.entries.at(name);
-    const auto kind = this->draw(3);
     if (node->alive->is_ended()) {
         this->all.start_entry(name);
+        return;
     }
-    else if (kind == 0) {
-        this->all.kill_entry(name);
-    }
-    else if (kind == 1) {
-        node->alive->suspend(milliseconds(this->draw(longest_pause_ms)));
-    }
-    else if (!node->leaving) {
+    const auto is_done = this->disturb(*node->alive, [&] { this->all.kill_entry(name); });
+    if (!is_done && !node->leaving) {
         this->all.stop_entry(name);
         this->stopped_entries.push_back(node);
     }
 }
 
-auto schedule::disturb_agent(const std::string& name) -> void
+auto schedule::disturb_agent() -> void
 {
+    const auto name = this->one_of(agent_names);
     const auto node = this->all.agents.at(name);
-    const auto kind = this->draw(3);
     if (node->alive->is_ended()) {
         this->all.start_agent(name);
+        return;
     }
-    else if (kind == 0) {
-        this->all.kill_agent(name);
-    }
-    else if (kind == 1) {
-        node->alive->suspend(milliseconds(this->draw(longest_pause_ms)));
-    }
-    else if (!node->drained_at && node->core) {
+    const auto is_done = this->disturb(*node->alive, [&] { this->all.kill_agent(name); });
+    if (!is_done && !node->drained_at && node->core) {
         this->all.drain_agent(name);
         this->drained_agents.push_back(node);
     }
--- a/source/unit_tests/whole_path/schedule.hpp
+++ b/source/unit_tests/whole_path/schedule.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -72,8 +73,9 @@
     auto leave_one() -> void;
 
     auto make_fault() -> void;
-    auto disturb_entry(const std::string& name) -> void;
-    auto disturb_agent(const std::string& name) -> void;
+    auto disturb(life& alive, const std::function<auto()->void>& kill) -> bool;
+    auto disturb_entry() -> void;
+    auto disturb_agent() -> void;
     auto disturb_log() -> void;
     auto change_configuration() -> void;
     auto withdraw() -> void;
