--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -96,6 +96,8 @@
             "http.listen": "127.0.0.1:0", "backend.address": self.parts[backend],
             "platform.log": self.parts["log"], "platform.hosts": self.parts["hosts"],
             "operators.key_hashes": [sha256(self.operator_key)], "log.level": "info"}
+        if "weights" in self.parts:
+            settings["platform.weights"] = self.parts["weights"]
         settings.update(extra or {})
         ready = self.start("agent-" + server, "reedramp-agent", nest(settings))[-1]
         self.agents[server] = f"127.0.0.1:{ready['http_port']}"
