--- a/source/unit_tests/whole_path/promises_test.cpp
+++ b/source/unit_tests/whole_path/promises_test.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::uint64_t default_schedules = 500;
+constexpr std::uint64_t schedules_of_ci = 2000;
 constexpr std::uint64_t first_soak_seed = 100'001;
 constexpr std::uint64_t most_mutated_schedules = 400;
 
@@ -75,6 +76,11 @@
         number_from("REEDRAMP_FIRST_SEED", 1), [wanted](auto count) { return count < wanted; });
 }
 
+TEST_CASE("promises: figures of all schedules of CI", "[.bench]")
+{
+    check_from(1, [](auto count) { return count < schedules_of_ci; });
+}
+
 TEST_CASE("promises: hold in all schedules of a time", "[.soak]")
 {
     // The only use of the real clock: how long to go on. It changes no schedule.
