Count earlier attempts in each refusal, also of a filter that runs again

After a failed attempt and a refusal for a withdrawn version the choice of a version runs again. When it found none it refused by itself and said not_run, though an earlier attempt of the request had begun. Every refusal of an exchange now takes the earlier attempts into account, where before only give_up did.

--- a/source/core/entry/attempt.cpp
+++ b/source/core/entry/attempt.cpp
@@ -254,7 +254,6 @@
         const auto& context = *item->context;
         why.retry_at = context.parts.now() + context.options.retry_after;
     }
-    why.run = together(why.run, item->past);
     refuse(item, std::move(why));
 }
 
--- a/source/core/entry/reply.cpp
+++ b/source/core/entry/reply.cpp
@@ -6,6 +6,7 @@
 #include "common/log.hpp"
 #include "entry/context.hpp"
 #include "entry/filter.hpp"
+#include "entry/recovery.hpp"
 
 namespace reedramp::entry {
 
@@ -144,6 +145,8 @@
 
 auto refuse(const exchange_ptr& item, common::error why) -> void
 {
+    // A filter that is run again after a failed attempt knows only of this time.
+    why.run = together(why.run, item->past);
     send_error(*item, why);
     end_exchange(item, why.code, why.run);
 }
--- a/source/unit_tests/entry/core_faults_test.cpp
+++ b/source/unit_tests/entry/core_faults_test.cpp
@@ -135,6 +135,20 @@
     CHECK(caller->execution() == "unknown");
 }
 
+// A chat's first attempt fails after it has begun; then its versions are withdrawn one after the
+// other, and no version is left to choose. The choice has seen no attempt; the request ran.
+TEST_CASE("a refusal by a filter that runs again counts the attempts before", "[faults]")
+{
+    world test;
+    const auto caller = test.chat();
+    test.run(0).fail(result_code::server_failed, execution::ran);
+    test.run(1).refuse(result_code::version_withdrawn);
+    test.run(2).refuse(result_code::version_withdrawn);
+    CHECK(test.runs.size() == 3);
+    CHECK(caller->problem_name() == "version_withdrawn");
+    CHECK(caller->execution() == "ran");
+}
+
 // A caller reads a stream; its engine is lost twice in the middle. Another server of the same
 // version goes on after the sent tokens; what the lost ones send late, or twice, is dropped. The
 // caller sees each token once, and the bill has a line for each attempt.
