Read the tools' command lines in one place

Cause: stand-in and load tool each had the same command line and file reader. Change: daemon/tool_front serves both.

--- a/source/load/main.cpp
+++ b/source/load/main.cpp
@@ -2,17 +2,16 @@
 #include <fstream>
 #include <future>
 #include <iostream>
-#include <sstream>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
-#include <tclap/CmdLine.h>
 
 #include "comparison.hpp"
 #include "daemon/clock.hpp"
 #include "daemon/front.hpp"
 #include "daemon/io_pool.hpp"
 #include "daemon/logging.hpp"
+#include "daemon/tool_front.hpp"
 #include "platform/http_log.hpp"
 #include "report.hpp"
 #include "runner.hpp"
@@ -27,31 +26,6 @@
 constexpr std::chrono::milliseconds grace_after_deadline{10'000};
 constexpr std::chrono::milliseconds bill_poll{200};
 
-struct command_line {
-    std::string settings_file;
-    bool check_only = false;
-    std::string log_level;
-};
-
-auto read_command_line(int argument_count, char** arguments) -> command_line
-{
-    TCLAP::CmdLine parser("Open-loop load against entries, with checks", ' ', "1");
-    TCLAP::ValueArg<std::string> file("", "settings", "Settings in JSON", true, "", "file", parser);
-    TCLAP::SwitchArg check("", "check-settings", "Check the settings and end", parser);
-    TCLAP::ValueArg<std::string> level(
-        "", "log-level", "debug, info, warning or error", false, "warning", "level", parser);
-    parser.parse(argument_count, arguments);
-    return {file.getValue(), check.getValue(), level.getValue()};
-}
-
-auto read_file(const std::string& path) -> std::string
-{
-    const std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 /// Starts a call and waits for its answer, on a thread that is none of the pool's.
 template <typename Answer, typename Start>
 auto wait_for(Start start) -> common::result<Answer>
@@ -149,9 +123,10 @@
 
 auto main(int argument_count, char** arguments) -> int
 {
-    const auto given = read_command_line(argument_count, arguments);
+    const auto given = daemon::read_tool_command_line(
+        "Open-loop load against entries, with checks", argument_count, arguments);
     daemon::start_logging(arguments[0], daemon::parse_log_level(given.log_level));
-    const auto wanted = load::parse_settings(read_file(given.settings_file));
+    const auto wanted = load::parse_settings(daemon::read_file(given.settings_file));
     if (!wanted) {
         for (const auto& problem : wanted.error()) {
             std::cerr << settings::to_string(problem) << "\n";
--- a/source/standin/main.cpp
+++ b/source/standin/main.cpp
@@ -1,15 +1,13 @@
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
-#include <tclap/CmdLine.h>
 
 #include "daemon/front.hpp"
 #include "daemon/logging.hpp"
 #include "daemon/signals.hpp"
+#include "daemon/tool_front.hpp"
 #include "stand_in.hpp"
 
 /// The stand-ins of the platform, of model engines and of plain services, for tests and the demo.
@@ -18,31 +16,6 @@
 
 using namespace reedramp;
 
-struct command_line {
-    std::string settings_file;
-    bool check_only = false;
-    std::string log_level;
-};
-
-auto read_command_line(int argument_count, char** arguments) -> command_line
-{
-    TCLAP::CmdLine parser("Stand-ins of the platform, of engines and of services", ' ', "1");
-    TCLAP::ValueArg<std::string> file("", "settings", "Settings in JSON", true, "", "file", parser);
-    TCLAP::SwitchArg check("", "check-settings", "Check the settings and end", parser);
-    TCLAP::ValueArg<std::string> level(
-        "", "log-level", "debug, info, warning or error", false, "warning", "level", parser);
-    parser.parse(argument_count, arguments);
-    return {file.getValue(), check.getValue(), level.getValue()};
-}
-
-auto read_file(const std::string& path) -> std::string
-{
-    const std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 auto print_parts(const standin::stand_in& running, const std::string& address) -> void
 {
     for (const auto& part : running.parts()) {
@@ -76,9 +49,10 @@
 
 auto main(int argument_count, char** arguments) -> int
 {
-    const auto given = read_command_line(argument_count, arguments);
+    const auto given = daemon::read_tool_command_line(
+        "Stand-ins of the platform, of engines and of services", argument_count, arguments);
     daemon::start_logging(arguments[0], daemon::parse_log_level(given.log_level));
-    const auto wanted = standin::parse_settings(read_file(given.settings_file));
+    const auto wanted = standin::parse_settings(daemon::read_file(given.settings_file));
     if (!wanted) {
         for (const auto& problem : wanted.error()) {
             std::cerr << settings::to_string(problem) << "\n";
