Ask the smallest model first and drop an answer it is unsure of

Ruled out: stalls by themselves (the refused came from full queues). Change: the smallest model first; its confidence, which comes with the head, decides whether the largest is asked; first-event patience follows what other streams wait; 421 takes the server out.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -1,10 +1,12 @@
 #include "router/relay.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "common/log.hpp"
 #include "placement/affinity.hpp"
+#include "routing/model_choice.hpp"
 
 namespace reedramp::router {
 
@@ -15,6 +17,8 @@
 namespace {
 
 constexpr std::uint16_t misdirected = 421;
+/// Callers write it where they leave the model to the system.
+constexpr std::string_view any_model = "*";
 /// A model's token written costs about as much as ten tokens read, as the engines' step times go.
 constexpr double read_tokens_per_written = 10.0;
 /// Work of a request to a plain service, in tokens: the order of a short prompt.
@@ -25,6 +29,14 @@
     return status >= 200 && status < 300; // NOLINT(readability-magic-numbers): the 2xx class
 }
 
+/// -1 for what is no number.
+auto parse_confidence(std::string_view text) -> int
+{
+    int value = -1;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
 auto milliseconds_between(time_point from, time_point to) -> std::chrono::milliseconds
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(to - from);
@@ -80,8 +92,8 @@
 {
     const auto& route = *this->request.route;
     this->service = routing::choose_service(route, common::random_unit(this->core->hooks.random));
-    if (!route.models.empty() && this->request.caller.model == "*") {
-        this->model = route.models.back().value();
+    if (!route.models.empty() && this->request.caller.model == any_model) {
+        this->use_model(routing::first_model(route));
     }
     const auto& caller = this->request.caller;
     const auto& session = caller.session.empty() ? caller.attempt : caller.session;
@@ -90,6 +102,12 @@
         this->core->rollouts.rule_for(this->service, this->session_hash, this->received);
 }
 
+auto relay::use_model(std::size_t at) -> void
+{
+    this->model_at = at;
+    this->model = this->request.route->models[at].value();
+}
+
 auto relay::work() const -> double
 {
     const auto& caller = this->request.caller;
@@ -99,8 +117,10 @@
     const auto answer = caller.expected_answer_tokens > 0
                             ? std::min(caller.expected_answer_tokens, caller.most_answer_tokens)
                             : caller.most_answer_tokens;
-    return static_cast<double>(caller.prompt_tokens) +
-           read_tokens_per_written * static_cast<double>(answer);
+    const auto tokens = static_cast<double>(caller.prompt_tokens) +
+                        read_tokens_per_written * static_cast<double>(answer);
+    return tokens *
+           routing::slowness(this->request.rules->find_service(this->service), this->model);
 }
 
 auto relay::placement_wish() const -> routing::placement_request
@@ -235,12 +255,47 @@
         }
         return;
     }
+    if (of->said == verdict::not_executed && head.status == misdirected) {
+        // Another server has the address: the one that was meant has ended.
+        this->core->servers.apply({of->server, std::nullopt});
+    }
     const bool is_stream = this->request.route->kind == routing::request_kind::stream;
-    if (of->said == verdict::success && is_stream) {
+    if (of->said == verdict::success && is_stream && !this->ask_larger_model(of)) {
         of->events.emplace(this->last_event);
     }
 }
 
+auto relay::ask_larger_model(const std::shared_ptr<attempt>& of) -> bool
+{
+    const auto& route = *this->request.route;
+    const bool may_ask = !this->model.empty() && !this->is_streaming &&
+                         this->may_send_again(execution::unknown) &&
+                         this->runs + 1 < route.most_attempts;
+    const auto said = http::find_header(of->head.headers, this->core->options.names.confidence);
+    const auto confidence = said ? parse_confidence(*said) : -1;
+    const auto accepted =
+        routing::is_accepted(route, this->model_at, confidence, this->core->options.models);
+    common::log(
+        common::log_part::policy,
+        common::log_level::info,
+        "answer " + std::string{accepted ? "accepted" : "dropped"} +
+            " request=" + this->request.caller.attempt + " model=" + this->model +
+            " confidence=" + std::to_string(confidence));
+    if (accepted || !may_ask) {
+        return false;
+    }
+    this->drop_call();
+    if (this->settle(of, server_outcome::good)) {
+        this->runs += 1;
+        this->use_model(routing::next_model(route));
+        // The server has done nothing wrong, and may hold the prompt's shared parts.
+        std::erase(this->tried, of->server);
+        this->core->counters.larger_models += 1;
+        this->send_next();
+    }
+    return true;
+}
+
 auto relay::on_bytes(const std::shared_ptr<attempt>& of, std::string bytes) -> void
 {
     if (of->ended) {
@@ -261,11 +316,10 @@
     if (!whole.empty()) {
         if (!of->has_events) {
             of->has_events = true;
-            this->core->rollouts.note_first_event(
-                this->service,
-                of->version,
-                this->request.route->name,
-                milliseconds_between(of->sent, of->last_progress));
+            const auto took = milliseconds_between(of->sent, of->last_progress);
+            const auto& route = this->request.route->name;
+            this->core->note_first_event(route, took);
+            this->core->rollouts.note_first_event(this->service, of->version, route, took);
         }
         if (!this->is_streaming) {
             this->is_streaming = true;
@@ -294,7 +348,7 @@
         const bool no_answer = of->said == verdict::none;
         this->settle(
             of, unsent && no_answer ? server_outcome::unreachable : server_outcome::failed);
-        this->runs += unsent ? 0 : 1;
+        this->runs += this->may_have_run(of) && !unsent ? 1 : 0;
         common::log(
             common::log_part::place,
             common::log_level::info,
@@ -328,6 +382,13 @@
     }
 }
 
+/// A stream runs from its first token on, which comes with the head of its answer.
+auto relay::may_have_run(const std::shared_ptr<attempt>& of) const -> bool
+{
+    const bool is_stream = this->request.route->kind == routing::request_kind::stream;
+    return of->said != verdict::none || !is_stream;
+}
+
 auto relay::on_success(const std::shared_ptr<attempt>& of) -> void
 {
     if (of->events && of->events->has_rest()) {
@@ -418,9 +479,11 @@
     }
     const auto patience = std::chrono::duration_cast<common::duration>(
         pause * this->core->options.stalled_after_pauses);
-    // Before its first event a stream waits for its turn and its prompt; that may take long.
-    const auto begin_patience = std::max<common::duration>(patience, this->request.route->target);
-    const auto limit = of->has_events ? patience : begin_patience;
+    const auto limit =
+        of->has_events ? patience
+                       : std::max<common::duration>(
+                             patience,
+                             this->core->first_event_limit(this->request.route->name));
     const auto now = this->core->hooks.clock();
     // A stream that stalls and may not be sent again is looked at once more after a whole limit.
     const bool is_overdue = now - of->last_progress >= limit;
@@ -442,7 +505,7 @@
                     " server=" + of->server.value());
             self->drop_call();
             if (self->settle(of, server_outcome::failed)) {
-                self->runs += 1;
+                self->runs += self->may_have_run(of) ? 1 : 0;
                 self->try_again(execution::unknown, result_code::stream_broken);
             }
         });
@@ -453,12 +516,12 @@
     if (this->ended) {
         return;
     }
-    const bool may_have_run = this->current != nullptr && !this->current->ended;
+    const bool was_under_way = this->current != nullptr && !this->current->ended;
     this->drop_call();
     if (this->current != nullptr) {
         this->settle(this->current, server_outcome::failed);
     }
-    this->runs += may_have_run ? 1 : 0;
+    this->runs += was_under_way ? 1 : 0;
     this->give_up(this->runs > 0 ? result_code::deadline_passed : result_code::deadline_too_near);
 }
 
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -75,6 +75,7 @@
 
     auto start() -> void;
     auto choose_target() -> void;
+    auto use_model(std::size_t at) -> void;
     auto send_next() -> void;
     auto send_to(const routing::registration& server) -> void;
     [[nodiscard]] auto placement_wish() const -> routing::placement_request;
@@ -86,6 +87,9 @@
     auto on_done(const std::shared_ptr<attempt>& of, const common::result<http::response>& answer)
         -> void;
     auto on_success(const std::shared_ptr<attempt>& of) -> void;
+    /// True when the answer was dropped for a larger model's.
+    auto ask_larger_model(const std::shared_ptr<attempt>& of) -> bool;
+    [[nodiscard]] auto may_have_run(const std::shared_ptr<attempt>& of) const -> bool;
     [[nodiscard]] auto judge(const http::response& head) const -> verdict;
 
     /// Ends the attempt's bookkeeping; true the first time.
@@ -107,7 +111,10 @@
     time_point received;
     time_point give_up_at;
     common::service_name service;
+    /// Empty when the caller's choice stands.
     std::string model;
+    /// Place of `model` among the route's.
+    std::size_t model_at = 0;
     routing::version_rule versions;
     std::uint64_t session_hash = 0;
 
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -89,6 +89,25 @@
     return this->rules_in_force != nullptr && this->servers.size() > 0;
 }
 
+auto router_core::note_first_event(
+    const routing::route_name& route, std::chrono::milliseconds took) -> void
+{
+    constexpr double memory = 0.1;
+    const auto ms = static_cast<double>(took.count());
+    const auto [mean, is_first] = this->first_event_ms.try_emplace(route, ms);
+    mean->second += memory * (ms - mean->second);
+}
+
+auto router_core::first_event_limit(const routing::route_name& route) const
+    -> std::chrono::milliseconds
+{
+    const auto mean = this->first_event_ms.find(route);
+    const auto usual = mean == this->first_event_ms.end() ? 0.0 : mean->second;
+    return this->options.first_event_patience +
+           std::chrono::milliseconds{
+               static_cast<std::int64_t>(usual * this->options.first_event_factor)};
+}
+
 auto own_answer(const common::error& why, std::chrono::milliseconds come_back_after)
     -> http::response
 {
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -16,6 +16,7 @@
 #include "router/shared_store.hpp"
 #include "routing/configuration.hpp"
 #include "routing/load_book.hpp"
+#include "routing/model_choice.hpp"
 #include "routing/rollout_guide.hpp"
 #include "routing/server_choice.hpp"
 #include "routing/server_health.hpp"
@@ -36,10 +37,11 @@
     routing::choice_options choice;
     routing::health_options health;
     routing::rollout_options rollout;
+    routing::model_options models;
     placement::retry_budget_settings retries;
     /// Sends of one request, refused ones included. A refusal costs a round trip, and a service
     /// whose servers all refuse is full.
-    unsigned most_sends = 3;
+    unsigned most_sends = 4;
     /// A peer's words about its load count for this long: five of its messages.
     common::duration peer_trust = std::chrono::milliseconds{500};
     /// A caller that was refused comes back after this; about the time in which a server finishes
@@ -47,6 +49,11 @@
     std::chrono::milliseconds come_back_after{250};
     /// A stream that stays silent for this many of its longest good pauses goes on elsewhere.
     double stalled_after_pauses = 1.5;
+    /// So does one that waits for its first event for this many times the route's mean, and for
+    /// `first_event_patience` more. Measured against the others' time, since under load all wait,
+    /// and work that is begun anew elsewhere would add to it.
+    double first_event_factor = 5.0;
+    std::chrono::milliseconds first_event_patience{700};
 };
 
 struct router_counters {
@@ -56,6 +63,7 @@
     std::uint64_t failed = 0;
     std::uint64_t sends = 0;
     std::uint64_t resumed = 0;
+    std::uint64_t larger_models = 0;
     std::uint64_t callers_left = 0;
 };
 
@@ -75,6 +83,13 @@
     /// Rules and servers are known: requests can be served.
     [[nodiscard]] auto is_ready() const -> bool;
 
+    /// A stream of the route had its first event after `took`.
+    auto note_first_event(const routing::route_name& route, std::chrono::milliseconds took) -> void;
+
+    /// How long a stream of the route may wait for its first event before it goes elsewhere.
+    [[nodiscard]] auto first_event_limit(const routing::route_name& route) const
+        -> std::chrono::milliseconds;
+
     [[nodiscard]] auto rules() const -> const std::shared_ptr<const routing::route_table>&
     {
         return this->rules_in_force;
@@ -104,6 +119,8 @@
 
     std::shared_ptr<const routing::route_table> rules_in_force;
     std::string text_in_force;
+    /// Mean time to the first event in ms, newest weighted most.
+    std::map<routing::route_name, double> first_event_ms;
 };
 
 /// An answer of our own for a request that is refused or failed. One that has not run says when to
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -26,6 +26,12 @@
         time_key("store.servers_period", "Between two readings of the servers' list.", 1000, 50),
         time_key("shutdown.grace", "From SIGTERM until the process is killed.", 8000, 1000),
         time_key("session_time", "Requests of a session follow each other within this.", 5000),
+        settings::number_key(
+            "models.accepted_confidence",
+            "Least confidence with which a small model's answer is passed on.",
+            60,
+            0,
+            101),
         {.path = "retries.ratio",
          .type = settings::value_type::real,
          .doc = "Second sends allowed for each first one, over all entries.",
@@ -66,6 +72,8 @@
     // that start anew with a full budget.
     constexpr double used_part = 0.5;
     read.router.retries.retries_per_first_try = values.real("retries.ratio") * used_part;
+    read.router.models.accepted_confidence =
+        static_cast<unsigned>(values.integer("models.accepted_confidence"));
     read.router.peer_trust = read.peer_period * 5;
     return read;
 }
