Let an entry that leaves refuse what it could not finish

Ruled out: the balancer's own new connections (they stop after two misses). Change: idle connections close half a second after SIGTERM; streams are refused when less than 5.2 s are left, plain requests below 1.5 s.

--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -119,6 +119,16 @@
             });
     }
 
+    /// From any thread. Idle connections close soon, so that the next request of their callers goes
+    /// elsewhere.
+    auto announce_close() -> void
+    {
+        this->shared->announces_close = true;
+        for (const auto& part : this->parts) {
+            asio::post(part->context, [part] { part->close_idle(); });
+        }
+    }
+
     /// From any thread.
     auto stop() -> void
     {
@@ -128,9 +138,7 @@
             this->acceptor.close(ignored);
             this->pause.cancel();
         });
-        for (const auto& part : this->parts) {
-            asio::post(part->context, [part] { part->close_idle(); });
-        }
+        this->announce_close();
     }
 
 private:
@@ -219,7 +227,7 @@
 
     auto close_listener() -> void override { this->entrance_of_this->stop(); }
 
-    auto announce_close() -> void override { this->shared->announces_close = true; }
+    auto announce_close() -> void override { this->entrance_of_this->announce_close(); }
 
     [[nodiscard]] auto busy_connections() const -> std::size_t override
     {
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -64,9 +64,22 @@
     if (needs_key && this->rules_in_force->owner_of(caller.key) == nullptr) {
         return common::failure(common::result_code::unauthenticated);
     }
+    if (!this->may_finish(*found, this->hooks.clock())) {
+        return common::failure(common::result_code::shutting_down);
+    }
     return found;
 }
 
+auto router_core::may_finish(const routing::route& on, time_point now) const -> bool
+{
+    if (this->ends_at == common::never) {
+        return true;
+    }
+    const bool is_stream = on.kind == routing::request_kind::stream;
+    const auto needs = is_stream ? this->options.stream_needs : this->options.plain_needs;
+    return now + std::min(needs, on.timeout) <= this->ends_at;
+}
+
 auto router_core::adopt(published_rules rules) -> bool
 {
     const bool is_old =
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -44,6 +44,10 @@
     unsigned most_sends = 4;
     /// A peer's words about its load count for this long: five of its messages.
     common::duration peer_trust = std::chrono::milliseconds{500};
+    /// Time that a stream, and a plain request, needs to be taken by a process that ends: most
+    /// streams are over within 5 s, plain requests within a second.
+    std::chrono::milliseconds stream_needs{5200};
+    std::chrono::milliseconds plain_needs{1500};
     /// A caller that was refused comes back after this; about the time in which a server finishes
     /// a short request.
     std::chrono::milliseconds come_back_after{250};
@@ -77,6 +81,10 @@
     /// Takes a caller's request and sees to its answer.
     auto handle(http::request asked, std::shared_ptr<http::responder> out) -> void;
 
+    /// The process will end at `last`: requests that may take longer than is left are refused, so
+    /// that their callers go elsewhere in time.
+    auto leave(time_point last) -> void { this->ends_at = last; }
+
     /// Puts rules in force unless newer ones are. True when they are new.
     auto adopt(published_rules rules) -> bool;
 
@@ -114,11 +122,13 @@
     std::size_t open_requests = 0;
 
 private:
+    [[nodiscard]] auto may_finish(const routing::route& on, time_point now) const -> bool;
     auto check(const http::request& asked, const caller_request& caller) const
         -> common::result<const routing::route*>;
 
     std::shared_ptr<const routing::route_table> rules_in_force;
     std::string text_in_force;
+    time_point ends_at = common::never;
     /// Mean time to the first event in ms, newest weighted most.
     std::map<routing::route_name, double> first_event_ms;
 };
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -312,8 +312,9 @@
         "leaving under_way=" + std::to_string(this->core->under_way()));
     this->for_callers->announce_close();
     const auto now = daemon::boot_time();
-    this->check_shutdown(
-        now + balancer_time, now + std::max(balancer_time, this->settings.grace - grace_rest));
+    const auto last = now + std::max(balancer_time, this->settings.grace - grace_rest);
+    this->core->leave(last);
+    this->check_shutdown(now + balancer_time, last);
 }
 
 auto router_process::parts_of_process::check_shutdown(
