Read the settings again at SIGHUP

Change: SIGHUP reads the file again, takes over what may change, says so in one line; a bad file leaves the old settings in force.

--- a/source/core/daemon/front.cpp
+++ b/source/core/daemon/front.cpp
@@ -1,5 +1,6 @@
 #include "daemon/front.hpp"
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 #include <ostream>
@@ -134,4 +135,19 @@
     return std::move(*read);
 }
 
+auto read_settings_again(
+    const program& which, int argument_count, const char* const* arguments)
+    -> common::result<settings::values>
+{
+    std::ostringstream unused;
+    std::ostringstream problems;
+    auto read = read_command_line(which, argument_count, arguments, unused, problems);
+    if (auto* values = std::get_if<settings::values>(&read)) {
+        return std::move(*values);
+    }
+    auto text = problems.str();
+    std::ranges::replace(text, '\n', ';');
+    return common::failure(common::result_code::invalid_settings, text);
+}
+
 } // namespace reedramp::daemon
--- a/source/core/daemon/front.hpp
+++ b/source/core/daemon/front.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <variant>
 
+#include "common/result.hpp"
 #include "settings/schema.hpp"
 
 namespace reedramp::daemon {
@@ -23,6 +24,12 @@
     settings::schema keys;
 };
 
+/// Reads the file that the command line names once more, as at its start. Error `invalid_settings`
+/// with all problems in one text.
+auto read_settings_again(
+    const program& which, int argument_count, const char* const* arguments)
+    -> common::result<settings::values>;
+
 /// Reads the command line `--settings FILE [--check-settings]`, `--version`, `--help`,
 /// `--print-settings-table`, and the settings file.
 ///
--- a/source/core/daemon/signals.hpp
+++ b/source/core/daemon/signals.hpp
@@ -26,4 +26,20 @@
     std::shared_ptr<state> shared;
 };
 
+/// Waits for SIGHUP while it lives. Without it, the signal ends a process.
+class reload_signal {
+public:
+    /// `action` runs on the context at each signal.
+    reload_signal(boost::asio::io_context& context, std::function<auto()->void> action);
+    ~reload_signal();
+    reload_signal(const reload_signal&) = delete;
+    reload_signal(reload_signal&&) = delete;
+    auto operator=(const reload_signal&) -> reload_signal& = delete;
+    auto operator=(reload_signal&&) -> reload_signal& = delete;
+
+private:
+    struct state;
+    std::shared_ptr<state> shared;
+};
+
 } // namespace reedramp::daemon
--- a/source/core/placement/retry_budget.cpp
+++ b/source/core/placement/retry_budget.cpp
@@ -9,6 +9,13 @@
 {
 }
 
+auto retry_budget::change(retry_budget_settings changed) -> void
+{
+    const std::lock_guard guard(this->lock);
+    this->settings = changed;
+    this->saved = std::min(this->saved, changed.most_saved);
+}
+
 auto retry_budget::note_first_try() -> void
 {
     const std::lock_guard guard(this->lock);
--- a/source/core/placement/retry_budget.hpp
+++ b/source/core/placement/retry_budget.hpp
@@ -20,6 +20,9 @@
 public:
     explicit retry_budget(retry_budget_settings settings);
 
+    /// What is saved up stays, up to the new bound.
+    auto change(retry_budget_settings settings) -> void;
+
     auto note_first_try() -> void;
 
     /// True if one more try may be made now; it is then counted.
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -358,13 +358,39 @@
     return {};
 }
 
-auto router_process::run() -> void
+auto router_process::run(reload_hook reload) -> void
 {
     const daemon::shutdown_signals signals(
         this->parts->context, [this] { this->parts->shut_down(); });
+    const daemon::reload_signal hangup(this->parts->context, [this, &reload] {
+        const auto changed = reload();
+        if (!changed) {
+            common::log(
+                log_part::entry,
+                log_level::warning,
+                "settings kept why=" + changed.error().detail);
+            return;
+        }
+        this->apply(*changed);
+    });
     this->parts->context.run();
 }
 
+auto router_process::apply(const router_settings& changed) -> void
+{
+    auto& core = *this->parts->core;
+    this->parts->settings.grace = changed.grace;
+    core.options.models = changed.router.models;
+    core.retries.change(changed.router.retries);
+    common::log(
+        log_part::entry,
+        log_level::info,
+        "settings reloaded accepted_confidence=" +
+            std::to_string(changed.router.models.accepted_confidence) + " retries_per_first_try=" +
+            std::to_string(changed.router.retries.retries_per_first_try) +
+            " grace_ms=" + std::to_string(changed.grace.count()));
+}
+
 auto router_process::shut_down() -> void
 {
     this->parts->shut_down();
--- a/source/router/router_process.hpp
+++ b/source/router/router_process.hpp
@@ -30,6 +30,9 @@
     std::string ready_path = "/ready";
 };
 
+/// Reads the settings file again.
+using reload_hook = std::function<auto()->common::result<router_settings>>;
+
 /// The entry that sends straight to backend servers, on one thread: sockets, timers and signals
 /// around the router's core.
 class router_process {
@@ -44,8 +47,12 @@
     /// Listens. Errors: `invalid_settings`.
     auto start() -> common::result<void>;
 
-    /// Runs until a graceful shutdown is over.
-    auto run() -> void;
+    /// Runs until a graceful shutdown is over. At SIGHUP reads the settings again through `reload`.
+    auto run(reload_hook reload) -> void;
+
+    /// Takes over what may change while the process runs: the share of second sends, the confidence
+    /// asked of small models, the grace. Addresses and names stay as they are until a restart.
+    auto apply(const router_settings& changed) -> void;
 
     /// As at SIGTERM.
     auto shut_down() -> void;
