Ask for less confidence as callers wait; count a prompt's work only until its first event

Change: the asked confidence falls from 50 to 0 as the mean wait goes from 0.35 to 1.0 of the target; urgency follows the route's rank; prompt work ends with the first event.

--- a/source/core/router/caller_request.cpp
+++ b/source/core/router/caller_request.cpp
@@ -202,6 +202,9 @@
     if (!ours.model.empty()) {
         sent.headers.push_back({names.model, ours.model});
     }
+    if (ours.urgency >= 0) {
+        sent.headers.push_back({names.urgency, std::to_string(ours.urgency)});
+    }
     if (ours.last_event >= 0) {
         sent.headers.push_back({std::string{last_event_header}, std::to_string(ours.last_event)});
     }
--- a/source/core/router/caller_request.hpp
+++ b/source/core/router/caller_request.hpp
@@ -53,6 +53,8 @@
     std::string model;
     /// -1 for a stream from its beginning.
     std::int64_t last_event = -1;
+    /// 0 to 9, 0 first; -1 leaves it to the server.
+    int urgency = -1;
 };
 
 /// The caller's request for a server: same method, target and body; headers that concern one
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -108,19 +108,31 @@
     this->model = this->request.route->models[at].value();
 }
 
-auto relay::work() const -> double
+auto relay::work() const -> request_work
 {
     const auto& caller = this->request.caller;
     if (caller.prompt_tokens == 0) {
-        return plain_work;
+        return {0.0, plain_work};
     }
     const auto answer = caller.expected_answer_tokens > 0
                             ? std::min(caller.expected_answer_tokens, caller.most_answer_tokens)
                             : caller.most_answer_tokens;
-    const auto tokens = static_cast<double>(caller.prompt_tokens) +
-                        read_tokens_per_written * static_cast<double>(answer);
-    return tokens *
-           routing::slowness(this->request.rules->find_service(this->service), this->model);
+    const auto slowness =
+        routing::slowness(this->request.rules->find_service(this->service), this->model);
+    return {
+        slowness * static_cast<double>(caller.prompt_tokens),
+        slowness * read_tokens_per_written * static_cast<double>(answer)};
+}
+
+/// A route's rank around the middle. What was dropped or broken off once has waited already, and
+/// goes first.
+auto relay::urgency() const -> int
+{
+    constexpr int middle = 4;
+    constexpr int ahead = 3;
+    constexpr int last = 9;
+    const auto rank = middle + static_cast<int>(this->request.route->priority);
+    return std::clamp(this->sends > 1 ? rank - ahead : rank, 0, last);
 }
 
 auto relay::placement_wish() const -> routing::placement_request
@@ -174,7 +186,9 @@
     auto next = std::make_shared<attempt>();
     next->server = server.id;
     next->version = server.version;
-    next->work = this->work();
+    const auto work = this->work();
+    next->work = work.prompt + work.answer;
+    next->prompt_work = work.prompt;
     next->sent = now;
     next->last_progress = now;
     this->current = next;
@@ -188,7 +202,8 @@
         server.id.value(),
         owner == nullptr ? std::string{} : owner->name.value(),
         this->model,
-        this->last_event};
+        this->last_event,
+        this->urgency()};
     common::log(
         common::log_part::place,
         common::log_level::info,
@@ -273,14 +288,16 @@
                          this->runs + 1 < route.most_attempts;
     const auto said = http::find_header(of->head.headers, this->core->options.names.confidence);
     const auto confidence = said ? parse_confidence(*said) : -1;
-    const auto accepted =
-        routing::is_accepted(route, this->model_at, confidence, this->core->options.models);
+    const auto asked =
+        routing::asked_confidence(this->core->options.models, this->core->waits.level());
+    const auto accepted = routing::is_accepted(route, this->model_at, confidence, asked);
     common::log(
         common::log_part::policy,
         common::log_level::info,
         "answer " + std::string{accepted ? "accepted" : "dropped"} +
             " request=" + this->request.caller.attempt + " model=" + this->model +
-            " confidence=" + std::to_string(confidence));
+            " confidence=" + std::to_string(confidence) +
+            " asked=" + std::to_string(static_cast<int>(asked)));
     if (accepted || !may_ask) {
         return false;
     }
@@ -316,6 +333,8 @@
     if (!whole.empty()) {
         if (!of->has_events) {
             of->has_events = true;
+            this->core->loads.lighten(of->server, of->prompt_work);
+            of->work -= of->prompt_work;
             const auto took = milliseconds_between(of->sent, of->last_progress);
             const auto& route = this->request.route->name;
             this->core->note_first_event(route, took);
@@ -323,6 +342,9 @@
         }
         if (!this->is_streaming) {
             this->is_streaming = true;
+            this->core->waits.note(
+                milliseconds_between(this->received, of->last_progress),
+                this->request.route->target);
             this->out->start(of->head);
         }
         this->last_event = of->events->last_id();
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -61,7 +61,9 @@
     struct attempt {
         common::server_id server;
         common::version_id version;
+        /// Work still under way; `prompt_work` of it ends with the first event.
         double work = 0.0;
+        double prompt_work = 0.0;
         time_point sent;
         time_point last_progress;
         verdict said = verdict::none;
@@ -79,7 +81,14 @@
     auto send_next() -> void;
     auto send_to(const routing::registration& server) -> void;
     [[nodiscard]] auto placement_wish() const -> routing::placement_request;
-    [[nodiscard]] auto work() const -> double;
+    /// Work of a request to one of the service's engines, as the load book counts it.
+    struct request_work {
+        double prompt = 0.0;
+        double answer = 0.0;
+    };
+
+    [[nodiscard]] auto work() const -> request_work;
+    [[nodiscard]] auto urgency() const -> int;
 
     auto on_head(const std::shared_ptr<attempt>& of, const http::response& head) -> void;
     auto on_bytes(const std::shared_ptr<attempt>& of, std::string bytes) -> void;
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -117,6 +117,7 @@
     routing::load_book loads;
     routing::server_health health;
     routing::rollout_guide rollouts;
+    routing::wait_gauge waits;
     placement::retry_budget retries;
     router_counters counters;
     std::size_t open_requests = 0;
--- a/source/core/routing/load_book.cpp
+++ b/source/core/routing/load_book.cpp
@@ -30,6 +30,14 @@
     }
 }
 
+auto load_book::lighten(const common::server_id& server, double work) -> void
+{
+    const auto found = this->ours.find(server);
+    if (found != this->ours.end()) {
+        found->second.work -= work;
+    }
+}
+
 auto load_book::hear(
     const common::host_id& peer, const std::vector<told_load>& loads, time_point now) -> void
 {
--- a/source/core/routing/load_book.hpp
+++ b/source/core/routing/load_book.hpp
@@ -38,6 +38,9 @@
     auto begin(const common::server_id& server, double work) -> void;
     auto end(const common::server_id& server, double work) -> void;
 
+    /// A part of a request's work is done.
+    auto lighten(const common::server_id& server, double work) -> void;
+
     auto hear(const common::host_id& peer, const std::vector<told_load>& loads, time_point now)
         -> void;
 
--- a/source/core/routing/model_choice.cpp
+++ b/source/core/routing/model_choice.cpp
@@ -10,12 +10,29 @@
     return 0;
 }
 
-auto is_accepted(
-    const route& on, std::size_t model, int confidence, const model_options& options) -> bool
+auto wait_gauge::note(std::chrono::milliseconds waited, std::chrono::milliseconds target) -> void
+{
+    if (target.count() <= 0) {
+        return;
+    }
+    // About a second's worth of requests at an entry of today's sites.
+    constexpr double memory = 0.08;
+    // One very late stream says no more than that it was late.
+    constexpr double most = 2.0;
+    const auto part = static_cast<double>(waited.count()) / static_cast<double>(target.count());
+    this->mean += memory * (std::min(part, most) - this->mean);
+}
+
+auto asked_confidence(const model_options& options, double level) -> double
+{
+    const auto left = (options.short_to - level) / (options.short_to - options.short_from);
+    return static_cast<double>(options.accepted_confidence) * std::clamp(left, 0.0, 1.0);
+}
+
+auto is_accepted(const route& on, std::size_t model, int confidence, double asked) -> bool
 {
     const bool is_largest = model + 1 >= on.models.size();
-    return is_largest || confidence < 0 ||
-           confidence >= static_cast<int>(options.accepted_confidence);
+    return is_largest || confidence < 0 || confidence >= asked;
 }
 
 auto next_model(const route& on) -> std::size_t
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -29,9 +29,22 @@
         settings::number_key(
             "models.accepted_confidence",
             "Least confidence with which a small model's answer is passed on.",
-            60,
+            50,
             0,
             101),
+        {.path = "models.short_from",
+         .type = settings::value_type::real,
+         .doc = "Callers' mean wait for a first event, as a part of its target, from where on less "
+                "confidence is asked for.",
+         .fallback = 0.35,
+         .lowest = 0.0,
+         .highest = 10.0},
+        {.path = "models.short_to",
+         .type = settings::value_type::real,
+         .doc = "The same, from where on any confidence is enough; above models.short_from.",
+         .fallback = 1.0,
+         .lowest = 0.01,
+         .highest = 10.0},
         {.path = "retries.ratio",
          .type = settings::value_type::real,
          .doc = "Second sends allowed for each first one, over all entries.",
@@ -74,6 +87,12 @@
     read.router.retries.retries_per_first_try = values.real("retries.ratio") * used_part;
     read.router.models.accepted_confidence =
         static_cast<unsigned>(values.integer("models.accepted_confidence"));
+    read.router.models.short_from = values.real("models.short_from");
+    read.router.models.short_to = values.real("models.short_to");
+    if (read.router.models.short_to <= read.router.models.short_from) {
+        return common::failure(
+            common::result_code::invalid_settings, "models.short_to is not above short_from");
+    }
     read.router.peer_trust = read.peer_period * 5;
     return read;
 }
