Weigh a server's work by its learned pace; count a written token as two read ones

Cause: written tokens counted tenfold, so that a server with long answers under way looked full although its prompts' queue was empty; and servers that are slow, by nature (a third, Abay) or by a fault that status checks do not show, got equal work. Change: weight 2; time for the work ahead is learned for each server and weighs its load.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -19,8 +19,9 @@
 constexpr std::uint16_t misdirected = 421;
 /// Callers write it where they leave the model to the system.
 constexpr std::string_view any_model = "*";
-/// A model's token written costs about as much as ten tokens read, as the engines' step times go.
-constexpr double read_tokens_per_written = 10.0;
+/// A token written counts as two tokens read: a batch writes all its tokens in one step, so that
+/// one answer more slows the others little, while a prompt that is read stops them all.
+constexpr double read_tokens_per_written = 2.0;
 /// Work of a request to a plain service, in tokens: the order of a short prompt.
 constexpr double plain_work = 1000.0;
 
@@ -143,6 +144,8 @@
 {
     routing::placement_request wish;
     wish.tried = this->tried;
+    const auto work = this->work();
+    wish.work = work.prompt + work.answer;
     wish.own_data_centre = this->core->options.data_centre;
     const auto& parts = this->request.caller.parts;
     // The last part belongs to this request or its session alone.
@@ -166,6 +169,7 @@
         usable,
         this->placement_wish(),
         this->core->loads,
+        this->core->paces[this->service],
         this->core->health,
         this->core->options.choice,
         now);
@@ -193,6 +197,7 @@
     const auto work = this->work();
     next->work = work.prompt + work.answer;
     next->prompt_work = work.prompt;
+    next->work_ahead = this->core->loads.total(server.id, now).work + work.prompt;
     next->sent = now;
     next->last_progress = now;
     this->current = next;
@@ -258,6 +263,10 @@
         return;
     }
     of->said = this->judge(head);
+    if (of->said == verdict::success) {
+        const auto took = milliseconds_between(of->sent, this->core->hooks.clock());
+        this->core->paces[this->service].note(of->server, took, of->work_ahead);
+    }
     of->head = make_passed_on(head);
     of->last_progress = this->core->hooks.clock();
     if (of->said == verdict::untrusted) {
@@ -299,9 +308,8 @@
         common::log_part::policy,
         common::log_level::info,
         "answer " + std::string{accepted ? "accepted" : "dropped"} +
-            " request=" + this->request.caller.attempt + " model=" + this->model +
-            " confidence=" + std::to_string(confidence) +
-            " asked=" + std::to_string(static_cast<int>(asked)));
+            " request=" + this->request.caller.attempt + " model=" + this->model + " confidence=" +
+            std::to_string(confidence) + " asked=" + std::to_string(static_cast<int>(asked)));
     if (accepted || !may_ask) {
         return false;
     }
@@ -508,8 +516,7 @@
     const auto limit =
         of->has_events ? patience
                        : std::max<common::duration>(
-                             patience,
-                             this->core->first_event_limit(this->request.route->name));
+                             patience, this->core->first_event_limit(this->request.route->name));
     const auto now = this->core->hooks.clock();
     // A stream that stalls and may not be sent again is looked at once more after a whole limit.
     const bool is_overdue = now - of->last_progress >= limit;
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -64,6 +64,8 @@
         /// Work still under way; `prompt_work` of it ends with the first event.
         double work = 0.0;
         double prompt_work = 0.0;
+        /// Work that the server had to do before this attempt's answer, its own prompt included.
+        double work_ahead = 0.0;
         time_point sent;
         time_point last_progress;
         verdict said = verdict::none;
@@ -81,6 +83,7 @@
     auto send_next() -> void;
     auto send_to(const routing::registration& server) -> void;
     [[nodiscard]] auto placement_wish() const -> routing::placement_request;
+
     /// Work of a request to one of the service's engines, as the load book counts it.
     struct request_work {
         double prompt = 0.0;
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -45,9 +45,9 @@
     /// A peer's words about its load count for this long: five of its messages.
     common::duration peer_trust = std::chrono::milliseconds{500};
     /// Time that a request needs to be taken by a process that ends: a start, as long as nearly all
-    /// plain requests and first events take, and for a stream its tokens, at the pace of the largest
-    /// model under load. More than `longest_need` is not asked for: the balancer sends requests for
-    /// so long, and what is cut then can be resumed.
+    /// plain requests and first events take, and for a stream its tokens, at the pace of the
+    /// largest model under load. More than `longest_need` is not asked for: the balancer sends
+    /// requests for so long, and what is cut then can be resumed.
     std::chrono::milliseconds start_needs{1500};
     std::chrono::milliseconds token_needs{15};
     std::chrono::milliseconds longest_need{5200};
@@ -121,6 +121,8 @@
     std::shared_ptr<http::client> client;
     routing::server_table servers;
     routing::load_book loads;
+    /// By service: what a unit of work takes differs between services by far more than within one.
+    std::map<common::service_name, routing::pace_book> paces;
     routing::server_health health;
     routing::rollout_guide rollouts;
     routing::wait_gauge waits;
@@ -129,8 +131,9 @@
     std::size_t open_requests = 0;
 
 private:
-    [[nodiscard]] auto may_finish(
-        const routing::route& on, const caller_request& caller, time_point now) const -> bool;
+    [[nodiscard]] auto
+    may_finish(const routing::route& on, const caller_request& caller, time_point now) const
+        -> bool;
     auto check(const http::request& asked, const caller_request& caller) const
         -> common::result<const routing::route*>;
 
--- a/source/core/router/servers_follower.cpp
+++ b/source/core/router/servers_follower.cpp
@@ -93,6 +93,9 @@
         }
         this->core->servers.apply({item->first, std::nullopt});
         this->core->health.forget(item->first);
+        for (auto& [service, paces] : this->core->paces) {
+            paces.forget(item->first);
+        }
         item = this->lapsed.erase(item);
     }
 }
--- /dev/null
+++ b/source/core/routing/pace_book.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <chrono>
+#include <unordered_map>
+
+#include "common/ids.hpp"
+
+namespace reedramp::routing {
+
+/// How slow each server is against the others, learned from the time that work takes there.
+///
+/// Servers of one service differ by a third, and one that fails slowly takes several times as long
+/// while its status check is good. Equal shares of work would make its queue the longest; shares by
+/// pace keep the waits equal, and leave a failing server little.
+class pace_book {
+public:
+    /// A server's first answer came after `took`, with `work` to do before it.
+    auto note(const common::server_id& server, std::chrono::milliseconds took, double work) -> void;
+
+    /// Time for the same work against the mean of all servers; 1 for an unknown one.
+    [[nodiscard]] auto slowness(const common::server_id& server) const -> double;
+
+    auto forget(const common::server_id& server) -> void { this->servers.erase(server); }
+
+private:
+    struct record {
+        double time_per_work = 0.0;
+        unsigned samples = 0;
+    };
+
+    std::unordered_map<common::server_id, record> servers;
+    double mean_time_per_work = 0.0;
+};
+
+} // namespace reedramp::routing
--- a/source/core/routing/server_choice.cpp
+++ b/source/core/routing/server_choice.cpp
@@ -54,6 +54,7 @@
     const std::vector<const registration*>& usable,
     const placement_request& asked,
     const load_book& loads,
+    const pace_book& paces,
     const server_health& health,
     const choice_options& options,
     time_point now) -> const registration*
@@ -71,7 +72,7 @@
     const registration* best = nullptr;
     auto best_cost = std::numeric_limits<double>::infinity();
     for (const auto* server : choices) {
-        auto cost = loads.total(server->id, now).work;
+        auto cost = paces.slowness(server->id) * (loads.total(server->id, now).work + asked.work);
         if (server->data_centre != asked.own_data_centre) {
             cost += options.distance_work;
         }
