--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -12,6 +12,7 @@
 
 using common::execution;
 using common::result_code;
+using routing::attempt_end;
 using routing::server_outcome;
 
 namespace {
@@ -74,7 +75,7 @@
     const auto& route = *this->request.route;
     this->give_up_at = std::min(this->request.caller.deadline, this->received + route.timeout);
     this->choose_target();
-    this->core->retries.note_first_try();
+    this->retries().note_first_try();
     // The connection outlives the request; a strong reference in its hook would keep both alive.
     this->out->on_disconnect([weak = this->weak_from_this()] {
         if (const auto self = weak.lock()) {
@@ -137,7 +138,7 @@
     constexpr int ahead = 3;
     constexpr int last = 9;
     const auto rank = middle + static_cast<int>(this->request.route->priority);
-    return std::clamp(this->sends > 1 ? rank - ahead : rank, 0, last);
+    return std::clamp(this->ledger.sends() > 1 ? rank - ahead : rank, 0, last);
 }
 
 auto relay::placement_wish() const -> routing::placement_request
@@ -174,7 +175,7 @@
         this->core->options.choice,
         now);
     if (server == nullptr) {
-        this->give_up(this->runs > 0 ? result_code::outcome_unknown : result_code::no_capacity);
+        this->give_up(result_code::outcome_unknown);
         return;
     }
     this->send_to(*server);
@@ -188,7 +189,7 @@
         this->give_up(result_code::no_capacity);
         return;
     }
-    this->sends += 1;
+    this->ledger.note_sent();
     this->core->counters.sends += 1;
     this->tried.push_back(server.id);
     auto next = std::make_shared<attempt>();
@@ -218,8 +219,9 @@
         common::log_level::info,
         "sent request=" + this->request.caller.attempt +
             " route=" + this->request.route->name.value() + " server=" + server.id.value() +
-            " version=" + server.version.value() + " model=" + this->model + " send=" +
-            std::to_string(this->sends) + " after_event=" + std::to_string(this->last_event));
+            " version=" + server.version.value() + " model=" + this->model +
+            " send=" + std::to_string(this->ledger.sends()) +
+            " after_event=" + std::to_string(this->last_event));
     const auto keep = this->shared_from_this();
     next->call = this->core->client->send(
         *where,
@@ -230,7 +232,7 @@
              [keep, next](const common::result<http::response>& answer) {
                  keep->on_done(next, answer);
              }});
-    if (this->request.route->kind == routing::request_kind::stream) {
+    if (this->is_stream()) {
         this->watch_for_stall(next);
     }
 }
@@ -276,19 +278,15 @@
             common::log_level::warning,
             "answer not trusted request=" + this->request.caller.attempt +
                 " server=" + of->server.value() + " status=" + std::to_string(head.status));
-        this->drop_call();
-        if (this->settle(of, server_outcome::failed)) {
-            this->runs += 1;
-            this->try_again(execution::unknown, result_code::outcome_unknown);
-        }
+        this->leave(of, attempt_end::unknown, server_outcome::failed);
+        this->try_again(result_code::outcome_unknown);
         return;
     }
     if (of->said == verdict::not_executed && head.status == misdirected) {
         // Another server has the address: the one that was meant has ended.
         this->core->servers.apply({of->server, std::nullopt});
     }
-    const bool is_stream = this->request.route->kind == routing::request_kind::stream;
-    if (of->said == verdict::success && is_stream && !this->ask_larger_model(of)) {
+    if (of->said == verdict::success && this->is_stream() && !this->ask_larger_model(of)) {
         of->events.emplace(this->last_event);
     }
 }
@@ -297,8 +295,7 @@
 {
     const auto& route = *this->request.route;
     const bool may_ask = !this->model.empty() && !this->is_streaming &&
-                         this->may_send_again(execution::unknown) &&
-                         this->runs + 1 < route.most_attempts;
+                         this->ledger.may_be_dropped(route, this->core->options.most_sends);
     const auto said = http::find_header(of->head.headers, this->core->options.names.confidence);
     const auto confidence = said ? parse_confidence(*said) : -1;
     const auto asked =
@@ -310,18 +307,16 @@
         "answer " + std::string{accepted ? "accepted" : "dropped"} +
             " request=" + this->request.caller.attempt + " model=" + this->model + " confidence=" +
             std::to_string(confidence) + " asked=" + std::to_string(static_cast<int>(asked)));
-    if (accepted || !may_ask) {
+    // A second model draws on the budget of second sends as any other send does.
+    if (accepted || !may_ask || !this->retries().take_retry()) {
         return false;
     }
-    this->drop_call();
-    if (this->settle(of, server_outcome::good)) {
-        this->runs += 1;
-        this->use_model(routing::next_model(route));
-        // The server has done nothing wrong, and may hold the prompt's shared parts.
-        std::erase(this->tried, of->server);
-        this->core->counters.larger_models += 1;
-        this->send_next();
-    }
+    this->leave(of, attempt_end::ran, server_outcome::good);
+    this->use_model(routing::next_model(route));
+    // The server has done nothing wrong, and may hold the prompt's shared parts.
+    std::erase(this->tried, of->server);
+    this->core->counters.larger_models += 1;
+    this->send_next();
     return true;
 }
 
@@ -363,11 +358,8 @@
         this->out->write(std::move(whole));
     }
     if (!in_order) {
-        this->drop_call();
-        if (this->settle(of, server_outcome::failed)) {
-            this->runs += 1;
-            this->try_again(execution::ran, result_code::stream_broken);
-        }
+        this->leave(of, attempt_end::ran, server_outcome::failed);
+        this->try_again(result_code::stream_broken);
     }
 }
 
@@ -378,18 +370,7 @@
         return;
     }
     if (!answer) {
-        const bool unsent = answer.error().run == execution::not_run;
-        const bool no_answer = of->said == verdict::none;
-        this->settle(
-            of, unsent && no_answer ? server_outcome::unreachable : server_outcome::failed);
-        this->runs += this->may_have_run(of) && !unsent ? 1 : 0;
-        common::log(
-            common::log_part::place,
-            common::log_level::info,
-            "attempt lost request=" + this->request.caller.attempt + " server=" +
-                of->server.value() + " run=" + std::string{common::to_string(answer.error().run)} +
-                " detail=" + answer.error().detail);
-        this->try_again(answer.error().run, result_code::outcome_unknown);
+        this->on_lost(of, answer.error());
         return;
     }
     switch (of->said) {
@@ -397,42 +378,48 @@
         this->on_success(of);
         return;
     case verdict::not_executed:
-        this->settle(of, server_outcome::refused);
-        this->try_again(execution::not_run, result_code::no_capacity);
+        this->settle(of, attempt_end::not_executed, server_outcome::refused);
+        this->try_again(result_code::no_capacity);
         return;
     case verdict::server_failure:
-        this->settle(of, server_outcome::failed);
-        this->runs += 1;
+        this->settle(of, attempt_end::ran, server_outcome::failed);
         of->head.body = std::move(of->body);
         this->failure_to_pass = std::move(of->head);
-        this->try_again(execution::ran, result_code::server_failed);
+        this->try_again(result_code::server_failed);
         return;
     case verdict::none:
     case verdict::untrusted:
-        this->settle(of, server_outcome::failed);
-        this->runs += 1;
-        this->try_again(execution::unknown, result_code::outcome_unknown);
+        this->settle(of, attempt_end::unknown, server_outcome::failed);
+        this->try_again(result_code::outcome_unknown);
         return;
     }
 }
 
-/// A stream runs from its first token on, which comes with the head of its answer.
-auto relay::may_have_run(const std::shared_ptr<attempt>& of) const -> bool
+auto relay::on_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void
 {
-    const bool is_stream = this->request.route->kind == routing::request_kind::stream;
-    return of->said != verdict::none || !is_stream;
+    const bool unsent = why.run == execution::not_run && of->said == verdict::none;
+    const auto end = of->said != verdict::none ? attempt_end::ran
+                     : unsent                  ? attempt_end::not_sent
+                     : this->is_stream()       ? attempt_end::unknown_in_queue
+                                               : attempt_end::unknown;
+    this->settle(of, end, unsent ? server_outcome::unreachable : server_outcome::failed);
+    common::log(
+        common::log_part::place,
+        common::log_level::info,
+        "attempt lost request=" + this->request.caller.attempt + " server=" + of->server.value() +
+            " run=" + std::string{common::to_string(why.run)} + " detail=" + why.detail);
+    this->try_again(result_code::outcome_unknown);
 }
 
 auto relay::on_success(const std::shared_ptr<attempt>& of) -> void
 {
     if (of->events && of->events->has_rest()) {
         // The body ended as if whole, inside an event.
-        this->settle(of, server_outcome::failed);
-        this->runs += 1;
-        this->try_again(execution::ran, result_code::stream_broken);
+        this->settle(of, attempt_end::ran, server_outcome::failed);
+        this->try_again(result_code::stream_broken);
         return;
     }
-    this->settle(of, server_outcome::good);
+    this->settle(of, attempt_end::ran, server_outcome::good);
     this->core->counters.served += 1;
     if (of->events && this->is_streaming) {
         this->out->finish();
@@ -444,12 +431,14 @@
     this->finish("served");
 }
 
-auto relay::settle(const std::shared_ptr<attempt>& of, server_outcome outcome) -> bool
+auto relay::settle(const std::shared_ptr<attempt>& of, attempt_end end, server_outcome outcome)
+    -> void
 {
     if (of->ended) {
-        return false;
+        return;
     }
     of->ended = true;
+    this->ledger.note_end(end);
     const auto now = this->core->hooks.clock();
     this->core->loads.end(of->server, of->work);
     this->core->rollouts.note_ended(this->service, of->version);
@@ -458,33 +447,42 @@
         this->core->rollouts.note_outcome(
             this->service, of->version, this->request.route->name, outcome == server_outcome::good);
     }
-    return true;
 }
 
-auto relay::may_send_again(execution run) const -> bool
+auto relay::leave(const std::shared_ptr<attempt>& of, attempt_end end, server_outcome outcome)
+    -> void
 {
-    const auto& route = *this->request.route;
-    const bool repeatable = route.kind == routing::request_kind::idempotent ||
-                            (route.kind == routing::request_kind::stream && route.is_resumable);
-    if (run != execution::not_run && !repeatable) {
-        return false;
-    }
-    return this->runs < route.most_attempts && this->sends < this->core->options.most_sends &&
+    this->drop_call();
+    this->settle(of, end, outcome);
+}
+
+auto relay::is_stream() const -> bool
+{
+    return this->request.route->kind == routing::request_kind::stream;
+}
+
+auto relay::retries() -> placement::retry_budget&
+{
+    return this->core->retries_of(this->service);
+}
+
+auto relay::may_send_again() const -> bool
+{
+    return this->ledger.may_send_again(*this->request.route, this->core->options.most_sends) &&
            this->core->hooks.clock() < this->give_up_at;
 }
 
-auto relay::try_again(execution run, result_code why) -> void
+auto relay::try_again(result_code why) -> void
 {
     if (this->ended) {
         return;
     }
-    const bool first_never_left = this->sends == 0;
-    if (this->may_send_again(run) && (first_never_left || this->core->retries.take_retry())) {
+    if (this->may_send_again() && this->retries().take_retry()) {
         this->core->counters.resumed += this->is_streaming ? 1 : 0;
         this->send_next();
         return;
     }
-    this->give_up(this->runs == 0 ? result_code::no_capacity : why);
+    this->give_up(why);
 }
 
 auto relay::give_up(result_code why) -> void
@@ -493,6 +491,9 @@
         return;
     }
     this->core->counters.failed += 1;
+    if (this->ledger.is_not_run() && why != result_code::deadline_too_near) {
+        why = result_code::no_capacity;
+    }
     if (this->is_streaming) {
         this->out->abort();
     }
@@ -527,7 +528,7 @@
                 return;
             }
             const bool is_silent = self->core->hooks.clock() - of->last_progress >= limit;
-            if (!is_silent || !self->may_send_again(execution::unknown)) {
+            if (!is_silent || !self->may_send_again()) {
                 self->watch_for_stall(of);
                 return;
             }
@@ -536,11 +537,12 @@
                 common::log_level::info,
                 "stalled request=" + self->request.caller.attempt +
                     " server=" + of->server.value());
-            self->drop_call();
-            if (self->settle(of, server_outcome::failed)) {
-                self->runs += self->may_have_run(of) ? 1 : 0;
-                self->try_again(execution::unknown, result_code::stream_broken);
-            }
+            const bool has_begun = of->said != verdict::none;
+            self->leave(
+                of,
+                has_begun ? attempt_end::ran : attempt_end::unknown_in_queue,
+                server_outcome::failed);
+            self->try_again(result_code::stream_broken);
         });
 }
 
@@ -549,13 +551,11 @@
     if (this->ended) {
         return;
     }
-    const bool was_under_way = this->current != nullptr && !this->current->ended;
-    this->drop_call();
     if (this->current != nullptr) {
-        this->settle(this->current, server_outcome::failed);
+        this->leave(this->current, attempt_end::unknown, server_outcome::failed);
     }
-    this->runs += was_under_way ? 1 : 0;
-    this->give_up(this->runs > 0 ? result_code::deadline_passed : result_code::deadline_too_near);
+    this->give_up(
+        this->ledger.is_not_run() ? result_code::deadline_too_near : result_code::deadline_passed);
 }
 
 auto relay::on_caller_left() -> void
@@ -564,10 +564,9 @@
         return;
     }
     this->core->counters.callers_left += 1;
-    this->drop_call();
     if (this->current != nullptr) {
         // Says nothing about the server.
-        this->settle(this->current, server_outcome::refused);
+        this->leave(this->current, attempt_end::unknown, server_outcome::refused);
     }
     this->out->abort();
     this->finish("caller left");
@@ -587,8 +586,8 @@
     common::log(
         common::log_part::entry,
         common::log_level::info,
-        "ended request=" + this->request.caller.attempt + " how=" + std::string{how} +
-            " sends=" + std::to_string(this->sends) + " ms=" + std::to_string(took.count()));
+        "ended request=" + this->request.caller.attempt + " how=" + std::string{how} + " sends=" +
+            std::to_string(this->ledger.sends()) + " ms=" + std::to_string(took.count()));
     this->out.reset();
 }
 
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "router/router_core.hpp"
+#include "routing/attempt_ledger.hpp"
 #include "routing/event_splitter.hpp"
 
 namespace reedramp::router {
@@ -102,13 +103,24 @@
     auto on_success(const std::shared_ptr<attempt>& of) -> void;
     /// True when the answer was dropped for a larger model's.
     auto ask_larger_model(const std::shared_ptr<attempt>& of) -> bool;
-    [[nodiscard]] auto may_have_run(const std::shared_ptr<attempt>& of) const -> bool;
     [[nodiscard]] auto judge(const http::response& head) const -> verdict;
 
-    /// Ends the attempt's bookkeeping; true the first time.
-    auto settle(const std::shared_ptr<attempt>& of, routing::server_outcome outcome) -> bool;
-    auto try_again(common::execution run, common::result_code why) -> void;
-    [[nodiscard]] auto may_send_again(common::execution run) const -> bool;
+    auto on_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void;
+
+    /// Ends the attempt's bookkeeping; once.
+    auto settle(
+        const std::shared_ptr<attempt>& of,
+        routing::attempt_end end,
+        routing::server_outcome outcome) -> void;
+    /// The same for an attempt that may still be under way: its call is ended first.
+    auto leave(
+        const std::shared_ptr<attempt>& of,
+        routing::attempt_end end,
+        routing::server_outcome outcome) -> void;
+    [[nodiscard]] auto is_stream() const -> bool;
+    auto retries() -> placement::retry_budget&;
+    auto try_again(common::result_code why) -> void;
+    [[nodiscard]] auto may_send_again() const -> bool;
     auto give_up(common::result_code why) -> void;
 
     auto watch_for_stall(const std::shared_ptr<attempt>& of) -> void;
@@ -133,9 +145,7 @@
 
     std::shared_ptr<attempt> current;
     std::vector<common::server_id> tried;
-    unsigned sends = 0;
-    /// Attempts that ran or may have run.
-    unsigned runs = 0;
+    routing::attempt_ledger ledger;
     /// A failure that a server answered, for the caller when nothing better comes.
     std::optional<http::response> failure_to_pass;
     /// The caller has the head of a stream.
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -16,7 +16,7 @@
     std::shared_ptr<http::client> servers_client)
     : hooks(std::move(hooks_to_use)), options(std::move(options_to_use)),
       client(std::move(servers_client)), loads(this->options.peer_trust),
-      health(this->options.health), rollouts(this->options.rollout), retries(this->options.retries)
+      health(this->options.health), rollouts(this->options.rollout)
 {
 }
 
@@ -109,8 +109,21 @@
     return this->rules_in_force != nullptr && this->servers.size() > 0;
 }
 
-auto router_core::note_first_event(
-    const routing::route_name& route, std::chrono::milliseconds took) -> void
+auto router_core::retries_of(const common::service_name& service) -> placement::retry_budget&
+{
+    return this->retries.try_emplace(service, this->options.retries).first->second;
+}
+
+auto router_core::change_retries(placement::retry_budget_settings settings) -> void
+{
+    this->options.retries = settings;
+    for (auto& [service, budget] : this->retries) {
+        budget.change(settings);
+    }
+}
+
+auto router_core::note_first_event(const routing::route_name& route, std::chrono::milliseconds took)
+    -> void
 {
     constexpr double memory = 0.1;
     const auto ms = static_cast<double>(took.count());
@@ -123,9 +136,8 @@
 {
     const auto mean = this->first_event_ms.find(route);
     const auto usual = mean == this->first_event_ms.end() ? 0.0 : mean->second;
-    return this->options.first_event_patience +
-           std::chrono::milliseconds{
-               static_cast<std::int64_t>(usual * this->options.first_event_factor)};
+    return this->options.first_event_patience + std::chrono::milliseconds{static_cast<std::int64_t>(
+                                                    usual * this->options.first_event_factor)};
 }
 
 auto own_answer(const common::error& why, std::chrono::milliseconds come_back_after)
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -112,6 +112,13 @@
     /// The text of the rules in force, for peers that lack them.
     [[nodiscard]] auto rules_text() const -> const std::string& { return this->text_in_force; }
 
+    /// The budget of second sends to a service. Each has its own: one service's trouble must not
+    /// spend what another one's requests have saved up.
+    auto retries_of(const common::service_name& service) -> placement::retry_budget&;
+
+    /// The settings have changed.
+    auto change_retries(placement::retry_budget_settings settings) -> void;
+
     /// Requests that have no final answer yet.
     [[nodiscard]] auto under_way() const -> std::size_t { return this->open_requests; }
 
@@ -126,7 +133,6 @@
     routing::server_health health;
     routing::rollout_guide rollouts;
     routing::wait_gauge waits;
-    placement::retry_budget retries;
     router_counters counters;
     std::size_t open_requests = 0;
 
@@ -140,6 +146,7 @@
     std::shared_ptr<const routing::route_table> rules_in_force;
     std::string text_in_force;
     time_point ends_at = common::never;
+    std::map<common::service_name, placement::retry_budget> retries;
     /// Mean time to the first event in ms, newest weighted most.
     std::map<routing::route_name, double> first_event_ms;
 };
--- /dev/null
+++ b/source/core/routing/attempt_ledger.cpp
@@ -0,0 +1,51 @@
+#include "routing/attempt_ledger.hpp"
+
+namespace reedramp::routing {
+
+namespace {
+
+auto is_repeatable(const route& on) -> bool
+{
+    return on.kind == request_kind::idempotent ||
+           (on.kind == request_kind::stream && on.is_resumable);
+}
+
+} // namespace
+
+auto attempt_ledger::note_end(attempt_end how) -> void
+{
+    switch (how) {
+    case attempt_end::not_sent:
+    case attempt_end::not_executed:
+        return;
+    case attempt_end::ran:
+    case attempt_end::unknown:
+        this->runs += 1;
+        this->may_have_run = true;
+        return;
+    case attempt_end::unknown_in_queue:
+        this->may_have_run = true;
+        return;
+    }
+}
+
+auto attempt_ledger::leaves_room(const route& on, unsigned most_sends, unsigned more) const -> bool
+{
+    return this->runs + more <= on.most_attempts && this->sent + more <= most_sends;
+}
+
+auto attempt_ledger::may_send_again(const route& on, unsigned most_sends) const -> bool
+{
+    if (this->may_have_run && !is_repeatable(on)) {
+        return false;
+    }
+    return this->leaves_room(on, most_sends, 1);
+}
+
+auto attempt_ledger::may_be_dropped(const route& on, unsigned most_sends) const -> bool
+{
+    // The answer that is dropped has run too, and is not yet in the ledger.
+    return is_repeatable(on) && this->leaves_room(on, most_sends, 2);
+}
+
+} // namespace reedramp::routing
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
 
 #include "common/log.hpp"
 #include "daemon/clock.hpp"
@@ -42,8 +43,6 @@
 constexpr milliseconds quick_silence{1500};
 constexpr milliseconds store_idle_time{4000};
 constexpr milliseconds store_connect_time{1000};
-/// The balancer takes a leaving entry out after two misses, a second apart.
-constexpr milliseconds balancer_time{3000};
 /// From the end of the grace: the process ends itself before it is killed.
 constexpr milliseconds grace_rest{400};
 constexpr milliseconds shutdown_check{50};
@@ -312,9 +311,10 @@
         "leaving under_way=" + std::to_string(this->core->under_way()));
     this->for_callers->announce_close();
     const auto now = daemon::boot_time();
-    const auto last = now + std::max(balancer_time, this->settings.grace - grace_rest);
+    const auto balancer_done = now + this->settings.balancer_time;
+    const auto last = std::max(balancer_done, now + this->settings.grace - grace_rest);
     this->core->leave(last);
-    this->check_shutdown(now + balancer_time, last);
+    this->check_shutdown(balancer_done, last);
 }
 
 auto router_process::parts_of_process::check_shutdown(
@@ -366,9 +366,7 @@
         const auto changed = reload();
         if (!changed) {
             common::log(
-                log_part::entry,
-                log_level::warning,
-                "settings kept why=" + changed.error().detail);
+                log_part::entry, log_level::warning, "settings kept why=" + changed.error().detail);
             return;
         }
         this->apply(*changed);
@@ -381,7 +379,7 @@
     auto& core = *this->parts->core;
     this->parts->settings.grace = changed.grace;
     core.options.models = changed.router.models;
-    core.retries.change(changed.router.retries);
+    core.change_retries(changed.router.retries);
     common::log(
         log_part::entry,
         log_level::info,
@@ -393,7 +391,7 @@
 
 auto router_process::shut_down() -> void
 {
-    this->parts->shut_down();
+    asio::post(this->parts->context, [parts_here = this->parts.get()] { parts_here->shut_down(); });
 }
 
 auto router_process::callers_port() const -> std::uint16_t
--- a/source/router/router_process.hpp
+++ b/source/router/router_process.hpp
@@ -54,7 +54,7 @@
     /// asked of small models, the grace. Addresses and names stay as they are until a restart.
     auto apply(const router_settings& changed) -> void;
 
-    /// As at SIGTERM.
+    /// As at SIGTERM; from any thread.
     auto shut_down() -> void;
 
     [[nodiscard]] auto callers_port() const -> std::uint16_t;
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -25,6 +25,10 @@
         address_key("store.address", "The platform's store."),
         time_key("store.servers_period", "Between two readings of the servers' list.", 1000, 50),
         time_key("shutdown.grace", "From SIGTERM until the process is killed.", 8000, 1000),
+        time_key(
+            "shutdown.balancer",
+            "From SIGTERM until the balancer has noticed; the process takes requests so long.",
+            3000),
         time_key("session_time", "Requests of a session follow each other within this.", 5000),
         settings::number_key(
             "models.accepted_confidence",
@@ -34,7 +38,8 @@
             101),
         {.path = "placement.affinity_patience",
          .type = settings::value_type::real,
-         .doc = "Extra work that a server with the prompt's parts may have, in units of what it saves.",
+         .doc = "Extra work that a server with the prompt's parts may have, in units of what it "
+                "saves.",
          .fallback = 8.0,
          .lowest = 0.0,
          .highest = 100.0},
@@ -89,13 +94,13 @@
         }
     }
     read.grace = values.milliseconds("shutdown.grace");
+    read.balancer_time = values.milliseconds("shutdown.balancer");
     read.peer_period = values.milliseconds("peers.period");
     read.follower.servers_period = values.milliseconds("store.servers_period");
     read.router.data_centre = read.data_centre;
     read.router.rollout.session_time = values.milliseconds("session_time");
-    // Half of what is allowed: the rest is for callers' retries that meet refusals, and for entries
-    // that start anew with a full budget.
-    constexpr double used_part = 0.5;
+    // The rest is for entries that start anew with a full budget.
+    constexpr double used_part = 0.85;
     read.router.retries.retries_per_first_try = values.real("retries.ratio") * used_part;
     read.router.models.accepted_confidence =
         static_cast<unsigned>(values.integer("models.accepted_confidence"));
--- a/source/router/settings.hpp
+++ b/source/router/settings.hpp
@@ -24,6 +24,7 @@
     std::vector<http::endpoint> first_peers;
     http::endpoint store;
     std::chrono::milliseconds grace{};
+    std::chrono::milliseconds balancer_time{};
     std::chrono::milliseconds peer_period{};
     router::follower_options follower;
     router::router_options router;
--- a/source/unit_tests/router/relay_test.cpp
+++ b/source/unit_tests/router/relay_test.cpp
@@ -50,15 +50,21 @@
     // After a loss, a request may still run at its server. Sent once more, one that is not
     // idempotent would run twice; called "not run", its caller would do the same. Only what was
     // never sent, or what the server says it has not run, is free to go elsewhere.
-    const auto lost = [](sent_request& first) { first.lose(execution::unknown); };
-    const auto unsent = [](sent_request& first) { first.lose(execution::not_run); };
+    const auto lost = [](sent_request& first) {
+        first.lose(execution::unknown);
+    };
+    const auto unsent = [](sent_request& first) {
+        first.lose(execution::not_run);
+    };
     const auto full = [](sent_request& first) {
         first.answer(503, "", {{"Reedramp-Not-Executed", "1"}, {"Reedramp-Signature", ""}});
     };
     const auto reused = [](sent_request& first) {
         first.answer(421, "", {{"Reedramp-Signature", ""}});
     };
-    const auto failed = [](sent_request& first) { first.answer(500, "own"); };
+    const auto failed = [](sent_request& first) {
+        first.answer(500, "own");
+    };
     const auto unsigned_ok = [](sent_request& first) {
         first.answer(200, "whose", {{"Reedramp-Signature", ""}});
     };
@@ -128,6 +134,19 @@
     CHECK_FALSE(http::find_header(out->answer->headers, "Reedramp-Signature"));
 }
 
+TEST_CASE("a stream that was lost without a sign is not called not run", "[relay]")
+{
+    // Each server takes the request, works on it and loses its connection before the answer's head
+    // is out. Refused as "not run", the caller would take that word.
+    world all;
+    const auto out = all.ask(stream);
+    while (out->status() == 0) {
+        all.last().lose(execution::unknown);
+    }
+    CHECK(out->status() == 502);
+    CHECK_FALSE(http::find_header(out->answer->headers, "Retry-After"));
+}
+
 TEST_CASE("a server whose address another one has is not asked again", "[relay]")
 {
     // A server crashed and another one got its address. Its own registration is in the list for
@@ -256,7 +275,7 @@
     // Every answer is lost. Without a bound each request would be sent twice, and a service that
     // fails under its load would get twice the load.
     world all;
-    all.core->retries.change({.retries_per_first_try = 0.1, .most_saved = 2.0});
+    all.core->change_retries({.retries_per_first_try = 0.1, .most_saved = 2.0});
     std::size_t seconds_sent = 0;
     for (int i = 0; i < 100; ++i) {
         const auto before = all.sends();
@@ -279,8 +298,7 @@
     all.add_server("new", "v2");
     const common::service_name engines{"engines"};
     all.core->rollouts.order({engines, common::version_id{"v2"}, seconds{20}}, all.now);
-    all.core->rollouts.learn(
-        {engines, common::version_id{"v2"}, routing::rollout_state::reverted});
+    all.core->rollouts.learn({engines, common::version_id{"v2"}, routing::rollout_state::reverted});
     const auto out = all.ask(once);
     CHECK(all.sends() == 0);
     CHECK(out->status() == 503);
