Let an entry that leaves serve with the smallest model alone

Ruled out: ending entries earlier: with requests coming in, the longest of them holds the process to its grace. Change: a leaving entry takes what the smallest model can end, and drops no answer of it.

--- a/source/core/router/caller_request.hpp
+++ b/source/core/router/caller_request.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "common/result.hpp"
@@ -14,6 +15,9 @@
 
 using common::time_point;
 
+/// Callers name this model where they leave the choice to the system.
+inline constexpr std::string_view any_model = "*";
+
 /// One part of a prompt. Requests share parts; a server that holds a part, and all before it, reads
 /// neither again.
 struct prompt_part {
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -18,8 +18,7 @@
 namespace {
 
 constexpr std::uint16_t misdirected = 421;
-/// Callers write it where they leave the model to the system.
-constexpr std::string_view any_model = "*";
+
 /// A token written counts as two tokens read: a batch writes all its tokens in one step, so that
 /// one answer more slows the others little, while a prompt that is read stops them all.
 constexpr double read_tokens_per_written = 2.0;
@@ -298,8 +297,11 @@
                          this->ledger.may_be_dropped(route, this->core->options.most_sends);
     const auto said = http::find_header(of->head.headers, this->core->options.names.confidence);
     const auto confidence = said ? parse_confidence(*said) : -1;
+    const bool must_be_quick = this->core->must_be_quick(route, this->request.caller);
     const auto asked =
-        routing::asked_confidence(this->core->options.models, this->core->waits.level());
+        must_be_quick
+            ? 0.0
+            : routing::asked_confidence(this->core->options.models, this->core->waits.level());
     const auto accepted = routing::is_accepted(route, this->model_at, confidence, asked);
     common::log(
         common::log_part::policy,
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -67,24 +67,28 @@
     if (needs_key && this->rules_in_force->owner_of(caller.key) == nullptr) {
         return common::failure(common::result_code::unauthenticated);
     }
-    if (!this->may_finish(*found, caller, this->hooks.clock())) {
+    const bool has_small_model = !found->models.empty() && caller.model == any_model;
+    const auto token =
+        has_small_model ? this->options.small_token_needs : this->options.token_needs;
+    if (!this->may_finish(*found, caller, token)) {
         return common::failure(common::result_code::shutting_down);
     }
     return found;
 }
 
 auto router_core::may_finish(
-    const routing::route& on, const caller_request& caller, time_point now) const -> bool
+    const routing::route& on, const caller_request& caller, std::chrono::milliseconds token) const
+    -> bool
 {
     if (this->ends_at == common::never) {
         return true;
     }
     auto needs = this->options.start_needs;
     if (on.kind == routing::request_kind::stream) {
-        needs += this->options.token_needs * static_cast<std::int64_t>(caller.most_answer_tokens);
+        needs += token * static_cast<std::int64_t>(caller.most_answer_tokens);
         needs = std::min(needs, this->options.longest_need);
     }
-    return now + std::min(needs, on.timeout) <= this->ends_at;
+    return this->hooks.clock() + std::min(needs, on.timeout) <= this->ends_at;
 }
 
 auto router_core::adopt(published_rules rules) -> bool
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -46,10 +46,11 @@
     common::duration peer_trust = std::chrono::milliseconds{500};
     /// Time that a request needs to be taken by a process that ends: a start, as long as nearly all
     /// plain requests and first events take, and for a stream its tokens, at the pace of the
-    /// largest model under load. More than `longest_need` is not asked for: the balancer sends
-    /// requests for so long, and what is cut then can be resumed.
+    /// largest model under load, or of the smallest one. More than `longest_need` is not asked for:
+    /// the balancer sends requests for so long, and what is cut then can be resumed.
     std::chrono::milliseconds start_needs{1500};
     std::chrono::milliseconds token_needs{15};
+    std::chrono::milliseconds small_token_needs{6};
     std::chrono::milliseconds longest_need{5200};
     /// A caller that was refused comes back after this; about the time in which a server finishes
     /// a short request.
@@ -122,6 +123,13 @@
     /// Requests that have no final answer yet.
     [[nodiscard]] auto under_way() const -> std::size_t { return this->open_requests; }
 
+    /// The process will end before a larger model's answer would; the smallest one's has to do.
+    [[nodiscard]] auto must_be_quick(const routing::route& on, const caller_request& caller) const
+        -> bool
+    {
+        return !this->may_finish(on, caller, this->options.token_needs);
+    }
+
     // Shared with the requests; on the same thread.
     router_hooks hooks;
     router_options options;
@@ -137,9 +145,11 @@
     std::size_t open_requests = 0;
 
 private:
-    [[nodiscard]] auto
-    may_finish(const routing::route& on, const caller_request& caller, time_point now) const
-        -> bool;
+    /// Whether a request can end before the process does, if each of its tokens takes `token`.
+    [[nodiscard]] auto may_finish(
+        const routing::route& on,
+        const caller_request& caller,
+        std::chrono::milliseconds token) const -> bool;
     auto check(const http::request& asked, const caller_request& caller) const
         -> common::result<const routing::route*>;
 
