--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,8 @@
 # Runs the main job: stand-ins, entries, agents, load, a roll-out and a withdrawal. KEEP=1 leaves it up.
 demo: build
 	@tools/demo $(BUILD)
+	@echo "the entry on stand-ins of the users' platform:"
+	@$(BUILD)/bin/reedramp-platform-demo
 
 test: build
 	@cd $(BUILD) && ctest --output-on-failure -j 4
