--- a/source/core/daemon/front.cpp
+++ b/source/core/daemon/front.cpp
@@ -135,8 +135,7 @@
     return std::move(*read);
 }
 
-auto read_settings_again(
-    const program& which, int argument_count, const char* const* arguments)
+auto read_settings_again(const program& which, int argument_count, const char* const* arguments)
     -> common::result<settings::values>
 {
     std::ostringstream unused;
--- a/source/core/daemon/front.hpp
+++ b/source/core/daemon/front.hpp
@@ -26,8 +26,7 @@
 
 /// Reads the file that the command line names once more, as at its start. Error `invalid_settings`
 /// with all problems in one text.
-auto read_settings_again(
-    const program& which, int argument_count, const char* const* arguments)
+auto read_settings_again(const program& which, int argument_count, const char* const* arguments)
     -> common::result<settings::values>;
 
 /// Reads the command line `--settings FILE [--check-settings]`, `--version`, `--help`,
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -86,7 +86,11 @@
     auto needs = this->options.start_needs;
     if (on.kind == routing::request_kind::stream) {
         needs += token * static_cast<std::int64_t>(caller.most_answer_tokens);
-        needs = std::min(needs, this->options.longest_need);
+        // Where callers wait, each token takes longer too.
+        const auto slowed = static_cast<double>(needs.count()) * (1.0 + this->waits.level());
+        needs = std::min(
+            std::chrono::milliseconds{static_cast<std::int64_t>(slowed)},
+            this->options.longest_need);
     }
     return this->hooks.clock() + std::min(needs, on.timeout) <= this->ends_at;
 }
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -46,11 +46,12 @@
     common::duration peer_trust = std::chrono::milliseconds{500};
     /// Time that a request needs to be taken by a process that ends: a start, as long as nearly all
     /// plain requests and first events take, and for a stream its tokens, at the pace of the
-    /// largest model under load, or of the smallest one. More than `longest_need` is not asked for:
-    /// the balancer sends requests for so long, and what is cut then can be resumed.
+    /// largest model under load, or of the smallest one. All of it grows with callers' waits. More
+    /// than `longest_need` is not asked for: the balancer sends requests for so long, and what is
+    /// cut then can be resumed.
     std::chrono::milliseconds start_needs{1500};
     std::chrono::milliseconds token_needs{15};
-    std::chrono::milliseconds small_token_needs{6};
+    std::chrono::milliseconds small_token_needs{8};
     std::chrono::milliseconds longest_need{5200};
     /// A caller that was refused comes back after this; about the time in which a server finishes
     /// a short request.
--- a/source/core/router/rules_follower.cpp
+++ b/source/core/router/rules_follower.cpp
@@ -35,9 +35,9 @@
         [self = this->shared_from_this()](
             const common::result<stream_reading<routing::rollout_status>>& reading) {
             if (!reading) {
-                self->core->hooks.timer(self->core->hooks.clock() + pause_after_failure(*self->core, self->options), [self] {
-                    self->read_outcomes();
-                });
+                self->core->hooks.timer(
+                    self->core->hooks.clock() + pause_after_failure(*self->core, self->options),
+                    [self] { self->read_outcomes(); });
                 return;
             }
             for (const auto& status : reading->documents) {
--- a/source/unit_tests/router/followers_test.cpp
+++ b/source/unit_tests/router/followers_test.cpp
@@ -46,7 +46,9 @@
         store.read_servers = [this](auto from, auto done) {
             this->servers.emplace_back(from, std::move(done));
         };
-        store.read_outcomes = [this](auto done) { this->outcomes.push_back(std::move(done)); };
+        store.read_outcomes = [this](auto done) {
+            this->outcomes.push_back(std::move(done));
+        };
         store.write_outcome = [this](const auto& status, auto, auto done) {
             this->writes.emplace_back(status, std::move(done));
         };
@@ -176,8 +178,8 @@
     write.second(common::failure(result_code::conflict));
     all.advance(seconds{1});
     writer->tick();
-    held_store::take(store.outcomes)(reading<routing::rollout_status>(
-        {{engines, target, rollout_state::reverted}}, 1, true));
+    held_store::take(store.outcomes)(
+        reading<routing::rollout_status>({{engines, target, rollout_state::reverted}}, 1, true));
     CHECK(store.writes.empty());
     writer->tick();
     CHECK(store.outcomes.empty());
@@ -199,8 +201,8 @@
     all.advance(seconds{1});
     writer->tick();
     // It was done after all.
-    held_store::take(store.outcomes)(reading<routing::rollout_status>(
-        {{engines, target, rollout_state::running}}, 1, true));
+    held_store::take(store.outcomes)(
+        reading<routing::rollout_status>({{engines, target, rollout_state::running}}, 1, true));
     CHECK(store.writes.empty());
 }
 
--- a/source/unit_tests/router/world.cpp
+++ b/source/unit_tests/router/world.cpp
@@ -36,8 +36,7 @@
         {"Reedramp-Attempt-Id", this->header("Reedramp-Attempt-Id")},
         {"Reedramp-Signature", "of " + this->header("Reedramp-Expect-Server")}};
     for (auto& item : extra) {
-        std::erase_if(
-            head.headers, [&item](const auto& other) { return other.name == item.name; });
+        std::erase_if(head.headers, [&item](const auto& other) { return other.name == item.name; });
         if (!item.value.empty()) {
             head.headers.push_back(std::move(item));
         }
@@ -84,8 +83,7 @@
     ended.on_done(tl::unexpected(why));
 }
 
-auto fake_client::send(
-    const http::endpoint& where, http::request asked, http::call_events events)
+auto fake_client::send(const http::endpoint& where, http::request asked, http::call_events events)
     -> std::shared_ptr<http::call>
 {
     auto one = std::make_shared<sent_request>();
@@ -109,8 +107,7 @@
         route_of("again", routing::request_kind::idempotent, 2)};
     rules.services.resize(1);
     rules.services.front().name = common::service_name{"engines"};
-    rules.services.front().models = {
-        {common::model_id{"s"}, 0.01}, {common::model_id{"l"}, 0.2}};
+    rules.services.front().models = {{common::model_id{"s"}, 0.01}, {common::model_id{"l"}, 0.2}};
     rules.organisations = {{common::organisation_id{"org"}, {"key"}}};
     return {std::move(rules), "text of version " + std::to_string(version)};
 }
@@ -118,11 +115,15 @@
 world::world()
 {
     router_hooks hooks;
-    hooks.clock = [this] { return this->now; };
+    hooks.clock = [this] {
+        return this->now;
+    };
     hooks.timer = [this](common::time_point when, std::function<auto()->void> action) {
         this->timers.emplace(when, std::move(action));
     };
-    hooks.random = [] { return std::uint64_t{0}; };
+    hooks.random = [] {
+        return std::uint64_t{0};
+    };
     this->core = std::make_shared<router_core>(std::move(hooks), router_options{}, this->client);
     this->core->adopt(rules_of(1));
     for (const auto* id : {"a", "b", "c"}) {
@@ -157,8 +158,7 @@
     this->now = until;
 }
 
-auto world::ask(const std::string& path, std::vector<http::header> extra)
-    -> std::shared_ptr<caller>
+auto world::ask(const std::string& path, std::vector<http::header> extra) -> std::shared_ptr<caller>
 {
     http::request asked;
     asked.method = "POST";
--- a/source/unit_tests/router/world.hpp
+++ b/source/unit_tests/router/world.hpp
@@ -44,13 +44,14 @@
 
     [[nodiscard]] auto header(std::string_view name) const -> std::string;
 
-    /// Status line and headers of an answer; `extra` follows the ones that make it the server's own.
+    /// Status line and headers of an answer; `extra` follows the ones that make it the server's
+    /// own.
     auto head(std::uint16_t status, std::vector<http::header> extra = {}) -> void;
     auto chunk(const std::string& bytes) -> void;
     auto end() -> void;
     /// A whole answer.
-    auto answer(
-        std::uint16_t status, const std::string& body, std::vector<http::header> extra = {}) -> void;
+    auto answer(std::uint16_t status, const std::string& body, std::vector<http::header> extra = {})
+        -> void;
     /// The connection ends; `run` says whether the request may have reached the server.
     auto lose(common::execution run) -> void;
 };
@@ -80,7 +81,8 @@
 
     [[nodiscard]] auto backlog() const -> std::size_t override { return 0; }
 
-    auto when_drained(std::size_t /*low_water*/, std::function<auto()->void> action) -> void override
+    auto when_drained(std::size_t /*low_water*/, std::function<auto()->void> action)
+        -> void override
     {
         action();
     }
--- a/source/unit_tests/routing/event_splitter_test.cpp
+++ b/source/unit_tests/routing/event_splitter_test.cpp
@@ -27,8 +27,8 @@
 
 TEST_CASE("a server that fails inside an event leaves no piece of it", "[event_splitter]")
 {
-    // The server breaks off in the middle of event 1. The one that goes on begins with event 1; with
-    // the piece before it, the caller would read an event that no server sent.
+    // The server breaks off in the middle of event 1. The one that goes on begins with event 1;
+    // with the piece before it, the caller would read an event that no server sent.
     event_splitter splitter{-1};
     std::string out;
     REQUIRE(splitter.add("id: 0\ndata: a\n\nid: 1\nda", out));
