--- a/source/unit_tests/http/client_test.cpp
+++ b/source/unit_tests/http/client_test.cpp
@@ -307,3 +307,21 @@
     CHECK(right == 200);
     CHECK(serving->open_connections() <= 4);
 }
+
+TEST_CASE("a connection that its server soon closes is not kept")
+{
+    // The server names a second as its idle limit, in whole seconds, and may count it from earlier.
+    // A request that is written while the server closes has an unknown outcome.
+    loop network;
+    const std::string named =
+        "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok";
+    const std::string unnamed = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    scripted_server server{{{named}, {unnamed, unnamed}}};
+    const auto with = client::create(network.context, {});
+    for (int i = 0; i < 3; ++i) {
+        const auto answer = fetch(*with, server.where(), get("/"));
+        REQUIRE(answer);
+        CHECK(answer->body == "ok");
+    }
+    CHECK(server.requests == 3);
+}
--- a/source/unit_tests/http/server_test.cpp
+++ b/source/unit_tests/http/server_test.cpp
@@ -321,3 +321,24 @@
         CHECK_FALSE(parse_endpoint(bad));
     }
 }
+
+TEST_CASE("a server that announces its close serves on, one request a connection")
+{
+    // The balancer goes on sending callers for some seconds after this process was told to leave.
+    // Those on kept connections have to find another process for their next request.
+    loop network;
+    const auto serving =
+        open_server({&network.context}, [](const request&, const std::shared_ptr<responder>& out) {
+            out->send({200, {}, "ok"});
+        });
+    raw_caller before{address_of(*serving)};
+    const std::string asked = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    before.send(asked);
+    CHECK(before.read_until("ok").find("Connection: close") == std::string::npos);
+    serving->announce_close();
+    raw_caller after{address_of(*serving)};
+    after.send(asked);
+    CHECK(after.read_to_end().find("Connection: close") != std::string::npos);
+    // The idle one is closed without an answer that nobody asked for.
+    CHECK(before.read_to_end().empty());
+}
