Show counters, histograms and the state of a router to operators

Cause: nothing told what a running router believes or has done but its log. Change: /metrics and /state on the peers' address; one place for the series.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -189,7 +189,7 @@
         return;
     }
     this->ledger.note_sent();
-    this->core->counters.sends += 1;
+    this->core->counters.sends.add();
     this->tried.push_back(server.id);
     auto next = std::make_shared<attempt>();
     next->server = server.id;
@@ -317,7 +317,7 @@
     this->use_model(routing::next_model(route));
     // The server has done nothing wrong, and may hold the prompt's shared parts.
     std::erase(this->tried, of->server);
-    this->core->counters.larger_models += 1;
+    this->core->counters.larger_models.add();
     this->send_next();
     return true;
 }
@@ -351,9 +351,9 @@
         }
         if (!this->is_streaming) {
             this->is_streaming = true;
-            this->core->waits.note(
-                milliseconds_between(this->received, of->last_progress),
-                this->request.route->target);
+            const auto waited = milliseconds_between(this->received, of->last_progress);
+            this->core->waits.note(waited, this->request.route->target);
+            this->core->counters.first_event_ms.record(static_cast<double>(waited.count()));
             this->out->start(of->head);
         }
         this->last_event = of->events->last_id();
@@ -422,7 +422,7 @@
         return;
     }
     this->settle(of, attempt_end::ran, server_outcome::good);
-    this->core->counters.served += 1;
+
     if (of->events && this->is_streaming) {
         this->out->finish();
     }
@@ -480,7 +480,7 @@
         return;
     }
     if (this->may_send_again() && this->retries().take_retry()) {
-        this->core->counters.resumed += this->is_streaming ? 1 : 0;
+        this->core->counters.resumed.add(this->is_streaming ? 1 : 0);
         this->send_next();
         return;
     }
@@ -492,7 +492,7 @@
     if (this->ended) {
         return;
     }
-    this->core->counters.failed += 1;
+
     if (this->ledger.is_not_run() && why != result_code::deadline_too_near) {
         why = result_code::no_capacity;
     }
@@ -565,13 +565,13 @@
     if (this->ended) {
         return;
     }
-    this->core->counters.callers_left += 1;
+
     if (this->current != nullptr) {
         // Says nothing about the server.
         this->leave(this->current, attempt_end::unknown, server_outcome::refused);
     }
     this->out->abort();
-    this->finish("caller left");
+    this->finish("caller_left");
 }
 
 auto relay::drop_call() -> void
@@ -585,6 +585,8 @@
 {
     this->ended = true;
     const auto took = milliseconds_between(this->received, this->core->hooks.clock());
+    this->core->counters.count_end(std::string{how});
+    this->core->counters.answer_ms.record(static_cast<double>(took.count()));
     common::log(
         common::log_part::entry,
         common::log_level::info,
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -16,16 +16,16 @@
     std::shared_ptr<http::client> servers_client)
     : hooks(std::move(hooks_to_use)), options(std::move(options_to_use)),
       client(std::move(servers_client)), loads(this->options.peer_trust),
-      health(this->options.health), rollouts(this->options.rollout)
+      health(this->options.health), rollouts(this->options.rollout), counters(this->series)
 {
 }
 
 auto router_core::handle(http::request asked, std::shared_ptr<http::responder> out) -> void
 {
-    this->counters.requests += 1;
+    this->counters.requests.add();
     const auto now = this->hooks.clock();
     const auto refuse = [this, &out](const common::error& why, const std::string& attempt) {
-        this->counters.refused += 1;
+        this->counters.count_end(std::string{common::row_of(why.code).name});
         common::log(
             common::log_part::entry,
             common::log_level::info,
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -13,6 +13,7 @@
 #include "placement/retry_budget.hpp"
 #include "router/caller_request.hpp"
 #include "router/header_names.hpp"
+#include "router/router_metrics.hpp"
 #include "router/shared_store.hpp"
 #include "routing/configuration.hpp"
 #include "routing/load_book.hpp"
@@ -68,17 +69,6 @@
     std::chrono::milliseconds first_event_patience{700};
 };
 
-struct router_counters {
-    std::uint64_t requests = 0;
-    std::uint64_t served = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t failed = 0;
-    std::uint64_t sends = 0;
-    std::uint64_t resumed = 0;
-    std::uint64_t larger_models = 0;
-    std::uint64_t callers_left = 0;
-};
-
 /// What all requests of an entry share, on one thread: the rules in force, the servers, what is
 /// under way, and what is known of versions.
 class router_core : public std::enable_shared_from_this<router_core> {
@@ -141,8 +131,9 @@
     std::map<common::service_name, routing::pace_book> paces;
     routing::server_health health;
     routing::rollout_guide rollouts;
+    metrics::registry series;
     routing::wait_gauge waits;
-    router_counters counters;
+    router_metrics counters;
     std::size_t open_requests = 0;
 
 private:
--- /dev/null
+++ b/source/core/router/router_metrics.cpp
@@ -0,0 +1,37 @@
+#include "router/router_metrics.hpp"
+
+namespace reedramp::router {
+
+namespace {
+
+/// From a millisecond to two minutes, ten buckets for each factor of ten.
+constexpr metrics::histogram_range milliseconds_range{1.0, 1.2e5, 10};
+
+} // namespace
+
+router_metrics::router_metrics(metrics::registry& registry)
+    : all(registry), requests(registry.counter_of("router_requests_total", "Requests of callers.")),
+      sends(registry.counter_of("router_sends_total", "Requests sent to backend servers.")),
+      resumed(registry.counter_of(
+          "router_resumed_total", "Streams that went on at another server in their midst.")),
+      larger_models(registry.counter_of(
+          "router_larger_models_total", "Answers dropped for a larger model's.")),
+      first_event_ms(registry.histogram_of(
+          "router_first_event_ms",
+          "From a request to its first event, in ms.",
+          {},
+          milliseconds_range)),
+      answer_ms(registry.histogram_of(
+          "router_answer_ms", "From a request to its end, in ms.", {}, milliseconds_range)),
+      under_way(registry.gauge_of("router_under_way", "Requests without a final answer."))
+{
+}
+
+auto router_metrics::count_end(const std::string& result) const -> void
+{
+    this->all
+        .counter_of("router_ends_total", "Requests that ended, by result.", {{"result", result}})
+        .add();
+}
+
+} // namespace reedramp::router
--- /dev/null
+++ b/source/core/router/router_metrics.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+
+#include "metrics/registry.hpp"
+
+namespace reedramp::router {
+
+/// The series of a router's core; docs/OPERATIONS.md has them in a table.
+struct router_metrics {
+    explicit router_metrics(metrics::registry& all);
+
+    metrics::registry& all;
+    metrics::counter& requests;
+    metrics::counter& sends;
+    metrics::counter& resumed;
+    metrics::counter& larger_models;
+    metrics::histogram& first_event_ms;
+    metrics::histogram& answer_ms;
+    metrics::gauge& under_way;
+
+    /// A request's end, by result: "served", the name of a result code, or "caller_left".
+    auto count_end(const std::string& result) const -> void;
+};
+
+} // namespace reedramp::router
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -116,6 +116,20 @@
     return all;
 }
 
+auto rollout_guide::states(time_point now) const -> std::vector<rollout_progress>
+{
+    std::vector<rollout_progress> all;
+    for (const auto& [service, one] : this->rollouts) {
+        const auto passed = this->elapsed(one, now);
+        all.push_back(
+            {{service, one.order.target, one.state},
+             share_at(this->settings.schedule, passed, one.order.allowed),
+             passed,
+             this->old_under_way(one, now)});
+    }
+    return all;
+}
+
 auto rollout_guide::elapsed(const rollout& one, time_point now) const -> std::chrono::milliseconds
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(now - one.began);
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -55,6 +55,14 @@
     std::map<route_name, policy::wealth> evidence;
 };
 
+/// How far one roll-out is at this entry.
+struct rollout_progress {
+    rollout_status status;
+    double share = 0.0;
+    std::chrono::milliseconds elapsed{0};
+    unsigned old_under_way = 0;
+};
+
 /// Moves services' traffic between versions: who goes to the new version, what its answers say of
 /// it, and when the roll-out is over.
 ///
@@ -71,6 +79,9 @@
         -> void;
     [[nodiscard]] auto tell(time_point now) const -> std::vector<told_rollout>;
 
+    /// The newest roll-out of each service and how far it is here, for the state page.
+    [[nodiscard]] auto states(time_point now) const -> std::vector<rollout_progress>;
+
     /// The rule for a request of a session.
     auto rule_for(const common::service_name& service, std::uint64_t session, time_point now)
         -> version_rule;
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -16,6 +16,7 @@
 #include "peer_group.hpp"
 #include "router/rollout_writer.hpp"
 #include "router/servers_follower.hpp"
+#include "state_page.hpp"
 
 namespace reedramp::router_program {
 
@@ -28,6 +29,9 @@
 
 /// Path under which an entry gives its rules to peers.
 constexpr std::string_view rules_path = "/rules";
+/// For operators, on the same address.
+constexpr std::string_view metrics_path = "/metrics";
+constexpr std::string_view state_path = "/state";
 /// A server's host that is gone shows after this; two thirds of the shortest time limit.
 constexpr milliseconds dead_peer_time{2000};
 /// A connection to a server in the same region opens within a few ms; a lost first packet is sent
@@ -106,6 +110,7 @@
     auto operator=(parts_of_process&&) -> parts_of_process& = delete;
 
     auto listen() -> common::result<void>;
+    auto answer_peer(const http::request& asked) const -> http::response;
     auto open_peers() -> void;
     auto follow_store() -> void;
     auto answer_ready(const http::request& asked, http::responder& out) const -> void;
@@ -164,11 +169,7 @@
     auto others = open(
         this->settings.peers,
         [this](const http::request& asked, const std::shared_ptr<http::responder>& out) {
-            const bool is_known = asked.target == rules_path && this->core->rules() != nullptr;
-            out->send(
-                {static_cast<std::uint16_t>(is_known ? 200 : 404),
-                 {},
-                 is_known ? this->core->rules_text() : ""});
+            out->send(this->answer_peer(asked));
         });
     if (!others) {
         return tl::unexpected(others.error());
@@ -177,6 +178,28 @@
     return {};
 }
 
+auto router_process::parts_of_process::answer_peer(const http::request& asked) const
+    -> http::response
+{
+    if (asked.target == rules_path && this->core->rules() != nullptr) {
+        return {200, {}, this->core->rules_text()};
+    }
+    if (asked.target == metrics_path) {
+        this->core->counters.under_way.set(static_cast<std::int64_t>(this->core->under_way()));
+        return {
+            200,
+            {{"Content-Type", "text/plain; version=0.0.4"}},
+            this->core->series.prometheus_text()};
+    }
+    if (asked.target == state_path) {
+        return {
+            200,
+            {{"Content-Type", "application/json"}},
+            state_page(*this->core, *this->peers, this->settings.host)};
+    }
+    return {404, {}, ""};
+}
+
 auto router_process::parts_of_process::answer_ready(
     const http::request& asked, http::responder& out) const -> void
 {
@@ -399,6 +422,11 @@
     return this->parts->for_callers->port();
 }
 
+auto router_process::peers_port() const -> std::uint16_t
+{
+    return this->parts->for_peers->port();
+}
+
 auto router_process::ready_port() const -> std::uint16_t
 {
     return this->parts->for_balancer->port();
--- a/source/router/router_process.hpp
+++ b/source/router/router_process.hpp
@@ -59,6 +59,7 @@
 
     [[nodiscard]] auto callers_port() const -> std::uint16_t;
     [[nodiscard]] auto ready_port() const -> std::uint16_t;
+    [[nodiscard]] auto peers_port() const -> std::uint16_t;
 
 private:
     struct parts_of_process;
--- /dev/null
+++ b/source/router/state_page.cpp
@@ -0,0 +1,66 @@
+#include "state_page.hpp"
+
+#include <boost/json.hpp>
+
+namespace reedramp::router_program {
+
+namespace json = boost::json;
+
+namespace {
+
+auto server_row(
+    const router::router_core& core, const routing::registration& server, common::time_point now)
+    -> json::object
+{
+    const auto load = core.loads.total(server.id, now);
+    const auto paces = core.paces.find(server.service);
+    return {
+        {"id", server.id.value()},
+        {"service", server.service.value()},
+        {"version", server.version.value()},
+        {"data_centre", server.data_centre.value()},
+        {"requests", load.requests},
+        {"work", load.work},
+        {"slowness", paces == core.paces.end() ? 1.0 : paces->second.slowness(server.id)},
+        {"failures", core.health.failures(server.id)},
+        {"resting", core.health.is_resting(server.id, now)}};
+}
+
+auto rollout_row(const routing::rollout_progress& one) -> json::object
+{
+    return {
+        {"service", one.status.service.value()},
+        {"target", one.status.target.value()},
+        {"state", std::string{to_string(one.status.state)}},
+        {"share", one.share},
+        {"elapsed_ms", one.elapsed.count()},
+        {"old_under_way", one.old_under_way}};
+}
+
+} // namespace
+
+auto state_page(
+    const router::router_core& core, const peer_group& peers, const common::host_id& host)
+    -> std::string
+{
+    const auto now = core.hooks.clock();
+    json::array servers;
+    for (const auto& id : core.servers.ids()) {
+        servers.push_back(server_row(core, *core.servers.find(id), now));
+    }
+    json::array rollouts;
+    for (const auto& one : core.rollouts.states(now)) {
+        rollouts.push_back(rollout_row(one));
+    }
+    return json::serialize(json::object{
+        {"host", host.value()},
+        {"ready", core.is_ready()},
+        {"rules_version", core.rules() == nullptr ? 0 : core.rules()->version()},
+        {"under_way", core.under_way()},
+        {"wait_level", core.waits.level()},
+        {"peers", peers.heard()},
+        {"servers", std::move(servers)},
+        {"rollouts", std::move(rollouts)}});
+}
+
+} // namespace reedramp::router_program
