--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -367,7 +367,7 @@
 
 auto router_process::start() -> common::result<void>
 {
-    const auto listening = this->parts->listen();
+    auto listening = this->parts->listen();
     if (!listening) {
         return listening;
     }
