Tell a few peers at a time

Ruled out: the store's readings (some 4 KB a second at that size). Change: four peers are told at a time, in turn; a message names eight others; trust and silence follow the length of a round. With today's four entries nothing changes.

--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -43,8 +43,7 @@
     /// Sends of one request, refused ones included. A refusal costs a round trip, and a service
     /// whose servers all refuse is full.
     unsigned most_sends = 4;
-    /// A peer's words about its load count for this long: five of its messages.
-    common::duration peer_trust = std::chrono::milliseconds{500};
+
     /// Time that a request needs to be taken by a process that ends: a start, as long as nearly all
     /// plain requests and first events take, and for a stream its tokens, at the pace of the
     /// largest model under load, or of the smallest one. All of it grows with callers' waits. More
--- a/source/core/routing/load_book.cpp
+++ b/source/core/routing/load_book.cpp
@@ -32,10 +32,11 @@
 }
 
 auto load_book::hear(
-    const common::host_id& peer, const std::vector<told_load>& loads, time_point now) -> void
+    const common::host_id& peer, const std::vector<told_load>& loads, time_point trusted_until)
+    -> void
 {
     auto& words = this->peers[peer];
-    words.trusted_until = now + this->trusted_for;
+    words.trusted_until = trusted_until;
     words.loads.clear();
     for (const auto& one : loads) {
         words.loads[one.server] = one.load;
--- a/source/core/routing/load_book.hpp
+++ b/source/core/routing/load_book.hpp
@@ -33,16 +33,16 @@
 /// tell each other what they have under way.
 class load_book {
 public:
-    /// A peer's words count for this long; an entry that has died has nothing under way.
-    explicit load_book(common::duration trust) : trusted_for(trust) {}
-
     auto begin(const common::server_id& server, double work) -> void;
     auto end(const common::server_id& server, double work) -> void;
 
     /// A part of a request's work is done.
     auto lighten(const common::server_id& server, double work) -> void;
 
-    auto hear(const common::host_id& peer, const std::vector<told_load>& loads, time_point now)
+    /// A peer's words replace its older ones, and count until `trusted_until`: an entry that has
+    /// died has nothing under way.
+    auto
+    hear(const common::host_id& peer, const std::vector<told_load>& loads, time_point trusted_until)
         -> void;
 
     /// Own and peers' together.
@@ -59,7 +59,6 @@
         std::unordered_map<std::uint64_t, server_load> loads;
     };
 
-    common::duration trusted_for;
     std::unordered_map<common::server_id, server_load> ours;
     std::map<common::host_id, peer_words> peers;
 };
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -1,5 +1,6 @@
 #include "peer_group.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/log.hpp"
@@ -8,8 +9,16 @@
 
 namespace {
 
-/// A peer that has been silent for this long is not counted among the living.
-constexpr common::duration silence = std::chrono::seconds{2};
+/// Peers told at a time. At a message of some 300 bytes each 100 ms, 12 KB a second go out.
+constexpr std::size_t told_at_once = 4;
+/// Addresses of others in a message; enough to find all within some messages.
+constexpr std::size_t named_peers = 8;
+/// Least time of silence after which a peer is not counted among the living, and the rounds of
+/// messages that it may miss.
+constexpr common::duration least_silence = std::chrono::seconds{2};
+constexpr int missed_rounds = 3;
+/// A peer's load counts for this many rounds: it is gone soon after its entry.
+constexpr int trusted_rounds = 5;
 /// One that has been silent for this long is forgotten; if it lives, it will speak first.
 constexpr common::duration forgotten_after = std::chrono::seconds{20};
 
@@ -19,10 +28,11 @@
     std::shared_ptr<router::router_core> core_to_tell_of,
     common::host_id own_host,
     http::endpoint address,
+    std::chrono::milliseconds tell_period,
     send_hook send_datagram,
     newer_rules_hook newer_rules)
     : core(std::move(core_to_tell_of)), self(std::move(own_host)), own_address(std::move(address)),
-      send(std::move(send_datagram)), on_newer_rules(std::move(newer_rules))
+      send(std::move(send_datagram)), on_newer_rules(std::move(newer_rules)), period(tell_period)
 {
 }
 
@@ -33,11 +43,19 @@
     }
 }
 
-auto peer_group::tell() -> void
+auto peer_group::calls_per_round() const -> std::size_t
+{
+    return std::max<std::size_t>(1, (this->peers.size() + told_at_once - 1) / told_at_once);
+}
+
+auto peer_group::silence() const -> common::duration
+{
+    const auto round = this->period * static_cast<int>(this->calls_per_round());
+    return std::max<common::duration>(least_silence, round * missed_rounds);
+}
+
+auto peer_group::own_words(common::time_point now) const -> router::peer_words
 {
-    const auto now = this->core->hooks.clock();
-    std::erase_if(
-        this->peers, [now](const auto& item) { return now - item.second.heard > forgotten_after; });
     router::peer_words words;
     words.host = this->self;
     words.address = http::to_string(this->own_address);
@@ -46,13 +64,28 @@
     words.rollouts = this->core->rollouts.tell(now);
     words.leaving = this->core->servers.leaving();
     for (const auto& [where, known] : this->peers) {
-        if (now - known.heard < silence) {
+        if (words.peers.size() < named_peers && now - known.heard < this->silence()) {
             words.peers.push_back(http::to_string(where));
         }
     }
-    const auto bytes = router::encode(words);
-    for (const auto& [where, known] : this->peers) {
-        this->send(where, bytes);
+    return words;
+}
+
+auto peer_group::tell() -> void
+{
+    const auto now = this->core->hooks.clock();
+    std::erase_if(
+        this->peers, [now](const auto& item) { return now - item.second.heard > forgotten_after; });
+    const auto bytes = router::encode(this->own_words(now));
+    const auto count = std::min(told_at_once, this->peers.size());
+    auto next = this->peers.upper_bound(this->told_last);
+    for (std::size_t i = 0; i < count; ++i) {
+        if (next == this->peers.end()) {
+            next = this->peers.begin();
+        }
+        this->send(next->first, bytes);
+        this->told_last = next->first;
+        ++next;
     }
 }
 
@@ -79,7 +112,8 @@
         }
     }
     this->core->servers.retire_named(words->leaving);
-    this->core->loads.hear(words->host, words->loads, now);
+    const auto round = this->period * static_cast<int>(this->calls_per_round());
+    this->core->loads.hear(words->host, words->loads, now + round * trusted_rounds);
     this->core->rollouts.hear(words->host, words->rollouts, now);
     const auto own_version = this->core->rules() == nullptr ? 0 : this->core->rules()->version();
     if (words->rules_version > own_version) {
@@ -92,7 +126,7 @@
     const auto now = this->core->hooks.clock();
     std::size_t before = 0;
     for (const auto& [where, known] : this->peers) {
-        const bool is_alive = now - known.heard < silence && !known.host.value().empty();
+        const bool is_alive = now - known.heard < this->silence() && !known.host.value().empty();
         before += is_alive && known.host < this->self ? 1 : 0;
     }
     return before;
@@ -103,7 +137,7 @@
     const auto now = this->core->hooks.clock();
     std::size_t alive = 0;
     for (const auto& [where, known] : this->peers) {
-        alive += now - known.heard < silence && !known.host.value().empty() ? 1 : 0;
+        alive += now - known.heard < this->silence() && !known.host.value().empty() ? 1 : 0;
     }
     return alive;
 }
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -23,13 +23,15 @@
         std::shared_ptr<router::router_core> core,
         common::host_id self,
         http::endpoint own_address,
+        std::chrono::milliseconds period,
         send_hook send,
         newer_rules_hook on_newer_rules);
 
     /// An address from the settings, the store or a peer.
     auto add(const http::endpoint& where) -> void;
 
-    /// Tells all peers the present state.
+    /// Tells the present state to the next few peers, so that all are told in turn. While they are
+    /// few, that is all of them each time; with hundreds, bytes stay bounded and words grow older.
     auto tell() -> void;
 
     /// Takes a datagram in.
@@ -41,6 +43,12 @@
     [[nodiscard]] auto heard() const -> std::size_t;
 
 private:
+    /// How many calls of `tell` it takes until each peer has been told.
+    [[nodiscard]] auto calls_per_round() const -> std::size_t;
+    /// A peer that has been silent for this long is not counted among the living.
+    [[nodiscard]] auto silence() const -> common::duration;
+    [[nodiscard]] auto own_words(common::time_point now) const -> router::peer_words;
+
     struct peer {
         common::time_point heard{};
         common::host_id host;
@@ -52,6 +60,9 @@
     send_hook send;
     newer_rules_hook on_newer_rules;
     std::map<http::endpoint, peer> peers;
+    /// The peer that was told last.
+    http::endpoint told_last;
+    std::chrono::milliseconds period;
 };
 
 } // namespace reedramp::router_program
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -226,6 +226,7 @@
         this->core,
         this->settings.host,
         http::endpoint{this->settings.peers.address, this->for_peers->port()},
+        this->settings.peer_period,
         [this](const http::endpoint& to, const std::string& bytes) {
             boost::system::error_code failed;
             const auto address = asio::ip::make_address(to.address, failed);
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -112,7 +112,7 @@
         return common::failure(
             common::result_code::invalid_settings, "models.short_to is not above short_from");
     }
-    read.router.peer_trust = read.peer_period * 5;
+
     return read;
 }
 
--- /dev/null
+++ b/source/unit_tests/router/peer_group_test.cpp
@@ -0,0 +1,104 @@
+#include "peer_group.hpp"
+
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "world.hpp"
+
+namespace reedramp::router::testing {
+
+namespace {
+
+using router_program::peer_group;
+
+auto address_of(int number) -> http::endpoint
+{
+    return {"10.0.0." + std::to_string(number), 7000};
+}
+
+/// One entry among others, with what it sends.
+struct told_entry {
+    explicit told_entry(world& all, int number)
+        : group(
+              all.core,
+              common::host_id{"host-" + std::to_string(number)},
+              address_of(number),
+              milliseconds{100},
+              [this](const http::endpoint& to, std::string bytes) {
+                  this->sent.emplace_back(to, std::move(bytes));
+              },
+              [this](const http::endpoint& from) { this->newer_at.push_back(from); })
+    {
+    }
+
+    std::vector<std::pair<http::endpoint, std::string>> sent;
+    std::vector<http::endpoint> newer_at;
+    peer_group group;
+};
+
+} // namespace
+
+TEST_CASE("with many peers a few are told at a time, and all in turn", "[peer_group]")
+{
+    // At 390 entries that each tell all others ten times a second, an entry would send and take
+    // megabytes a second for control alone.
+    world all;
+    told_entry one{all, 1};
+    for (int number = 2; number <= 100; ++number) {
+        one.group.add(address_of(number));
+    }
+    std::set<http::endpoint> told;
+    for (int i = 0; i < 25; ++i) {
+        one.sent.clear();
+        one.group.tell();
+        REQUIRE(one.sent.size() == 4);
+        for (const auto& [to, bytes] : one.sent) {
+            told.insert(to);
+            CHECK(bytes.size() < 600);
+        }
+    }
+    CHECK(told.size() == 99);
+}
+
+TEST_CASE("an entry that hears one peer finds the others, and newer rules", "[peer_group]")
+{
+    world here;
+    world there;
+    told_entry one{here, 1};
+    told_entry two{there, 2};
+    two.group.add(address_of(3));
+    two.group.add(address_of(1));
+    there.core->adopt(rules_of(9));
+    there.core->servers.retire(common::server_id{"b"});
+    two.group.tell();
+    REQUIRE(two.sent.size() == 2);
+    one.group.hear(two.sent.front().second);
+    CHECK(one.newer_at == std::vector{address_of(2)});
+    CHECK(here.core->servers.find(common::server_id{"b"}) == nullptr);
+    one.group.tell();
+    CHECK(one.sent.size() == 2);
+    CHECK(one.group.heard() == 1);
+    CHECK(two.group.rank() == 0);
+    CHECK(one.group.rank() == 0);
+    one.sent.clear();
+    // It falls silent: it no longer counts, and later it is forgotten.
+    here.advance(milliseconds{2500});
+    CHECK(one.group.heard() == 0);
+    here.advance(seconds{20});
+    one.group.tell();
+    CHECK(one.sent.empty());
+}
+
+TEST_CASE("an entry does not tell itself", "[peer_group]")
+{
+    world all;
+    told_entry one{all, 1};
+    one.group.add(address_of(1));
+    one.group.tell();
+    CHECK(one.sent.empty());
+    one.group.hear("no message");
+    CHECK(one.group.heard() == 0);
+}
+
+} // namespace reedramp::router::testing
--- a/source/unit_tests/routing/servers_test.cpp
+++ b/source/unit_tests/routing/servers_test.cpp
@@ -27,7 +27,7 @@
 /// Servers with the books that a choice looks at.
 struct fleet {
     server_table table;
-    load_book loads{milliseconds{500}};
+    load_book loads;
     pace_book paces;
     server_health health{health_options{}};
 
@@ -112,7 +112,9 @@
     all.loads.begin(common::server_id{"b"}, 50.0);
     CHECK(all.choose(wish()) == "c");
     all.loads.hear(
-        common::host_id{"peer"}, {{hash_of(common::server_id{"c"}), {3.0, 900.0}}}, start);
+        common::host_id{"peer"},
+        {{hash_of(common::server_id{"c"}), {3.0, 900.0}}},
+        start + milliseconds{500});
     CHECK(all.choose(wish()) == "b");
     CHECK(all.loads.total(common::server_id{"c"}, start).requests == 3.0);
     // The peer has died, and with it what it had under way.
@@ -121,7 +123,7 @@
 
 TEST_CASE("a book that is emptied holds nothing", "[load_book]")
 {
-    load_book loads{milliseconds{500}};
+    load_book loads;
     const common::server_id id{"a"};
     loads.begin(id, 0.1);
     loads.begin(id, 0.2);
