--- a/source/core/http/message.cpp
+++ b/source/core/http/message.cpp
@@ -14,12 +14,6 @@
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
-auto equal_without_case(std::string_view left, std::string_view right) -> bool
-{
-    return std::ranges::equal(
-        left, right, [](char one, char other) { return lower(one) == lower(other); });
-}
-
 auto parse_port(std::string_view text) -> std::optional<std::uint16_t>
 {
     std::uint16_t port = 0;
@@ -33,11 +27,17 @@
 
 } // namespace
 
+auto same_name(std::string_view left, std::string_view right) -> bool
+{
+    return std::ranges::equal(
+        left, right, [](char one, char other) { return lower(one) == lower(other); });
+}
+
 auto find_header(const std::vector<header>& headers, std::string_view name)
     -> std::optional<std::string_view>
 {
     const auto found = std::ranges::find_if(
-        headers, [name](const header& item) { return equal_without_case(item.name, name); });
+        headers, [name](const header& item) { return same_name(item.name, name); });
     if (found == headers.end()) {
         return std::nullopt;
     }
--- a/source/core/http/message.hpp
+++ b/source/core/http/message.hpp
@@ -15,6 +15,9 @@
     std::string value;
 };
 
+/// Whether two names of headers are the same; their case does not count.
+auto same_name(std::string_view left, std::string_view right) -> bool;
+
 /// First value of the header `name` (compared without case), if there is one.
 auto find_header(const std::vector<header>& headers, std::string_view name)
     -> std::optional<std::string_view>;
--- a/source/core/router/caller_request.cpp
+++ b/source/core/router/caller_request.cpp
@@ -6,21 +6,12 @@
 
 namespace reedramp::router {
 
+using http::same_name;
+
 namespace {
 
 constexpr std::string_view last_event_header = "Last-Event-Id";
 
-auto lower(char letter) -> char
-{
-    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
-}
-
-auto same_name(std::string_view left, std::string_view right) -> bool
-{
-    return std::ranges::equal(
-        left, right, [](char one, char other) { return lower(one) == lower(other); });
-}
-
 auto trimmed(std::string_view text) -> std::string_view
 {
     while (text.starts_with(' ')) {
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -11,6 +11,11 @@
 
 namespace reedramp::router {
 
+inline auto milliseconds_between(time_point from, time_point to) -> std::chrono::milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(to - from);
+}
+
 /// A request that has passed the checks, and the rules under which it did.
 struct admitted_request {
     http::request asked;
--- /dev/null
+++ b/source/core/router/relay_answers.cpp
@@ -0,0 +1,232 @@
+#include <charconv>
+#include <utility>
+
+#include "common/log.hpp"
+#include "router/relay.hpp"
+#include "routing/model_choice.hpp"
+
+/// What servers' answers mean for a request: the half of `relay` that reads.
+namespace reedramp::router {
+
+using common::execution;
+using common::result_code;
+using routing::attempt_end;
+using routing::server_outcome;
+
+namespace {
+
+constexpr std::uint16_t misdirected = 421;
+
+auto is_success(std::uint16_t status) -> bool
+{
+    return status >= 200 && status < 300; // NOLINT(readability-magic-numbers): the 2xx class
+}
+
+/// -1 for what is no number.
+auto parse_confidence(std::string_view text) -> int
+{
+    int value = -1;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+} // namespace
+
+auto relay::judge(const http::response& head) const -> verdict
+{
+    const auto& names = this->core->options.names;
+    const auto echoed = http::find_header(head.headers, names.attempt);
+    // An answer that came for another request: the connection held one too many.
+    if (echoed && *echoed != this->request.caller.attempt) {
+        return verdict::untrusted;
+    }
+    const bool not_run = http::find_header(head.headers, names.not_executed).has_value();
+    if (not_run || head.status == misdirected) {
+        return verdict::not_executed;
+    }
+    if (http::find_header(head.headers, "Content-Encoding")) {
+        return verdict::untrusted; // Nobody asked for one, so these are not the server's bytes.
+    }
+    const bool is_signed = http::find_header(head.headers, names.signature).has_value();
+    if (is_success(head.status)) {
+        return is_signed && echoed ? verdict::success : verdict::untrusted;
+    }
+    return is_signed ? verdict::server_failure : verdict::untrusted;
+}
+
+auto relay::on_head(const std::shared_ptr<attempt>& of, const http::response& head) -> void
+{
+    if (of->ended) {
+        return;
+    }
+    of->said = this->judge(head);
+    if (of->said == verdict::success) {
+        const auto took = milliseconds_between(of->sent, this->core->hooks.clock());
+        this->core->paces[this->service].note(of->server, took, of->work_ahead);
+    }
+    of->head = make_passed_on(head);
+    of->last_progress = this->core->hooks.clock();
+    if (of->said == verdict::untrusted) {
+        // Reading on could take in what belongs to yet another request.
+        common::log(
+            common::log_part::place,
+            common::log_level::warning,
+            "answer not trusted request=" + this->request.caller.attempt +
+                " server=" + of->server.value() + " status=" + std::to_string(head.status));
+        this->leave(of, attempt_end::unknown, server_outcome::failed);
+        this->try_again(result_code::outcome_unknown);
+        return;
+    }
+    if (of->said == verdict::not_executed && head.status == misdirected) {
+        // Another server has the address: the one that was meant has ended.
+        this->core->servers.apply({of->server, std::nullopt});
+    }
+    if (of->said == verdict::success && this->is_stream() && !this->ask_larger_model(of)) {
+        of->events.emplace(this->last_event);
+    }
+}
+
+auto relay::ask_larger_model(const std::shared_ptr<attempt>& of) -> bool
+{
+    const auto& route = *this->request.route;
+    const bool may_ask = !this->model.empty() && !this->is_streaming &&
+                         this->ledger.may_be_dropped(route, this->core->options.most_sends);
+    const auto said = http::find_header(of->head.headers, this->core->options.names.confidence);
+    const auto confidence = said ? parse_confidence(*said) : -1;
+    const bool must_be_quick = this->core->must_be_quick(route, this->request.caller);
+    const auto asked =
+        must_be_quick
+            ? 0.0
+            : routing::asked_confidence(this->core->options.models, this->core->waits.level());
+    const auto accepted = routing::is_accepted(route, this->model_at, confidence, asked);
+    common::log(
+        common::log_part::policy,
+        common::log_level::info,
+        "answer " + std::string{accepted ? "accepted" : "dropped"} +
+            " request=" + this->request.caller.attempt + " model=" + this->model + " confidence=" +
+            std::to_string(confidence) + " asked=" + std::to_string(static_cast<int>(asked)));
+    // A second model draws on the budget of second sends as any other send does.
+    if (accepted || !may_ask || !this->retries().take_retry()) {
+        return false;
+    }
+    this->leave(of, attempt_end::ran, server_outcome::good);
+    this->use_model(routing::next_model(route));
+    // The server has done nothing wrong, and may hold the prompt's shared parts.
+    std::erase(this->tried, of->server);
+    this->core->counters.larger_models.add();
+    this->send_next();
+    return true;
+}
+
+auto relay::on_bytes(const std::shared_ptr<attempt>& of, std::string bytes) -> void
+{
+    if (of->ended) {
+        return;
+    }
+    of->last_progress = this->core->hooks.clock();
+    if (of->events) {
+        this->on_events(of, bytes);
+        return;
+    }
+    of->body += bytes;
+}
+
+auto relay::on_events(const std::shared_ptr<attempt>& of, const std::string& bytes) -> void
+{
+    std::string whole;
+    const bool in_order = of->events->add(bytes, whole);
+    if (!whole.empty()) {
+        if (!of->has_events) {
+            of->has_events = true;
+            this->core->loads.lighten(of->server, of->prompt_work);
+            of->work -= of->prompt_work;
+            const auto took = milliseconds_between(of->sent, of->last_progress);
+            const auto& route = this->request.route->name;
+            this->core->note_first_event(route, took);
+            this->core->rollouts.note_first_event(this->service, of->version, route, took);
+        }
+        if (!this->is_streaming) {
+            this->is_streaming = true;
+            const auto waited = milliseconds_between(this->received, of->last_progress);
+            this->core->waits.note(waited, this->request.route->target);
+            this->core->counters.first_event_ms.record(static_cast<double>(waited.count()));
+            this->out->start(of->head);
+        }
+        this->last_event = of->events->last_id();
+        this->out->write(std::move(whole));
+    }
+    if (!in_order) {
+        this->leave(of, attempt_end::ran, server_outcome::failed);
+        this->try_again(result_code::stream_broken);
+    }
+}
+
+auto relay::on_done(
+    const std::shared_ptr<attempt>& of, const common::result<http::response>& answer) -> void
+{
+    if (of->ended) {
+        return;
+    }
+    if (!answer) {
+        this->on_lost(of, answer.error());
+        return;
+    }
+    switch (of->said) {
+    case verdict::success:
+        this->on_success(of);
+        return;
+    case verdict::not_executed:
+        this->settle(of, attempt_end::not_executed, server_outcome::refused);
+        this->try_again(result_code::no_capacity);
+        return;
+    case verdict::server_failure:
+        this->settle(of, attempt_end::ran, server_outcome::failed);
+        of->head.body = std::move(of->body);
+        this->failure_to_pass = std::move(of->head);
+        this->try_again(result_code::server_failed);
+        return;
+    case verdict::none:
+    case verdict::untrusted:
+        this->settle(of, attempt_end::unknown, server_outcome::failed);
+        this->try_again(result_code::outcome_unknown);
+        return;
+    }
+}
+
+auto relay::on_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void
+{
+    const bool unsent = why.run == execution::not_run && of->said == verdict::none;
+    const auto end = of->said != verdict::none ? attempt_end::ran
+                     : unsent                  ? attempt_end::not_sent
+                     : this->is_stream()       ? attempt_end::unknown_in_queue
+                                               : attempt_end::unknown;
+    this->settle(of, end, unsent ? server_outcome::unreachable : server_outcome::failed);
+    common::log(
+        common::log_part::place,
+        common::log_level::info,
+        "attempt lost request=" + this->request.caller.attempt + " server=" + of->server.value() +
+            " run=" + std::string{common::to_string(why.run)} + " detail=" + why.detail);
+    this->try_again(result_code::outcome_unknown);
+}
+
+auto relay::on_success(const std::shared_ptr<attempt>& of) -> void
+{
+    if (of->events && of->events->has_rest()) {
+        // The body ended as if whole, inside an event.
+        this->settle(of, attempt_end::ran, server_outcome::failed);
+        this->try_again(result_code::stream_broken);
+        return;
+    }
+    this->settle(of, attempt_end::ran, server_outcome::good);
+
+    if (of->events && this->is_streaming) {
+        this->out->finish();
+    }
+    else {
+        of->head.body = std::move(of->body);
+        this->out->send(std::move(of->head));
+    }
+    this->finish("served");
+}
+
+} // namespace reedramp::router
--- a/source/unit_tests/router/followers_test.cpp
+++ b/source/unit_tests/router/followers_test.cpp
@@ -80,6 +80,16 @@
             false}};
 }
 
+const common::service_name engines{"engines"};
+const common::version_id target{"v2"};
+
+/// The writer of an entry of this rank, after a roll-out was ordered.
+auto writer_of(world& all, held_store& store, std::size_t rank) -> std::shared_ptr<rollout_writer>
+{
+    all.core->rollouts.order({engines, target, seconds{20}}, all.now);
+    return std::make_shared<rollout_writer>(all.core, store.hooks(), [rank] { return rank; });
+}
+
 } // namespace
 
 TEST_CASE("trimmed history is read anew from the newest", "[followers]")
@@ -167,11 +177,7 @@
     // just written that it is reverted. The store refuses the write, and this entry reads.
     world all;
     held_store store;
-    const common::service_name engines{"engines"};
-    const common::version_id target{"v2"};
-    all.core->rollouts.order({engines, target, seconds{20}}, all.now);
-    const auto writer =
-        std::make_shared<rollout_writer>(all.core, store.hooks(), [] { return std::size_t{0}; });
+    const auto writer = writer_of(all, store, 0);
     writer->tick();
     held_store::take(store.outcomes)(reading<routing::rollout_status>({}, 0, true));
     auto write = held_store::take(store.writes);
@@ -191,11 +197,7 @@
 {
     world all;
     held_store store;
-    const common::service_name engines{"engines"};
-    const common::version_id target{"v2"};
-    all.core->rollouts.order({engines, target, seconds{20}}, all.now);
-    const auto writer =
-        std::make_shared<rollout_writer>(all.core, store.hooks(), [] { return std::size_t{0}; });
+    const auto writer = writer_of(all, store, 0);
     writer->tick();
     held_store::take(store.outcomes)(reading<routing::rollout_status>({}, 0, true));
     held_store::take(store.writes).second(common::failure(result_code::append_unknown));
@@ -211,10 +213,7 @@
 {
     world all;
     held_store store;
-    all.core->rollouts.order(
-        {common::service_name{"engines"}, common::version_id{"v2"}, seconds{20}}, all.now);
-    const auto writer =
-        std::make_shared<rollout_writer>(all.core, store.hooks(), [] { return std::size_t{2}; });
+    const auto writer = writer_of(all, store, 2);
     writer->tick();
     all.advance(milliseconds{1100});
     writer->tick();
