Let the router's tests end what they leave open

Cause: the address sanitizer: tests that leave a request under way leaked it with its call. Change: the test's world ends its calls, as the real client does with its context.

--- a/source/core/http/stream_connection_input.hpp
+++ b/source/core/http/stream_connection_input.hpp
@@ -236,8 +236,8 @@
     this->shared->busy.fetch_add(1, std::memory_order_relaxed);
     this->current = std::make_shared<exchange>(this->weak_from_this());
     asked.peer = this->peer;
-    // The read that goes on while the answer is made needs little room. Hundreds of connections that
-    // wait for their streams would else keep the buffers of their large requests.
+    // The read that goes on while the answer is made needs little room. Hundreds of connections
+    // that wait for their streams would else keep the buffers of their large requests.
     if (this->input.size() == 0 && !this->reading) {
         this->input.shrink_to_fit();
         this->read_size = smallest_read;
--- a/source/unit_tests/router/world.cpp
+++ b/source/unit_tests/router/world.cpp
@@ -131,6 +131,14 @@
     }
 }
 
+world::~world()
+{
+    this->timers.clear();
+    for (const auto& one : this->client->sent) {
+        one->events = {};
+    }
+}
+
 auto world::add_server(const std::string& id, const std::string& version) -> void
 {
     const common::server_id name{id};
--- a/source/unit_tests/router/world.hpp
+++ b/source/unit_tests/router/world.hpp
@@ -110,6 +110,13 @@
 class world {
 public:
     world();
+    /// Requests that a test leaves open hold their calls, and these the requests; the real client
+    /// ends its calls with its context.
+    ~world();
+    world(const world&) = delete;
+    world(world&&) = delete;
+    auto operator=(const world&) -> world& = delete;
+    auto operator=(world&&) -> world& = delete;
 
     auto advance(milliseconds time) -> void;
 
