Ask anew for each send which versions a request may run on

Cause: reading the diff: the rule was asked for once, at a request's start; a second send of a request of a version that was reverted meanwhile could still go there. Change: each send asks; sending is split into entering the books, our headers and the call. Measured: a test failed before (a second send went to the reverted version) and passes.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -77,8 +77,6 @@
     const auto& caller = this->request.caller;
     const auto& session = caller.session.empty() ? caller.attempt : caller.session;
     this->session_hash = placement::affinity_hash(session);
-    this->versions =
-        this->core->rollouts.rule_for(this->service, this->session_hash, this->received);
 }
 
 auto relay::use_model(std::size_t at) -> void
@@ -142,7 +140,9 @@
 {
     const auto now = this->core->hooks.clock();
     auto usable = this->core->servers.usable(this->service);
-    routing::keep_allowed(usable, this->versions);
+    // Anew for each send: a version that was fine for the first may have been found bad since.
+    routing::keep_allowed(
+        usable, this->core->rollouts.rule_for(this->service, this->session_hash, now));
     const auto* server = routing::choose_server(
         usable,
         this->placement_wish(),
@@ -160,37 +160,12 @@
 
 auto relay::send_to(const routing::registration& server) -> void
 {
-    const auto now = this->core->hooks.clock();
     const auto where = http::parse_endpoint(server.address);
     if (!where) {
         this->give_up(result_code::no_capacity);
         return;
     }
-    this->ledger.note_sent();
-    this->core->counters.sends.add();
-    this->tried.push_back(server.id);
-    auto next = std::make_shared<attempt>();
-    next->server = server.id;
-    next->version = server.version;
-    const auto work = this->work();
-    next->work = work.prompt + work.answer;
-    next->prompt_work = work.prompt;
-    next->work_ahead = this->core->loads.total(server.id, now).work + work.prompt;
-    next->sent = now;
-    next->last_progress = now;
-    this->current = next;
-    this->core->loads.begin(server.id, next->work);
-    this->core->rollouts.note_sent(this->service, this->session_hash, server.version, now);
-
-    const auto& rules = *this->request.rules;
-    const auto* owner = rules.owner_of(this->request.caller.key);
-    const forward_headers ours{
-        milliseconds_between(now, this->give_up_at),
-        server.id.value(),
-        owner == nullptr ? std::string{} : owner->name.value(),
-        this->model,
-        this->last_event,
-        this->urgency()};
+    const auto next = this->begin_attempt(server);
     common::log(
         common::log_part::place,
         common::log_level::info,
@@ -202,7 +177,7 @@
     const auto keep = this->shared_from_this();
     next->call = this->core->client->send(
         *where,
-        make_forwarded(this->request.asked, this->core->options.names, ours),
+        make_forwarded(this->request.asked, this->core->options.names, this->our_headers(server)),
         {.on_head = [keep, next](const http::response& head) { keep->on_head(next, head); },
          .on_chunk = [keep, next](std::string bytes) { keep->on_bytes(next, std::move(bytes)); },
          .on_done =
@@ -214,6 +189,39 @@
     }
 }
 
+auto relay::begin_attempt(const routing::registration& server) -> std::shared_ptr<attempt>
+{
+    const auto now = this->core->hooks.clock();
+    const auto work = this->work();
+    auto next = std::make_shared<attempt>();
+    next->server = server.id;
+    next->version = server.version;
+    next->work = work.prompt + work.answer;
+    next->prompt_work = work.prompt;
+    next->work_ahead = this->core->loads.total(server.id, now).work + work.prompt;
+    next->sent = now;
+    next->last_progress = now;
+    this->current = next;
+    this->tried.push_back(server.id);
+    this->ledger.note_sent();
+    this->core->counters.sends.add();
+    this->core->loads.begin(server.id, next->work);
+    this->core->rollouts.note_sent(this->service, this->session_hash, server.version, now);
+    return next;
+}
+
+auto relay::our_headers(const routing::registration& server) const -> forward_headers
+{
+    const auto* owner = this->request.rules->owner_of(this->request.caller.key);
+    return {
+        milliseconds_between(this->core->hooks.clock(), this->give_up_at),
+        server.id.value(),
+        owner == nullptr ? std::string{} : owner->name.value(),
+        this->model,
+        this->last_event,
+        this->urgency()};
+}
+
 auto relay::settle(const std::shared_ptr<attempt>& of, attempt_end end, server_outcome outcome)
     -> void
 {
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -88,6 +88,9 @@
     auto use_model(std::size_t at) -> void;
     auto send_next() -> void;
     auto send_to(const routing::registration& server) -> void;
+    /// Enters a send to `server` in all books.
+    auto begin_attempt(const routing::registration& server) -> std::shared_ptr<attempt>;
+    [[nodiscard]] auto our_headers(const routing::registration& server) const -> forward_headers;
     [[nodiscard]] auto placement_wish() const -> routing::placement_request;
 
     /// Work of a request to one of the service's engines, as the load book counts it.
@@ -145,7 +148,7 @@
     std::string model;
     /// Place of `model` among the route's.
     std::size_t model_at = 0;
-    routing::version_rule versions;
+
     std::uint64_t session_hash = 0;
 
     std::shared_ptr<attempt> current;
--- a/source/unit_tests/router/relay_test.cpp
+++ b/source/unit_tests/router/relay_test.cpp
@@ -304,4 +304,25 @@
     CHECK(out->status() == 503);
 }
 
+TEST_CASE("a second send does not go to a version that was found bad meanwhile", "[relay]")
+{
+    // The request's first server, of the new version, loses it. By then the new version has been
+    // reverted; the caller's request must not be what it serves last.
+    world all;
+    for (const auto* id : {"a", "b", "c"}) {
+        all.core->servers.retire(common::server_id{id});
+    }
+    all.add_server("new-1", "v2");
+    all.add_server("new-2", "v2");
+    const common::service_name engines{"engines"};
+    all.core->rollouts.order({engines, common::version_id{"v2"}, seconds{20}}, all.now);
+    all.core->rollouts.learn({engines, common::version_id{"v2"}, routing::rollout_state::complete});
+    const auto out = all.ask(again);
+    REQUIRE(all.sends() == 1);
+    all.core->rollouts.learn({engines, common::version_id{"v2"}, routing::rollout_state::reverted});
+    all.last().lose(execution::unknown);
+    CHECK(all.sends() == 1);
+    CHECK(out->status() == 502);
+}
+
 } // namespace reedramp::router::testing
