Put the operators' limits for callers in force

Cause: reading the diff: the configuration's limits for headers, bodies and idle connections were read and used nowhere. Change: the callers' server takes them over with each new configuration; an unused member goes.

--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -229,6 +229,15 @@
 
     auto announce_close() -> void override { this->entrance_of_this->announce_close(); }
 
+    auto change_limits(
+        std::size_t header_bytes, std::size_t body_bytes, std::chrono::milliseconds read_timeout)
+        -> void override
+    {
+        this->shared->options.header_limit_bytes = header_bytes;
+        this->shared->options.body_limit_bytes = body_bytes;
+        this->shared->options.read_timeout = read_timeout;
+    }
+
     [[nodiscard]] auto busy_connections() const -> std::size_t override
     {
         return this->shared->busy;
--- a/source/core/http/server.hpp
+++ b/source/core/http/server.hpp
@@ -90,6 +90,11 @@
     /// connection that stays idle for half a second closes.
     virtual auto close_listener() -> void = 0;
 
+    /// Other limits from the next request on. On the thread of a server with one context.
+    virtual auto change_limits(
+        std::size_t header_bytes, std::size_t body_bytes, std::chrono::milliseconds read_timeout)
+        -> void = 0;
+
     /// From now on each answer is the last one of its connection. New connections are still taken:
     /// a balancer sends some until it has noticed that this process leaves.
     virtual auto announce_close() -> void = 0;
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -30,6 +30,8 @@
     common::clock_hook clock;
     common::timer_hook timer;
     common::random_hook random;
+    /// New rules are in force. May be empty.
+    std::function<auto(const routing::configuration& rules)->void> on_rules = {};
 };
 
 struct router_options {
--- a/source/core/router/rules_follower.cpp
+++ b/source/core/router/rules_follower.cpp
@@ -76,7 +76,7 @@
     if (std::exchange(this->is_lost, false)) {
         common::log(log_part::config, log_level::info, "store regained");
     }
-    this->answered_at = now;
+
     for (auto& document : reading->documents) {
         if (auto* rules = std::get_if<published_rules>(&document)) {
             this->core->adopt(std::move(*rules));
--- a/source/core/router/rules_follower.hpp
+++ b/source/core/router/rules_follower.hpp
@@ -36,9 +36,6 @@
 
     auto start() -> void;
 
-    /// When the store last answered; for the state page and the peers.
-    [[nodiscard]] auto last_answer() const -> time_point { return this->answered_at; }
-
 private:
     auto read_outcomes() -> void;
     auto read_next() -> void;
@@ -48,7 +45,7 @@
     shared_store store;
     follower_options options;
     std::optional<stream_position> position;
-    time_point answered_at{};
+
     bool is_lost = false;
 };
 
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -91,6 +91,12 @@
         router::router_hooks hooks;
         hooks.clock = daemon::boot_time;
         hooks.random = daemon::random_bits;
+        hooks.on_rules = [this](const routing::configuration& adopted) {
+            const auto& limits = adopted.limits;
+            // A caller may use a connection again up to its idle limit; the second covers the way.
+            this->for_callers->change_limits(
+                limits.header_bytes, limits.body_bytes, limits.idle + std::chrono::seconds{1});
+        };
         hooks.timer =
             [queue = this->timers](common::time_point when, std::function<auto()->void> action) {
                 queue->add(when, std::move(action));
--- a/source/unit_tests/http/server_test.cpp
+++ b/source/unit_tests/http/server_test.cpp
@@ -342,3 +342,26 @@
     // The idle one is closed without an answer that nobody asked for.
     CHECK(before.read_to_end().empty());
 }
+
+TEST_CASE("limits may change while a server runs")
+{
+    // Operators allow smaller bodies; what is larger is refused from then on, also on connections
+    // that were open before.
+    loop network;
+    const auto serving =
+        open_server({&network.context}, [](const request&, const std::shared_ptr<responder>& out) {
+            out->send({200, {}, "ok"});
+        });
+    raw_caller one{address_of(*serving)};
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n";
+    one.send(head + std::string(20, 'x'));
+    CHECK(one.read_until("ok").starts_with("HTTP/1.1 200"));
+    std::promise<void> changed;
+    boost::asio::post(network.context, [&] {
+        serving->change_limits(16384, 10, std::chrono::seconds{5});
+        changed.set_value();
+    });
+    changed.get_future().get();
+    one.send(head + std::string(20, 'x'));
+    CHECK(one.read_to_end().starts_with("HTTP/1.1 413"));
+}
