Count living peers, and requests at old versions, in one place each

Cause: reading the whole diff: rank and heard repeated the test of a living peer; tell repeated the sum that old_under_way makes. Change: living() and own_old_under_way(); blank lines that removals had left are gone. No behaviour changes.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -281,7 +281,6 @@
     if (this->ended) {
         return;
     }
-
     if (this->ledger.is_not_run() && why != result_code::deadline_too_near) {
         why = result_code::no_capacity;
     }
@@ -354,7 +353,6 @@
     if (this->ended) {
         return;
     }
-
     if (this->current != nullptr) {
         // Says nothing about the server.
         this->leave(this->current, attempt_end::unknown, server_outcome::refused);
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -218,7 +218,6 @@
         return;
     }
     this->settle(of, attempt_end::ran, server_outcome::good);
-
     if (of->events && this->is_streaming) {
         this->out->finish();
     }
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -103,11 +103,12 @@
             continue;
         }
         told_rollout told{
-            service, one.order.target, one.order.allowed, this->elapsed(one, now), 0, {}};
-        for (const auto& [key, count] : this->under_way) {
-            told.old_under_way +=
-                key.first == service && key.second != one.order.target ? count : 0;
-        }
+            service,
+            one.order.target,
+            one.order.allowed,
+            this->elapsed(one, now),
+            this->own_old_under_way(one),
+            {}};
         for (const auto& [route, evidence] : one.evidence) {
             told.evidence[route] = evidence.ours.log_wealth();
         }
@@ -287,13 +288,19 @@
     return policy::judge(total, this->settings.guard, doubt).decision == policy::verdict::worse;
 }
 
-auto rollout_guide::old_under_way(const rollout& one, time_point now) const -> unsigned
+auto rollout_guide::own_old_under_way(const rollout& one) const -> unsigned
 {
     unsigned count = 0;
     for (const auto& [key, requests] : this->under_way) {
         const bool is_old = key.first == one.order.service && key.second != one.order.target;
         count += is_old ? requests : 0;
     }
+    return count;
+}
+
+auto rollout_guide::old_under_way(const rollout& one, time_point now) const -> unsigned
+{
+    auto count = this->own_old_under_way(one);
     for (const auto& [peer, words] : one.peers) {
         count += now - words.heard < peer_silence ? words.old_under_way : 0;
     }
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -139,6 +139,8 @@
     };
 
     [[nodiscard]] auto is_worse(const rollout& one) const -> bool;
+    /// Requests under way at other versions, from this entry, and over all entries.
+    [[nodiscard]] auto own_old_under_way(const rollout& one) const -> unsigned;
     [[nodiscard]] auto old_under_way(const rollout& one, time_point now) const -> unsigned;
     [[nodiscard]] auto elapsed(const rollout& one, time_point now) const
         -> std::chrono::milliseconds;
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -121,25 +121,28 @@
     }
 }
 
-auto peer_group::rank() const -> std::size_t
+auto peer_group::living() const -> std::vector<common::host_id>
 {
     const auto now = this->core->hooks.clock();
-    std::size_t before = 0;
+    std::vector<common::host_id> alive;
     for (const auto& [where, known] : this->peers) {
-        const bool is_alive = now - known.heard < this->silence() && !known.host.value().empty();
-        before += is_alive && known.host < this->self ? 1 : 0;
+        if (now - known.heard < this->silence() && !known.host.value().empty()) {
+            alive.push_back(known.host);
+        }
     }
-    return before;
+    return alive;
+}
+
+auto peer_group::rank() const -> std::size_t
+{
+    const auto alive = this->living();
+    return static_cast<std::size_t>(std::ranges::count_if(
+        alive, [this](const common::host_id& host) { return host < this->self; }));
 }
 
 auto peer_group::heard() const -> std::size_t
 {
-    const auto now = this->core->hooks.clock();
-    std::size_t alive = 0;
-    for (const auto& [where, known] : this->peers) {
-        alive += now - known.heard < this->silence() && !known.host.value().empty() ? 1 : 0;
-    }
-    return alive;
+    return this->living().size();
 }
 
 } // namespace reedramp::router_program
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -54,6 +54,9 @@
         common::host_id host;
     };
 
+    /// Peers that have spoken, and not too long ago.
+    [[nodiscard]] auto living() const -> std::vector<common::host_id>;
+
     std::shared_ptr<router::router_core> core;
     common::host_id self;
     http::endpoint own_address;
