Keep a session on its version when another entry serves it next

The log (each send now names its session) shows four sessions whose requests came to different entries: one served them on the old version, the other had never seen them and took them for new ones, 0.7 to 4.1 s after the last answer. Ruled out: time counted from the send alone (a try that counted from the answer's end did not mend it by itself; both are needed, one gap was counted from an answer that took 2.8 s). Change: session_book remembers sessions until session_time after their last answer, and entries tell each other which sessions of the first share are on an old version, with the time that is left of them; the first share begins 0.6 s after the order.

--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -38,6 +38,11 @@
             logs.set(i, static_cast<float>(wealth[i]));
         }
     }
+    auto sessions = to.initOldSessions(static_cast<unsigned>(from.old_sessions.size()));
+    for (unsigned i = 0; i < from.old_sessions.size(); ++i) {
+        sessions[i].setSession(from.old_sessions[i].session);
+        sessions[i].setLeftMs(static_cast<std::uint32_t>(from.old_sessions[i].left.count()));
+    }
 }
 
 auto read_rollout(schema::Rollout::Reader from) -> routing::told_rollout
@@ -58,6 +63,10 @@
             told.evidence[routing::route_name{text_of(one.getRoute())}] = std::move(wealth);
         }
     }
+    for (const auto one : from.getOldSessions()) {
+        told.old_sessions.push_back(
+            {one.getSession(), std::chrono::milliseconds{one.getLeftMs()}});
+    }
     return told;
 }
 
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -16,6 +16,12 @@
   wealth @1 :List(Float32);
 }
 
+# A session that the sender keeps on an old version, for so long if nothing more comes of it.
+struct OldSession {
+  session @0 :UInt64;
+  leftMs @1 :UInt32;
+}
+
 struct Rollout {
   service @0 :Text;
   target @1 :Text;
@@ -23,6 +29,7 @@
   elapsedMs @3 :Int64;
   oldUnderWay @4 :UInt32;
   evidence @5 :List(RouteEvidence);
+  oldSessions @6 :List(OldSession);
 }
 
 struct Words {
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -170,7 +170,8 @@
         common::log_part::place,
         common::log_level::info,
         "sent request=" + this->request.caller.attempt +
-            " route=" + this->request.route->name.value() + " server=" + server.id.value() +
+            " route=" + this->request.route->name.value() +
+            " session=" + this->request.caller.session + " server=" + server.id.value() +
             " version=" + server.version.value() + " model=" + this->model +
             " send=" + std::to_string(this->ledger.sends()) +
             " after_event=" + std::to_string(this->last_event));
@@ -232,7 +233,7 @@
     this->ledger.note_end(end);
     const auto now = this->core->hooks.clock();
     this->core->loads.end(of->server, of->work);
-    this->core->rollouts.note_ended(this->service, of->version);
+    this->core->rollouts.note_ended(this->service, this->session_hash, of->version, now);
     this->core->health.note(of->server, outcome, now);
     if (outcome == server_outcome::good || outcome == server_outcome::failed) {
         this->core->rollouts.note_outcome(
--- a/source/core/routing/rollout.cpp
+++ b/source/core/routing/rollout.cpp
@@ -20,6 +20,9 @@
     std::chrono::milliseconds elapsed,
     std::chrono::milliseconds allowed) -> double
 {
+    if (elapsed < schedule.begins_after) {
+        return 0.0;
+    }
     if (allowed.count() <= 0) {
         return schedule.first_share;
     }
--- a/source/core/routing/rollout.hpp
+++ b/source/core/routing/rollout.hpp
@@ -38,6 +38,9 @@
     /// a short roll-out at 50 requests a second, enough for the guard, and 0.05 of all requests,
     /// a third of what a bad version may get.
     double first_share = 0.10;
+    /// It begins this long after the order, so that entries have told each other by then which
+    /// sessions are on the old version: some messages, one of which may be lost.
+    std::chrono::milliseconds begins_after{600};
     /// From here on more sessions move; until here none may change its version.
     double second_at = 0.52;
     double second_share = 0.25;
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -14,6 +14,10 @@
 /// Odds at which the guard would call a version good; not used, growth follows the schedule.
 constexpr double doubt = 0.05;
 
+/// Sessions told in one message, 16 bytes each: a tenth of what an entry serves in session_time at
+/// 150 requests a second. Those left out may change their version at another entry.
+constexpr std::size_t most_told_sessions = 96;
+
 } // namespace
 
 auto keep_allowed(std::vector<const registration*>& usable, const version_rule& rule) -> void
@@ -92,6 +96,7 @@
         // An entry that started later, or heard of the order later, takes the older beginning.
         one.began = std::min(one.began, now - told.elapsed);
         one.peers[peer] = {now, told.old_under_way, told.evidence};
+        this->sessions.hear(told.service, told.old_sessions, now);
     }
 }
 
@@ -108,7 +113,8 @@
             one.order.allowed,
             this->elapsed(one, now),
             this->own_old_under_way(one),
-            {}};
+            {},
+            this->sessions_to_tell(one, now)};
         for (const auto& [route, evidence] : one.evidence) {
             told.evidence[route] = evidence.ours.log_wealth();
         }
@@ -136,6 +142,29 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now - one.began);
 }
 
+auto rollout_guide::may_move(const rollout& one, time_point now) const -> bool
+{
+    const auto& schedule = this->settings.schedule;
+    return share_at(schedule, this->elapsed(one, now), one.order.allowed) > schedule.first_share;
+}
+
+auto rollout_guide::sessions_to_tell(const rollout& one, time_point now) const
+    -> std::vector<told_session>
+{
+    if (one.state != rollout_state::running || this->may_move(one, now)) {
+        return {};
+    }
+    const auto& order = one.order;
+    return this->sessions.on_other_versions(
+        order.service,
+        order.target,
+        [this](std::uint64_t session) {
+            return is_in_share(session, this->settings.schedule.first_share);
+        },
+        most_told_sessions,
+        now);
+}
+
 auto rollout_guide::rule_for(
     const common::service_name& service, std::uint64_t session, time_point now) -> version_rule
 {
@@ -162,11 +191,11 @@
     const auto passed = this->elapsed(one, now);
     const auto share = share_at(this->settings.schedule, passed, one.order.allowed);
     bool goes_new = is_in_share(session, share);
-    const auto used = this->sessions.find({service, session});
-    if (used != this->sessions.end() && used->second.until > now) {
-        const bool was_new = used->second.version == target;
-        const bool may_move = share > this->settings.schedule.first_share;
-        goes_new = was_new || (goes_new && may_move);
+    if (const auto used = this->sessions.version_of(service, session, now)) {
+        goes_new = *used == target || (goes_new && this->may_move(one, now));
+    }
+    else if (!this->may_move(one, now)) {
+        goes_new = goes_new && !this->sessions.is_old_elsewhere(service, session, now);
     }
     return goes_new ? version_rule{target, std::nullopt} : version_rule{std::nullopt, target};
 }
@@ -178,23 +207,16 @@
     time_point now) -> void
 {
     this->under_way[{service, version}] += 1;
-    this->sessions.insert_or_assign(
-        {service, session}, last_use{version, now + this->settings.session_time});
-    this->forget_sessions(now);
-}
-
-auto rollout_guide::forget_sessions(time_point now) -> void
-{
-    if (now < this->sessions_swept + this->settings.session_time) {
-        return;
-    }
-    this->sessions_swept = now;
-    std::erase_if(this->sessions, [now](const auto& item) { return item.second.until <= now; });
+    this->sessions.note_sent(service, session, version, now);
 }
 
 auto rollout_guide::note_ended(
-    const common::service_name& service, const common::version_id& version) -> void
+    const common::service_name& service,
+    std::uint64_t session,
+    const common::version_id& version,
+    time_point now) -> void
 {
+    this->sessions.note_ended(service, session, now);
     auto& count = this->under_way[{service, version}];
     count -= count > 0 ? 1 : 0;
 }
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -3,7 +3,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -11,6 +10,7 @@
 #include "routing/configuration.hpp"
 #include "routing/rollout.hpp"
 #include "routing/server_table.hpp"
+#include "routing/session_book.hpp"
 
 namespace reedramp::routing {
 
@@ -53,6 +53,8 @@
     unsigned old_under_way = 0;
     /// By route, the logarithms of the guard's bets.
     std::map<route_name, policy::wealth> evidence;
+    /// Sessions of the first share that this entry keeps on another version; in the first half.
+    std::vector<told_session> old_sessions;
 };
 
 /// How far one roll-out is at this entry.
@@ -71,7 +73,10 @@
 /// outcome, and one that is cut off still stops within its own evidence.
 class rollout_guide {
 public:
-    explicit rollout_guide(rollout_options options) : settings(options) {}
+    explicit rollout_guide(rollout_options options)
+        : settings(options), sessions(options.session_time)
+    {
+    }
 
     auto order(const rollout_order& wanted, time_point now) -> void;
     auto learn(const rollout_status& status) -> void;
@@ -105,7 +110,12 @@
         const route_name& route,
         std::chrono::milliseconds took) -> void;
 
-    auto note_ended(const common::service_name& service, const common::version_id& version) -> void;
+    /// A send that `note_sent` told of has ended.
+    auto note_ended(
+        const common::service_name& service,
+        std::uint64_t session,
+        const common::version_id& version,
+        time_point now) -> void;
 
     /// States that should be written now, because the store does not have them.
     [[nodiscard]] auto due(time_point now) const -> std::vector<rollout_status>;
@@ -133,11 +143,6 @@
         std::map<common::host_id, peer_words> peers;
     };
 
-    struct last_use {
-        common::version_id version;
-        time_point until;
-    };
-
     [[nodiscard]] auto is_worse(const rollout& one) const -> bool;
     /// Requests under way at other versions, from this entry, and over all entries.
     [[nodiscard]] auto own_old_under_way(const rollout& one) const -> unsigned;
@@ -146,14 +151,16 @@
         -> std::chrono::milliseconds;
     auto evidence_of(rollout& one, const route_name& route) -> route_evidence&;
     auto running(const common::service_name& service) -> rollout*;
-    auto forget_sessions(time_point now) -> void;
+    /// Whether the roll-out's share has grown: from then on sessions may change their version.
+    [[nodiscard]] auto may_move(const rollout& one, time_point now) const -> bool;
+    [[nodiscard]] auto sessions_to_tell(const rollout& one, time_point now) const
+        -> std::vector<told_session>;
 
     rollout_options settings;
     std::map<common::service_name, rollout> rollouts;
     /// States that were read before their order.
     std::map<common::service_name, rollout_status> early;
-    std::map<std::pair<common::service_name, std::uint64_t>, last_use> sessions;
-    time_point sessions_swept{};
+    session_book sessions;
     std::map<std::pair<common::service_name, common::version_id>, unsigned> under_way;
 };
 
--- /dev/null
+++ b/source/core/routing/session_book.cpp
@@ -0,0 +1,94 @@
+#include "routing/session_book.hpp"
+
+#include <algorithm>
+
+namespace reedramp::routing {
+
+auto session_book::note_sent(
+    const common::service_name& service,
+    std::uint64_t session,
+    const common::version_id& version,
+    time_point now) -> void
+{
+    auto& use = this->sessions[{service, session}];
+    use.version = version;
+    use.under_way += 1;
+    this->sweep(now);
+}
+
+auto session_book::note_ended(
+    const common::service_name& service, std::uint64_t session, time_point now) -> void
+{
+    const auto found = this->sessions.find({service, session});
+    if (found == this->sessions.end()) {
+        return;
+    }
+    auto& use = found->second;
+    use.under_way -= use.under_way > 0 ? 1 : 0;
+    // From the end on: a stream may take longer than the pauses that a session may make.
+    use.until = now + this->time;
+}
+
+auto session_book::version_of(
+    const common::service_name& service, std::uint64_t session, time_point now) const
+    -> std::optional<common::version_id>
+{
+    const auto found = this->sessions.find({service, session});
+    if (found == this->sessions.end() || !found->second.lasts(now)) {
+        return std::nullopt;
+    }
+    return found->second.version;
+}
+
+auto session_book::on_other_versions(
+    const common::service_name& service,
+    const common::version_id& target,
+    const std::function<auto(std::uint64_t session)->bool>& is_meant,
+    std::size_t most,
+    time_point now) const -> std::vector<told_session>
+{
+    std::vector<told_session> told;
+    const auto first = this->sessions.lower_bound({service, 0});
+    for (auto item = first; item != this->sessions.end() && told.size() < most; ++item) {
+        const auto& [key, use] = *item;
+        if (key.first != service) {
+            break;
+        }
+        if (use.version == target || !use.lasts(now) || !is_meant(key.second)) {
+            continue;
+        }
+        const auto left = use.under_way > 0 ? this->time : use.until - now;
+        told.push_back(
+            {key.second, std::chrono::duration_cast<std::chrono::milliseconds>(left)});
+    }
+    return told;
+}
+
+auto session_book::hear(
+    const common::service_name& service, const std::vector<told_session>& told, time_point now)
+    -> void
+{
+    for (const auto& one : told) {
+        auto& until = this->elsewhere[{service, one.session}];
+        until = std::max(until, now + one.left);
+    }
+}
+
+auto session_book::is_old_elsewhere(
+    const common::service_name& service, std::uint64_t session, time_point now) const -> bool
+{
+    const auto found = this->elsewhere.find({service, session});
+    return found != this->elsewhere.end() && found->second > now;
+}
+
+auto session_book::sweep(time_point now) -> void
+{
+    if (now < this->swept + this->time) {
+        return;
+    }
+    this->swept = now;
+    std::erase_if(this->sessions, [now](const auto& item) { return !item.second.lasts(now); });
+    std::erase_if(this->elsewhere, [now](const auto& item) { return item.second <= now; });
+}
+
+} // namespace reedramp::routing
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -22,6 +22,7 @@
     rollout.elapsed = std::chrono::seconds{3};
     rollout.old_under_way = 4;
     rollout.evidence[routing::route_name{"drafts"}] = policy::wealth(policy::wealth_size, 0.5);
+    rollout.old_sessions = {{5, std::chrono::milliseconds{1200}}};
     words.rollouts = {rollout};
     words.peers = {"10.0.0.2:7000"};
     words.leaving = {77};
@@ -43,6 +44,9 @@
     REQUIRE(read->rollouts.size() == 1);
     CHECK(read->rollouts[0].elapsed == std::chrono::seconds{3});
     CHECK(read->rollouts[0].evidence == words.rollouts[0].evidence);
+    REQUIRE(read->rollouts[0].old_sessions.size() == 1);
+    CHECK(read->rollouts[0].old_sessions[0].session == 5);
+    CHECK(read->rollouts[0].old_sessions[0].left == std::chrono::milliseconds{1200});
     CHECK(read->peers == words.peers);
     CHECK(read->leaving == words.leaving);
 }
--- a/source/unit_tests/routing/rollout_guide_test.cpp
+++ b/source/unit_tests/routing/rollout_guide_test.cpp
@@ -77,6 +77,9 @@
     entry one;
     one.guide.note_sent(engines, early_session, old_version, start);
     CHECK_FALSE(one.goes_new(early_session, start + seconds{2}));
+    one.guide.note_ended(engines, early_session, old_version, start + seconds{2});
+    // Its time counts from the end of its last answer.
+    CHECK_FALSE(one.goes_new(early_session, start + seconds{6}));
     // After a pause it is a new session.
     CHECK(one.goes_new(early_session, start + seconds{8}));
     one.guide.note_sent(engines, early_session, new_version, start + seconds{8});
@@ -86,6 +89,29 @@
     CHECK(one.goes_new(late_session, start + seconds{16}));
 }
 
+TEST_CASE("a session stays on its version when another entry serves it next", "[rollout]")
+{
+    // A caller's session was served by one entry on the old version; its next request comes to
+    // another entry, in the roll-out's first half. That entry has never seen the session, and took
+    // it for a new one: the caller had answers of two versions within a second.
+    entry first;
+    entry second;
+    first.guide.note_sent(engines, early_session, old_version, start);
+    first.guide.note_ended(engines, early_session, old_version, start + seconds{1});
+    // Before the entries have told each other, no session goes to the new version.
+    CHECK_FALSE(second.goes_new(early_session, start + milliseconds{200}));
+    const auto told = start + milliseconds{1300};
+    second.guide.hear(common::host_id{"a"}, first.guide.tell(told), told);
+    CHECK_FALSE(second.goes_new(early_session, start + seconds{2}));
+    CHECK(first.guide.tell(told).front().old_sessions.size() == 1);
+    // Five seconds after its last answer it is a new session, at either entry.
+    CHECK(second.goes_new(early_session, start + milliseconds{6100}));
+    CHECK(first.goes_new(early_session, start + milliseconds{6100}));
+    // One that the share leaves on the old version is not told of.
+    second.guide.note_sent(engines, late_session, old_version, start);
+    CHECK(second.guide.tell(told).front().old_sessions.empty());
+}
+
 TEST_CASE("a version that fails on one route alone is reverted", "[rollout]")
 {
     // Half of the new version's drafts fail, and none of its tags. Over all routes it looks fair.
@@ -145,7 +171,7 @@
     one.guide.hear(common::host_id{"b"}, other.guide.tell(moved), moved);
     CHECK(one.goes_new(late_session, moved));
     CHECK_FALSE(one.due_state(moved));
-    other.guide.note_ended(engines, old_version);
+    other.guide.note_ended(engines, 7, old_version, moved);
     one.guide.hear(common::host_id{"b"}, other.guide.tell(moved), moved);
     CHECK(one.due_state(moved) == rollout_state::complete);
 }
