Let callers wait until a starting entry is ready

Ruled out: a longer Retry-After (the caller has no try left); not listening (a reset connection spends a try as well). Change: http::server may leave new connections in the system's queue until accept(); the entry accepts when it is ready, at the latest after 0.6 s, below the second after which callers leave what is not read. With the store away they are told then, as before.

--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -108,6 +108,13 @@
         return this->acceptor.local_endpoint(ignored).port();
     }
 
+    auto begin() -> void
+    {
+        if (!std::exchange(this->has_begun, true)) {
+            this->accept_next();
+        }
+    }
+
     auto accept_next() -> void
     {
         const auto part = this->parts[this->turn % this->parts.size()];
@@ -205,6 +212,7 @@
     asio::steady_timer pause;
     std::vector<std::shared_ptr<context_connections>> parts;
     std::size_t turn = 0;
+    bool has_begun = false;
 };
 
 class listening_server final : public server {
@@ -225,6 +233,8 @@
 
     [[nodiscard]] auto port() const -> std::uint16_t override { return this->bound_port; }
 
+    auto accept() -> void override { this->entrance_of_this->begin(); }
+
     auto close_listener() -> void override { this->entrance_of_this->stop(); }
 
     auto announce_close() -> void override { this->entrance_of_this->announce_close(); }
@@ -275,6 +285,7 @@
         shared->tls = std::move(*tls);
     }
     const auto text = to_string(options.listen);
+    const bool accepts_at_once = options.accepts_at_once;
     shared->options = std::move(options);
     shared->handler = std::move(handler);
     auto entrance = std::make_shared<listener>(contexts, shared);
@@ -282,7 +293,9 @@
     if (problem) {
         return setup_failure("listen on " + text, problem);
     }
-    entrance->accept_next();
+    if (accepts_at_once) {
+        entrance->begin();
+    }
     return std::make_unique<listening_server>(std::move(shared), std::move(entrance));
 }
 
--- a/source/core/http/server.hpp
+++ b/source/core/http/server.hpp
@@ -66,6 +66,8 @@
     /// One more connection gets 503 and is closed.
     std::size_t connection_limit = 2000;
     std::optional<tls_files> tls = std::nullopt;
+    /// False leaves new connections waiting in the system's queue until `accept`.
+    bool accepts_at_once = true;
 };
 
 /// Serves HTTP/1.1 with keep-alive on the given contexts, one of which each connection stays on.
@@ -86,6 +88,10 @@
     /// The port that is really listened on.
     [[nodiscard]] virtual auto port() const -> std::uint16_t = 0;
 
+    /// Starts to take connections, where `accepts_at_once` is false. On the thread of a server with
+    /// one context; further calls change nothing.
+    virtual auto accept() -> void = 0;
+
     /// Stops accepting. Answers under way go on; each further answer says "Connection: close"; a
     /// connection that stays idle for half a second closes.
     virtual auto close_listener() -> void = 0;
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -51,6 +51,12 @@
 constexpr milliseconds grace_rest{400};
 constexpr milliseconds shutdown_check{50};
 constexpr milliseconds entries_period{10000};
+/// A process that starts has its rules and servers some tens of ms later, and until then callers'
+/// connections wait in the system's queue: all callers of a process that was killed come back in
+/// that time, most of them with their last try. Past this the store is away, and they are told.
+/// Below the second after which callers leave what is not read.
+constexpr milliseconds start_patience{600};
+constexpr milliseconds start_check{5};
 /// A message to a peer has some hundred bytes; a roll-out adds 100 for each of its routes.
 constexpr std::size_t largest_datagram = 16384;
 
@@ -116,6 +122,7 @@
     auto operator=(parts_of_process&&) -> parts_of_process& = delete;
 
     auto listen() -> common::result<void>;
+    auto accept_when_ready(common::time_point latest) -> void;
     auto answer_peer(const http::request& asked) const -> http::response;
     auto open_peers() -> void;
     auto follow_store() -> void;
@@ -149,16 +156,20 @@
 
 auto router_process::parts_of_process::listen() -> common::result<void>
 {
-    const auto open = [this](const http::endpoint& where, http::request_handler handler)
+    const auto open =
+        [this](
+            const http::endpoint& where, http::request_handler handler, bool accepts_at_once = true)
         -> common::result<std::unique_ptr<http::server>> {
         http::server_options options;
         options.listen = where;
+        options.accepts_at_once = accepts_at_once;
         return http::server::open({&this->context}, options, std::move(handler));
     };
     auto callers = open(
         this->settings.callers, [this](http::request asked, std::shared_ptr<http::responder> out) {
             this->core->handle(std::move(asked), std::move(out));
-        });
+        },
+        false);
     if (!callers) {
         return tl::unexpected(callers.error());
     }
@@ -184,6 +195,16 @@
     return {};
 }
 
+auto router_process::parts_of_process::accept_when_ready(common::time_point latest) -> void
+{
+    const auto now = daemon::boot_time();
+    if (this->core->is_ready() || now >= latest) {
+        this->for_callers->accept();
+        return;
+    }
+    this->timers->add(now + start_check, [this, latest] { this->accept_when_ready(latest); });
+}
+
 auto router_process::parts_of_process::answer_peer(const http::request& asked) const
     -> http::response
 {
@@ -380,6 +401,7 @@
     }
     this->parts->open_peers();
     this->parts->follow_store();
+    this->parts->accept_when_ready(daemon::boot_time() + start_patience);
     common::log(
         log_part::entry,
         log_level::info,
--- a/source/unit_tests/http/server_test.cpp
+++ b/source/unit_tests/http/server_test.cpp
@@ -365,3 +365,26 @@
     one.send(head + std::string(20, 'x'));
     CHECK(one.read_to_end().starts_with("HTTP/1.1 413"));
 }
+
+TEST_CASE("callers that come before a server accepts are served once it does")
+{
+    // A process that was killed starts anew, and all its callers come back at once, with their last
+    // try. Answered before the process knows its rules, they would all be refused for good.
+    loop network;
+    server_options late;
+    late.accepts_at_once = false;
+    const auto serving = open_server(
+        {&network.context},
+        [](const request&, const std::shared_ptr<responder>& out) { out->send({200, {}, "ok"}); },
+        late);
+    raw_caller early{address_of(*serving)};
+    early.send(plain_get);
+    std::promise<std::size_t> open_before;
+    boost::asio::post(network.context, [&] {
+        open_before.set_value(serving->open_connections());
+        serving->accept();
+        serving->accept(); // A second call takes no second connection at a time.
+    });
+    CHECK(open_before.get_future().get() == 0);
+    CHECK(early.read_until("ok").starts_with("HTTP/1.1 200"));
+}
