Keep replaced and reverted versions out under the next roll-out

The first roll-out ends, the operator orders the next within 0.1 to 0.5 s. (1) An entry that had not read the end took the next order and forgot that the first version was replaced: sessions went back to servers that were being stopped. (2) Sessions that were served by the first version 3 s before had to move while the next roll-out was in its first half. Ruled out: a faster schedule alone (full at 0.60: 5 sessions still). Change: a service's history of ended roll-outs bars what was replaced or reverted; entries tell each other how roll-outs ended, and orders, so that one the store turns away follows; complete waits until no session lasts on the old version, at the latest at 0.92 of the time; sessions move within 0.51 to 0.57 of it (0.52 to 0.68 before). Slowness counts now only while the old version still serves; a stall is slowness, not an error.

--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -27,7 +27,7 @@
     to.setTarget(from.target.value());
     to.setAllowedMs(from.allowed.count());
     to.setElapsedMs(from.elapsed.count());
-    to.setOldUnderWay(from.old_under_way);
+    to.setLeftOnOld(from.left_on_old);
     auto all = to.initEvidence(static_cast<unsigned>(from.evidence.size()));
     unsigned at = 0;
     for (const auto& [route, wealth] : from.evidence) {
@@ -38,6 +38,8 @@
             logs.set(i, static_cast<float>(wealth[i]));
         }
     }
+    to.setState(static_cast<std::uint8_t>(from.state));
+    to.setIsWritten(from.is_written);
     auto sessions = to.initOldSessions(static_cast<unsigned>(from.old_sessions.size()));
     for (unsigned i = 0; i < from.old_sessions.size(); ++i) {
         sessions[i].setSession(from.old_sessions[i].session);
@@ -45,6 +47,15 @@
     }
 }
 
+/// A number that this release does not know is taken for a roll-out that goes on.
+auto state_of(std::uint8_t number) -> routing::rollout_state
+{
+    const auto state = static_cast<routing::rollout_state>(number);
+    const bool is_known = state == routing::rollout_state::complete ||
+                          state == routing::rollout_state::reverted;
+    return is_known ? state : routing::rollout_state::running;
+}
+
 auto read_rollout(schema::Rollout::Reader from) -> routing::told_rollout
 {
     routing::told_rollout told;
@@ -52,7 +63,9 @@
     told.target = common::version_id{text_of(from.getTarget())};
     told.allowed = std::chrono::milliseconds{from.getAllowedMs()};
     told.elapsed = std::chrono::milliseconds{from.getElapsedMs()};
-    told.old_under_way = from.getOldUnderWay();
+    told.left_on_old = from.getLeftOnOld();
+    told.state = state_of(from.getState());
+    told.is_written = from.getIsWritten();
     for (const auto one : from.getEvidence()) {
         policy::wealth wealth;
         for (const auto log : one.getWealth()) {
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -27,9 +27,12 @@
   target @1 :Text;
   allowedMs @2 :Int64;
   elapsedMs @3 :Int64;
-  oldUnderWay @4 :UInt32;
+  leftOnOld @4 :UInt32;
   evidence @5 :List(RouteEvidence);
   oldSessions @6 :List(OldSession);
+  # As rollout_state counts them: 0 running, 1 complete, 2 reverted.
+  state @7 :UInt8;
+  isWritten @8 :Bool;
 }
 
 struct Words {
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -239,6 +239,10 @@
         this->core->rollouts.note_outcome(
             this->service, of->version, this->request.route->name, outcome == server_outcome::good);
     }
+    if (outcome == server_outcome::stalled) {
+        this->core->rollouts.note_stall(
+            this->service, of->version, this->request.route->name, now);
+    }
 }
 
 auto relay::leave(const std::shared_ptr<attempt>& of, attempt_end end, server_outcome outcome)
@@ -332,7 +336,7 @@
             self->leave(
                 of,
                 has_begun ? attempt_end::ran : attempt_end::unknown_in_queue,
-                server_outcome::failed);
+                server_outcome::stalled);
             self->try_again(result_code::stream_broken);
         });
 }
@@ -379,7 +383,9 @@
         common::log_part::entry,
         common::log_level::info,
         "ended request=" + this->request.caller.attempt + " how=" + std::string{how} + " sends=" +
-            std::to_string(this->ledger.sends()) + " ms=" + std::to_string(took.count()));
+            std::to_string(this->ledger.sends()) + " first_event_ms=" + std::to_string(this->first_event_after.count()) +
+            " last_event=" + std::to_string(this->last_event) +
+            " ms=" + std::to_string(took.count()));
     this->out.reset();
 }
 
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -158,6 +158,8 @@
     std::optional<http::response> failure_to_pass;
     /// The caller has the head of a stream.
     bool is_streaming = false;
+    /// From the request to the first event that was passed on; 0 without one.
+    std::chrono::milliseconds first_event_after{0};
     std::int64_t last_event;
     bool ended = false;
 };
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -143,11 +143,13 @@
             const auto took = milliseconds_between(of->sent, of->last_progress);
             const auto& route = this->request.route->name;
             this->core->note_first_event(route, took);
-            this->core->rollouts.note_first_event(this->service, of->version, route, took);
+            this->core->rollouts.note_first_event(
+                this->service, of->version, route, took, of->last_progress);
         }
         if (!this->is_streaming) {
             this->is_streaming = true;
             const auto waited = milliseconds_between(this->received, of->last_progress);
+            this->first_event_after = waited;
             this->core->waits.note(waited, this->request.route->target);
             this->core->counters.first_event_ms.record(static_cast<double>(waited.count()));
             this->out->start(of->head);
--- a/source/core/routing/rollout.hpp
+++ b/source/core/routing/rollout.hpp
@@ -41,15 +41,18 @@
     /// It begins this long after the order, so that entries have told each other by then which
     /// sessions are on the old version: some messages, one of which may be lost.
     std::chrono::milliseconds begins_after{600};
-    /// From here on more sessions move; until here none may change its version.
-    double second_at = 0.52;
+    /// From here on more sessions move; until here none may change its version. The steps are
+    /// 0.5 to 0.7 s in today's roll-outs: time for the guard to see a version that is bad under
+    /// load. They are short so that sessions have left the old version before it is stopped.
+    double second_at = 0.51;
     double second_share = 0.25;
-    double third_at = 0.60;
+    double third_at = 0.54;
     double third_share = 0.50;
-    double full_at = 0.68;
-    /// The old version's last answers are waited for until here, then the roll-out is called
-    /// complete: streams that are cut by it go on at the new version.
-    double complete_at = 0.90;
+    double full_at = 0.57;
+    /// The old version's last answers, and sessions, are waited for until here, then the roll-out is
+    /// called complete: streams that are cut by it go on at the new version. What is left of a
+    /// short roll-out is a second, some tens of the store's usual times.
+    double complete_at = 0.92;
 };
 
 /// Share of sessions that go to the new version after `elapsed` of `allowed`.
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -14,6 +14,10 @@
 /// Odds at which the guard would call a version good; not used, growth follows the schedule.
 constexpr double doubt = 0.05;
 
+/// A peer's order is newer than this entry's when it began later by this: beginnings are taken from
+/// messages, and differ by as much as those take.
+constexpr common::duration order_distance = std::chrono::milliseconds{500};
+
 /// Sessions told in one message, 16 bytes each: a tenth of what an entry serves in session_time at
 /// 150 requests a second. Those left out may change their version at another entry.
 constexpr std::size_t most_told_sessions = 96;
@@ -22,10 +26,7 @@
 
 auto keep_allowed(std::vector<const registration*>& usable, const version_rule& rule) -> void
 {
-    if (rule.barred) {
-        std::erase_if(
-            usable, [&rule](const auto* server) { return server->version == *rule.barred; });
-    }
+    std::erase_if(usable, [&rule](const auto* server) { return rule.bars(server->version); });
     if (!rule.preferred) {
         return;
     }
@@ -44,12 +45,16 @@
     if (found != this->rollouts.end() && found->second.order == wanted) {
         return;
     }
+    if (found != this->rollouts.end()) {
+        this->infer_end(found->second, now);
+    }
     rollout fresh{wanted, now, rollout_state::running, std::nullopt, {}, {}};
     const auto known = this->early.find(wanted.service);
     if (known != this->early.end() && known->second.target == wanted.target) {
         fresh.state = known->second.state;
         fresh.written = known->second.state;
     }
+    this->histories[wanted.service].reverted.erase(wanted.target);
     common::log(
         common::log_part::rollout,
         common::log_level::info,
@@ -59,9 +64,20 @@
     this->rollouts.insert_or_assign(wanted.service, std::move(fresh));
 }
 
+auto rollout_guide::infer_end(const rollout& one, time_point now) -> void
+{
+    // The store says how it ended, but maybe only after the next order. Where all sessions were on
+    // the new version, none goes back.
+    const auto share = share_at(this->settings.schedule, this->elapsed(one, now), one.order.allowed);
+    if (one.state == rollout_state::running && share >= 1.0) {
+        this->note_end(one.order.service, one.order.target, rollout_state::complete);
+    }
+}
+
 auto rollout_guide::learn(const rollout_status& status) -> void
 {
     this->early.insert_or_assign(status.service, status);
+    this->note_end(status.service, status.target, status.state);
     const auto found = this->rollouts.find(status.service);
     if (found == this->rollouts.end() || found->second.order.target != status.target) {
         return;
@@ -89,14 +105,34 @@
             this->order({told.service, told.target, told.allowed}, now);
             found = this->rollouts.find(told.service);
         }
-        if (found == this->rollouts.end() || found->second.order.target != told.target) {
+        if (found == this->rollouts.end()) {
             continue;
         }
         auto& one = found->second;
+        if (one.order.target != told.target) {
+            this->hear_other_order(one, told, now);
+            continue;
+        }
         // An entry that started later, or heard of the order later, takes the older beginning.
         one.began = std::min(one.began, now - told.elapsed);
-        one.peers[peer] = {now, told.old_under_way, told.evidence};
+        one.peers[peer] = {now, told.left_on_old, told.evidence};
         this->sessions.hear(told.service, told.old_sessions, now);
+        if (told.is_written) {
+            this->learn({told.service, told.target, told.state});
+        }
+    }
+}
+
+auto rollout_guide::hear_other_order(
+    const rollout& ours, const told_rollout& told, time_point now) -> void
+{
+    const auto began = now - told.elapsed;
+    if (told.state == rollout_state::running && began > ours.began + order_distance) {
+        this->order({told.service, told.target, told.allowed}, began);
+    }
+    else if (told.is_written && ours.state == rollout_state::running && began < ours.began) {
+        // How the one before it ended: this entry may not have read it before the next order.
+        this->note_end(told.service, told.target, told.state);
     }
 }
 
@@ -104,17 +140,20 @@
 {
     std::vector<told_rollout> all;
     for (const auto& [service, one] : this->rollouts) {
-        if (one.written && *one.written != rollout_state::running) {
-            continue;
-        }
         told_rollout told{
             service,
             one.order.target,
             one.order.allowed,
             this->elapsed(one, now),
-            this->own_old_under_way(one),
+            this->own_left_on_old(one, now),
             {},
+            one.state,
+            one.written == one.state,
             this->sessions_to_tell(one, now)};
+        if (told.is_written && told.state != rollout_state::running) {
+            all.push_back(std::move(told)); // What has been seen decides nothing any more.
+            continue;
+        }
         for (const auto& [route, evidence] : one.evidence) {
             told.evidence[route] = evidence.ours.log_wealth();
         }
@@ -132,7 +171,7 @@
             {{service, one.order.target, one.state},
              share_at(this->settings.schedule, passed, one.order.allowed),
              passed,
-             this->old_under_way(one, now)});
+             this->left_on_old(one, now)});
     }
     return all;
 }
@@ -176,17 +215,21 @@
     const auto& target = one.order.target;
     if (one.state == rollout_state::running && this->is_worse(one)) {
         one.state = rollout_state::reverted;
+        this->note_end(service, target, one.state);
         common::log(
             common::log_part::rollout,
             common::log_level::warning,
             "worse service=" + service.value() + " target=" + target.value() +
                 " elapsed_ms=" + std::to_string(this->elapsed(one, now).count()));
     }
-    if (one.state == rollout_state::reverted) {
-        return {std::nullopt, target};
-    }
+    const auto& history = this->histories[service];
     if (one.state == rollout_state::complete) {
-        return {target, std::nullopt};
+        return {target, history.reverted};
+    }
+    version_rule stays{history.current, history.reverted};
+    stays.barred.insert(target);
+    if (one.state == rollout_state::reverted) {
+        return stays;
     }
     const auto passed = this->elapsed(one, now);
     const auto share = share_at(this->settings.schedule, passed, one.order.allowed);
@@ -197,7 +240,20 @@
     else if (!this->may_move(one, now)) {
         goes_new = goes_new && !this->sessions.is_old_elsewhere(service, session, now);
     }
-    return goes_new ? version_rule{target, std::nullopt} : version_rule{std::nullopt, target};
+    return goes_new ? version_rule{target, history.reverted} : stays;
+}
+
+auto rollout_guide::note_end(
+    const common::service_name& service, const common::version_id& target, rollout_state state)
+    -> void
+{
+    auto& history = this->histories[service];
+    if (state == rollout_state::complete) {
+        history.current = target;
+    }
+    else if (state == rollout_state::reverted) {
+        history.reverted.insert(target);
+    }
 }
 
 auto rollout_guide::note_sent(
@@ -264,7 +320,8 @@
     const common::service_name& service,
     const common::version_id& version,
     const route_name& route,
-    std::chrono::milliseconds took) -> void
+    std::chrono::milliseconds took,
+    time_point now) -> void
 {
     auto* one = this->running(service);
     if (one == nullptr) {
@@ -274,16 +331,46 @@
     const auto ms = static_cast<double>(took.count());
     const bool is_slow = evidence.old_first_event_ms > 0.0 &&
                          ms > evidence.old_first_event_ms * this->settings.slow_factor;
+    this->add_slow(*one, evidence, version, is_slow, now);
     if (version == one->order.target) {
-        evidence.ours.add_new(policy::signal::slow, is_slow ? 1.0 : 0.0);
         return;
     }
-    evidence.ours.add_old(policy::signal::slow, is_slow ? 1.0 : 0.0);
     constexpr double memory = 0.1;
     auto& mean = evidence.old_first_event_ms;
     mean = mean == 0.0 ? ms : mean + memory * (ms - mean);
 }
 
+auto rollout_guide::note_stall(
+    const common::service_name& service,
+    const common::version_id& version,
+    const route_name& route,
+    time_point now) -> void
+{
+    if (auto* one = this->running(service)) {
+        this->add_slow(*one, this->evidence_of(*one, route), version, true, now);
+    }
+}
+
+auto rollout_guide::add_slow(
+    rollout& one,
+    route_evidence& evidence,
+    const common::version_id& version,
+    bool is_slow,
+    time_point now) const -> void
+{
+    const double value = is_slow ? 1.0 : 0.0;
+    if (version != one.order.target) {
+        evidence.ours.add_old(policy::signal::slow, value);
+        return;
+    }
+    // With all sessions on the new version there is nothing to compare with: what was measured of
+    // the old one belongs to another load, and a burst of callers would look like a slow version.
+    const auto share = share_at(this->settings.schedule, this->elapsed(one, now), one.order.allowed);
+    if (share < 1.0) {
+        evidence.ours.add_new(policy::signal::slow, value);
+    }
+}
+
 auto rollout_guide::is_worse(const rollout& one) const -> bool
 {
     std::map<route_name, policy::wealth> sums;
@@ -310,21 +397,23 @@
     return policy::judge(total, this->settings.guard, doubt).decision == policy::verdict::worse;
 }
 
-auto rollout_guide::own_old_under_way(const rollout& one) const -> unsigned
+auto rollout_guide::own_left_on_old(const rollout& one, time_point now) const -> unsigned
 {
-    unsigned count = 0;
+    const auto& order = one.order;
+    auto count = static_cast<unsigned>(
+        this->sessions.count_on_other_versions(order.service, order.target, now));
     for (const auto& [key, requests] : this->under_way) {
-        const bool is_old = key.first == one.order.service && key.second != one.order.target;
+        const bool is_old = key.first == order.service && key.second != order.target;
         count += is_old ? requests : 0;
     }
     return count;
 }
 
-auto rollout_guide::old_under_way(const rollout& one, time_point now) const -> unsigned
+auto rollout_guide::left_on_old(const rollout& one, time_point now) const -> unsigned
 {
-    auto count = this->own_old_under_way(one);
+    auto count = this->own_left_on_old(one, now);
     for (const auto& [peer, words] : one.peers) {
-        count += now - words.heard < peer_silence ? words.old_under_way : 0;
+        count += now - words.heard < peer_silence ? words.left_on_old : 0;
     }
     return count;
 }
@@ -338,7 +427,7 @@
         const auto part =
             passed / std::max<double>(1.0, static_cast<double>(one.order.allowed.count()));
         const auto& schedule = this->settings.schedule;
-        const bool is_moved = part >= schedule.full_at && this->old_under_way(one, now) == 0;
+        const bool is_moved = part >= schedule.full_at && this->left_on_old(one, now) == 0;
         if (state == rollout_state::running && this->is_worse(one)) {
             state = rollout_state::reverted;
         }
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -20,8 +20,13 @@
 struct version_rule {
     /// Only this one, if it has servers.
     std::optional<common::version_id> preferred;
-    /// Never this one.
-    std::optional<common::version_id> barred;
+    /// Never these.
+    std::set<common::version_id> barred;
+
+    [[nodiscard]] auto bars(const common::version_id& version) const -> bool
+    {
+        return this->barred.contains(version);
+    }
 };
 
 /// Leaves the servers that the rule allows. Those of the preferred version, if there are any.
@@ -49,10 +54,13 @@
     /// Time that the order allows, and how much of it has passed.
     std::chrono::milliseconds allowed{0};
     std::chrono::milliseconds elapsed{0};
-    /// Requests under way at other versions.
-    unsigned old_under_way = 0;
+    /// Requests under way at other versions, and sessions that last there.
+    unsigned left_on_old = 0;
     /// By route, the logarithms of the guard's bets.
     std::map<route_name, policy::wealth> evidence;
+    rollout_state state = rollout_state::running;
+    /// The store has this state.
+    bool is_written = false;
     /// Sessions of the first share that this entry keeps on another version; in the first half.
     std::vector<told_session> old_sessions;
 };
@@ -62,7 +70,7 @@
     rollout_status status;
     double share = 0.0;
     std::chrono::milliseconds elapsed{0};
-    unsigned old_under_way = 0;
+    unsigned left_on_old = 0;
 };
 
 /// Moves services' traffic between versions: who goes to the new version, what its answers say of
@@ -108,7 +116,15 @@
         const common::service_name& service,
         const common::version_id& version,
         const route_name& route,
-        std::chrono::milliseconds took) -> void;
+        std::chrono::milliseconds took,
+        time_point now) -> void;
+
+    /// A request was taken elsewhere because its server was silent: as slow as can be.
+    auto note_stall(
+        const common::service_name& service,
+        const common::version_id& version,
+        const route_name& route,
+        time_point now) -> void;
 
     /// A send that `note_sent` told of has ended.
     auto note_ended(
@@ -129,7 +145,7 @@
 
     struct peer_words {
         time_point heard;
-        unsigned old_under_way = 0;
+        unsigned left_on_old = 0;
         std::map<route_name, policy::wealth> evidence;
     };
 
@@ -143,14 +159,38 @@
         std::map<common::host_id, peer_words> peers;
     };
 
+    /// What ended roll-outs have left of a service. Servers of a version that has been replaced or
+    /// reverted are listed for a second or more after that, and would get work again as soon as
+    /// the next order takes the place of the one that kept them out.
+    struct service_history {
+        /// The version that the newest complete roll-out brought in.
+        std::optional<common::version_id> current;
+        std::set<common::version_id> reverted;
+    };
+
+    auto hear_other_order(const rollout& ours, const told_rollout& told, time_point now) -> void;
+    auto infer_end(const rollout& one, time_point now) -> void;
+    auto note_end(
+        const common::service_name& service,
+        const common::version_id& target,
+        rollout_state state) -> void;
     [[nodiscard]] auto is_worse(const rollout& one) const -> bool;
-    /// Requests under way at other versions, from this entry, and over all entries.
-    [[nodiscard]] auto own_old_under_way(const rollout& one) const -> unsigned;
-    [[nodiscard]] auto old_under_way(const rollout& one, time_point now) const -> unsigned;
+    /// What is left on other versions, from this entry, and over all entries: requests under way,
+    /// and sessions that last. Once a roll-out is complete its old servers stop, so that a session
+    /// that still lasts there would change its version when it comes back, maybe in the first half
+    /// of the next roll-out.
+    [[nodiscard]] auto own_left_on_old(const rollout& one, time_point now) const -> unsigned;
+    [[nodiscard]] auto left_on_old(const rollout& one, time_point now) const -> unsigned;
     [[nodiscard]] auto elapsed(const rollout& one, time_point now) const
         -> std::chrono::milliseconds;
     auto evidence_of(rollout& one, const route_name& route) -> route_evidence&;
     auto running(const common::service_name& service) -> rollout*;
+    auto add_slow(
+        rollout& one,
+        route_evidence& evidence,
+        const common::version_id& version,
+        bool is_slow,
+        time_point now) const -> void;
     /// Whether the roll-out's share has grown: from then on sessions may change their version.
     [[nodiscard]] auto may_move(const rollout& one, time_point now) const -> bool;
     [[nodiscard]] auto sessions_to_tell(const rollout& one, time_point now) const
@@ -158,6 +198,7 @@
 
     rollout_options settings;
     std::map<common::service_name, rollout> rollouts;
+    std::map<common::service_name, service_history> histories;
     /// States that were read before their order.
     std::map<common::service_name, rollout_status> early;
     session_book sessions;
--- a/source/core/routing/server_health.hpp
+++ b/source/core/routing/server_health.hpp
@@ -14,6 +14,8 @@
     good,
     /// It said that it has no room.
     refused,
+    /// It was silent for so long that the request was taken elsewhere.
+    stalled,
     /// Its answer was a failure, broken, late or missing.
     failed,
     /// No connection, or silence: nothing is to be had there.
--- a/source/core/routing/session_book.cpp
+++ b/source/core/routing/session_book.cpp
@@ -64,6 +64,17 @@
     return told;
 }
 
+auto session_book::count_on_other_versions(
+    const common::service_name& service, const common::version_id& target, time_point now) const
+    -> std::size_t
+{
+    const auto lasts_elsewhere = [&](const auto& item) {
+        const auto& [key, use] = item;
+        return key.first == service && use.version != target && use.lasts(now);
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(this->sessions, lasts_elsewhere));
+}
+
 auto session_book::hear(
     const common::service_name& service, const std::vector<told_session>& told, time_point now)
     -> void
--- a/source/core/routing/session_book.hpp
+++ b/source/core/routing/session_book.hpp
@@ -60,6 +60,12 @@
         std::size_t most,
         time_point now) const -> std::vector<told_session>;
 
+    /// How many sessions of the service last on other versions than `target`.
+    [[nodiscard]] auto count_on_other_versions(
+        const common::service_name& service,
+        const common::version_id& target,
+        time_point now) const -> std::size_t;
+
     /// A peer keeps these sessions on an old version.
     auto
     hear(const common::service_name& service, const std::vector<told_session>& told, time_point now)
--- a/source/router/state_page.cpp
+++ b/source/router/state_page.cpp
@@ -34,7 +34,7 @@
         {"state", std::string{to_string(one.status.state)}},
         {"share", one.share},
         {"elapsed_ms", one.elapsed.count()},
-        {"old_under_way", one.old_under_way}};
+        {"left_on_old", one.left_on_old}};
 }
 
 } // namespace
--- a/source/unit_tests/router/followers_test.cpp
+++ b/source/unit_tests/router/followers_test.cpp
@@ -190,7 +190,7 @@
     CHECK(store.writes.empty());
     writer->tick();
     CHECK(store.outcomes.empty());
-    CHECK(all.core->rollouts.rule_for(engines, 1, all.now).barred == target);
+    CHECK(all.core->rollouts.rule_for(engines, 1, all.now).bars(target));
 }
 
 TEST_CASE("a write whose answer is lost is not repeated blindly", "[followers]")
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -20,9 +20,11 @@
     rollout.target = common::version_id{"v2"};
     rollout.allowed = std::chrono::seconds{20};
     rollout.elapsed = std::chrono::seconds{3};
-    rollout.old_under_way = 4;
+    rollout.left_on_old = 4;
     rollout.evidence[routing::route_name{"drafts"}] = policy::wealth(policy::wealth_size, 0.5);
     rollout.old_sessions = {{5, std::chrono::milliseconds{1200}}};
+    rollout.state = routing::rollout_state::reverted;
+    rollout.is_written = true;
     words.rollouts = {rollout};
     words.peers = {"10.0.0.2:7000"};
     words.leaving = {77};
@@ -47,6 +49,8 @@
     REQUIRE(read->rollouts[0].old_sessions.size() == 1);
     CHECK(read->rollouts[0].old_sessions[0].session == 5);
     CHECK(read->rollouts[0].old_sessions[0].left == std::chrono::milliseconds{1200});
+    CHECK(read->rollouts[0].state == routing::rollout_state::reverted);
+    CHECK(read->rollouts[0].is_written);
     CHECK(read->peers == words.peers);
     CHECK(read->leaving == words.leaving);
 }
--- a/source/unit_tests/routing/rollout_guide_test.cpp
+++ b/source/unit_tests/routing/rollout_guide_test.cpp
@@ -34,7 +34,7 @@
 
     auto bars_new(time_point now) -> bool
     {
-        return this->guide.rule_for(engines, early_session, now).barred == new_version;
+        return this->guide.rule_for(engines, early_session, now).bars(new_version);
     }
 
     auto see(const common::version_id& version, const route_name& route, bool good, int times)
@@ -136,10 +136,44 @@
 {
     entry one;
     for (int i = 0; i < 60; ++i) {
-        one.guide.note_first_event(engines, old_version, drafts, milliseconds{100});
+        one.guide.note_first_event(engines, old_version, drafts, milliseconds{100}, start);
     }
     for (int i = 0; i < 30; ++i) {
-        one.guide.note_first_event(engines, new_version, drafts, milliseconds{800});
+        one.guide.note_first_event(
+            engines, new_version, drafts, milliseconds{800}, start + seconds{4});
+    }
+    CHECK(one.bars_new(start + seconds{4}));
+}
+
+TEST_CASE("a burst after all sessions have moved does not make a version look slow", "[rollout]")
+{
+    // The old version was measured in calm seconds. Then all sessions are on the new one, callers
+    // come in a burst, and their first events take eight times as long. The roll-out of a good
+    // version was reverted for that.
+    entry one;
+    for (int i = 0; i < 60; ++i) {
+        one.guide.note_first_event(engines, old_version, drafts, milliseconds{100}, start);
+    }
+    const auto moved = start + seconds{14};
+    for (int i = 0; i < 30; ++i) {
+        one.guide.note_first_event(engines, new_version, drafts, milliseconds{800}, moved);
+        one.guide.note_stall(engines, new_version, drafts, moved);
+    }
+    CHECK_FALSE(one.bars_new(moved));
+    // What fails then still counts.
+    one.see(old_version, drafts, true, 60);
+    one.see(new_version, drafts, false, 20);
+    CHECK(one.bars_new(moved));
+}
+
+TEST_CASE("a version that falls silent is reverted", "[rollout]")
+{
+    entry one;
+    for (int i = 0; i < 60; ++i) {
+        one.guide.note_first_event(engines, old_version, drafts, milliseconds{100}, start);
+    }
+    for (int i = 0; i < 20; ++i) {
+        one.guide.note_stall(engines, new_version, drafts, start + seconds{4});
     }
     CHECK(one.bars_new(start + seconds{4}));
 }
@@ -171,9 +205,14 @@
     one.guide.hear(common::host_id{"b"}, other.guide.tell(moved), moved);
     CHECK(one.goes_new(late_session, moved));
     CHECK_FALSE(one.due_state(moved));
-    other.guide.note_ended(engines, 7, old_version, moved);
+    // A session that was just served there would come back to servers that are gone, and change
+    // its version then. So its time has to pass, too.
+    other.guide.note_ended(engines, 7, old_version, moved - seconds{3});
     one.guide.hear(common::host_id{"b"}, other.guide.tell(moved), moved);
-    CHECK(one.due_state(moved) == rollout_state::complete);
+    CHECK_FALSE(one.due_state(moved));
+    const auto lapsed = moved + milliseconds{2100};
+    one.guide.hear(common::host_id{"b"}, other.guide.tell(lapsed), lapsed);
+    CHECK(one.due_state(lapsed) == rollout_state::complete);
 }
 
 TEST_CASE("a stream that never ends does not hold the roll-out up for ever", "[rollout]")
@@ -199,13 +238,74 @@
     CHECK(fresh.rule_for(engines, late_session, start).preferred == new_version);
 }
 
+TEST_CASE("what a roll-out has replaced stays out when the next one is ordered", "[rollout]")
+{
+    // The second version has replaced the first, and a third one is ordered at once. The list still
+    // shows the first one's servers, which are being stopped: sessions on the second version were
+    // sent there, and lost their answers.
+    const common::version_id third_version{"v3"};
+    entry one;
+    one.learn(rollout_state::complete);
+    const auto ordered = start + seconds{17};
+    one.guide.order({engines, third_version, allowed}, ordered);
+    const auto rule = one.guide.rule_for(engines, late_session, ordered);
+    CHECK(rule.preferred == new_version);
+    CHECK(rule.bars(third_version));
+    // An entry that starts anew reads of the end before it reads the order.
+    rollout_guide fresh{rollout_options{}};
+    fresh.learn({engines, new_version, rollout_state::complete});
+    fresh.order({engines, third_version, allowed}, ordered);
+    CHECK(fresh.rule_for(engines, late_session, ordered).preferred == new_version);
+}
+
+TEST_CASE("an entry learns from a peer how a roll-out ended", "[rollout]")
+{
+    // Another entry wrote the end; this one has not read it when the next order comes, a tenth of a
+    // second later, and sent sessions back to servers that were being stopped.
+    const common::version_id third_version{"v3"};
+    const auto ended = start + seconds{16};
+    entry writer;
+    writer.learn(rollout_state::complete);
+    entry other;
+    other.guide.hear(common::host_id{"a"}, writer.guide.tell(ended), ended);
+    CHECK_FALSE(other.due_state(ended));
+    other.guide.order({engines, third_version, allowed}, ended);
+    CHECK(other.guide.rule_for(engines, late_session, ended).preferred == new_version);
+    // One that has heard nothing still does not go back behind what all sessions were on.
+    entry alone;
+    alone.guide.order({engines, third_version, allowed}, ended);
+    CHECK(alone.guide.rule_for(engines, late_session, ended).preferred == new_version);
+    // An entry that the store turns away takes the next order from its peers.
+    entry turned_away;
+    turned_away.learn(rollout_state::complete);
+    const auto later = ended + seconds{2};
+    turned_away.guide.hear(common::host_id{"b"}, other.guide.tell(later), later);
+    CHECK(turned_away.guide.rule_for(engines, late_session, later).bars(third_version));
+}
+
+TEST_CASE("a reverted version stays out when the next one is ordered", "[rollout]")
+{
+    // A bad version's servers go on for some seconds after it was reverted. Another order must not
+    // let them in again; an order of that same version does.
+    const common::version_id third_version{"v3"};
+    entry one;
+    one.learn(rollout_state::reverted);
+    const auto ordered = start + seconds{17};
+    one.guide.order({engines, third_version, allowed}, ordered);
+    one.guide.learn({engines, third_version, rollout_state::running});
+    CHECK(one.guide.rule_for(engines, late_session, ordered).bars(new_version));
+    one.guide.order({engines, new_version, allowed}, ordered + seconds{20});
+    const auto again = ordered + seconds{30};
+    CHECK_FALSE(one.guide.rule_for(engines, early_session, again).bars(new_version));
+}
+
 TEST_CASE("an entry that starts late takes its peers' beginning", "[rollout]")
 {
     entry early;
     rollout_guide late{rollout_options{}};
     const auto now = start + seconds{15};
     late.order({engines, new_version, allowed}, now);
-    CHECK(late.rule_for(engines, late_session, now).barred == new_version);
+    CHECK(late.rule_for(engines, late_session, now).bars(new_version));
     late.hear(common::host_id{"a"}, early.guide.tell(now), now);
     CHECK(late.rule_for(engines, late_session, now).preferred == new_version);
 }
@@ -215,9 +315,9 @@
     registration server;
     server.version = old_version;
     std::vector<const registration*> usable{&server};
-    keep_allowed(usable, {new_version, std::nullopt});
+    keep_allowed(usable, {new_version, {}});
     CHECK(usable.size() == 1);
-    keep_allowed(usable, {std::nullopt, old_version});
+    keep_allowed(usable, {std::nullopt, {old_version}});
     CHECK(usable.empty());
 }
 
