Leave a silent server only with a second send in hand

Ruled out: servers that had died (the log shows them serving others). Change: a silent server is left only when a second send may be made; larger models leave 8 second sends to requests that lose their server.

--- a/source/core/placement/retry_budget.cpp
+++ b/source/core/placement/retry_budget.cpp
@@ -23,10 +23,10 @@
         std::min(this->saved + this->settings.retries_per_first_try, this->settings.most_saved);
 }
 
-auto retry_budget::take_retry() -> bool
+auto retry_budget::take_retry(double reserve) -> bool
 {
     const std::lock_guard guard(this->lock);
-    if (this->saved < 1.0) {
+    if (this->saved < 1.0 + reserve) {
         return false;
     }
     this->saved -= 1.0;
--- a/source/core/placement/retry_budget.hpp
+++ b/source/core/placement/retry_budget.hpp
@@ -25,8 +25,9 @@
 
     auto note_first_try() -> void;
 
-    /// True if one more try may be made now; it is then counted.
-    [[nodiscard]] auto take_retry() -> bool;
+    /// True if one more try may be made now; it is then counted. A try that is a matter of choice
+    /// leaves `reserve` tries to those without which a request fails.
+    [[nodiscard]] auto take_retry(double reserve = 0.0) -> bool;
 
 private:
     retry_budget_settings settings;
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -323,7 +323,8 @@
                 return;
             }
             const bool is_silent = self->core->hooks.clock() - of->last_progress >= limit;
-            if (!is_silent || !self->may_send_again()) {
+            // Without a second send the server is all there is: it may be slow, and not dead.
+            if (!is_silent || !self->may_send_again() || !self->retries().take_retry()) {
                 self->watch_for_stall(of);
                 return;
             }
@@ -337,7 +338,8 @@
                 of,
                 has_begun ? attempt_end::ran : attempt_end::unknown_in_queue,
                 server_outcome::stalled);
-            self->try_again(result_code::stream_broken);
+            self->core->counters.resumed.add(self->is_streaming ? 1 : 0);
+            self->send_next();
         });
 }
 
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -17,6 +17,11 @@
 
 constexpr std::uint16_t misdirected = 421;
 
+/// Second sends that larger models leave in the budget: about those that one server's loss asks for.
+/// After all callers of a killed entry came back at once, larger models took the budget, and
+/// streams that stalled then could not go on elsewhere.
+constexpr double retries_for_lost = 8.0;
+
 auto is_success(std::uint16_t status) -> bool
 {
     return status >= 200 && status < 300; // NOLINT(readability-magic-numbers): the 2xx class
@@ -106,7 +111,7 @@
             " request=" + this->request.caller.attempt + " model=" + this->model + " confidence=" +
             std::to_string(confidence) + " asked=" + std::to_string(static_cast<int>(asked)));
     // A second model draws on the budget of second sends as any other send does.
-    if (accepted || !may_ask || !this->retries().take_retry()) {
+    if (accepted || !may_ask || !this->retries().take_retry(retries_for_lost)) {
         return false;
     }
     this->leave(of, attempt_end::ran, server_outcome::good);
--- a/source/unit_tests/router/relay_test.cpp
+++ b/source/unit_tests/router/relay_test.cpp
@@ -211,6 +211,39 @@
     CHECK(out->events == event(0));
 }
 
+TEST_CASE("a silent stream stays where it is while no second send may be made", "[relay]")
+{
+    // All callers of a killed entry come back at once, the servers are busy with their prompts, and
+    // first events take longer than usual. With its budget of second sends used up, the entry
+    // dropped streams that were about to begin, and told their callers that they were broken.
+    world all;
+    all.core->change_retries({.retries_per_first_try = 0.0, .most_saved = 0.0});
+    const auto out = all.ask(stream);
+    all.advance(seconds{3});
+    CHECK(all.sends() == 1);
+    CHECK(out->status() == 0);
+    CHECK_FALSE(all.last().is_cancelled);
+    all.last().head(200, {{"Reedramp-Confidence", "90"}});
+    all.last().chunk(event(0));
+    all.last().end();
+    CHECK(out->events == event(0));
+    CHECK(out->is_finished);
+}
+
+TEST_CASE("larger models leave second sends to requests that lose their server", "[relay]")
+{
+    world all;
+    all.core->change_retries({.retries_per_first_try = 0.0, .most_saved = 9.0});
+    const auto first = all.ask(stream);
+    all.last().head(200, {{"Reedramp-Confidence", "10"}});
+    CHECK(all.sends() == 2);
+    const auto second = all.ask(stream);
+    all.last().head(200, {{"Reedramp-Confidence", "10"}});
+    CHECK(all.sends() == 3);
+    all.last().lose(execution::unknown);
+    CHECK(all.sends() == 4);
+}
+
 TEST_CASE("an unsure small model's answer is dropped before the caller has any of it", "[relay]")
 {
     world all;
