--- a/source/core/router/rules_follower.cpp
+++ b/source/core/router/rules_follower.cpp
@@ -9,6 +9,12 @@
 using common::log_level;
 using common::log_part;
 
+namespace {
+
+constexpr std::chrono::milliseconds at_once{0};
+
+} // namespace
+
 auto pause_after_failure(const router_core& core, const follower_options& options)
     -> std::chrono::milliseconds
 {
@@ -43,17 +49,29 @@
             for (const auto& status : reading->documents) {
                 self->core->rollouts.learn(status);
             }
-            self->read_next();
+            self->read_next(self->options.rules_wait);
         });
 }
 
-auto rules_follower::read_next() -> void
+auto rules_follower::refresh() -> void
+{
+    // Before the first reading there is nothing to read on from, and that one is under way.
+    if (this->newest > 0) {
+        this->read_next(at_once);
+    }
+}
+
+auto rules_follower::read_next(std::chrono::milliseconds wait) -> void
 {
+    this->newest += 1;
     this->store.read_rules(
         this->position,
-        this->options.rules_wait,
-        [self = this->shared_from_this()](common::result<stream_reading<rules_document>> reading) {
-            self->on_reading(std::move(reading));
+        wait,
+        [self = this->shared_from_this(),
+         number = this->newest](common::result<stream_reading<rules_document>> reading) {
+            if (number == self->newest) {
+                self->on_reading(std::move(reading));
+            }
         });
 }
 
@@ -70,7 +88,13 @@
         }
         this->core->hooks.timer(
             now + pause_after_failure(*this->core, this->options),
-            [self = this->shared_from_this()] { self->read_next(); });
+            [self = this->shared_from_this(), number = this->newest] {
+                // Not waiting: while the store is away, a call that waits looks like one that is
+                // lost, and the next one would come seconds after the store.
+                if (number == self->newest) {
+                    self->read_next(at_once);
+                }
+            });
         return;
     }
     if (std::exchange(this->is_lost, false)) {
@@ -86,7 +110,7 @@
         }
     }
     this->position = reading->end;
-    this->read_next();
+    this->read_next(this->options.rules_wait);
 }
 
 } // namespace reedramp::router
--- a/source/core/router/rules_follower.hpp
+++ b/source/core/router/rules_follower.hpp
@@ -36,9 +36,15 @@
 
     auto start() -> void;
 
+    /// The store answers again after it was away: reads at once. A reading that was sent meanwhile
+    /// may wait on a connection that gives nothing any more, for all of `rules_wait`, while another
+    /// connection works; an entry kept the rules of 11 seconds ago that way.
+    auto refresh() -> void;
+
 private:
     auto read_outcomes() -> void;
-    auto read_next() -> void;
+    /// Reads what is new, and waits for it up to `wait`.
+    auto read_next(std::chrono::milliseconds wait) -> void;
     auto on_reading(common::result<stream_reading<rules_document>> reading) -> void;
 
     std::shared_ptr<router_core> core;
@@ -47,6 +53,8 @@
     std::optional<stream_position> position;
 
     bool is_lost = false;
+    /// Number of the newest reading; what older ones bring is read again by it.
+    std::uint64_t newest = 0;
 };
 
 } // namespace reedramp::router
--- a/source/core/router/servers_follower.cpp
+++ b/source/core/router/servers_follower.cpp
@@ -13,8 +13,10 @@
 servers_follower::servers_follower(
     std::shared_ptr<router_core> core_to_feed,
     shared_store store_to_read,
-    follower_options options_to_use)
-    : core(std::move(core_to_feed)), store(std::move(store_to_read)), options(options_to_use)
+    follower_options options_to_use,
+    std::function<auto()->void> store_regained)
+    : core(std::move(core_to_feed)), store(std::move(store_to_read)), options(options_to_use),
+      on_regained(std::move(store_regained))
 {
 }
 
@@ -54,6 +56,9 @@
             self->end_lapsed(self->core->hooks.clock());
         });
         common::log(log_part::members, log_level::info, "store regained");
+        if (this->on_regained) {
+            this->on_regained();
+        }
     }
     this->apply(*found, now);
     this->position = found->end;
--- a/source/core/router/servers_follower.hpp
+++ b/source/core/router/servers_follower.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -15,8 +16,12 @@
 /// in a reading soon after a failed one is therefore kept for the time in which it would be back.
 class servers_follower : public std::enable_shared_from_this<servers_follower> {
 public:
+    /// `on_regained` runs when the store answers again after a failed reading; may be empty.
     servers_follower(
-        std::shared_ptr<router_core> core, shared_store store, follower_options options);
+        std::shared_ptr<router_core> core,
+        shared_store store,
+        follower_options options,
+        std::function<auto()->void> on_regained = {});
 
     auto start() -> void { this->read_next(); }
 
@@ -34,6 +39,7 @@
     std::shared_ptr<router_core> core;
     shared_store store;
     follower_options options;
+    std::function<auto()->void> on_regained;
     std::optional<stream_position> position;
     /// Registrations that ended before this time are kept until then.
     time_point grace_until{};
--- a/source/unit_tests/router/followers_test.cpp
+++ b/source/unit_tests/router/followers_test.cpp
@@ -125,6 +125,38 @@
     CHECK(held_store::take(store.rules).first == stream_position{4});
 }
 
+TEST_CASE("rules are read at once when the store answers again", "[followers]")
+{
+    // The store falls silent for some seconds. The reading that waits there is lost with its
+    // connection, and the next one is sent into the silence and never answered. The servers' list,
+    // read each second on connections of its own, shows that the store is back; the rules that
+    // came in the outage have to be in force two seconds later.
+    world all;
+    held_store store;
+    const auto rules =
+        std::make_shared<rules_follower>(all.core, store.hooks(), follower_options{});
+    std::make_shared<servers_follower>(
+        all.core, store.hooks(), follower_options{}, [rules] { rules->refresh(); })
+        ->start();
+    rules->refresh(); // Before the first reading there is nothing to do.
+    CHECK(store.rules.empty());
+    rules->start();
+    held_store::take(store.outcomes)(reading<routing::rollout_status>({}, 0, true));
+    held_store::take(store.rules).second(reading<rules_document>({rules_of(2)}, 4, true));
+    auto lost = held_store::take(store.rules);
+    held_store::take(store.servers)
+        .second(fails<routing::registration_change>(result_code::log_unavailable));
+    all.advance(seconds{1});
+    held_store::take(store.servers)
+        .second(reading<routing::registration_change>({registration_of("a")}, 1, false));
+    held_store::take(store.rules).second(reading<rules_document>({rules_of(6)}, 5, false));
+    CHECK(all.core->rules()->version() == 6);
+    // The lost one ends at last, and starts no second chain of readings.
+    lost.second(fails<rules_document>(result_code::log_unavailable));
+    all.advance(seconds{1});
+    CHECK(store.rules.size() == 1);
+}
+
 TEST_CASE("registrations that lapsed in an outage are given time to come back", "[followers]")
 {
     // The store is away for longer than registrations live. When it is back, its log says that all
