Learn servers' paces against the middle server, and believe none to be far faster

Ruled out: affinity (the prompts differed), peers' loads (own sends alone). Change: slowness is measured against the middle server, not the mean, and none counts as faster than 0.7 of it. The time that work takes is learned as well, by sums, for the next changes.

--- a/source/core/routing/pace_book.hpp
+++ b/source/core/routing/pace_book.hpp
@@ -17,9 +17,13 @@
     /// A server's first answer came after `took`, with `work` to do before it.
     auto note(const common::server_id& server, std::chrono::milliseconds took, double work) -> void;
 
-    /// Time for the same work against the mean of all servers; 1 for an unknown one.
+    /// Time for the same work against that of the middle one of all servers; 1 for an unknown one.
     [[nodiscard]] auto slowness(const common::server_id& server) const -> double;
 
+    /// Time that `work` takes at a server of mean pace, the work before it included. Zero before the
+    /// first sample.
+    [[nodiscard]] auto expected(double work) const -> std::chrono::milliseconds;
+
     auto forget(const common::server_id& server) -> void { this->servers.erase(server); }
 
 private:
@@ -28,10 +32,17 @@
         unsigned samples = 0;
     };
 
+    auto find_usual() -> void;
     static auto add_sample(record& to, double sample, double weight_of_newest) -> void;
 
     std::unordered_map<common::server_id, record> servers;
-    record all;
+    /// The middle one's time for a unit of work. Not the mean: one server that is ten times as slow
+    /// would make all others look fast.
+    double usual = 0.0;
+    /// Sums over all samples, newest weighted most. Their ratio holds for long work too, while a
+    /// mean of the samples follows the many short requests.
+    double time_sum = 0.0;
+    double work_sum = 0.0;
 };
 
 } // namespace reedramp::routing
--- a/source/unit_tests/routing/servers_test.cpp
+++ b/source/unit_tests/routing/servers_test.cpp
@@ -242,4 +242,41 @@
     CHECK(all.paces.slowness(common::server_id{"new"}) == 1.0);
 }
 
+TEST_CASE("a server that was idle when it was asked does not draw all work", "[pace_book]")
+{
+    // One server answered some requests at a tenth of the others' time: it was idle, and held the
+    // prompts. Taken for ten times as fast, it got forty requests within a second, which then
+    // waited for two, and the next server that was left alone meanwhile got the next forty.
+    fleet all;
+    for (int i = 0; i < 40; ++i) {
+        all.paces.note(common::server_id{"a"}, milliseconds{10}, 500.0);
+        all.paces.note(common::server_id{"b"}, milliseconds{100}, 500.0);
+        all.paces.note(common::server_id{"c"}, milliseconds{100}, 500.0);
+    }
+    std::map<std::string, int> sent;
+    constexpr double work = 1000.0;
+    for (int i = 0; i < 30; ++i) {
+        const auto server = all.choose(wish());
+        sent[server] += 1;
+        all.loads.begin(common::server_id{server}, work);
+    }
+    CHECK(sent["a"] <= 2 * sent["b"]);
+    CHECK(sent["a"] > sent["b"]);
+}
+
+TEST_CASE("what long work takes is not told by many short requests", "[pace_book]")
+{
+    // Short requests take more time for their work than long ones: each costs a step of the engine.
+    pace_book paces;
+    CHECK(paces.expected(1000.0) == milliseconds{0});
+    for (int i = 0; i < 400; ++i) {
+        paces.note(common::server_id{"a"}, milliseconds{30}, 0.0);
+        if (i % 4 == 0) {
+            paces.note(common::server_id{"a"}, milliseconds{400}, 19500.0);
+        }
+    }
+    CHECK(paces.expected(39500.0) > milliseconds{700});
+    CHECK(paces.expected(39500.0) < milliseconds{1200});
+}
+
 } // namespace reedramp::routing
