Give a long prompt the time that it takes before it counts as stalled

Cause: a draft of 50,000 tokens takes the largest model 2 to 3 s to read; a stream counted as stalled after five times its route's mean first event, most of them short ones at the smallest model, and 0.7 s. Ruled out: silent servers (they served others meanwhile). Change: the limit is also three times what such work, with what is ahead of it, takes at the service's servers.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -309,10 +309,12 @@
     }
     const auto patience = std::chrono::duration_cast<common::duration>(
         pause * this->core->options.stalled_after_pauses);
+    const auto usual = this->core->paces[this->service].expected(of->work_ahead);
     const auto limit =
-        of->has_events ? patience
-                       : std::max<common::duration>(
-                             patience, this->core->first_event_limit(this->request.route->name));
+        of->has_events
+            ? patience
+            : std::max<common::duration>(
+                  patience, this->core->first_event_limit(this->request.route->name, usual));
     const auto now = this->core->hooks.clock();
     // A stream that stalls and may not be sent again is looked at once more after a whole limit.
     const bool is_overdue = now - of->last_progress >= limit;
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -142,13 +142,18 @@
     mean->second += memory * (ms - mean->second);
 }
 
-auto router_core::first_event_limit(const routing::route_name& route) const
+auto router_core::first_event_limit(
+    const routing::route_name& route, std::chrono::milliseconds usual) const
     -> std::chrono::milliseconds
 {
     const auto mean = this->first_event_ms.find(route);
-    const auto usual = mean == this->first_event_ms.end() ? 0.0 : mean->second;
-    return this->options.first_event_patience + std::chrono::milliseconds{static_cast<std::int64_t>(
-                                                    usual * this->options.first_event_factor)};
+    const auto by_route = mean == this->first_event_ms.end() ? 0.0 : mean->second;
+    const auto by_work = static_cast<double>(usual.count());
+    const auto longest = std::max(
+        by_route * this->options.first_event_factor,
+        by_work * this->options.first_event_work_factor);
+    return this->options.first_event_patience +
+           std::chrono::milliseconds{static_cast<std::int64_t>(longest)};
 }
 
 auto own_answer(const common::error& why, std::chrono::milliseconds come_back_after)
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -68,6 +68,10 @@
     /// and work that is begun anew elsewhere would add to it.
     double first_event_factor = 5.0;
     std::chrono::milliseconds first_event_patience{700};
+    /// And one with much work before its first event for this many times what such work takes at
+    /// servers of that service. The largest prompts take the largest model seconds to read; left
+    /// like a short one, each was begun at three servers and finished at none.
+    double first_event_work_factor = 3.0;
 };
 
 /// What all requests of an entry share, on one thread: the rules in force, the servers, what is
@@ -93,8 +97,10 @@
     /// A stream of the route had its first event after `took`.
     auto note_first_event(const routing::route_name& route, std::chrono::milliseconds took) -> void;
 
-    /// How long a stream of the route may wait for its first event before it goes elsewhere.
-    [[nodiscard]] auto first_event_limit(const routing::route_name& route) const
+    /// How long a stream of the route may wait for its first event before it goes elsewhere, when
+    /// such work takes `usual` at that service.
+    [[nodiscard]] auto
+    first_event_limit(const routing::route_name& route, std::chrono::milliseconds usual) const
         -> std::chrono::milliseconds;
 
     [[nodiscard]] auto rules() const -> const std::shared_ptr<const routing::route_table>&
--- a/source/unit_tests/router/relay_test.cpp
+++ b/source/unit_tests/router/relay_test.cpp
@@ -230,6 +230,24 @@
     CHECK(out->is_finished);
 }
 
+TEST_CASE("a long prompt is given the time that it takes", "[relay]")
+{
+    // The largest prompts take seconds to read, the route's mean first event comes in a tenth of
+    // one. Left like a silent server, each was begun at three servers, and finished at none.
+    const auto sends_in_two_seconds = [](const std::string& tokens) {
+        world all;
+        for (int i = 0; i < 50; ++i) {
+            all.core->paces[common::service_name{"engines"}].note(
+                common::server_id{"z"}, milliseconds{100}, 1000.0);
+        }
+        const auto out = all.ask(stream, {{"Reedramp-Tokens", tokens}});
+        all.advance(seconds{2});
+        return all.sends();
+    };
+    CHECK(sends_in_two_seconds("100,10") == 2);
+    CHECK(sends_in_two_seconds("90000,10") == 1);
+}
+
 TEST_CASE("larger models leave second sends to requests that lose their server", "[relay]")
 {
     world all;
