Let a prompt's holder be busier by twenty times what it saves

Cause: a third of the shared parts' tokens were read again by other servers: work under way at two servers differs by more than eight times what a prompt saves at the smallest model. Change: placement.affinity_patience 8 -> 20.

--- a/source/core/routing/server_choice.hpp
+++ b/source/core/routing/server_choice.hpp
@@ -26,7 +26,7 @@
 struct choice_options {
     /// A server that holds the prompt's part may have this much more work than the least loaded
     /// one, as a multiple of the work that it saves.
-    double affinity_patience = 8.0;
+    double affinity_patience = 20.0;
     /// Work that a request to another data centre has to save.
     double distance_work = 200.0;
 };
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -40,7 +40,7 @@
          .type = settings::value_type::real,
          .doc = "Extra work that a server with the prompt's parts may have, in units of what it "
                 "saves.",
-         .fallback = 8.0,
+         .fallback = 20.0,
          .lowest = 0.0,
          .highest = 100.0},
         {.path = "placement.distance_work",
