Tell callers of a leaving entry when one will serve them

Ruled out: ending sooner (some stream always takes most of the grace), and taking more (it would be cut). Change: entries tell each other when they end; while a peer stays a refused caller may come back at once, else when the first that leaves has ended and started anew.

--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -1,5 +1,6 @@
 #include "router/peer_message.hpp"
 
+#include <algorithm>
 #include <cstring>
 #include <optional>
 
@@ -100,6 +101,9 @@
     for (const auto server : from.getLeaving()) {
         words.leaving.push_back(server);
     }
+    if (from.getEndsInMs() > 0) {
+        words.ends_in = std::chrono::milliseconds{from.getEndsInMs()};
+    }
     return words;
 }
 
@@ -130,6 +134,11 @@
     for (unsigned i = 0; i < words.leaving.size(); ++i) {
         leaving.set(i, words.leaving[i]);
     }
+    if (words.ends_in) {
+        // At least 1: 0 says that the sender stays.
+        const auto left = std::max<std::int64_t>(words.ends_in->count(), 1);
+        root.setEndsInMs(static_cast<std::uint32_t>(left));
+    }
     const auto flat = capnp::messageToFlatArray(message);
     const auto bytes = flat.asBytes();
     return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
--- a/source/core/router/peer_message.hpp
+++ b/source/core/router/peer_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,8 @@
     std::vector<std::string> peers;
     /// Hashes of the servers that have lately said that they leave.
     std::vector<std::uint64_t> leaving;
+    /// Until the sender's process ends at the latest; none while it stays.
+    std::optional<std::chrono::milliseconds> ends_in;
 };
 
 auto encode(const peer_words& words) -> std::string;
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -43,4 +43,6 @@
   rollouts @4 :List(Rollout);
   peers @5 :List(Text);
   leaving @6 :List(UInt64);
+  # Until the sender's process ends; 0 while it stays.
+  endsInMs @7 :UInt32;
 }
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -30,10 +30,7 @@
             common::log_part::entry,
             common::log_level::info,
             "refused request=" + attempt + " why=" + std::string{common::row_of(why.code).name});
-        const bool waits_for_store = why.code == common::result_code::not_ready;
-        out->send(own_answer(
-            why,
-            waits_for_store ? this->options.come_back_when_ready : this->options.come_back_after));
+        out->send(own_answer(why, this->come_back_after(why.code)));
     };
     if (!this->is_ready()) {
         refuse(common::make_error(common::result_code::not_ready), "-");
@@ -55,6 +52,20 @@
         std::move(out));
 }
 
+auto router_core::come_back_after(common::result_code why) const -> std::chrono::milliseconds
+{
+    if (why == common::result_code::not_ready) {
+        return this->options.come_back_when_ready;
+    }
+    const auto usual = this->options.come_back_after;
+    if (why != common::result_code::shutting_down || !this->hooks.served_elsewhere_at) {
+        return usual;
+    }
+    const auto now = this->hooks.clock();
+    const auto wait = this->hooks.served_elsewhere_at(now) - now;
+    return std::max(usual, std::chrono::duration_cast<std::chrono::milliseconds>(wait));
+}
+
 auto router_core::check(const http::request& asked, const caller_request& caller) const
     -> common::result<const routing::route*>
 {
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -32,6 +32,9 @@
     common::random_hook random;
     /// New rules are in force. May be empty.
     std::function<auto(const routing::configuration& rules)->void> on_rules = {};
+    /// When another entry, or this one's next process, takes requests that this process can't
+    /// finish any more. Empty: at once.
+    std::function<auto(time_point now)->time_point> served_elsewhere_at = {};
 };
 
 struct router_options {
@@ -88,6 +91,9 @@
     /// that their callers go elsewhere in time.
     auto leave(time_point last) -> void { this->ends_at = last; }
 
+    /// When the process ends at the latest; `never` while it stays.
+    [[nodiscard]] auto leaves_at() const -> time_point { return this->ends_at; }
+
     /// Puts rules in force unless newer ones are. True when they are new.
     auto adopt(published_rules rules) -> bool;
 
@@ -149,6 +155,8 @@
         const routing::route& on,
         const caller_request& caller,
         std::chrono::milliseconds token) const -> bool;
+    /// When a caller that is refused for `why` should come back.
+    [[nodiscard]] auto come_back_after(common::result_code why) const -> std::chrono::milliseconds;
     auto check(const http::request& asked, const caller_request& caller) const
         -> common::result<const routing::route*>;
 
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -19,6 +19,9 @@
 constexpr int missed_rounds = 3;
 /// A peer's load counts for this many rounds: it is gone soon after its entry.
 constexpr int trusted_rounds = 5;
+/// From the end of an entry's process until the next one serves: the platform's pause of half a
+/// second or more, and the start.
+constexpr common::duration restart_time = std::chrono::seconds{1};
 /// One that has been silent for this long is forgotten; if it lives, it will speak first.
 constexpr common::duration forgotten_after = std::chrono::seconds{20};
 
@@ -63,6 +66,10 @@
     words.loads = this->core->loads.tell();
     words.rollouts = this->core->rollouts.tell(now);
     words.leaving = this->core->servers.leaving();
+    if (this->core->leaves_at() != common::never) {
+        words.ends_in =
+            std::chrono::duration_cast<std::chrono::milliseconds>(this->core->leaves_at() - now);
+    }
     for (const auto& [where, known] : this->peers) {
         if (words.peers.size() < named_peers && now - known.heard < this->silence()) {
             words.peers.push_back(http::to_string(where));
@@ -106,6 +113,7 @@
     }
     known.heard = now;
     known.host = words->host;
+    known.ends_at = words->ends_in ? now + *words->ends_in : common::never;
     for (const auto& other : words->peers) {
         if (const auto where = http::parse_endpoint(other)) {
             this->add(*where);
@@ -121,13 +129,13 @@
     }
 }
 
-auto peer_group::living() const -> std::vector<common::host_id>
+auto peer_group::living() const -> std::vector<peer>
 {
     const auto now = this->core->hooks.clock();
-    std::vector<common::host_id> alive;
+    std::vector<peer> alive;
     for (const auto& [where, known] : this->peers) {
         if (now - known.heard < this->silence() && !known.host.value().empty()) {
-            alive.push_back(known.host);
+            alive.push_back(known);
         }
     }
     return alive;
@@ -137,7 +145,19 @@
 {
     const auto alive = this->living();
     return static_cast<std::size_t>(std::ranges::count_if(
-        alive, [this](const common::host_id& host) { return host < this->self; }));
+        alive, [this](const peer& other) { return other.host < this->self; }));
+}
+
+auto peer_group::served_elsewhere_at(common::time_point now) const -> common::time_point
+{
+    auto first_end = this->core->leaves_at();
+    for (const auto& other : this->living()) {
+        if (other.ends_at == common::never) {
+            return now;
+        }
+        first_end = std::min(first_end, other.ends_at);
+    }
+    return first_end == common::never ? now : first_end + restart_time;
 }
 
 auto peer_group::heard() const -> std::size_t
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -42,6 +42,11 @@
 
     [[nodiscard]] auto heard() const -> std::size_t;
 
+    /// When a request that this entry can't finish would be taken: now while a living peer stays;
+    /// else when the first of all that leave has ended and started anew. Told to come back sooner,
+    /// callers spend their last try on another entry that leaves.
+    [[nodiscard]] auto served_elsewhere_at(common::time_point now) const -> common::time_point;
+
 private:
     /// How many calls of `tell` it takes until each peer has been told.
     [[nodiscard]] auto calls_per_round() const -> std::size_t;
@@ -52,10 +57,12 @@
     struct peer {
         common::time_point heard{};
         common::host_id host;
+        /// `never` while it stays.
+        common::time_point ends_at = common::never;
     };
 
     /// Peers that have spoken, and not too long ago.
-    [[nodiscard]] auto living() const -> std::vector<common::host_id>;
+    [[nodiscard]] auto living() const -> std::vector<peer>;
 
     std::shared_ptr<router::router_core> core;
     common::host_id self;
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -103,6 +103,9 @@
             this->for_callers->change_limits(
                 limits.header_bytes, limits.body_bytes, limits.idle + std::chrono::seconds{1});
         };
+        hooks.served_elsewhere_at = [this](common::time_point now) {
+            return this->peers->served_elsewhere_at(now);
+        };
         hooks.timer =
             [queue = this->timers](common::time_point when, std::function<auto()->void> action) {
                 queue->add(when, std::move(action));
--- a/source/unit_tests/router/peer_group_test.cpp
+++ b/source/unit_tests/router/peer_group_test.cpp
@@ -90,6 +90,38 @@
     CHECK(one.sent.empty());
 }
 
+TEST_CASE("callers come back when an entry will serve them", "[peer_group]")
+{
+    // All entries are told to leave, seconds after one another. A caller whose long request comes
+    // to the first one was told to come back in 250 ms; the balancer sent it to an entry that leaves
+    // too, and its last try was refused.
+    world all;
+    world others;
+    told_entry one{all, 1};
+    told_entry other{others, 2};
+    one.group.add(address_of(2));
+    other.group.add(address_of(1));
+    const auto tell = [&one, &other] {
+        other.sent.clear();
+        other.group.tell();
+        one.group.hear(other.sent.front().second);
+    };
+    all.core->hooks.served_elsewhere_at = [&one](common::time_point now) {
+        return one.group.served_elsewhere_at(now);
+    };
+    const auto refused_for = [&all] {
+        const auto out = all.ask("/stream/1", {{"Reedramp-Tokens", "100,300"}});
+        REQUIRE(out->status() == 503);
+        return http::find_header(out->answer->headers, "Retry-After").value_or("");
+    };
+    tell();
+    all.core->leave(all.now + milliseconds{1000});
+    CHECK(refused_for() == "0.250");
+    others.core->leave(others.now + milliseconds{3000});
+    tell();
+    CHECK(refused_for() == "2.000");
+}
+
 TEST_CASE("an entry does not tell itself", "[peer_group]")
 {
     world all;
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -28,6 +28,7 @@
     words.rollouts = {rollout};
     words.peers = {"10.0.0.2:7000"};
     words.leaving = {77};
+    words.ends_in = std::chrono::milliseconds{4200};
     return words;
 }
 
@@ -53,6 +54,7 @@
     CHECK(read->rollouts[0].is_written);
     CHECK(read->peers == words.peers);
     CHECK(read->leaving == words.leaving);
+    CHECK(read->ends_in == words.ends_in);
 }
 
 TEST_CASE("bytes that are no message are refused", "[peer_message]")
