Keep a resumed stream's session on the old version when a roll-out begins

An entry loses its power at 17.0 s and is back at 20.2; a roll-out is ordered at 21.9; its callers notice at 25.1 that their streams are silent and go on. No entry knows these sessions any more, and those of the first share were taken for new ones. Ruled out: peers' words (the entry that had served them was dead), own memory (its next process is empty). Change: a stream that is resumed within 8 s after the order is taken to have begun before it, unless this entry knows better.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -77,6 +77,9 @@
     const auto& caller = this->request.caller;
     const auto& session = caller.session.empty() ? caller.attempt : caller.session;
     this->session_hash = placement::affinity_hash(session);
+    if (caller.last_event >= 0) {
+        this->core->rollouts.note_resumed(this->service, this->session_hash, this->received);
+    }
 }
 
 auto relay::use_model(std::size_t at) -> void
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -22,6 +22,10 @@
 /// 150 requests a second. Those left out may change their version at another entry.
 constexpr std::size_t most_told_sessions = 96;
 
+/// Callers whose entry lost its power notice that their stream is silent after 8 s or more, four
+/// times the target of today's drafts. One that comes back sooner after an order began before it.
+constexpr common::duration cut_stream_known_after = std::chrono::seconds{8};
+
 } // namespace
 
 auto keep_allowed(std::vector<const registration*>& usable, const version_rule& rule) -> void
@@ -256,6 +260,20 @@
     }
 }
 
+auto rollout_guide::note_resumed(
+    const common::service_name& service, std::uint64_t session, time_point now) -> void
+{
+    const auto* one = this->running(service);
+    if (one != nullptr && now < one->began + cut_stream_known_after) {
+        // It began before the order, on an old version; or else no entry is left that knows.
+        this->sessions.hear(
+            service,
+            {{session,
+              std::chrono::duration_cast<std::chrono::milliseconds>(this->settings.session_time)}},
+            now);
+    }
+}
+
 auto rollout_guide::note_sent(
     const common::service_name& service,
     std::uint64_t session,
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -99,6 +99,11 @@
     auto rule_for(const common::service_name& service, std::uint64_t session, time_point now)
         -> version_rule;
 
+    /// A caller goes on with a stream of the session that was cut. Its entry may have died, and what
+    /// it knew of the session with it.
+    auto note_resumed(const common::service_name& service, std::uint64_t session, time_point now)
+        -> void;
+
     /// A request of the session was sent to a server of `version`.
     auto note_sent(
         const common::service_name& service,
--- a/source/unit_tests/routing/rollout_guide_test.cpp
+++ b/source/unit_tests/routing/rollout_guide_test.cpp
@@ -112,6 +112,26 @@
     CHECK(second.guide.tell(told).front().old_sessions.empty());
 }
 
+TEST_CASE("a stream that goes on after its entry died stays on the old version", "[rollout]")
+{
+    // An entry loses its power. Its callers notice eight seconds later that their streams are
+    // silent, and go on at another entry, in the first seconds of a roll-out. Nobody knows these
+    // sessions any more; taken for new ones, a tenth of them changed their version in mid-stream.
+    entry other;
+    const auto back = start + seconds{3};
+    other.guide.note_resumed(engines, early_session, back);
+    CHECK_FALSE(other.goes_new(early_session, back));
+    // Later such a stream began after the order, on the version of its share.
+    const auto later = start + seconds{9};
+    other.guide.note_resumed(engines, early_session, later);
+    CHECK(other.goes_new(early_session, later));
+    // What this entry knows goes first.
+    entry knows;
+    knows.guide.note_sent(engines, early_session, new_version, start + seconds{1});
+    knows.guide.note_resumed(engines, early_session, back);
+    CHECK(knows.goes_new(early_session, back));
+}
+
 TEST_CASE("a version that fails on one route alone is reverted", "[rollout]")
 {
     // Half of the new version's drafts fail, and none of its tags. Over all routes it looks fair.
