Explain a request from routers' logs

Cause: from a request's id to its cause there was a page with grep; lines had no time, so that logs of several entries could not be put in order, and a server's refusal or failure left no line.

--- a/completions/reedramp-ctl.bash
+++ b/completions/reedramp-ctl.bash
@@ -7,6 +7,7 @@
         history) echo "$common --limit" ;;
         rollout) echo "$common --model --from --to --share --base --author" ;;
         watch) echo "$common --timeout" ;;
+        explain) echo "$common --log" ;;
         import) echo "$common --out --publish --column --author" ;;
         *) echo "$common" ;;
     esac
@@ -32,7 +33,7 @@
     done
     COMPREPLY=()
     case "$previous" in
-        --key-file | --out | check | publish | diff | import)
+        --key-file | --log | --out | check | publish | diff | import)
             mapfile -t COMPREPLY < <(compgen -f -- "$current")
             return
             ;;
--- a/source/core/daemon/line_log.cpp
+++ b/source/core/daemon/line_log.cpp
@@ -1,9 +1,13 @@
 #include "daemon/line_log.hpp"
 
+#include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <cstdio>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -30,12 +34,34 @@
     return lines;
 }
 
+auto lines_clock() -> day_clock&
+{
+    static day_clock clock;
+    return clock;
+}
+
 auto letter_of(common::log_level level) -> char
 {
     constexpr std::string_view letters = "DIWE";
     return letters.at(static_cast<std::size_t>(level));
 }
 
+/// Time of day in seconds, to a millisecond: lines of several entries are put in order by it.
+auto time_text() -> std::string
+{
+    const auto now = lines_clock()().time_since_epoch();
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    constexpr std::int64_t ms_per_s = 1000;
+    std::array<char, 32> text{};
+    const auto size = std::snprintf(
+        text.data(),
+        text.size(),
+        "%lld.%03lld",
+        static_cast<long long>(ms / ms_per_s),
+        static_cast<long long>(ms % ms_per_s));
+    return {text.data(), static_cast<std::size_t>(size)};
+}
+
 auto add_line(common::log_level level, std::string_view line) -> void
 {
     auto& lines = buffer();
@@ -46,11 +72,14 @@
         return;
     }
     if (lines.dropped > 0) {
-        lines.waiting += "W log: lines dropped count=" + std::to_string(lines.dropped) + "\n";
+        lines.waiting += "W " + time_text() +
+                         " log: lines dropped count=" + std::to_string(lines.dropped) + "\n";
         lines.dropped = 0;
     }
     lines.waiting += letter_of(level);
     lines.waiting += ' ';
+    lines.waiting += time_text();
+    lines.waiting += ' ';
     lines.waiting += line;
     lines.waiting += '\n';
     if (lines.waiting.size() >= write_at_bytes) {
@@ -60,8 +89,9 @@
 
 } // namespace
 
-auto start_line_log(common::log_level lowest) -> void
+auto start_line_log(common::log_level lowest, day_clock clock) -> void
 {
+    lines_clock() = std::move(clock);
     const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
     ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
     common::set_log_sink([lowest](common::log_level level, std::string_view line) {
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -117,6 +117,7 @@
     auto ask_larger_model(const std::shared_ptr<attempt>& of) -> bool;
     [[nodiscard]] auto judge(const http::response& head) const -> verdict;
 
+    auto log_answer(const attempt& of, std::string_view what) const -> void;
     auto on_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void;
 
     /// Ends the attempt's bookkeeping; once.
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -197,10 +197,12 @@
         this->on_success(of);
         return;
     case verdict::not_executed:
+        this->log_answer(*of, "server refused");
         this->settle(of, attempt_end::not_executed, server_outcome::refused);
         this->try_again(result_code::no_capacity);
         return;
     case verdict::server_failure:
+        this->log_answer(*of, "server failed");
         this->settle(of, attempt_end::ran, server_outcome::failed);
         of->head.body = std::move(of->body);
         this->failure_to_pass = std::move(of->head);
@@ -214,6 +216,15 @@
     }
 }
 
+auto relay::log_answer(const attempt& of, std::string_view what) const -> void
+{
+    common::log(
+        common::log_part::place,
+        common::log_level::info,
+        std::string{what} + " request=" + this->request.caller.attempt +
+            " server=" + of.server.value() + " status=" + std::to_string(of.head.status));
+}
+
 auto relay::on_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void
 {
     const bool unsent = why.run == execution::not_run && of->said == verdict::none;
--- a/source/ctl/main.cpp
+++ b/source/ctl/main.cpp
@@ -31,6 +31,8 @@
     switch (given.command.kind) {
     case command_kind::result_codes:
         return false;
+    case command_kind::explain:
+        return given.logs.empty();
     case command_kind::watch:
         return given.words.front() == operators::newest_revision;
     case command_kind::check:
--- a/source/ctl/options.cpp
+++ b/source/ctl/options.cpp
@@ -63,6 +63,13 @@
     TCLAP::ValueArg<std::string> to{"", "to", "New version", false, "", "VERSION", line};
     TCLAP::ValueArg<int> share{
         "", "share", "Share of new sessions at the start", false, no_share, "PERMILLE", line};
+    TCLAP::MultiArg<std::string> log{
+        "l",
+        "log",
+        "A router's log, - for standard input; may be given several times",
+        false,
+        "FILE",
+        line};
     TCLAP::ValueArg<std::string> out{
         "o", "out", "Write the record to this file", false, "", "FILE", line};
     TCLAP::SwitchArg publish{"p", "publish", "Publish the record", line};
@@ -111,6 +118,7 @@
         &form.from,
         &form.to,
         &form.share,
+        &form.log,
         &form.out,
         &form.publish,
         &form.column};
@@ -202,10 +210,12 @@
 /// Empty if all that the command needs is there.
 auto find_missing(const options& read) -> std::string
 {
-    if (read.command.needs_entry && read.entries.empty() && !read.hosts) {
+    using kind = operators::command_kind;
+    const bool asks_entries =
+        read.command.needs_entry || (read.command.kind == kind::explain && read.logs.empty());
+    if (asks_entries && read.entries.empty() && !read.hosts) {
         return "--entry or --hosts is needed";
     }
-    using kind = operators::command_kind;
     const auto needs_hosts = read.command.kind == kind::drain || read.command.kind == kind::watch;
     if (needs_hosts && !read.hosts) {
         return "--hosts is needed";
@@ -250,6 +260,7 @@
     made.model = form.model.getValue();
     made.from = form.from.getValue();
     made.to = form.to.getValue();
+    made.logs = form.log.getValue();
     made.out = form.out.getValue();
     made.publish = form.publish.getValue();
     for (const auto& problem :
--- a/source/ctl/options.hpp
+++ b/source/ctl/options.hpp
@@ -38,6 +38,9 @@
     std::string to;
     std::optional<common::permille> share;
 
+    /// Logs of routers; "-" for standard input.
+    std::vector<std::string> logs;
+
     /// Empty for none, "-" for standard output.
     std::string out;
     bool publish = false;
--- a/source/ctl/read_commands.cpp
+++ b/source/ctl/read_commands.cpp
@@ -1,4 +1,5 @@
 #include <fstream>
+#include <iostream>
 #include <iterator>
 
 #include "commands.hpp"
@@ -6,6 +7,7 @@
 #include "operators/answers.hpp"
 #include "operators/difference.hpp"
 #include "operators/drafts.hpp"
+#include "operators/request_story.hpp"
 #include "operators/requests.hpp"
 #include "operators/views.hpp"
 
@@ -128,8 +130,53 @@
     return operators::bills_text(*body);
 }
 
+namespace {
+
+auto read_log(const std::string& path, std::vector<operators::log_line>& into)
+    -> common::result<void>
+{
+    std::ifstream file;
+    const bool is_standard_input = path == "-";
+    if (!is_standard_input) {
+        file.open(path);
+        if (!file) {
+            return failure(result_code::not_found, "cannot read " + path);
+        }
+    }
+    std::istream& from = is_standard_input ? std::cin : file;
+    std::string text;
+    while (std::getline(from, text)) {
+        if (auto parsed = operators::parse_log_line(text)) {
+            parsed->source = path;
+            into.push_back(std::move(*parsed));
+        }
+    }
+    return {};
+}
+
+auto explain_from_logs(const options& given) -> printed
+{
+    std::vector<operators::log_line> lines;
+    for (const auto& path : given.logs) {
+        const auto read = read_log(path, lines);
+        if (!read) {
+            return tl::unexpected(read.error());
+        }
+    }
+    const auto story = operators::tell_request(given.words.front(), lines);
+    if (!story) {
+        return tl::unexpected(story.error());
+    }
+    return given.as_json ? line(operators::story_json(*story)) : operators::story_text(*story);
+}
+
+} // namespace
+
 auto explain(caller& by, const options& given) -> printed
 {
+    if (!given.logs.empty()) {
+        return explain_from_logs(given);
+    }
     const auto entries = entries_of(by, given);
     if (!entries) {
         return tl::unexpected(entries.error());
--- a/source/unit_tests/daemon/line_log_test.cpp
+++ b/source/unit_tests/daemon/line_log_test.cpp
@@ -54,6 +54,11 @@
     std::array<int, 2> ends{};
 };
 
+auto fixed_clock() -> std::chrono::system_clock::time_point
+{
+    return std::chrono::system_clock::time_point{std::chrono::milliseconds{1700000000250}};
+}
+
 auto say(common::log_level level, const std::string& sentence) -> void
 {
     common::log(common::log_part::entry, level, sentence);
@@ -64,12 +69,12 @@
 TEST_CASE("lines have a level and a part, and low ones are dropped", "[line_log]")
 {
     piped_output output;
-    start_line_log(common::log_level::info);
+    start_line_log(common::log_level::info, fixed_clock);
     say(common::log_level::debug, "not wanted");
     say(common::log_level::info, "started host=a");
     say(common::log_level::warning, "store lost");
     flush_line_log();
-    CHECK(output.read_all() == "I entry: started host=a\nW entry: store lost\n");
+    CHECK(output.read_all() == "I 1700000000.250 entry: started host=a\nW 1700000000.250 entry: store lost\n");
 }
 
 TEST_CASE("a reader that stops does not stop the process", "[line_log]")
@@ -77,7 +82,7 @@
     // Whoever reads standard output hangs. The pipe fills, and a log that waited for it would stop
     // every request with it. Lines are dropped instead, warnings last, and the loss is said.
     piped_output output;
-    start_line_log(common::log_level::info);
+    start_line_log(common::log_level::info, fixed_clock);
     for (int i = 0; i < 5000; ++i) {
         say(common::log_level::info, "request=" + std::to_string(i) + std::string(50, '.'));
     }
@@ -85,10 +90,10 @@
     auto text = output.read_all();
     flush_line_log();
     text += output.read_all();
-    CHECK(text.find("W entry: important") != std::string::npos);
-    CHECK(text.find("W log: lines dropped count=") != std::string::npos);
+    CHECK(text.find("W 1700000000.250 entry: important") != std::string::npos);
+    CHECK(text.find("W 1700000000.250 log: lines dropped count=") != std::string::npos);
     // What did come is whole, in order, and from the beginning.
-    CHECK(text.starts_with("I entry: request=0."));
+    CHECK(text.starts_with("I 1700000000.250 entry: request=0."));
     CHECK(text.ends_with("\n"));
 }
 
--- /dev/null
+++ b/source/unit_tests/operators/request_story_test.cpp
@@ -0,0 +1,124 @@
+#include "operators/request_story.hpp"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+namespace reedramp::operators {
+
+namespace {
+
+/// Lines of one request "r1" between those of others; each log as one entry wrote it.
+auto logs_of(const std::vector<std::string>& texts) -> std::vector<log_line>
+{
+    std::vector<log_line> lines;
+    for (const auto& text : texts) {
+        auto parsed = parse_log_line(text);
+        REQUIRE(parsed);
+        lines.push_back(std::move(*parsed));
+    }
+    return lines;
+}
+
+struct story_row {
+    const char* what;
+    std::vector<std::string> lines;
+    std::string end;
+    /// In the cause.
+    std::string because;
+};
+
+} // namespace
+
+TEST_CASE("a log line is taken apart", "[request_story]")
+{
+    const auto line = parse_log_line(
+        "I 1700000000.250 place: attempt lost request=r1 server=i-7 run=unknown detail=read: "
+        "Connection reset by peer");
+    REQUIRE(line);
+    CHECK(line->level == 'I');
+    CHECK(line->time == 1700000000.250);
+    CHECK(line->part == "place");
+    CHECK(line->what == "attempt lost");
+    CHECK(line->field("server") == "i-7");
+    CHECK(line->field("detail") == "read: Connection reset by peer");
+    CHECK(line->field("none").empty());
+    for (const auto* bad :
+         {"", "I", "I place: sent", "I 12 place", "II 12 place: x", "I x place: y"}) {
+        INFO(bad);
+        CHECK_FALSE(parse_log_line(bad));
+    }
+}
+
+TEST_CASE("the end of a request and its cause are told from the lines", "[request_story]")
+{
+    // An operator has a caller's request id, and the logs of all entries.
+    const std::string sent =
+        "I 10.000 place: sent request=r1 route=drafts server=a version=v1 send=1";
+    const std::vector<story_row> rows{
+        {"served",
+         {sent, "I 11.000 entry: ended request=r1 how=served sends=1 ms=1000"},
+         "served",
+         "server a of version v1"},
+        {"refused",
+         {"I 10.000 entry: refused request=r1 why=shutting_down"},
+         "shutting_down",
+         "before it was sent"},
+        {"unknown outcome",
+         {sent,
+          "I 10.500 place: attempt lost request=r1 server=a run=unknown detail=reset",
+          "I 10.500 entry: ended request=r1 how=outcome_unknown sends=1 ms=500"},
+         "outcome_unknown",
+         "server a was lost (reset)"},
+        {"broken stream",
+         {sent,
+          "I 11.200 place: stalled request=r1 server=a",
+          "I 11.200 place: sent request=r1 route=drafts server=b version=v1 send=2 after_event=4",
+          "W 11.900 place: answer not trusted request=r1 server=b status=200",
+          "I 11.900 entry: ended request=r1 how=stream_broken sends=2 ms=1900"},
+         "stream_broken",
+         "server b answered something that is not its own"},
+        {"full",
+         {sent,
+          "I 10.100 place: server refused request=r1 server=a status=503",
+          "I 10.100 entry: ended request=r1 how=no_capacity sends=1 ms=100"},
+         "no_capacity",
+         "server a refused it, status 503"},
+        {"caller left",
+         {sent, "I 10.100 entry: ended request=r1 how=caller_left sends=1 ms=100"},
+         "caller_left",
+         "its caller"},
+        {"entry killed", {sent}, "unknown", "its entry ended"},
+    };
+    for (const auto& row : rows) {
+        INFO(row.what);
+        auto lines = logs_of(row.lines);
+        lines.push_back(*parse_log_line("I 10.000 entry: ended request=r2 how=served sends=1"));
+        const auto story = tell_request("r1", lines);
+        REQUIRE(story);
+        CHECK(story->lines.size() == row.lines.size());
+        CHECK(story->end == row.end);
+        INFO(story->cause);
+        CHECK(story->cause.find(row.because) != std::string::npos);
+    }
+    CHECK(tell_request("r9", logs_of({sent})).error().code == common::result_code::not_found);
+}
+
+TEST_CASE("lines of several entries are put in order by their time", "[request_story]")
+{
+    // A caller's entry was killed, and the request went on at another one.
+    const auto lines = logs_of(
+        {"I 14.000 entry: ended request=r1 how=served sends=1 ms=900",
+         "I 13.100 place: sent request=r1 server=b version=v1 send=1 after_event=7",
+         "I 10.000 place: sent request=r1 server=a version=v1 send=1 after_event=-1"});
+    const auto story = tell_request("r1", lines);
+    REQUIRE(story);
+    CHECK(story->lines.front().field("server") == "a");
+    CHECK(story->cause.find("server b") != std::string::npos);
+    const auto text = story_text(*story);
+    CHECK(text.find("10.000") < text.find("13.100"));
+    const auto parsed = boost::json::parse(story_json(*story));
+    CHECK(parsed.at("end").as_string() == "served");
+    CHECK(parsed.at("lines").as_array().size() == 3);
+}
+
+} // namespace reedramp::operators
