Let resumed streams go first, and back to the server that wrote their beginning

The next event came after 409 ms at the median (p90 1,327): the prompt was read anew at another server, behind the others' prompts, though the server that had written the beginning still held it whole. Ruled out: the start of the entry (30 ms from start to rules). Change: a stream that is resumed has the urgency of a second send, and its whole prompt counts as held by the prompt's server.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -77,7 +77,7 @@
     const auto& caller = this->request.caller;
     const auto& session = caller.session.empty() ? caller.attempt : caller.session;
     this->session_hash = placement::affinity_hash(session);
-    if (caller.last_event >= 0) {
+    if (this->is_resumed()) {
         this->core->rollouts.note_resumed(this->service, this->session_hash, this->received);
     }
 }
@@ -108,15 +108,22 @@
         slowness * read_tokens_per_written * static_cast<double>(answer)};
 }
 
+auto relay::is_resumed() const -> bool
+{
+    return this->request.caller.last_event >= 0;
+}
+
 /// A route's rank around the middle. What was dropped or broken off once has waited already, and
-/// goes first.
+/// goes first; so does a stream that was cut with its entry: its caller has a part of it, and the
+/// pause counts.
 auto relay::urgency() const -> int
 {
     constexpr int middle = 4;
     constexpr int ahead = 3;
     constexpr int last = 9;
     const auto rank = middle + static_cast<int>(this->request.route->priority);
-    return std::clamp(this->ledger.sends() > 1 ? rank - ahead : rank, 0, last);
+    const bool has_waited = this->ledger.sends() > 1 || this->is_resumed();
+    return std::clamp(has_waited ? rank - ahead : rank, 0, last);
 }
 
 auto relay::placement_wish() const -> routing::placement_request
@@ -127,9 +134,11 @@
     wish.work = work.prompt + work.answer;
     wish.own_data_centre = this->core->options.data_centre;
     const auto& parts = this->request.caller.parts;
-    // The last part belongs to this request or its session alone.
+    // The last part belongs to this request or its session alone: only a stream that is resumed
+    // finds it, too, at the server that wrote its beginning, a moment ago.
+    const std::size_t own_parts = this->is_resumed() ? 0 : 1;
     std::uint64_t shared = 0;
-    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    for (std::size_t i = 0; i + own_parts < parts.size(); ++i) {
         shared += parts[i].tokens;
     }
     if (parts.size() >= 2) {
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -131,6 +131,8 @@
         routing::attempt_end end,
         routing::server_outcome outcome) -> void;
     [[nodiscard]] auto is_stream() const -> bool;
+    /// The caller has a part of the stream from a connection that was cut.
+    [[nodiscard]] auto is_resumed() const -> bool;
     auto retries() -> placement::retry_budget&;
     auto try_again(common::result_code why) -> void;
     [[nodiscard]] auto may_send_again() const -> bool;
--- a/source/unit_tests/router/relay_test.cpp
+++ b/source/unit_tests/router/relay_test.cpp
@@ -248,6 +248,28 @@
     CHECK(sends_in_two_seconds("90000,10") == 1);
 }
 
+TEST_CASE(
+    "a stream that a caller resumes goes first, and back to the server that wrote it", "[relay]")
+{
+    // An entry is killed, and all its callers come back at once. Those in the midst of a stream
+    // count the pause; the server that wrote the beginning still holds the whole prompt, while at
+    // any other one it is read anew, behind the prompts of all who come back.
+    world all;
+    const http::header prompt{"Reedramp-Prompt-Parts", "aa:500,bb:9000"};
+    const http::header tokens{"Reedramp-Tokens", "9500,100"};
+    all.ask(stream, {prompt, tokens});
+    const auto first_server = all.last().header("Reedramp-Expect-Server");
+    const auto usual = std::stoi(all.last().header("Reedramp-Urgency"));
+    // That server has more to do than the part that others share would outweigh.
+    constexpr double much = 8000.0;
+    all.core->loads.begin(common::server_id{first_server}, much);
+    all.ask(stream, {prompt, tokens});
+    CHECK(all.last().header("Reedramp-Expect-Server") != first_server);
+    all.ask(stream, {prompt, tokens, {"Last-Event-ID", "4"}});
+    CHECK(all.last().header("Reedramp-Expect-Server") == first_server);
+    CHECK(std::stoi(all.last().header("Reedramp-Urgency")) < usual);
+}
+
 TEST_CASE("larger models leave second sends to requests that lose their server", "[relay]")
 {
     world all;
