--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -148,6 +148,10 @@
         return;
     }
     of->body += bytes;
+    if (of->body.size() > this->core->options.longest_answer) {
+        this->leave(of, attempt_end::ran, server_outcome::failed);
+        this->try_again(result_code::server_failed);
+    }
 }
 
 auto relay::on_events(const std::shared_ptr<attempt>& of, const std::string& bytes) -> void
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -58,6 +58,9 @@
     std::chrono::milliseconds token_needs{15};
     std::chrono::milliseconds small_token_needs{8};
     std::chrono::milliseconds longest_need{5200};
+    /// The longest answer that is gathered before it is passed on. Longer ones come from a server
+    /// that does not end; some of them at once would take all memory.
+    std::size_t longest_answer = 8UL * 1024UL * 1024UL;
     /// A caller that was refused comes back after this; about the time in which a server finishes
     /// a short request.
     std::chrono::milliseconds come_back_after{250};
--- a/source/core/routing/event_splitter.cpp
+++ b/source/core/routing/event_splitter.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// The longest event that is waited for. Events of today's engines have some hundred bytes; a server
+/// that sends on and on without ending one would otherwise fill the entry's memory.
+constexpr std::size_t most_event_bytes = 1024UL * 1024UL;
+
 /// The blank line that ends an event; its position and length.
 struct event_end {
     std::size_t at = std::string::npos;
@@ -66,7 +70,7 @@
         }
     }
     this->rest.erase(0, this->rest.size() - unread.size());
-    return in_order;
+    return in_order && this->rest.size() <= most_event_bytes;
 }
 
 auto event_splitter::take_event(std::string_view event) -> bool
@@ -76,7 +80,9 @@
         return true;
     }
     // A stream that begins at -1 takes any first id; which number servers begin with is theirs.
-    const bool follows = this->newest_id < 0 || *id == this->newest_id + 1;
+    // Subtracted, not added: a caller may name the largest number that there is.
+    const bool is_next = *id > this->newest_id && *id - this->newest_id == 1;
+    const bool follows = this->newest_id < 0 || is_next;
     if (follows) {
         this->newest_id = *id;
     }
--- a/source/unit_tests/router/relay_test.cpp
+++ b/source/unit_tests/router/relay_test.cpp
@@ -270,6 +270,22 @@
     CHECK(std::stoi(all.last().header("Reedramp-Urgency")) < usual);
 }
 
+TEST_CASE("an answer without end is left, and its server takes no memory", "[relay]")
+{
+    world all;
+    all.core->options.longest_answer = 1000;
+    const auto out = all.ask(again);
+    const auto first = all.client->sent.front();
+    first->head(200);
+    for (int i = 0; i < 11; ++i) {
+        first->chunk(std::string(100, 'x'));
+    }
+    CHECK(first->is_cancelled);
+    REQUIRE(all.sends() == 2);
+    all.last().answer(200, "short");
+    CHECK(out->answer->body == "short");
+}
+
 TEST_CASE("larger models leave second sends to requests that lose their server", "[relay]")
 {
     world all;
--- a/source/unit_tests/routing/event_splitter_test.cpp
+++ b/source/unit_tests/routing/event_splitter_test.cpp
@@ -1,5 +1,8 @@
 #include "routing/event_splitter.hpp"
 
+#include <limits>
+#include <random>
+
 #include <catch2/catch.hpp>
 
 namespace reedramp::routing {
@@ -49,4 +52,66 @@
     CHECK(out == "id: 5\r\ndata: a\r\n\r\n");
 }
 
+TEST_CASE("a server that never ends an event is left", "[event_splitter]")
+{
+    // Its bytes would gather until the entry's memory is used up, and all its callers with it.
+    event_splitter splitter{-1};
+    const std::string piece(64UL * 1024UL, 'x');
+    std::string out;
+    int taken = 0;
+    while (splitter.add(piece, out) && taken < 1000) {
+        taken += 1;
+    }
+    CHECK(taken == 16);
+    CHECK(out.empty());
+}
+
+TEST_CASE("whatever bytes come, only whole events in order leave", "[event_splitter]")
+{
+    // Streams with bytes changed, dropped and repeated anywhere, cut into random pieces. The ids
+    // that leave must follow one another, and what leaves must end with an event's end.
+    std::mt19937_64 random{20261202};
+    const auto draw = [&random](std::size_t below) {
+        return random() % below;
+    };
+    for (int round = 0; round < 3000; ++round) {
+        std::string bytes;
+        for (int id = 0; id < 8; ++id) {
+            bytes += "id: " + std::to_string(id) + "\ndata: text\n\n";
+        }
+        for (std::size_t change = draw(4); change > 0; --change) {
+            const auto at = draw(bytes.size());
+            switch (draw(3)) {
+            case 0:
+                bytes[at] = static_cast<char>(draw(256));
+                break;
+            case 1:
+                bytes.erase(at, draw(30));
+                break;
+            default:
+                bytes.insert(at, bytes.substr(at, draw(30)));
+                break;
+            }
+        }
+        event_splitter splitter{-1};
+        std::string out;
+        std::string_view rest = bytes;
+        while (!rest.empty()) {
+            const auto size = std::min<std::size_t>(rest.size(), 1 + draw(40));
+            const bool in_order = splitter.add(rest.substr(0, size), out);
+            rest.remove_prefix(size);
+            if (!in_order) {
+                break;
+            }
+        }
+        INFO(bytes);
+        CHECK((out.empty() || out.ends_with("\n\n") || out.ends_with("\r\n\r\n")));
+        CHECK(bytes.starts_with(out));
+    }
+    // The largest number that a caller may name has none after it.
+    event_splitter last{std::numeric_limits<std::int64_t>::max()};
+    std::string out;
+    CHECK_FALSE(last.add("id: 0\ndata: a\n\n", out));
+}
+
 } // namespace reedramp::routing
