Take logic that stood twice into one place; drop what nobody read

The ranking of servers for a prompt used a hash of its own beside placement's: both call placement::affinity_weight now. The two classes for signals had one shape: both hold a signal_waiter. server_table::revision and the sizes of the store's answers had no reader.

--- a/source/core/daemon/signals.cpp
+++ b/source/core/daemon/signals.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <initializer_list>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -16,81 +17,77 @@
 
 } // namespace
 
-struct shutdown_signals::state : std::enable_shared_from_this<state> {
-    state(boost::asio::io_context& context, std::function<auto()->void> action_to_run)
-        : signals(context, SIGTERM, SIGINT), action(std::move(action_to_run))
+class signal_waiter : public std::enable_shared_from_this<signal_waiter> {
+public:
+    /// `action` runs on the context at each of the signals.
+    static auto start(
+        boost::asio::io_context& context,
+        std::initializer_list<int> numbers,
+        std::function<auto()->void> action) -> std::shared_ptr<signal_waiter>
     {
+        auto made = std::make_shared<signal_waiter>(context, std::move(action));
+        for (const int number : numbers) {
+            made->signals.add(number);
+        }
+        made->wait();
+        return made;
     }
 
+    signal_waiter(boost::asio::io_context& context, std::function<auto()->void> action_to_run)
+        : signals(context), action(std::move(action_to_run))
+    {
+    }
+
+    /// From any thread.
+    auto stop() -> void
+    {
+        boost::asio::post(this->signals.get_executor(), [keep = this->shared_from_this()] {
+            boost::system::error_code ignored;
+            keep->signals.cancel(ignored);
+        });
+    }
+
+private:
     auto wait() -> void
     {
         this->signals.async_wait(
             [keep = this->shared_from_this()](const boost::system::error_code& stopped, int) {
-                if (stopped) {
-                    return;
+                if (!stopped) {
+                    keep->wait();
+                    keep->action();
                 }
-                if (std::exchange(keep->asked_before, true)) {
-                    std::_Exit(interrupted_exit_code);
-                }
-                keep->wait();
-                keep->action();
             });
     }
 
     boost::asio::signal_set signals;
     std::function<auto()->void> action;
-    bool asked_before = false;
 };
 
 shutdown_signals::shutdown_signals(
     boost::asio::io_context& context, std::function<auto()->void> action)
-    : shared(std::make_shared<state>(context, std::move(action)))
+    : waiter(signal_waiter::start(
+          context, {SIGTERM, SIGINT}, [action = std::move(action), asked_before = false]() mutable {
+              if (std::exchange(asked_before, true)) {
+                  std::_Exit(interrupted_exit_code);
+              }
+              action();
+          }))
 {
-    this->shared->wait();
 }
 
 shutdown_signals::~shutdown_signals()
 {
-    boost::asio::post(this->shared->signals.get_executor(), [keep = this->shared] {
-        boost::system::error_code ignored;
-        keep->signals.cancel(ignored);
-    });
+    this->waiter->stop();
 }
 
-struct reload_signal::state : std::enable_shared_from_this<state> {
-    state(boost::asio::io_context& context, std::function<auto()->void> action_to_run)
-        : signals(context, SIGHUP), action(std::move(action_to_run))
-    {
-    }
-
-    auto wait() -> void
-    {
-        this->signals.async_wait(
-            [keep = this->shared_from_this()](const boost::system::error_code& stopped, int) {
-                if (stopped) {
-                    return;
-                }
-                keep->wait();
-                keep->action();
-            });
-    }
-
-    boost::asio::signal_set signals;
-    std::function<auto()->void> action;
-};
-
 reload_signal::reload_signal(boost::asio::io_context& context, std::function<auto()->void> action)
-    : shared(std::make_shared<state>(context, std::move(action)))
+    : waiter(signal_waiter::start(context, {SIGHUP}, std::move(action)))
 {
-    this->shared->wait();
 }
 
 reload_signal::~reload_signal()
 {
-    boost::asio::post(this->shared->signals.get_executor(), [keep = this->shared] {
-        boost::system::error_code ignored;
-        keep->signals.cancel(ignored);
-    });
+    this->waiter->stop();
 }
 
 } // namespace reedramp::daemon
--- a/source/core/daemon/signals.hpp
+++ b/source/core/daemon/signals.hpp
@@ -9,6 +9,9 @@
 
 namespace reedramp::daemon {
 
+/// Waits for signals on a context; shared with the wait that is under way.
+class signal_waiter;
+
 /// Waits for SIGTERM and SIGINT while it lives.
 class shutdown_signals {
 public:
@@ -22,8 +25,7 @@
     auto operator=(shutdown_signals&&) -> shutdown_signals& = delete;
 
 private:
-    struct state;
-    std::shared_ptr<state> shared;
+    std::shared_ptr<signal_waiter> waiter;
 };
 
 /// Waits for SIGHUP while it lives. Without it, the signal ends a process.
@@ -38,8 +40,7 @@
     auto operator=(reload_signal&&) -> reload_signal& = delete;
 
 private:
-    struct state;
-    std::shared_ptr<state> shared;
+    std::shared_ptr<signal_waiter> waiter;
 };
 
 } // namespace reedramp::daemon
--- a/source/core/placement/affinity.cpp
+++ b/source/core/placement/affinity.cpp
@@ -26,6 +26,11 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
+auto affinity_weight(std::uint64_t server, std::uint64_t key) -> std::uint64_t
+{
+    return mix(server ^ key);
+}
+
 auto make_candidate(common::server_id server, distance away) -> candidate
 {
     const auto hash = affinity_hash(server.value());
@@ -46,7 +51,7 @@
     std::vector<std::pair<std::uint64_t, std::size_t>> best;
     best.reserve(count + 1);
     for (std::size_t index = 0; index < candidates.size(); ++index) {
-        const auto weight = mix(candidates[index].hash ^ key);
+        const auto weight = affinity_weight(candidates[index].hash, key);
         if (best.size() == count && weight <= best.back().first) {
             continue;
         }
--- a/source/core/placement/affinity.hpp
+++ b/source/core/placement/affinity.hpp
@@ -28,6 +28,10 @@
 /// 64-bit hash of a session, a prompt's prefix or a server; the same in all processes.
 auto affinity_hash(std::string_view text) -> std::uint64_t;
 
+/// A server's weight for `key`; of all servers, the one with the largest is preferred. `server` is
+/// the hash of its id.
+auto affinity_weight(std::uint64_t server, std::uint64_t key) -> std::uint64_t;
+
 /// Index of the candidate that ranks first for `key` by rendezvous hashing: the same in all entries
 /// that know the same servers, and when a server goes only its own keys move.
 auto preferred(std::span<const candidate> candidates, std::uint64_t key)
--- a/source/core/router/shared_store.hpp
+++ b/source/core/router/shared_store.hpp
@@ -34,8 +34,6 @@
     stream_position end;
     /// The documents are all that there are, not only what is new.
     bool is_whole = false;
-    /// Size of the store's answer.
-    std::size_t bytes = 0;
 };
 
 template <typename Answer>
--- a/source/core/routing/event_splitter.cpp
+++ b/source/core/routing/event_splitter.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// The longest event that is waited for. Events of today's engines have some hundred bytes; a server
-/// that sends on and on without ending one would otherwise fill the entry's memory.
+/// The longest event that is waited for. Events of today's engines have some hundred bytes; a
+/// server that sends on and on without ending one would otherwise fill the entry's memory.
 constexpr std::size_t most_event_bytes = 1024UL * 1024UL;
 
 /// The blank line that ends an event; its position and length.
--- a/source/core/routing/pace_book.cpp
+++ b/source/core/routing/pace_book.cpp
@@ -54,8 +54,8 @@
 auto pace_book::slowness(const common::server_id& server) const -> double
 {
     const auto found = this->servers.find(server);
-    const bool is_known = found != this->servers.end() && found->second.samples >= least_samples &&
-                          this->usual > 0.0;
+    const bool is_known =
+        found != this->servers.end() && found->second.samples >= least_samples && this->usual > 0.0;
     if (!is_known) {
         return 1.0;
     }
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -72,7 +72,8 @@
 {
     // The store says how it ended, but maybe only after the next order. Where all sessions were on
     // the new version, none goes back.
-    const auto share = share_at(this->settings.schedule, this->elapsed(one, now), one.order.allowed);
+    const auto share =
+        share_at(this->settings.schedule, this->elapsed(one, now), one.order.allowed);
     if (one.state == rollout_state::running && share >= 1.0) {
         this->note_end(one.order.service, one.order.target, rollout_state::complete);
     }
@@ -127,8 +128,8 @@
     }
 }
 
-auto rollout_guide::hear_other_order(
-    const rollout& ours, const told_rollout& told, time_point now) -> void
+auto rollout_guide::hear_other_order(const rollout& ours, const told_rollout& told, time_point now)
+    -> void
 {
     const auto began = now - told.elapsed;
     if (told.state == rollout_state::running && began > ours.began + order_distance) {
@@ -383,7 +384,8 @@
     }
     // With all sessions on the new version there is nothing to compare with: what was measured of
     // the old one belongs to another load, and a burst of callers would look like a slow version.
-    const auto share = share_at(this->settings.schedule, this->elapsed(one, now), one.order.allowed);
+    const auto share =
+        share_at(this->settings.schedule, this->elapsed(one, now), one.order.allowed);
     if (share < 1.0) {
         evidence.ours.add_new(policy::signal::slow, value);
     }
--- a/source/core/routing/server_choice.cpp
+++ b/source/core/routing/server_choice.cpp
@@ -10,26 +10,17 @@
 
 namespace {
 
-auto affinity_rank(std::uint64_t key, const registration& server) -> std::uint64_t
-{
-    // Rendezvous hashing: the same server in all entries, and only its own parts move when it goes.
-    std::uint64_t mixed = key ^ (hash_of(server.id) * 0x9e3779b97f4a7c15ULL);
-    mixed ^= mixed >> 32U;
-    mixed *= 0xd6e8feb86659fd93ULL;
-    mixed ^= mixed >> 32U;
-    return mixed;
-}
-
+/// By rendezvous hashing: the same server in all entries, and only its own parts move when it goes.
 auto holder_of(const std::vector<const registration*>& usable, std::uint64_t key)
     -> const registration*
 {
     const registration* best = nullptr;
-    std::uint64_t best_rank = 0;
+    std::uint64_t most = 0;
     for (const auto* server : usable) {
-        const auto rank = affinity_rank(key, *server);
-        if (best == nullptr || rank > best_rank) {
+        const auto weight = placement::affinity_weight(hash_of(server->id), key);
+        if (best == nullptr || weight > most) {
             best = server;
-            best_rank = rank;
+            most = weight;
         }
     }
     return best;
--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -21,7 +21,7 @@
 auto server_table::apply(const registration_change& change) -> void
 {
     if (!change.now) {
-        this->changes += this->live.erase(change.id);
+        this->live.erase(change.id);
         return;
     }
     if (this->retired.contains(change.id)) {
@@ -32,7 +32,6 @@
         return;
     }
     this->live.insert_or_assign(change.id, *change.now);
-    this->changes += 1;
 }
 
 auto server_table::retire(const common::server_id& id) -> void
@@ -44,7 +43,6 @@
         this->newest_retired.pop_front();
     }
     this->live.erase(id);
-    this->changes += 1;
 }
 
 auto server_table::leaving() const -> std::vector<std::uint64_t>
--- a/source/core/routing/server_table.hpp
+++ b/source/core/routing/server_table.hpp
@@ -71,9 +71,6 @@
 
     [[nodiscard]] auto size() const -> std::size_t { return this->live.size(); }
 
-    /// Grows with each change of what `usable` gives.
-    [[nodiscard]] auto revision() const -> std::uint64_t { return this->changes; }
-
 private:
     std::map<common::server_id, registration> live;
     /// Ids are never used again, and some hundred bytes for each restart of a server are less than
@@ -81,7 +78,6 @@
     std::set<common::server_id> retired;
     /// The newest of them, the newest last.
     std::deque<std::uint64_t> newest_retired;
-    std::uint64_t changes = 0;
 };
 
 } // namespace reedramp::routing
--- a/source/core/routing/session_book.cpp
+++ b/source/core/routing/session_book.cpp
@@ -58,8 +58,7 @@
             continue;
         }
         const auto left = use.under_way > 0 ? this->time : use.until - now;
-        told.push_back(
-            {key.second, std::chrono::duration_cast<std::chrono::milliseconds>(left)});
+        told.push_back({key.second, std::chrono::duration_cast<std::chrono::milliseconds>(left)});
     }
     return told;
 }
--- a/source/unit_tests/router/followers_test.cpp
+++ b/source/unit_tests/router/followers_test.cpp
@@ -17,7 +17,7 @@
 auto reading(std::vector<Document> documents, std::uint64_t end, bool whole)
     -> stream_reading<Document>
 {
-    return {std::move(documents), stream_position{end}, whole, 0};
+    return {std::move(documents), stream_position{end}, whole};
 }
 
 template <typename Document>
