--- a/source/core/operators/request_story.cpp
+++ b/source/core/operators/request_story.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <initializer_list>
+#include <iterator>
 
 #include <boost/json.hpp>
 
@@ -181,13 +183,18 @@
 
 auto story_text(const request_story& story) -> std::string
 {
-    auto text = "request " + story.request + ": " + story.end + "\n" + story.cause + "\n";
+    std::string text;
+    const auto add = [&text](std::initializer_list<std::string_view> pieces) {
+        for (const auto piece : pieces) {
+            text += piece;
+        }
+    };
+    add({"request ", story.request, ": ", story.end, "\n", story.cause, "\n"});
     for (const auto& line : story.lines) {
-        text +=
-            "  " + time_text(line.time) + " " + line.source + " " + line.part + ": " + line.what;
+        add({"  ", time_text(line.time), " ", line.source, " ", line.part, ": ", line.what});
         for (const auto& [name, value] : line.fields) {
             if (name != "request") {
-                text += " " + name + "=" + value;
+                add({" ", name, "=", value});
             }
         }
         text += "\n";
--- a/source/core/routing/event_splitter.hpp
+++ b/source/core/routing/event_splitter.hpp
@@ -17,8 +17,9 @@
     /// `last_id` is the id after which the stream begins, -1 for the beginning.
     explicit event_splitter(std::int64_t last_id) : newest_id(last_id) {}
 
-    /// Takes bytes in, and appends the whole events to `out`. False when an id is out of order, since a
-    /// repeated or missing event must not reach the caller, or when an event has no end in 1 MB.
+    /// Takes bytes in, and appends the whole events to `out`. False when an id is out of order,
+    /// since a repeated or missing event must not reach the caller, or when an event has no end in
+    /// 1 MB.
     auto add(std::string_view bytes, std::string& out) -> bool;
 
     /// Id of the newest whole event.
--- a/source/core/routing/pace_book.hpp
+++ b/source/core/routing/pace_book.hpp
@@ -20,8 +20,8 @@
     /// Time for the same work against that of the middle one of all servers; 1 for an unknown one.
     [[nodiscard]] auto slowness(const common::server_id& server) const -> double;
 
-    /// Time that `work` takes at a server of mean pace, the work before it included. Zero before the
-    /// first sample.
+    /// Time that `work` takes at a server of mean pace, the work before it included. Zero before
+    /// the first sample.
     [[nodiscard]] auto expected(double work) const -> std::chrono::milliseconds;
 
     auto forget(const common::server_id& server) -> void { this->servers.erase(server); }
--- a/source/core/routing/rollout.hpp
+++ b/source/core/routing/rollout.hpp
@@ -49,8 +49,8 @@
     double third_at = 0.54;
     double third_share = 0.50;
     double full_at = 0.57;
-    /// The old version's last answers, and sessions, are waited for until here, then the roll-out is
-    /// called complete: streams that are cut by it go on at the new version. What is left of a
+    /// The old version's last answers, and sessions, are waited for until here, then the roll-out
+    /// is called complete: streams that are cut by it go on at the new version. What is left of a
     /// short roll-out is a second, some tens of the store's usual times.
     double complete_at = 0.92;
 };
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -99,8 +99,8 @@
     auto rule_for(const common::service_name& service, std::uint64_t session, time_point now)
         -> version_rule;
 
-    /// A caller goes on with a stream of the session that was cut. Its entry may have died, and what
-    /// it knew of the session with it.
+    /// A caller goes on with a stream of the session that was cut. Its entry may have died, and
+    /// what it knew of the session with it.
     auto note_resumed(const common::service_name& service, std::uint64_t session, time_point now)
         -> void;
 
@@ -176,9 +176,8 @@
     auto hear_other_order(const rollout& ours, const told_rollout& told, time_point now) -> void;
     auto infer_end(const rollout& one, time_point now) -> void;
     auto note_end(
-        const common::service_name& service,
-        const common::version_id& target,
-        rollout_state state) -> void;
+        const common::service_name& service, const common::version_id& target, rollout_state state)
+        -> void;
     [[nodiscard]] auto is_worse(const rollout& one) const -> bool;
     /// What is left on other versions, from this entry, and over all entries: requests under way,
     /// and sessions that last. Once a roll-out is complete its old servers stop, so that a session
--- a/source/core/routing/session_book.hpp
+++ b/source/core/routing/session_book.hpp
@@ -62,9 +62,8 @@
 
     /// How many sessions of the service last on other versions than `target`.
     [[nodiscard]] auto count_on_other_versions(
-        const common::service_name& service,
-        const common::version_id& target,
-        time_point now) const -> std::size_t;
+        const common::service_name& service, const common::version_id& target, time_point now) const
+        -> std::size_t;
 
     /// A peer keeps these sessions on an old version.
     auto
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -19,9 +19,10 @@
 constexpr int missed_rounds = 3;
 /// A peer's load counts for this many rounds: it is gone soon after its entry.
 constexpr int trusted_rounds = 5;
-/// From the end of an entry's process until the next one serves: the platform's pause of half a
-/// second or more, and the start.
-constexpr common::duration restart_time = std::chrono::seconds{1};
+/// From the end of an entry's process until callers reach the next one: the platform's pause of
+/// half a second or more, the start, and the second after which the balancer asks again. Before
+/// that it sends callers to those that still leave.
+constexpr common::duration restart_time = std::chrono::seconds{2};
 /// One that has been silent for this long is forgotten; if it lives, it will speak first.
 constexpr common::duration forgotten_after = std::chrono::seconds{20};
 
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -159,17 +159,19 @@
 
 auto router_process::parts_of_process::listen() -> common::result<void>
 {
-    const auto open =
-        [this](
-            const http::endpoint& where, http::request_handler handler, bool accepts_at_once = true)
-        -> common::result<std::unique_ptr<http::server>> {
+    const auto open = [this](
+                          const http::endpoint& where,
+                          http::request_handler handler,
+                          bool accepts_at_once =
+                              true) -> common::result<std::unique_ptr<http::server>> {
         http::server_options options;
         options.listen = where;
         options.accepts_at_once = accepts_at_once;
         return http::server::open({&this->context}, options, std::move(handler));
     };
     auto callers = open(
-        this->settings.callers, [this](http::request asked, std::shared_ptr<http::responder> out) {
+        this->settings.callers,
+        [this](http::request asked, std::shared_ptr<http::responder> out) {
             this->core->handle(std::move(asked), std::move(out));
         },
         false);
--- a/source/unit_tests/daemon/line_log_test.cpp
+++ b/source/unit_tests/daemon/line_log_test.cpp
@@ -74,7 +74,9 @@
     say(common::log_level::info, "started host=a");
     say(common::log_level::warning, "store lost");
     flush_line_log();
-    CHECK(output.read_all() == "I 1700000000.250 entry: started host=a\nW 1700000000.250 entry: store lost\n");
+    CHECK(
+        output.read_all() ==
+        "I 1700000000.250 entry: started host=a\nW 1700000000.250 entry: store lost\n");
 }
 
 TEST_CASE("a reader that stops does not stop the process", "[line_log]")
--- a/source/unit_tests/http/server_test.cpp
+++ b/source/unit_tests/http/server_test.cpp
@@ -375,7 +375,9 @@
     late.accepts_at_once = false;
     const auto serving = open_server(
         {&network.context},
-        [](const request&, const std::shared_ptr<responder>& out) { out->send({200, {}, "ok"}); },
+        [](const request&, const std::shared_ptr<responder>& out) {
+            out->send({200, {}, "ok"});
+        },
         late);
     raw_caller early{address_of(*serving)};
     early.send(plain_get);
--- a/source/unit_tests/router/followers_test.cpp
+++ b/source/unit_tests/router/followers_test.cpp
@@ -135,9 +135,9 @@
     held_store store;
     const auto rules =
         std::make_shared<rules_follower>(all.core, store.hooks(), follower_options{});
-    std::make_shared<servers_follower>(
-        all.core, store.hooks(), follower_options{}, [rules] { rules->refresh(); })
-        ->start();
+    std::make_shared<servers_follower>(all.core, store.hooks(), follower_options{}, [rules] {
+        rules->refresh();
+    })->start();
     rules->refresh(); // Before the first reading there is nothing to do.
     CHECK(store.rules.empty());
     rules->start();
--- a/source/unit_tests/router/peer_group_test.cpp
+++ b/source/unit_tests/router/peer_group_test.cpp
@@ -93,8 +93,8 @@
 TEST_CASE("callers come back when an entry will serve them", "[peer_group]")
 {
     // All entries are told to leave, seconds after one another. A caller whose long request comes
-    // to the first one was told to come back in 250 ms; the balancer sent it to an entry that leaves
-    // too, and its last try was refused.
+    // to the first one was told to come back in 250 ms; the balancer sent it to an entry that
+    // leaves too, and its last try was refused.
     world all;
     world others;
     told_entry one{all, 1};
@@ -119,7 +119,7 @@
     CHECK(refused_for() == "0.250");
     others.core->leave(others.now + milliseconds{3000});
     tell();
-    CHECK(refused_for() == "2.000");
+    CHECK(refused_for() == "3.000");
 }
 
 TEST_CASE("an entry does not tell itself", "[peer_group]")
