--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -236,16 +236,21 @@
     if (one.state == rollout_state::reverted) {
         return stays;
     }
-    const auto passed = this->elapsed(one, now);
-    const auto share = share_at(this->settings.schedule, passed, one.order.allowed);
-    bool goes_new = is_in_share(session, share);
-    if (const auto used = this->sessions.version_of(service, session, now)) {
-        goes_new = *used == target || (goes_new && this->may_move(one, now));
-    }
-    else if (!this->may_move(one, now)) {
-        goes_new = goes_new && !this->sessions.is_old_elsewhere(service, session, now);
-    }
-    return goes_new ? version_rule{target, history.reverted} : stays;
+    return this->goes_new(one, session, now) ? version_rule{target, history.reverted} : stays;
+}
+
+auto rollout_guide::goes_new(const rollout& one, std::uint64_t session, time_point now) const
+    -> bool
+{
+    const auto& order = one.order;
+    const auto share = share_at(this->settings.schedule, this->elapsed(one, now), order.allowed);
+    const bool is_meant = is_in_share(session, share);
+    const bool may_move = this->may_move(one, now);
+    if (const auto used = this->sessions.version_of(order.service, session, now)) {
+        return *used == order.target || (is_meant && may_move);
+    }
+    const bool is_kept = !may_move && this->sessions.is_old_elsewhere(order.service, session, now);
+    return is_meant && !is_kept;
 }
 
 auto rollout_guide::note_end(
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -195,6 +195,9 @@
         const common::version_id& version,
         bool is_slow,
         time_point now) const -> void;
+    /// Whether a session goes to the new version while the roll-out runs.
+    [[nodiscard]] auto goes_new(const rollout& one, std::uint64_t session, time_point now) const
+        -> bool;
     /// Whether the roll-out's share has grown: from then on sessions may change their version.
     [[nodiscard]] auto may_move(const rollout& one, time_point now) const -> bool;
     [[nodiscard]] auto sessions_to_tell(const rollout& one, time_point now) const
