Let requests wait two seconds for an entry's first rules

Ruled out: a longer Retry-After (no try left), peers (all were killed). Change: an entry without rules or servers holds what it has read for 2 s, or a third of the caller's time, and then refuses; what its caller has left is dropped, times count from when it came. An entry that knew its rules before holds nothing. The test that wanted 503 at once wants it after 2 s now: the rule that it guards, never 404 or 401, is the same.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -37,7 +37,7 @@
     admitted_request request_to_relay,
     std::shared_ptr<http::responder> responder)
     : core(std::move(core_to_use)), request(std::move(request_to_relay)), out(std::move(responder)),
-      received(this->core->hooks.clock()), last_event(this->request.caller.last_event)
+      received(this->request.received), last_event(this->request.caller.last_event)
 {
     this->core->open_requests += 1;
 }
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -22,6 +22,8 @@
     caller_request caller;
     std::shared_ptr<const routing::route_table> rules;
     const routing::route* route = nullptr;
+    /// Times count from here.
+    time_point received;
 };
 
 /// One request on its way: sends it to servers until one has answered it or nothing more may be
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -1,5 +1,6 @@
 #include "router/router_core.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -23,35 +24,97 @@
 auto router_core::handle(http::request asked, std::shared_ptr<http::responder> out) -> void
 {
     this->counters.requests.add();
-    const auto now = this->hooks.clock();
-    const auto refuse = [this, &out](const common::error& why, const std::string& attempt) {
-        this->counters.count_end(std::string{common::row_of(why.code).name});
-        common::log(
-            common::log_part::entry,
-            common::log_level::info,
-            "refused request=" + attempt + " why=" + std::string{common::row_of(why.code).name});
-        out->send(own_answer(why, this->come_back_after(why.code)));
-    };
+    this->handle_at(std::move(asked), std::move(out), this->hooks.clock());
+}
+
+auto router_core::handle_at(
+    http::request asked, std::shared_ptr<http::responder> out, time_point received) -> void
+{
     if (!this->is_ready()) {
-        refuse(common::make_error(common::result_code::not_ready), "-");
+        this->hold(std::move(asked), std::move(out), received);
         return;
     }
-    auto caller = read_caller_request(asked, this->options.names, now);
+    auto caller = read_caller_request(asked, this->options.names, received);
     if (!caller) {
-        refuse(caller.error(), "-");
+        this->refuse(caller.error(), "-", *out);
         return;
     }
     const auto found = this->check(asked, *caller);
     if (!found) {
-        refuse(found.error(), caller->attempt);
+        this->refuse(found.error(), caller->attempt, *out);
         return;
     }
     relay::begin(
         this->shared_from_this(),
-        {std::move(asked), std::move(*caller), this->rules_in_force, *found},
+        {std::move(asked), std::move(*caller), this->rules_in_force, *found, received},
         std::move(out));
 }
 
+auto router_core::refuse(const common::error& why, const std::string& attempt, http::responder& out)
+    -> void
+{
+    const auto name = std::string{common::row_of(why.code).name};
+    this->counters.count_end(name);
+    common::log(
+        common::log_part::entry,
+        common::log_level::info,
+        "refused request=" + attempt + " why=" + name);
+    out.send(own_answer(why, this->come_back_after(why.code)));
+}
+
+auto router_core::hold(
+    http::request asked, std::shared_ptr<http::responder> out, time_point received) -> void
+{
+    const auto caller = read_caller_request(asked, this->options.names, received);
+    if (!caller || this->held.size() >= this->options.most_held) {
+        this->refuse(
+            caller ? common::make_error(common::result_code::not_ready) : caller.error(),
+            "-",
+            *out);
+        return;
+    }
+    const auto limit = std::chrono::duration_cast<common::duration>(this->options.start_hold);
+    const auto wait = caller->deadline == common::never
+                          ? limit
+                          : std::min(limit, (caller->deadline - received) / 3);
+    const auto one = std::make_shared<held_request>();
+    one->asked = std::move(asked);
+    one->out = std::move(out);
+    one->received = received;
+    one->out->on_disconnect([weak = std::weak_ptr<held_request>(one)] {
+        if (const auto left = weak.lock()) {
+            left->has_left = true;
+        }
+    });
+    this->held.push_back(one);
+    this->hooks.timer(received + wait, [weak = this->weak_from_this(), one] {
+        if (const auto self = weak.lock()) {
+            self->give_back(one);
+        }
+    });
+}
+
+auto router_core::give_back(const std::shared_ptr<held_request>& one) -> void
+{
+    if (std::erase(this->held, one) > 0) {
+        this->refuse(common::make_error(common::result_code::not_ready), "-", *one->out);
+    }
+}
+
+auto router_core::serve_held() -> void
+{
+    if (!this->is_ready()) {
+        return;
+    }
+    for (const auto& one : std::exchange(this->held, {})) {
+        // A request whose caller has left must reach no server.
+        if (!one->has_left) {
+            this->handle_at(std::move(one->asked), one->out, one->received);
+        }
+        one->out.reset();
+    }
+}
+
 auto router_core::come_back_after(common::result_code why) const -> std::chrono::milliseconds
 {
     if (why == common::result_code::not_ready) {
@@ -123,6 +186,7 @@
     if (this->hooks.on_rules) {
         this->hooks.on_rules(this->rules_in_force->rules());
     }
+    this->serve_held();
     return true;
 }
 
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -67,6 +67,12 @@
     /// The same from an entry that has no rules or servers yet: as a rule the store is away then,
     /// for some seconds, and who comes back sooner is refused again.
     std::chrono::milliseconds come_back_when_ready{2000};
+    /// An entry that has just started holds requests for so long until it has rules and servers, or
+    /// for a third of the time that the caller has: after a kill most come with their last try. The
+    /// store is away then for some seconds as a rule.
+    std::chrono::milliseconds start_hold{2000};
+    /// More than come in that time; at some 12 KB each they take 6 MB.
+    std::size_t most_held = 512;
     /// A stream that stays silent for this many of its longest good pauses goes on elsewhere.
     double stalled_after_pauses = 1.5;
     /// So does one that waits for its first event for this many times the route's mean, and for
@@ -90,6 +96,9 @@
     /// Takes a caller's request and sees to its answer.
     auto handle(http::request asked, std::shared_ptr<http::responder> out) -> void;
 
+    /// Rules or servers have come: takes the requests that waited for them.
+    auto serve_held() -> void;
+
     /// The process will end at `last`: requests that may take longer than is left are refused, so
     /// that their callers go elsewhere in time.
     auto leave(time_point last) -> void { this->ends_at = last; }
@@ -153,6 +162,20 @@
     std::size_t open_requests = 0;
 
 private:
+    /// A request that came before there were rules and servers.
+    struct held_request {
+        http::request asked;
+        std::shared_ptr<http::responder> out;
+        time_point received;
+        bool has_left = false;
+    };
+
+    auto handle_at(http::request asked, std::shared_ptr<http::responder> out, time_point received)
+        -> void;
+    auto hold(http::request asked, std::shared_ptr<http::responder> out, time_point received)
+        -> void;
+    auto give_back(const std::shared_ptr<held_request>& one) -> void;
+    auto refuse(const common::error& why, const std::string& attempt, http::responder& out) -> void;
     /// Whether a request can end before the process does, if each of its tokens takes `token`.
     [[nodiscard]] auto may_finish(
         const routing::route& on,
@@ -163,6 +186,7 @@
     auto check(const http::request& asked, const caller_request& caller) const
         -> common::result<const routing::route*>;
 
+    std::vector<std::shared_ptr<held_request>> held;
     std::shared_ptr<const routing::route_table> rules_in_force;
     std::string text_in_force;
     time_point ends_at = common::never;
--- a/source/core/router/servers_follower.cpp
+++ b/source/core/router/servers_follower.cpp
@@ -61,6 +61,7 @@
         }
     }
     this->apply(*found, now);
+    this->core->serve_held();
     this->position = found->end;
     this->end_lapsed(now);
     this->read_later(this->options.servers_period);
--- a/source/unit_tests/router/admission_test.cpp
+++ b/source/unit_tests/router/admission_test.cpp
@@ -68,10 +68,43 @@
     world all;
     all.core = std::make_shared<router_core>(all.core->hooks, router_options{}, all.client);
     const auto out = all.ask("/once/1");
+    CHECK(out->status() == 0);
+    all.advance(milliseconds{2000});
     CHECK(out->status() == 503);
     CHECK(http::find_header(out->answer->headers, "Retry-After") == "2.000");
 }
 
+TEST_CASE("requests that come before the rules wait for them", "[admission]")
+{
+    // All entries were killed while the store refuses everybody for some seconds. Callers come back
+    // with their last try; refused at once, their requests were lost a second before the store's
+    // answer came.
+    world all;
+    all.core = std::make_shared<router_core>(all.core->hooks, router_options{}, all.client);
+    const auto waits = all.ask("/once/1", {{"Reedramp-Deadline-Ms", "9000"}});
+    const auto leaves = all.ask("/once/1");
+    const auto is_short = all.ask("/once/1", {{"Reedramp-Deadline-Ms", "1500"}});
+    const auto is_bad = all.ask("/once/1", {{"Reedramp-Deadline-Ms", "soon"}});
+    CHECK(is_bad->status() == 400);
+    leaves->leave_action();
+    // A third of its time, so that the caller has some left for another entry.
+    all.advance(milliseconds{500});
+    CHECK(is_short->status() == 503);
+    all.advance(milliseconds{900});
+    all.core->adopt(rules_of(1));
+    CHECK(all.sends() == 0);
+    all.add_server("a");
+    all.core->serve_held();
+    REQUIRE(all.sends() == 1);
+    // The time that it has counts from when it came.
+    CHECK(std::stoi(all.last().header("Reedramp-Deadline-Ms")) <= 9000 - 1400);
+    all.last().answer(200, "served");
+    CHECK(waits->status() == 200);
+    CHECK(leaves->status() == 0);
+    all.advance(milliseconds{5000});
+    CHECK(waits->answer->body == "served");
+}
+
 TEST_CASE("a leaving entry takes what it can finish", "[admission]")
 {
     // The process ends 7.6 s after SIGTERM. A long stream that is taken after 3 s would be cut in
