Say what callers of a starting entry meet now

The comment on start_patience still said that they are told when it is over; since the entry holds requests for its first rules they wait on. A comment alone; the format is checked and the program builds.

--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -53,8 +53,9 @@
 constexpr milliseconds entries_period{10000};
 /// A process that starts has its rules and servers some tens of ms later, and until then callers'
 /// connections wait in the system's queue: all callers of a process that was killed come back in
-/// that time, most of them with their last try. Past this the store is away, and they are told.
-/// Below the second after which callers leave what is not read.
+/// that time, most of them with their last try. Past this the store is away: requests are read, and
+/// held for `router_options::start_hold` more. Below the second after which callers leave what is
+/// not read.
 constexpr milliseconds start_patience{600};
 constexpr milliseconds start_check{5};
 /// A message to a peer has some hundred bytes; a roll-out adds 100 for each of its routes.
