Read times of settings as decimals with their unit: grown deployments start

Cause: the settings' template wrote three zeros behind a bound in seconds to make milliseconds of it; a bound of 8.5000 became 8.5000000, no integer, and no entry of a grown deployment started. Ruled out: a fallback for what can't be read, which would hide a bound. Change: one type of setting for times: a number of ms, or text with its unit, read in settings/check.cpp alone; problems name value and range.

--- a/source/core/settings/check.cpp
+++ b/source/core/settings/check.cpp
@@ -77,7 +77,7 @@
     const auto number = found.as_int64();
     const auto problem = range_problem(which, static_cast<double>(number), "it");
     if (!problem.empty()) {
-        return wrong(problem);
+        return wrong("is " + std::to_string(number) + ", " + problem);
     }
     return number;
 }
@@ -90,11 +90,55 @@
     const auto number = found.to_number<double>();
     const auto problem = range_problem(which, number, "it");
     if (!problem.empty()) {
-        return wrong(problem);
+        return wrong("is " + number_text(number) + ", " + problem);
     }
     return number;
 }
 
+/// Milliseconds in a unit's one; 0 for what is no unit of time.
+auto milliseconds_in(std::string_view unit) -> double
+{
+    constexpr double in_second = 1000.0;
+    return unit == "ms" ? 1.0 : unit == "s" ? in_second : 0.0;
+}
+
+/// Milliseconds of "8.5 s", "8500ms"; NaN for what is no time.
+auto parse_time(std::string_view text) -> double
+{
+    double number = 0.0;
+    const auto* last = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), last, number, std::chars_format::fixed);
+    auto unit = text.substr(static_cast<std::size_t>(parsed.ptr - text.data()));
+    unit.remove_prefix(std::min(unit.find_first_not_of(' '), unit.size()));
+    const auto factor = milliseconds_in(unit);
+    const bool is_time = parsed.ec == std::errc{} && factor > 0.0;
+    return is_time ? number * factor : std::nan("");
+}
+
+/// Operators' bounds are whole numbers on one installation and fractions on the next, in seconds or
+/// in milliseconds. Read here alone, each form works, and a program does not end at its start for
+/// one that another key would have taken.
+auto read_time(const key& which, const boost::json::value& found) -> read_answer
+{
+    if (!found.is_number() && !found.is_string()) {
+        return wrong("has to be a number of ms, or a time like \"8.5 s\"");
+    }
+    const auto time = found.is_number()
+                          ? found.to_number<double>()
+                          : parse_time({found.as_string().data(), found.as_string().size()});
+    const auto given = found.is_string() ? std::string{found.as_string()} : number_text(time);
+    if (!std::isfinite(time)) {
+        return wrong("is " + given + ", has to be a number of ms, or a time like \"8.5 s\"");
+    }
+    const auto whole = std::round(time);
+    if (whole < which.lowest || whole > which.highest) {
+        return wrong(
+            "is " + given + ", has to be from " + number_text(which.lowest) + " to " +
+            number_text(which.highest) + " ms");
+    }
+    return static_cast<std::int64_t>(whole);
+}
+
 auto read_boolean(const boost::json::value& found) -> read_answer
 {
     if (!found.is_bool()) {
@@ -186,6 +230,8 @@
         return read_list(which, found);
     case value_type::text_map:
         return read_map(which, found);
+    case value_type::time:
+        return read_time(which, found);
     }
     return wrong("has an unknown type");
 }
--- a/source/core/settings/keys.cpp
+++ b/source/core/settings/keys.cpp
@@ -50,6 +50,7 @@
 auto time_key(const char* path, const char* doc, std::int64_t fallback, double lowest) -> key
 {
     auto made = number_key(path, doc, fallback, lowest, longest_ms);
+    made.type = value_type::time;
     made.unit = "ms";
     return made;
 }
--- a/source/core/settings/keys.hpp
+++ b/source/core/settings/keys.hpp
@@ -19,7 +19,7 @@
 auto number_key(
     const char* path, const char* doc, std::int64_t fallback, double lowest, double highest) -> key;
 
-/// Milliseconds, at most a day.
+/// A time of at most a day; `fallback` and `lowest` in milliseconds.
 auto time_key(const char* path, const char* doc, std::int64_t fallback, double lowest = 1) -> key;
 
 auto bytes_key(const char* path, const char* doc, std::int64_t fallback, double lowest = 0) -> key;
--- a/source/core/settings/markdown.cpp
+++ b/source/core/settings/markdown.cpp
@@ -10,7 +10,7 @@
 
 auto type_text(value_type type) -> std::string
 {
-    static constexpr std::array<std::string_view, 8> names{
+    static constexpr std::array<std::string_view, 9> names{
         "text",
         "integer",
         "number",
@@ -18,7 +18,8 @@
         "IP:port",
         "list of texts",
         "list of IP:port",
-        "object of texts"};
+        "object of texts",
+        "time"};
     return std::string{names.at(static_cast<std::size_t>(type))};
 }
 
--- a/source/core/settings/schema.hpp
+++ b/source/core/settings/schema.hpp
@@ -28,6 +28,9 @@
     address_list,
     /// An object whose values are all strings.
     text_map,
+    /// A time: a number of milliseconds, or text with its unit, "8.5 s" or "8500 ms". Kept as whole
+    /// milliseconds.
+    time,
 };
 
 using text_list = std::vector<std::string>;
@@ -79,10 +82,11 @@
 
     /// Of a `text` or `address`.
     [[nodiscard]] auto text(std::string_view path) const -> const std::string&;
+    /// Of an `integer`, or the milliseconds of a `time`.
     [[nodiscard]] auto integer(std::string_view path) const -> std::int64_t;
     [[nodiscard]] auto real(std::string_view path) const -> double;
     [[nodiscard]] auto boolean(std::string_view path) const -> bool;
-    /// Of an `integer` whose unit is "ms".
+    /// Of a `time`.
     [[nodiscard]] auto milliseconds(std::string_view path) const -> std::chrono::milliseconds;
     /// Of an `integer` whose lowest bound is not negative.
     [[nodiscard]] auto size(std::string_view path) const -> std::size_t;
--- a/source/unit_tests/daemon/front_test.cpp
+++ b/source/unit_tests/daemon/front_test.cpp
@@ -78,7 +78,7 @@
         const auto ended = run(words);
         CHECK(code_of(ended) == exit_code::bad_settings);
         CHECK(
-            ended.errors == "settings: $.port: it has to be at least 1\n"
+            ended.errors == "settings: $.port: is 0, it has to be at least 1\n"
                             "settings: $.prot: is not a known key\n");
     }
 }
