Compare a new version's pace with the old one's, at the same load, over all entries

Cause: of slowness the guard saw only whether a first event came later than three times the old mean. Change: version_evidence takes the guard's part out of rollout_guide; a signal for pace as a magnitude, old means pooled over entries, the share held up while evidence leans against the version, the first share on its part of the servers, cold servers left out, the first share from the operators' bound.

--- a/source/core/policy/guard.cpp
+++ b/source/core/policy/guard.cpp
@@ -11,9 +11,6 @@
 constexpr std::size_t bets = bet_shares.size();
 constexpr std::size_t growth_block = signal_count * bets;
 
-/// Weights of the signals' blocks in the mixed wealth, in the order of `signal`.
-constexpr std::array<double, signal_count> signal_weights{0.6, 0.3, 0.1};
-
 /// Means that bets are made against stay away from 0 and 1, where the largest stake has no bound.
 constexpr double least_mean = 0.01;
 
@@ -43,11 +40,12 @@
 }
 
 /// The wealth of someone who split the first stake over the signals by their weights.
-auto mixed_against(std::span<const double> all) -> double
+auto mixed_against(std::span<const double> all, const std::array<double, signal_count>& weights)
+    -> double
 {
     std::array<double, signal_count> terms{};
     for (std::size_t i = 0; i < signal_count; ++i) {
-        const double weight = signal_weights[i] * static_cast<double>(signal_count);
+        const double weight = weights[i] * static_cast<double>(signal_count);
         terms[i] = log_mean_exp(all.subspan(i * bets, bets)) + std::log(weight);
     }
     return log_mean_exp(terms);
@@ -78,6 +76,15 @@
 
 } // namespace
 
+auto joined(const known_mean& one, const known_mean& other) -> known_mean
+{
+    const double count = one.count + other.count;
+    if (count <= 0.0) {
+        return {};
+    }
+    return {(one.value * one.count + other.value * other.count) / count, count};
+}
+
 evidence::evidence(guard_options chosen) : options(chosen), logs(wealth_size, 0.0) {}
 
 auto evidence::best_mean(const reference& known) -> known_mean
@@ -88,6 +95,12 @@
     return {known.values.mean(), known.values.weight()};
 }
 
+auto evidence::old_mean(signal what) const -> known_mean
+{
+    const auto& values = this->references[index_of(what)].values;
+    return {values.mean(), values.weight()};
+}
+
 auto evidence::ready(const reference& known) const -> bool
 {
     return best_mean(known).count >= this->options.least_reference;
@@ -160,6 +173,9 @@
     case signal::slow:
         add_returns(this->logs, first, above, value, high + this->options.slow_slack);
         return;
+    case signal::pace:
+        add_returns(this->logs, first, above, value, high + this->options.pace_slack);
+        return;
     }
 }
 
@@ -193,7 +209,7 @@
     }
     const std::span<const double> all(total);
     judgement found;
-    found.log_against = mixed_against(all);
+    found.log_against = mixed_against(all, options.weights);
     found.log_for = log_mean_exp(all.subspan(growth_block));
     if (found.log_against >= -std::log(options.false_alarm)) {
         found.decision = verdict::worse;
--- a/source/core/policy/guard.hpp
+++ b/source/core/policy/guard.hpp
@@ -20,9 +20,12 @@
     error,
     /// 1 if the answer was slower than the organisation's target, else 0; high is bad.
     slow,
+    /// By how much the answer took longer than the old version's, 0 for no more than usual, 1 for
+    /// several times as long; high is bad.
+    pace,
 };
 
-inline constexpr std::size_t signal_count = 3;
+inline constexpr std::size_t signal_count = 4;
 
 /// Parallel bets, each staking this share of the largest possible stake. Small ones find small
 /// differences late, large ones find large differences early; the mean of their wealth is within
@@ -35,6 +38,10 @@
     double rating_slack = 0.02;
     double error_slack = 0.01;
     double slow_slack = 0.05;
+    double pace_slack = 0.05;
+    /// Shares of the stake by signal, in the order of `signal`. A signal that is never observed
+    /// should have none: what is staked on it is lost to the others.
+    std::array<double, signal_count> weights{0.6, 0.3, 0.1, 0.0};
     /// How much worse the new version would have to be for a larger share to be unwanted.
     double growth_slack = 0.05;
     double false_alarm = 0.01;
@@ -46,6 +53,17 @@
     double reference_errors = 1.5;
 };
 
+/// A mean and the number of observations behind it.
+struct known_mean {
+    double value = 0.0;
+    double count = 0.0;
+
+    auto operator==(const known_mean&) const -> bool = default;
+};
+
+/// The mean over both.
+auto joined(const known_mean& one, const known_mean& other) -> known_mean;
+
 /// Logarithms of the wealth of all bets: `signal_count` blocks that bet on "worse", then one that
 /// bets on "not worse by growth_slack" by ratings. Vectors of several processes are added up.
 using wealth = std::vector<double>;
@@ -78,12 +96,10 @@
 
     [[nodiscard]] auto log_wealth() const -> const wealth& { return this->logs; }
 
-private:
-    struct known_mean {
-        double value = 0.0;
-        double count = 0.0;
-    };
+    /// What this process has seen itself of the old version, to be pooled.
+    [[nodiscard]] auto old_mean(signal what) const -> known_mean;
 
+private:
     struct reference {
         forgetting_mean values;
         known_mean pooled;
--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -1,6 +1,7 @@
 #include "router/peer_message.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 #include <optional>
 
@@ -22,6 +23,50 @@
     return {text.cStr(), text.size()};
 }
 
+/// Pairs of mean and count, signals before timed parts.
+constexpr unsigned pair_size = 2;
+constexpr unsigned told_means =
+    pair_size * static_cast<unsigned>(policy::signal_count + routing::timed_part_count);
+
+auto fill_means(capnp::List<float>::Builder to, const routing::told_evidence& from) -> void
+{
+    unsigned at = 0;
+    const auto add = [&to, &at](const policy::known_mean& mean) {
+        to.set(at++, static_cast<float>(mean.value));
+        to.set(at++, static_cast<float>(mean.count));
+    };
+    std::ranges::for_each(from.old_means, add);
+    std::ranges::for_each(from.usual_times, add);
+}
+
+auto read_means(capnp::List<float>::Reader from, routing::told_evidence& to) -> void
+{
+    unsigned at = 0;
+    const auto next = [&from, &at](policy::known_mean& mean) {
+        const double value = from[at++];
+        const double count = from[at++];
+        // What is no number would stay in every sum.
+        const bool is_sound = std::isfinite(value) && std::isfinite(count) && count >= 0.0;
+        mean = is_sound ? policy::known_mean{value, count} : policy::known_mean{};
+    };
+    std::ranges::for_each(to.old_means, next);
+    std::ranges::for_each(to.usual_times, next);
+}
+
+auto read_evidence(schema::RouteEvidence::Reader from) -> std::optional<routing::told_evidence>
+{
+    routing::told_evidence told;
+    for (const double log : from.getWealth()) {
+        told.bets.push_back(std::isfinite(log) ? log : 0.0);
+    }
+    // Sums need blocks of one size; another one comes from a peer of another release.
+    if (told.bets.size() != policy::wealth_size || from.getOldMeans().size() != told_means) {
+        return std::nullopt;
+    }
+    read_means(from.getOldMeans(), told);
+    return told;
+}
+
 auto fill(schema::Rollout::Builder to, const routing::told_rollout& from) -> void
 {
     to.setService(from.service.value());
@@ -31,14 +76,16 @@
     to.setLeftOnOld(from.left_on_old);
     auto all = to.initEvidence(static_cast<unsigned>(from.evidence.size()));
     unsigned at = 0;
-    for (const auto& [route, wealth] : from.evidence) {
+    for (const auto& [route, told] : from.evidence) {
         auto one = all[at++];
         one.setRoute(route.value());
-        auto logs = one.initWealth(static_cast<unsigned>(wealth.size()));
-        for (unsigned i = 0; i < wealth.size(); ++i) {
-            logs.set(i, static_cast<float>(wealth[i]));
+        auto logs = one.initWealth(static_cast<unsigned>(told.bets.size()));
+        for (unsigned i = 0; i < told.bets.size(); ++i) {
+            logs.set(i, static_cast<float>(told.bets[i]));
         }
+        fill_means(one.initOldMeans(told_means), told);
     }
+    to.setShare(static_cast<float>(from.share));
     to.setState(static_cast<std::uint8_t>(from.state));
     to.setIsWritten(from.is_written);
     auto sessions = to.initOldSessions(static_cast<unsigned>(from.old_sessions.size()));
@@ -67,14 +114,11 @@
     told.left_on_old = from.getLeftOnOld();
     told.state = state_of(from.getState());
     told.is_written = from.getIsWritten();
+    const double share = from.getShare();
+    told.share = std::isfinite(share) ? std::clamp(share, 0.0, 1.0) : 0.0;
     for (const auto one : from.getEvidence()) {
-        policy::wealth wealth;
-        for (const auto log : one.getWealth()) {
-            wealth.push_back(log);
-        }
-        // Sums need blocks of one size; another one comes from a peer of another release.
-        if (wealth.size() == policy::wealth_size) {
-            told.evidence[routing::route_name{text_of(one.getRoute())}] = std::move(wealth);
+        if (auto evidence = read_evidence(one)) {
+            told.evidence[routing::route_name{text_of(one.getRoute())}] = std::move(*evidence);
         }
     }
     for (const auto one : from.getOldSessions()) {
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -14,6 +14,8 @@
 struct RouteEvidence {
   route @0 :Text;
   wealth @1 :List(Float32);
+  # Of the old version, as pairs of mean and count: by signal, then usual times by timed part.
+  oldMeans @2 :List(Float32);
 }
 
 # A session that the sender keeps on an old version, for so long if nothing more comes of it.
@@ -33,6 +35,7 @@
   # As rollout_state counts them: 0 running, 1 complete, 2 reverted.
   state @7 :UInt8;
   isWritten @8 :Bool;
+  share @9 :Float32;
 }
 
 struct Words {
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -153,8 +153,15 @@
     const auto now = this->core->hooks.clock();
     auto usable = this->core->servers.usable(this->service);
     // Anew for each send: a version that was fine for the first may have been found bad since.
-    routing::keep_allowed(
-        usable, this->core->rollouts.rule_for(this->service, this->session_hash, now));
+    const auto rule = this->core->rollouts.rule_for(this->service, this->session_hash, now);
+    routing::keep_allowed(usable, rule);
+    if (rule.preferred && rule.spread < 1.0) {
+        routing::keep_canaries(usable, rule.spread, [this, now](const auto& server) {
+            const bool is_tried = std::ranges::find(this->tried, server.id) != this->tried.end();
+            return is_tried || server.cold_until > now ||
+                   this->core->health.is_resting(server.id, now);
+        });
+    }
     return routing::choose_server(
         usable,
         this->placement_wish(),
@@ -219,6 +226,7 @@
     next->work = work.prompt + work.answer;
     next->prompt_work = work.prompt;
     next->work_ahead = this->core->loads.total(server.id, now).work + work.prompt;
+    next->is_cold = server.cold_until > now;
     next->sent = now;
     next->last_progress = now;
     this->current = next;
@@ -250,6 +258,13 @@
     }
     of->ended = true;
     this->ledger.note_end(end);
+    const bool is_whole = end == attempt_end::ran && outcome == server_outcome::good;
+    const bool was_waited_for =
+        outcome == server_outcome::failed && end != attempt_end::ran && of->said == verdict::none;
+    if (is_whole || was_waited_for) {
+        this->note_whole_time(
+            *of, is_whole ? routing::time_bound::seen : routing::time_bound::at_least);
+    }
     const auto now = this->core->hooks.clock();
     this->core->loads.end(of->server, of->work);
     this->core->rollouts.note_ended(this->service, this->session_hash, of->version, now);
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -82,6 +82,12 @@
         std::shared_ptr<http::call> call;
         std::optional<routing::event_splitter> events;
         bool has_events = false;
+        /// The server was still cold when it was sent: its times say nothing of its version.
+        bool is_cold = false;
+        time_point first_event;
+        /// Events of this attempt, and whether their pace has been judged.
+        std::int64_t events_seen = 0;
+        bool is_timed = false;
         bool ended = false;
     };
 
@@ -119,6 +125,13 @@
     auto ask_larger_model(const std::shared_ptr<attempt>& of) -> bool;
     [[nodiscard]] auto judge(const http::response& head) const -> verdict;
 
+    /// Hands the pace of the answer to the guard of roll-outs, once an attempt.
+    auto note_pace(attempt& of) const -> void;
+    /// The same for an answer that ends or is given up: how long it took, or at least.
+    auto note_whole_time(attempt& of, routing::time_bound bound) const -> void;
+    auto
+    note_time(attempt& of, routing::timed_part part, double ms, routing::time_bound bound) const
+        -> void;
     auto log_answer(const attempt& of, std::string_view what) const -> void;
     auto on_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void;
 
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -154,6 +154,46 @@
     }
 }
 
+auto relay::note_pace(attempt& of) const -> void
+{
+    // Enough pauses for one prompt that is read beside it to count little.
+    constexpr std::int64_t enough_events = 7;
+    if (of.events_seen < enough_events) {
+        return;
+    }
+    const auto took = std::chrono::duration<double, std::milli>(of.last_progress - of.first_event);
+    const auto pauses = static_cast<double>(of.events_seen - 1);
+    this->note_time(
+        of, routing::timed_part::event_pause, took.count() / pauses, routing::time_bound::seen);
+}
+
+auto relay::note_whole_time(attempt& of, routing::time_bound bound) const -> void
+{
+    const auto took =
+        std::chrono::duration<double, std::milli>(this->core->hooks.clock() - of.sent);
+    this->note_time(of, routing::timed_part::whole_answer, took.count(), bound);
+}
+
+auto relay::note_time(
+    attempt& of, routing::timed_part part, double ms, routing::time_bound bound) const -> void
+{
+    // A dropped small answer ends with its head, and would count as very fast.
+    const bool is_dropped = this->is_stream() && part == routing::timed_part::whole_answer &&
+                            bound == routing::time_bound::seen && !of.has_events;
+    if (of.is_timed || of.is_cold || is_dropped) {
+        return;
+    }
+    of.is_timed = true;
+    this->core->rollouts.note_time(
+        this->service,
+        of.version,
+        this->request.route->name,
+        part,
+        ms,
+        bound,
+        this->core->hooks.clock());
+}
+
 auto relay::on_events(const std::shared_ptr<attempt>& of, const std::string& bytes) -> void
 {
     std::string whole;
@@ -161,13 +201,16 @@
     if (!whole.empty()) {
         if (!of->has_events) {
             of->has_events = true;
+            of->first_event = of->last_progress;
             this->core->loads.lighten(of->server, of->prompt_work);
             of->work -= of->prompt_work;
             const auto took = milliseconds_between(of->sent, of->last_progress);
             const auto& route = this->request.route->name;
             this->core->note_first_event(route, took);
-            this->core->rollouts.note_first_event(
-                this->service, of->version, route, took, of->last_progress);
+            if (!of->is_cold) {
+                this->core->rollouts.note_first_event(
+                    this->service, of->version, route, took, of->last_progress);
+            }
         }
         if (!this->is_streaming) {
             this->is_streaming = true;
@@ -177,6 +220,9 @@
             this->core->counters.first_event_ms.record(static_cast<double>(waited.count()));
             this->out->start(of->head);
         }
+        // Events of one datagram come at one moment; the time of the last one is what counts.
+        of->events_seen += of->events->last_id() - this->last_event;
+        this->note_pace(*of);
         this->last_event = of->events->last_id();
         this->out->write(std::move(whole));
     }
--- a/source/core/router/servers_follower.cpp
+++ b/source/core/router/servers_follower.cpp
@@ -73,7 +73,7 @@
     for (const auto& change : found.documents) {
         named.insert(change.id);
         if (change.now) {
-            this->take(change);
+            this->take(change, now);
         }
         else {
             this->lapse(change.id, now);
@@ -89,11 +89,14 @@
     }
 }
 
-auto servers_follower::take(const routing::registration_change& change) -> void
+auto servers_follower::take(routing::registration_change change, time_point now) -> void
 {
     this->lapsed.erase(change.id);
     auto& servers = this->core->servers;
     const bool was_usable = servers.find(change.id) != nullptr;
+    if (change.now) {
+        change.now->cold_until = now + change.now->cold_for;
+    }
     servers.apply(change);
     const bool is_usable = servers.find(change.id) != nullptr;
     if (was_usable != is_usable) {
--- a/source/core/router/servers_follower.hpp
+++ b/source/core/router/servers_follower.hpp
@@ -31,7 +31,7 @@
     auto read_next() -> void;
     auto on_reading(const common::result<reading>& found) -> void;
     auto apply(const reading& found, time_point now) -> void;
-    auto take(const routing::registration_change& change) -> void;
+    auto take(routing::registration_change change, time_point now) -> void;
     auto lapse(const common::server_id& id, time_point now) -> void;
     auto end_lapsed(time_point now) -> void;
     auto read_later(std::chrono::milliseconds wait) -> void;
--- a/source/core/routing/rollout.hpp
+++ b/source/core/routing/rollout.hpp
@@ -49,6 +49,9 @@
     double third_at = 0.54;
     double third_share = 0.50;
     double full_at = 0.57;
+    /// Growth that evidence has held up goes on from here at the latest; the rest of the time is
+    /// what sessions need to leave the old version.
+    double latest_growth = 0.72;
     /// The old version's last answers, and sessions, are waited for until here, then the roll-out
     /// is called complete: streams that are cut by it go on at the new version. What is left of a
     /// short roll-out is a second, some tens of the store's usual times.
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -1,6 +1,8 @@
 #include "routing/rollout_guide.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 #include "common/log.hpp"
 
@@ -11,9 +13,6 @@
 /// An entry that has been silent for this long has ended, or can't be waited for.
 constexpr common::duration peer_silence = std::chrono::seconds{2};
 
-/// Odds at which the guard would call a version good; not used, growth follows the schedule.
-constexpr double doubt = 0.05;
-
 /// A peer's order is newer than this entry's when it began later by this: beginnings are taken from
 /// messages, and differ by as much as those take.
 constexpr common::duration order_distance = std::chrono::milliseconds{500};
@@ -26,6 +25,13 @@
 /// times the target of today's drafts. One that comes back sooner after an order began before it.
 constexpr common::duration cut_stream_known_after = std::chrono::seconds{8};
 
+/// Servers of the new version that get its part of the work, against that part. With as many as the
+/// part asks for, those that read all prompts anew were more than twice as slow as the old ones.
+constexpr double canary_room = 2.0;
+
+/// Time in which a rate of requests forgets; at 10 requests a second an error of a fifth.
+constexpr double rate_memory_s = 3.0;
+
 } // namespace
 
 auto keep_allowed(std::vector<const registration*>& usable, const version_rule& rule) -> void
@@ -43,6 +49,39 @@
     }
 }
 
+auto keep_canaries(
+    std::vector<const registration*>& usable,
+    double spread,
+    const std::function<auto(const registration&)->bool>& is_out) -> void
+{
+    const auto wanted = static_cast<std::size_t>(
+        std::ceil(std::clamp(spread, 0.0, 1.0) * static_cast<double>(usable.size())));
+    const auto kept = std::max<std::size_t>(wanted, 1);
+    auto fit = usable;
+    std::erase_if(fit, [&is_out](const auto* server) { return is_out(*server); });
+    if (fit.size() <= kept) {
+        usable = fit.empty() ? usable : fit;
+        return;
+    }
+    const auto middle = fit.begin() + static_cast<std::ptrdiff_t>(kept);
+    std::ranges::nth_element(
+        fit, middle, {}, [](const auto* server) { return hash_of(server->id); });
+    fit.erase(middle, fit.end());
+    usable = std::move(fit);
+}
+
+auto request_rate::note(time_point now) -> void
+{
+    this->count = this->per_second(now) * rate_memory_s + 1.0;
+    this->counted_at = now;
+}
+
+auto request_rate::per_second(time_point now) const -> double
+{
+    const auto passed = std::chrono::duration<double>(now - this->counted_at).count();
+    return this->count * std::exp(-std::max(passed, 0.0) / rate_memory_s) / rate_memory_s;
+}
+
 auto rollout_guide::order(const rollout_order& wanted, time_point now) -> void
 {
     const auto found = this->rollouts.find(wanted.service);
@@ -52,7 +91,15 @@
     if (found != this->rollouts.end()) {
         this->infer_end(found->second, now);
     }
-    rollout fresh{wanted, now, rollout_state::running, std::nullopt, {}, {}};
+    rollout fresh{
+        wanted,
+        now,
+        rollout_state::running,
+        std::nullopt,
+        version_evidence{this->settings.evidence},
+        {},
+        0.0,
+        0.0};
     const auto known = this->early.find(wanted.service);
     if (known != this->early.end() && known->second.target == wanted.target) {
         fresh.state = known->second.state;
@@ -72,9 +119,7 @@
 {
     // The store says how it ended, but maybe only after the next order. Where all sessions were on
     // the new version, none goes back.
-    const auto share =
-        share_at(this->settings.schedule, this->elapsed(one, now), one.order.allowed);
-    if (one.state == rollout_state::running && share >= 1.0) {
+    if (one.state == rollout_state::running && this->share_of(one, now) >= 1.0) {
         this->note_end(one.order.service, one.order.target, rollout_state::complete);
     }
 }
@@ -120,7 +165,9 @@
         }
         // An entry that started later, or heard of the order later, takes the older beginning.
         one.began = std::min(one.began, now - told.elapsed);
-        one.peers[peer] = {now, told.left_on_old, told.evidence};
+        one.peers[peer] = {now, told.left_on_old};
+        one.evidence.hear(peer, told.evidence);
+        one.reached_share = std::max(one.reached_share, std::min(told.share, 1.0));
         this->sessions.hear(told.service, told.old_sessions, now);
         if (told.is_written) {
             this->learn({told.service, told.target, told.state});
@@ -152,6 +199,7 @@
             this->elapsed(one, now),
             this->own_left_on_old(one, now),
             {},
+            this->share_of(one, now),
             one.state,
             one.written == one.state,
             this->sessions_to_tell(one, now)};
@@ -159,9 +207,7 @@
             all.push_back(std::move(told)); // What has been seen decides nothing any more.
             continue;
         }
-        for (const auto& [route, evidence] : one.evidence) {
-            told.evidence[route] = evidence.ours.log_wealth();
-        }
+        told.evidence = one.evidence.tell();
         all.push_back(std::move(told));
     }
     return all;
@@ -174,7 +220,7 @@
         const auto passed = this->elapsed(one, now);
         all.push_back(
             {{service, one.order.target, one.state},
-             share_at(this->settings.schedule, passed, one.order.allowed),
+             this->share_of(one, now),
              passed,
              this->left_on_old(one, now)});
     }
@@ -187,9 +233,61 @@
 }
 
 auto rollout_guide::may_move(const rollout& one, time_point now) const -> bool
+{
+    return this->share_of(one, now) > this->settings.schedule.first_share;
+}
+
+auto rollout_guide::share_of(const rollout& one, time_point now) const -> double
 {
     const auto& schedule = this->settings.schedule;
-    return share_at(schedule, this->elapsed(one, now), one.order.allowed) > schedule.first_share;
+    const auto planned = share_at(schedule, this->elapsed(one, now), one.order.allowed);
+    const auto held = std::max(one.reached_share, std::min(planned, schedule.first_share));
+    return planned > held && this->is_held_up(one, now) ? held
+                                                        : std::max(planned, one.reached_share);
+}
+
+auto rollout_guide::is_held_up(const rollout& one, time_point now) const -> bool
+{
+    const auto latest = one.order.allowed * this->settings.schedule.latest_growth;
+    return one.evidence.log_against() >= this->settings.growth_stop &&
+           this->elapsed(one, now) < latest;
+}
+
+auto rollout_guide::must_revert(const rollout& one, time_point now) const -> bool
+{
+    const auto latest = one.order.allowed * this->settings.schedule.latest_growth;
+    const bool is_late = one.reached_share < 1.0 && this->elapsed(one, now) >= latest;
+    const auto against = one.evidence.log_against();
+    return one.evidence.is_worse() || (is_late && against >= this->settings.late_doubt);
+}
+
+auto rollout_guide::refresh(rollout& one, time_point now) -> void
+{
+    if (one.state != rollout_state::running) {
+        return;
+    }
+    if (!this->must_revert(one, now)) {
+        const auto share = this->share_of(one, now);
+        if (share != std::exchange(one.reached_share, share)) {
+            common::log(
+                common::log_part::rollout,
+                common::log_level::info,
+                "share " + this->describe(one, now));
+        }
+        return;
+    }
+    one.state = rollout_state::reverted;
+    this->note_end(one.order.service, one.order.target, one.state);
+    common::log(
+        common::log_part::rollout, common::log_level::warning, "worse " + this->describe(one, now));
+}
+
+auto rollout_guide::describe(const rollout& one, time_point now) const -> std::string
+{
+    return "service=" + one.order.service.value() + " target=" + one.order.target.value() +
+           " elapsed_ms=" + std::to_string(this->elapsed(one, now).count()) +
+           " share=" + std::to_string(one.reached_share) +
+           " log_against=" + std::to_string(one.evidence.log_against());
 }
 
 auto rollout_guide::sessions_to_tell(const rollout& one, time_point now) const
@@ -218,33 +316,26 @@
     }
     auto& one = found->second;
     const auto& target = one.order.target;
-    if (one.state == rollout_state::running && this->is_worse(one)) {
-        one.state = rollout_state::reverted;
-        this->note_end(service, target, one.state);
-        common::log(
-            common::log_part::rollout,
-            common::log_level::warning,
-            "worse service=" + service.value() + " target=" + target.value() +
-                " elapsed_ms=" + std::to_string(this->elapsed(one, now).count()));
-    }
+    this->refresh(one, now);
     const auto& history = this->histories[service];
     if (one.state == rollout_state::complete) {
-        return {target, history.reverted};
+        return {target, history.reverted, 1.0};
     }
-    version_rule stays{history.current, history.reverted};
+    version_rule stays{history.current, history.reverted, 1.0};
     stays.barred.insert(target);
     if (one.state == rollout_state::reverted) {
         return stays;
     }
-    return this->goes_new(one, session, now) ? version_rule{target, history.reverted} : stays;
+    return this->goes_new(one, session, now)
+               ? version_rule{target, history.reverted, one.reached_share * canary_room}
+               : stays;
 }
 
 auto rollout_guide::goes_new(const rollout& one, std::uint64_t session, time_point now) const
     -> bool
 {
     const auto& order = one.order;
-    const auto share = share_at(this->settings.schedule, this->elapsed(one, now), order.allowed);
-    const bool is_meant = is_in_share(session, share);
+    const bool is_meant = is_in_share(session, one.reached_share);
     const bool may_move = this->may_move(one, now);
     if (const auto used = this->sessions.version_of(order.service, session, now)) {
         return *used == order.target || (is_meant && may_move);
@@ -287,6 +378,7 @@
     time_point now) -> void
 {
     this->under_way[{service, version}] += 1;
+    this->rates[service].note(now);
     this->sessions.note_sent(service, session, version, now);
 }
 
@@ -309,34 +401,23 @@
     return runs ? &found->second : nullptr;
 }
 
-auto rollout_guide::evidence_of(rollout& one, const route_name& route) -> route_evidence&
+namespace {
+
+auto side_of(const rollout_order& order, const common::version_id& version) -> version_side
 {
-    auto found = one.evidence.find(route);
-    if (found == one.evidence.end()) {
-        found =
-            one.evidence.emplace(route, route_evidence{policy::evidence{this->settings.guard}, 0.0})
-                .first;
-    }
-    return found->second;
+    return version == order.target ? version_side::new_one : version_side::old;
 }
 
+} // namespace
+
 auto rollout_guide::note_outcome(
     const common::service_name& service,
     const common::version_id& version,
     const route_name& route,
     bool is_good) -> void
 {
-    auto* one = this->running(service);
-    if (one == nullptr) {
-        return;
-    }
-    auto& evidence = this->evidence_of(*one, route);
-    const double value = is_good ? 0.0 : 1.0;
-    if (version == one->order.target) {
-        evidence.ours.add_new(policy::signal::error, value);
-    }
-    else {
-        evidence.ours.add_old(policy::signal::error, value);
+    if (auto* one = this->running(service)) {
+        one->evidence.add_outcome(route, side_of(one->order, version), is_good);
     }
 }
 
@@ -348,20 +429,11 @@
     time_point now) -> void
 {
     auto* one = this->running(service);
-    if (one == nullptr) {
-        return;
-    }
-    auto& evidence = this->evidence_of(*one, route);
-    const auto ms = static_cast<double>(took.count());
-    const bool is_slow = evidence.old_first_event_ms > 0.0 &&
-                         ms > evidence.old_first_event_ms * this->settings.slow_factor;
-    this->add_slow(*one, evidence, version, is_slow, now);
-    if (version == one->order.target) {
-        return;
+    // With all sessions on the new version there is nothing to compare with: what was measured of
+    // the old one belongs to another load, and a burst of callers would look like a slow version.
+    if (one != nullptr && this->share_of(*one, now) < 1.0) {
+        one->evidence.add_first_event(route, side_of(one->order, version), took);
     }
-    constexpr double memory = 0.1;
-    auto& mean = evidence.old_first_event_ms;
-    mean = mean == 0.0 ? ms : mean + memory * (ms - mean);
 }
 
 auto rollout_guide::note_stall(
@@ -370,56 +442,38 @@
     const route_name& route,
     time_point now) -> void
 {
-    if (auto* one = this->running(service)) {
-        this->add_slow(*one, this->evidence_of(*one, route), version, true, now);
+    auto* one = this->running(service);
+    if (one != nullptr && this->share_of(*one, now) < 1.0) {
+        one->evidence.add_first_event(
+            route, side_of(one->order, version), std::chrono::milliseconds{0}, true);
     }
 }
 
-auto rollout_guide::add_slow(
-    rollout& one,
-    route_evidence& evidence,
+auto rollout_guide::note_time(
+    const common::service_name& service,
     const common::version_id& version,
-    bool is_slow,
-    time_point now) const -> void
+    const route_name& route,
+    timed_part part,
+    double took_ms,
+    time_bound bound,
+    time_point now) -> void
 {
-    const double value = is_slow ? 1.0 : 0.0;
-    if (version != one.order.target) {
-        evidence.ours.add_old(policy::signal::slow, value);
-        return;
-    }
-    // With all sessions on the new version there is nothing to compare with: what was measured of
-    // the old one belongs to another load, and a burst of callers would look like a slow version.
-    const auto share =
-        share_at(this->settings.schedule, this->elapsed(one, now), one.order.allowed);
-    if (share < 1.0) {
-        evidence.ours.add_new(policy::signal::slow, value);
+    auto* one = this->running(service);
+    if (one != nullptr && this->is_comparable(*one, version, now)) {
+        one->evidence.add_time(route, side_of(one->order, version), part, took_ms, bound);
     }
 }
 
-auto rollout_guide::is_worse(const rollout& one) const -> bool
+auto rollout_guide::is_comparable(rollout& one, const common::version_id& version, time_point now)
+    -> bool
 {
-    std::map<route_name, policy::wealth> sums;
-    const auto add = [&sums](const route_name& route, const policy::wealth& part) {
-        auto& sum = sums.try_emplace(route, policy::wealth(policy::wealth_size, 0.0)).first->second;
-        policy::add_wealth(sum, part);
-    };
-    for (const auto& [route, evidence] : one.evidence) {
-        add(route, evidence.ours.log_wealth());
-    }
-    for (const auto& [peer, words] : one.peers) {
-        for (const auto& [route, wealth] : words.evidence) {
-            add(route, wealth);
-        }
-    }
-    policy::wealth total(policy::wealth_size, 0.0);
-    for (const auto& [route, sum] : sums) {
-        policy::add_wealth(total, sum);
-        // One route may be the only one on which the version is bad.
-        if (policy::judge(sum, this->settings.guard, doubt).decision == policy::verdict::worse) {
-            return true;
-        }
+    const auto rate = this->rates[one.order.service].per_second(now);
+    if (this->share_of(one, now) < 1.0) {
+        one.usual_rate = rate;
+        return true;
     }
-    return policy::judge(total, this->settings.guard, doubt).decision == policy::verdict::worse;
+    // The old version's last answers come from servers that have little else to do.
+    return version == one.order.target && rate <= one.usual_rate * this->settings.same_load;
 }
 
 auto rollout_guide::own_left_on_old(const rollout& one, time_point now) const -> unsigned
@@ -452,8 +506,9 @@
         const auto part =
             passed / std::max<double>(1.0, static_cast<double>(one.order.allowed.count()));
         const auto& schedule = this->settings.schedule;
-        const bool is_moved = part >= schedule.full_at && this->left_on_old(one, now) == 0;
-        if (state == rollout_state::running && this->is_worse(one)) {
+        const bool is_moved = part >= schedule.full_at && this->share_of(one, now) >= 1.0 &&
+                              this->left_on_old(one, now) == 0;
+        if (state == rollout_state::running && this->must_revert(one, now)) {
             state = rollout_state::reverted;
         }
         else if (state == rollout_state::running && (is_moved || part >= schedule.complete_at)) {
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -1,16 +1,17 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <utility>
 #include <vector>
 
-#include "policy/guard.hpp"
 #include "routing/configuration.hpp"
 #include "routing/rollout.hpp"
 #include "routing/server_table.hpp"
 #include "routing/session_book.hpp"
+#include "routing/version_evidence.hpp"
 
 namespace reedramp::routing {
 
@@ -22,6 +23,8 @@
     std::optional<common::version_id> preferred;
     /// Never these.
     std::set<common::version_id> barred;
+    /// The part of the preferred version's servers that share its work; see `keep_canaries`.
+    double spread = 1.0;
 
     [[nodiscard]] auto bars(const common::version_id& version) const -> bool
     {
@@ -32,21 +35,46 @@
 /// Leaves the servers that the rule allows. Those of the preferred version, if there are any.
 auto keep_allowed(std::vector<const registration*>& usable, const version_rule& rule) -> void;
 
+/// Leaves `spread` of the servers, at least one, the same in all entries; of those that are `out`
+/// none, unless all are.
+///
+/// A new version's first share on all of its servers leaves each all but idle: it answers three
+/// times as fast as the old one under its load, so that a version three times as slow looks alike,
+/// and one that fails under load does not fail. On its part of the servers it is compared at the
+/// load that the old one has.
+auto keep_canaries(
+    std::vector<const registration*>& usable,
+    double spread,
+    const std::function<auto(const registration&)->bool>& is_out) -> void;
+
 struct rollout_options {
     rollout_schedule schedule;
-    policy::guard_options guard{
-        .rating_slack = 0.02,
-        .error_slack = 0.02,
-        .slow_slack = 0.10,
-        .growth_slack = 0.05,
-        .false_alarm = 0.002,
-        .least_reference = 10.0};
-    /// A first event is slow when it takes this many times the old version's mean.
-    double slow_factor = 3.0;
+    evidence_options evidence;
+    /// The share does not grow while the evidence against the new version is at this or above, as
+    /// a logarithm: three to one.
+    double growth_stop = 1.1;
+    /// Evidence that ends a roll-out whose growth it has held up for as long as there was time:
+    /// twenty to one.
+    double late_doubt = 3.0;
+    /// Times of answers count against the old version's until an entry's requests for the service
+    /// come this many times as often as while both served: then they wait for each other, and
+    /// would make a good version look slow.
+    double same_load = 1.5;
     /// Requests of a session that follow each other within this belong together.
     common::duration session_time = std::chrono::seconds{5};
 };
 
+/// Requests a second, newest weighted most.
+class request_rate {
+public:
+    auto note(time_point now) -> void;
+    [[nodiscard]] auto per_second(time_point now) const -> double;
+
+private:
+    double count = 0.0;
+    time_point counted_at{};
+};
+
 /// One entry's words about a roll-out, for its peers.
 struct told_rollout {
     common::service_name service;
@@ -56,8 +84,9 @@
     std::chrono::milliseconds elapsed{0};
     /// Requests under way at other versions, and sessions that last there.
     unsigned left_on_old = 0;
-    /// By route, the logarithms of the guard's bets.
-    std::map<route_name, policy::wealth> evidence;
+    std::map<route_name, told_evidence> evidence;
+    /// Share of sessions that this entry sends to the new version.
+    double share = 0.0;
     rollout_state state = rollout_state::running;
     /// The store has this state.
     bool is_written = false;
@@ -124,6 +153,16 @@
         std::chrono::milliseconds took,
         time_point now) -> void;
 
+    /// How long a part of an answer took, or was waited for.
+    auto note_time(
+        const common::service_name& service,
+        const common::version_id& version,
+        const route_name& route,
+        timed_part part,
+        double took_ms,
+        time_bound bound,
+        time_point now) -> void;
+
     /// A request was taken elsewhere because its server was silent: as slow as can be.
     auto note_stall(
         const common::service_name& service,
@@ -142,16 +181,9 @@
     [[nodiscard]] auto due(time_point now) const -> std::vector<rollout_status>;
 
 private:
-    struct route_evidence {
-        policy::evidence ours;
-        /// Mean time to the old version's first event, in ms; 0 before the first.
-        double old_first_event_ms = 0.0;
-    };
-
     struct peer_words {
         time_point heard;
         unsigned left_on_old = 0;
-        std::map<route_name, policy::wealth> evidence;
     };
 
     struct rollout {
@@ -160,8 +192,12 @@
         rollout_state state = rollout_state::running;
         /// The store's state; none before it has one for this target.
         std::optional<rollout_state> written;
-        std::map<route_name, route_evidence> evidence;
+        version_evidence evidence;
         std::map<common::host_id, peer_words> peers;
+        /// The largest share so far, at any entry: a session that has moved does not move back.
+        double reached_share = 0.0;
+        /// Requests a second at this entry while both versions served.
+        double usual_rate = 0.0;
     };
 
     /// What ended roll-outs have left of a service. Servers of a version that has been replaced or
@@ -178,7 +214,16 @@
     auto note_end(
         const common::service_name& service, const common::version_id& target, rollout_state state)
         -> void;
-    [[nodiscard]] auto is_worse(const rollout& one) const -> bool;
+    /// The share by schedule and evidence.
+    [[nodiscard]] auto share_of(const rollout& one, time_point now) const -> double;
+    /// Whether the evidence holds the share's growth up.
+    [[nodiscard]] auto is_held_up(const rollout& one, time_point now) const -> bool;
+    /// Whether the new version has to go: worse for certain, or doubtful when time is up.
+    [[nodiscard]] auto must_revert(const rollout& one, time_point now) const -> bool;
+    auto refresh(rollout& one, time_point now) -> void;
+    [[nodiscard]] auto describe(const rollout& one, time_point now) const -> std::string;
+    /// Whether a time of `version` may be compared.
+    auto is_comparable(rollout& one, const common::version_id& version, time_point now) -> bool;
     /// What is left on other versions, from this entry, and over all entries: requests under way,
     /// and sessions that last. Once a roll-out is complete its old servers stop, so that a session
     /// that still lasts there would change its version when it comes back, maybe in the first half
@@ -187,14 +232,7 @@
     [[nodiscard]] auto left_on_old(const rollout& one, time_point now) const -> unsigned;
     [[nodiscard]] auto elapsed(const rollout& one, time_point now) const
         -> std::chrono::milliseconds;
-    auto evidence_of(rollout& one, const route_name& route) -> route_evidence&;
     auto running(const common::service_name& service) -> rollout*;
-    auto add_slow(
-        rollout& one,
-        route_evidence& evidence,
-        const common::version_id& version,
-        bool is_slow,
-        time_point now) const -> void;
     /// Whether a session goes to the new version while the roll-out runs.
     [[nodiscard]] auto goes_new(const rollout& one, std::uint64_t session, time_point now) const
         -> bool;
@@ -210,6 +248,7 @@
     std::map<common::service_name, rollout_status> early;
     session_book sessions;
     std::map<std::pair<common::service_name, common::version_id>, unsigned> under_way;
+    std::map<common::service_name, request_rate> rates;
 };
 
 } // namespace reedramp::routing
--- a/source/core/routing/server_table.hpp
+++ b/source/core/routing/server_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "common/ids.hpp"
+#include "common/units.hpp"
 
 namespace reedramp::routing {
 
@@ -23,6 +25,10 @@
     common::version_id version;
     unsigned slots = 1;
     bool is_leaving = false;
+    /// It has just started, and is slower than it will be for so long after this was written.
+    std::chrono::milliseconds cold_for{0};
+    /// The same as a deadline of this process; whoever reads the list sets it.
+    common::time_point cold_until{};
 };
 
 /// Hash of a server's id, equal in all processes.
--- /dev/null
+++ b/source/core/routing/version_evidence.cpp
@@ -0,0 +1,189 @@
+#include "routing/version_evidence.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace reedramp::routing {
+
+namespace {
+
+/// Old answers that a usual time remembers. About ten seconds of a route at one entry: what was
+/// usual before a burst says little of the answers in it.
+constexpr double usual_memory = 40.0;
+/// Old answers of which a usual time is known well enough to compare with.
+constexpr double least_usual = 5.0;
+/// Odds at which the guard would call a version good; not used, growth follows the schedule.
+constexpr double doubt = 0.05;
+
+auto index_of(timed_part part) -> std::size_t
+{
+    return static_cast<std::size_t>(part);
+}
+
+} // namespace
+
+auto version_evidence::at(const route_name& route) -> route_evidence&
+{
+    auto found = this->routes.find(route);
+    if (found == this->routes.end()) {
+        found = this->routes
+                    .emplace(route, route_evidence{policy::evidence{this->settings.guard}, {}, 0.0})
+                    .first;
+        this->pool(route);
+    }
+    return found->second;
+}
+
+auto version_evidence::add(route_evidence& to, policy::signal what, version_side side, double value)
+    -> void
+{
+    this->known_against.reset();
+    if (side == version_side::new_one) {
+        to.bets.add_new(what, value);
+        return;
+    }
+    to.bets.add_old(what, value);
+}
+
+auto version_evidence::add_outcome(const route_name& route, version_side side, bool is_good) -> void
+{
+    this->add(this->at(route), policy::signal::error, side, is_good ? 0.0 : 1.0);
+}
+
+auto version_evidence::add_first_event(
+    const route_name& route, version_side side, std::chrono::milliseconds took, bool is_stalled)
+    -> void
+{
+    auto& one = this->at(route);
+    auto& mean = one.old_first_event_ms;
+    const auto ms = static_cast<double>(took.count());
+    const bool is_late = mean > 0.0 && ms > mean * this->settings.slow_factor;
+    this->add(one, policy::signal::slow, side, is_stalled || is_late ? 1.0 : 0.0);
+    if (side == version_side::new_one || is_stalled) {
+        return;
+    }
+    constexpr double memory = 0.1;
+    mean = mean == 0.0 ? ms : mean + memory * (ms - mean);
+}
+
+auto version_evidence::add_time(
+    const route_name& route, version_side side, timed_part part, double took_ms, time_bound bound)
+    -> void
+{
+    auto& one = this->at(route);
+    const double time = std::log(std::max(took_ms, 1.0));
+    const auto usual = this->usual_time(route, part);
+    if (usual.count >= least_usual) {
+        const auto slow = this->slowness(time - usual.value);
+        // One that was given up early says nothing: its whole time is not known.
+        if (bound == time_bound::seen || slow > 0.0) {
+            this->add(one, policy::signal::pace, side, slow);
+        }
+    }
+    if (side == version_side::old && bound == time_bound::seen) {
+        one.usual_times[index_of(part)].add(time, usual_memory);
+    }
+}
+
+auto version_evidence::slowness(double log_ratio) const -> double
+{
+    const double from = std::log(this->settings.usual_times);
+    const double to = std::log(this->settings.several_times);
+    return std::clamp((log_ratio - from) / (to - from), 0.0, 1.0);
+}
+
+auto version_evidence::usual_time(const route_name& route, timed_part part) const
+    -> policy::known_mean
+{
+    policy::known_mean sum;
+    if (const auto own = this->routes.find(route); own != this->routes.end()) {
+        const auto& times = own->second.usual_times[index_of(part)];
+        sum = {times.mean(), times.weight()};
+    }
+    for (const auto& [peer, words] : this->peers) {
+        if (const auto found = words.find(route); found != words.end()) {
+            sum = policy::joined(sum, found->second.usual_times[index_of(part)]);
+        }
+    }
+    return sum;
+}
+
+auto version_evidence::hear(const common::host_id& peer, std::map<route_name, told_evidence> words)
+    -> void
+{
+    this->known_against.reset();
+    auto& known = this->peers[peer];
+    known = std::move(words);
+    for (const auto& [route, told] : known) {
+        this->at(route);
+        this->pool(route);
+    }
+}
+
+auto version_evidence::pool(const route_name& route) -> void
+{
+    auto& bets = this->routes.at(route).bets;
+    for (std::size_t i = 0; i < policy::signal_count; ++i) {
+        const auto what = static_cast<policy::signal>(i);
+        auto sum = bets.old_mean(what);
+        for (const auto& [peer, words] : this->peers) {
+            if (const auto found = words.find(route); found != words.end()) {
+                sum = policy::joined(sum, found->second.old_means[i]);
+            }
+        }
+        bets.use_pooled(what, sum.value, sum.count);
+    }
+}
+
+auto version_evidence::tell() const -> std::map<route_name, told_evidence>
+{
+    std::map<route_name, told_evidence> all;
+    for (const auto& [route, one] : this->routes) {
+        told_evidence told;
+        told.bets = one.bets.log_wealth();
+        for (std::size_t i = 0; i < policy::signal_count; ++i) {
+            told.old_means[i] = one.bets.old_mean(static_cast<policy::signal>(i));
+        }
+        for (std::size_t i = 0; i < timed_part_count; ++i) {
+            told.usual_times[i] = {one.usual_times[i].mean(), one.usual_times[i].weight()};
+        }
+        all.emplace(route, std::move(told));
+    }
+    return all;
+}
+
+auto version_evidence::log_against() const -> double
+{
+    if (!this->known_against) {
+        this->known_against = this->sum_up();
+    }
+    return *this->known_against;
+}
+
+auto version_evidence::sum_up() const -> double
+{
+    policy::wealth total(policy::wealth_size, 0.0);
+    double most = -std::numeric_limits<double>::infinity();
+    const auto judged = [this](const policy::wealth& sum) {
+        return policy::judge(sum, this->settings.guard, doubt).log_against;
+    };
+    for (const auto& [route, one] : this->routes) {
+        policy::wealth sum = one.bets.log_wealth();
+        for (const auto& [peer, words] : this->peers) {
+            if (const auto found = words.find(route); found != words.end()) {
+                policy::add_wealth(sum, found->second.bets);
+            }
+        }
+        policy::add_wealth(total, sum);
+        most = std::max(most, judged(sum));
+    }
+    return std::max(most, judged(total));
+}
+
+auto version_evidence::is_worse() const -> bool
+{
+    return this->log_against() >= -std::log(this->settings.guard.false_alarm);
+}
+
+} // namespace reedramp::routing
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -63,6 +63,12 @@
          .fallback = 1.0,
          .lowest = 0.01,
          .highest = 10.0},
+        {.path = "rollouts.exposure",
+         .type = settings::value_type::real,
+         .doc = "Part of a service's requests, over a roll-out's time, that a bad version may get.",
+         .fallback = 0.15,
+         .lowest = 0.01,
+         .highest = 0.5},
         {.path = "retries.ratio",
          .type = settings::value_type::real,
          .doc = "Second sends allowed for each first one, over all entries.",
@@ -100,6 +106,10 @@
     read.follower.servers_period = values.milliseconds("store.servers_period");
     read.router.data_centre = read.data_centre;
     read.router.rollout.session_time = values.milliseconds("session_time");
+    // In the first half, so that it takes up three fifths of what a bad version may get; the rest
+    // is for what is under way, and sent, until it is found.
+    constexpr double first_half_part = 1.2;
+    read.router.rollout.schedule.first_share = values.real("rollouts.exposure") * first_half_part;
     // The rest is for entries that start anew with a full budget.
     constexpr double used_part = 0.85;
     read.router.retries.retries_per_first_try = values.real("retries.ratio") * used_part;
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -21,7 +21,11 @@
     rollout.allowed = std::chrono::seconds{20};
     rollout.elapsed = std::chrono::seconds{3};
     rollout.left_on_old = 4;
-    rollout.evidence[routing::route_name{"drafts"}] = policy::wealth(policy::wealth_size, 0.5);
+    rollout.evidence[routing::route_name{"drafts"}] = {
+        policy::wealth(policy::wealth_size, 0.5),
+        {{{0.0, 0.0}, {0.25, 12.0}, {0.5, 3.0}, {0.125, 40.0}}},
+        {{{4.0, 40.0}, {5.5, 9.0}}}};
+    rollout.share = 0.5;
     rollout.old_sessions = {{5, std::chrono::milliseconds{1200}}};
     rollout.state = routing::rollout_state::reverted;
     rollout.is_written = true;
@@ -47,6 +51,7 @@
     REQUIRE(read->rollouts.size() == 1);
     CHECK(read->rollouts[0].elapsed == std::chrono::seconds{3});
     CHECK(read->rollouts[0].evidence == words.rollouts[0].evidence);
+    CHECK(read->rollouts[0].share == 0.5);
     REQUIRE(read->rollouts[0].old_sessions.size() == 1);
     CHECK(read->rollouts[0].old_sessions[0].session == 5);
     CHECK(read->rollouts[0].old_sessions[0].left == std::chrono::milliseconds{1200});
