Take the effect of load out of pauses; let a roll-out's share grow once answers have earned it

Cause: at the first share a new version's servers are all but idle. Their pauses at three times the usual pace are no longer than the loaded old ones' (35 ms against 50), so that slow x 3 was found late or not at all. Change: load_effect learns the slope by service from a prior; peers tell what waits to be read; the share grows when answers no worse have earned it, and a doubtful version is given up at 0.62 of the time; canaries by the part of the work that the new version gets.

--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -134,7 +134,8 @@
     words.address = text_of(from.getAddress());
     words.rules_version = from.getRulesVersion();
     for (const auto load : from.getLoads()) {
-        words.loads.push_back({load.getServer(), {load.getRequests(), load.getWork()}});
+        words.loads.push_back(
+            {load.getServer(), {load.getRequests(), load.getWork(), load.getReading()}});
     }
     for (const auto rollout : from.getRollouts()) {
         words.rollouts.push_back(read_rollout(rollout));
@@ -165,6 +166,7 @@
         loads[i].setServer(words.loads[i].server);
         loads[i].setRequests(static_cast<float>(words.loads[i].load.requests));
         loads[i].setWork(static_cast<float>(words.loads[i].load.work));
+        loads[i].setReading(static_cast<float>(words.loads[i].load.reading));
     }
     auto rollouts = root.initRollouts(static_cast<unsigned>(words.rollouts.size()));
     for (unsigned i = 0; i < words.rollouts.size(); ++i) {
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -9,6 +9,7 @@
   server @0 :UInt64;
   requests @1 :Float32;
   work @2 :Float32;
+  reading @3 :Float32;
 }
 
 struct RouteEvidence {
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -233,7 +233,7 @@
     this->tried.push_back(server.id);
     this->ledger.note_sent();
     this->core->counters.sends.add();
-    this->core->loads.begin(server.id, next->work);
+    this->core->loads.begin(server.id, next->work, next->prompt_work);
     this->core->rollouts.note_sent(this->service, this->session_hash, server.version, now);
     return next;
 }
@@ -266,7 +266,7 @@
             *of, is_whole ? routing::time_bound::seen : routing::time_bound::at_least);
     }
     const auto now = this->core->hooks.clock();
-    this->core->loads.end(of->server, of->work);
+    this->core->loads.end(of->server, of->work, of->has_events ? 0.0 : of->prompt_work);
     this->core->rollouts.note_ended(this->service, this->session_hash, of->version, now);
     this->core->health.note(of->server, outcome, now);
     if (outcome == server_outcome::good || outcome == server_outcome::failed) {
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -87,6 +87,9 @@
         time_point first_event;
         /// Events of this attempt, and whether their pace has been judged.
         std::int64_t events_seen = 0;
+        /// Prompts that waited at the server, summed over `load_samples` moments of the stream.
+        double reading_sum = 0.0;
+        unsigned load_samples = 0;
         bool is_timed = false;
         bool ended = false;
     };
@@ -129,9 +132,7 @@
     auto note_pace(attempt& of) const -> void;
     /// The same for an answer that ends or is given up: how long it took, or at least.
     auto note_whole_time(attempt& of, routing::time_bound bound) const -> void;
-    auto
-    note_time(attempt& of, routing::timed_part part, double ms, routing::time_bound bound) const
-        -> void;
+    auto note_time(attempt& of, const routing::timed_answer& timed) const -> void;
     auto log_answer(const attempt& of, std::string_view what) const -> void;
     auto on_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void;
 
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -156,6 +156,11 @@
 
 auto relay::note_pace(attempt& of) const -> void
 {
+    if (of.is_timed) {
+        return;
+    }
+    of.reading_sum += this->core->loads.total(of.server, of.last_progress).reading;
+    of.load_samples += 1;
     // Enough pauses for one prompt that is read beside it to count little.
     constexpr std::int64_t enough_events = 7;
     if (of.events_seen < enough_events) {
@@ -164,34 +169,33 @@
     const auto took = std::chrono::duration<double, std::milli>(of.last_progress - of.first_event);
     const auto pauses = static_cast<double>(of.events_seen - 1);
     this->note_time(
-        of, routing::timed_part::event_pause, took.count() / pauses, routing::time_bound::seen);
+        of,
+        {.part = routing::timed_part::event_pause,
+         .took_ms = took.count() / pauses,
+         .reading = of.reading_sum / of.load_samples});
 }
 
 auto relay::note_whole_time(attempt& of, routing::time_bound bound) const -> void
 {
     const auto took =
         std::chrono::duration<double, std::milli>(this->core->hooks.clock() - of.sent);
-    this->note_time(of, routing::timed_part::whole_answer, took.count(), bound);
+    // A dropped small answer ends with its head, and would count as very fast.
+    const bool is_dropped =
+        this->is_stream() && bound == routing::time_bound::seen && !of.has_events;
+    if (!of.is_timed && !is_dropped) {
+        this->note_time(
+            of,
+            {.part = routing::timed_part::whole_answer, .took_ms = took.count(), .bound = bound});
+    }
 }
 
-auto relay::note_time(
-    attempt& of, routing::timed_part part, double ms, routing::time_bound bound) const -> void
+auto relay::note_time(attempt& of, const routing::timed_answer& timed) const -> void
 {
-    // A dropped small answer ends with its head, and would count as very fast.
-    const bool is_dropped = this->is_stream() && part == routing::timed_part::whole_answer &&
-                            bound == routing::time_bound::seen && !of.has_events;
-    if (of.is_timed || of.is_cold || is_dropped) {
-        return;
-    }
     of.is_timed = true;
-    this->core->rollouts.note_time(
-        this->service,
-        of.version,
-        this->request.route->name,
-        part,
-        ms,
-        bound,
-        this->core->hooks.clock());
+    if (!of.is_cold) {
+        this->core->rollouts.note_time(
+            this->service, of.version, this->request.route->name, timed, this->core->hooks.clock());
+    }
 }
 
 auto relay::on_events(const std::shared_ptr<attempt>& of, const std::string& bytes) -> void
--- a/source/core/routing/load_book.cpp
+++ b/source/core/routing/load_book.cpp
@@ -1,15 +1,18 @@
 #include "routing/load_book.hpp"
 
+#include <algorithm>
+
 namespace reedramp::routing {
 
-auto load_book::begin(const common::server_id& server, double work) -> void
+auto load_book::begin(const common::server_id& server, double work, double reading) -> void
 {
     auto& load = this->ours[server];
     load.requests += 1.0;
     load.work += work;
+    load.reading += reading;
 }
 
-auto load_book::end(const common::server_id& server, double work) -> void
+auto load_book::end(const common::server_id& server, double work, double reading) -> void
 {
     const auto found = this->ours.find(server);
     if (found == this->ours.end()) {
@@ -17,6 +20,7 @@
     }
     found->second.requests -= 1.0;
     found->second.work -= work;
+    found->second.reading -= reading;
     constexpr double none = 0.5; // Half a request: sums of fractions never end at zero.
     if (found->second.requests < none) {
         this->ours.erase(found);
@@ -28,6 +32,7 @@
     const auto found = this->ours.find(server);
     if (found != this->ours.end()) {
         found->second.work -= work;
+        found->second.reading = std::max(0.0, found->second.reading - work);
     }
 }
 
@@ -52,6 +57,7 @@
         if (words.trusted_until > now && found != words.loads.end()) {
             sum.requests += found->second.requests;
             sum.work += found->second.work;
+            sum.reading += found->second.reading;
         }
     }
     return sum;
--- a/source/core/routing/load_book.hpp
+++ b/source/core/routing/load_book.hpp
@@ -17,6 +17,8 @@
 struct server_load {
     double requests = 0.0;
     double work = 0.0;
+    /// The part of `work` that is prompts not read yet, as far as is known.
+    double reading = 0.0;
 };
 
 /// What one server has under way from one entry, as that entry tells its peers. Servers are named
@@ -33,10 +35,12 @@
 /// tell each other what they have under way.
 class load_book {
 public:
-    auto begin(const common::server_id& server, double work) -> void;
-    auto end(const common::server_id& server, double work) -> void;
+    /// `reading` of the work is the prompt.
+    auto begin(const common::server_id& server, double work, double reading = 0.0) -> void;
+    /// What is left of the request's work, and of its prompt.
+    auto end(const common::server_id& server, double work, double reading = 0.0) -> void;
 
-    /// A part of a request's work is done.
+    /// The prompt of a request has been read.
     auto lighten(const common::server_id& server, double work) -> void;
 
     /// A peer's words replace its older ones, and count until `trusted_until`: an entry that has
--- a/source/core/routing/rollout.hpp
+++ b/source/core/routing/rollout.hpp
@@ -49,6 +49,9 @@
     double third_at = 0.57;
     double third_share = 0.50;
     double full_at = 0.63;
+    /// A version of which there is doubt is waited for until here, a tenth of the time after its
+    /// share should have grown; a version three times as slow has mostly been found before.
+    double doubt_until = 0.62;
     /// Growth that evidence has held up goes on from here at the latest; the rest of the time is
     /// what sessions need to leave the old version.
     double latest_growth = 0.72;
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -28,6 +28,10 @@
 /// Servers of the new version that get its part of the work, against that part. With as many as the
 /// part asks for, those that read all prompts anew were more than twice as slow as the old ones.
 constexpr double canary_room = 1.5;
+/// The part is taken to be at least this of the share.
+constexpr double least_canary_part = 0.4;
+/// Requests a second below which a part of them says nothing.
+constexpr double least_rate = 0.5;
 
 /// Time in which a rate of requests forgets; at 10 requests a second an error of a fifth.
 constexpr double rate_memory_s = 3.0;
@@ -249,15 +253,15 @@
 auto rollout_guide::is_held_up(const rollout& one, time_point now) const -> bool
 {
     const auto latest = one.order.allowed * this->settings.schedule.latest_growth;
-    return one.evidence.log_against() >= this->settings.growth_stop &&
+    return one.evidence.log_against().overall > this->settings.growth_from &&
            this->elapsed(one, now) < latest;
 }
 
 auto rollout_guide::must_revert(const rollout& one, time_point now) const -> bool
 {
-    const auto latest = one.order.allowed * this->settings.schedule.latest_growth;
+    const auto latest = one.order.allowed * this->settings.schedule.doubt_until;
     const bool is_late = one.reached_share < 1.0 && this->elapsed(one, now) >= latest;
-    const auto against = one.evidence.log_against();
+    const auto against = one.evidence.log_against().strongest;
     return one.evidence.is_worse() || (is_late && against >= this->settings.late_doubt);
 }
 
@@ -282,12 +286,31 @@
         common::log_part::rollout, common::log_level::warning, "worse " + this->describe(one, now));
 }
 
+auto rollout_guide::spread_of(const rollout& one, time_point now) const -> double
+{
+    if (one.reached_share >= 1.0) {
+        return 1.0;
+    }
+    // Sessions that stay on the old version leave the new one less than its share, so what counts
+    // is the part that it gets. Of that an entry with few requests knows little.
+    const auto all = this->rates.find(one.order.service);
+    const auto ours = this->version_rates.find({one.order.service, one.order.target});
+    const bool is_known = all != this->rates.end() && ours != this->version_rates.end();
+    const double part =
+        is_known ? ours->second.per_second(now) / std::max(all->second.per_second(now), least_rate)
+                 : 0.0;
+    const double least = one.reached_share * least_canary_part;
+    return std::clamp(part, least, one.reached_share) * canary_room;
+}
+
 auto rollout_guide::describe(const rollout& one, time_point now) const -> std::string
 {
+    const auto against = one.evidence.log_against();
     return "service=" + one.order.service.value() + " target=" + one.order.target.value() +
            " elapsed_ms=" + std::to_string(this->elapsed(one, now).count()) +
            " share=" + std::to_string(one.reached_share) +
-           " log_against=" + std::to_string(one.evidence.log_against());
+           " log_against=" + std::to_string(against.strongest) +
+           " overall=" + std::to_string(against.overall);
 }
 
 auto rollout_guide::sessions_to_tell(const rollout& one, time_point now) const
@@ -327,7 +350,7 @@
         return stays;
     }
     return this->goes_new(one, session, now)
-               ? version_rule{target, history.reverted, one.reached_share * canary_room}
+               ? version_rule{target, history.reverted, this->spread_of(one, now)}
                : stays;
 }
 
@@ -379,6 +402,7 @@
 {
     this->under_way[{service, version}] += 1;
     this->rates[service].note(now);
+    this->version_rates[{service, version}].note(now);
     this->sessions.note_sent(service, session, version, now);
 }
 
@@ -453,14 +477,25 @@
     const common::service_name& service,
     const common::version_id& version,
     const route_name& route,
-    timed_part part,
-    double took_ms,
-    time_bound bound,
+    const timed_answer& timed,
     time_point now) -> void
 {
     auto* one = this->running(service);
+    const bool is_new = one != nullptr && version == one->order.target;
+    const bool depends_on_load = timed.part == timed_part::event_pause;
+    auto& effect = this->load_effects[service];
+    // Below a millisecond there is no difference that anyone would notice.
+    auto log_ms = std::log(std::max(timed.took_ms, 1.0));
+    if (depends_on_load && !is_new) {
+        // A slow version's own streams would pass its slowness off as an effect of load.
+        effect.note(route, timed.reading, log_ms);
+    }
+    if (depends_on_load) {
+        log_ms = effect.without_load(timed.reading, log_ms);
+    }
     if (one != nullptr && this->is_comparable(*one, version, now)) {
-        one->evidence.add_time(route, side_of(one->order, version), part, took_ms, bound);
+        one->evidence.add_time(
+            route, side_of(one->order, version), timed.part, log_ms, timed.bound);
     }
 }
 
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "routing/configuration.hpp"
+#include "routing/load_effect.hpp"
 #include "routing/rollout.hpp"
 #include "routing/server_table.hpp"
 #include "routing/session_book.hpp"
@@ -50,12 +51,11 @@
 struct rollout_options {
     rollout_schedule schedule;
     evidence_options evidence;
-    /// The share does not grow while the evidence against the new version is at this or above, as
-    /// a logarithm: three to one.
-    double growth_stop = 0.5;
-    /// Evidence that ends a roll-out whose growth it has held up for as long as there was time:
-    /// twenty to one.
-    double late_doubt = 3.0;
+    /// The share grows once the evidence over all routes, as a logarithm, is down to this: answers
+    /// that are no worse have earned it. Before, it starts at 0.
+    double growth_from = -1.0;
+    /// Evidence that ends a roll-out whose growth has been held up for as long as there was time.
+    double late_doubt = 1.0;
     /// Times of answers count against the old version's until an entry's requests for the service
     /// come this many times as often as while both served: then they wait for each other, and
     /// would make a good version look slow.
@@ -158,9 +158,7 @@
         const common::service_name& service,
         const common::version_id& version,
         const route_name& route,
-        timed_part part,
-        double took_ms,
-        time_bound bound,
+        const timed_answer& timed,
         time_point now) -> void;
 
     /// A request was taken elsewhere because its server was silent: as slow as can be.
@@ -221,6 +219,8 @@
     /// Whether the new version has to go: worse for certain, or doubtful when time is up.
     [[nodiscard]] auto must_revert(const rollout& one, time_point now) const -> bool;
     auto refresh(rollout& one, time_point now) -> void;
+    /// The part of the new version's servers that its work is spread over.
+    [[nodiscard]] auto spread_of(const rollout& one, time_point now) const -> double;
     [[nodiscard]] auto describe(const rollout& one, time_point now) const -> std::string;
     /// Whether a time of `version` may be compared.
     auto is_comparable(rollout& one, const common::version_id& version, time_point now) -> bool;
@@ -248,7 +248,9 @@
     std::map<common::service_name, rollout_status> early;
     session_book sessions;
     std::map<std::pair<common::service_name, common::version_id>, unsigned> under_way;
+    std::map<common::service_name, load_effect> load_effects;
     std::map<common::service_name, request_rate> rates;
+    std::map<std::pair<common::service_name, common::version_id>, request_rate> version_rates;
 };
 
 } // namespace reedramp::routing
--- a/source/core/routing/version_evidence.cpp
+++ b/source/core/routing/version_evidence.cpp
@@ -68,21 +68,20 @@
 }
 
 auto version_evidence::add_time(
-    const route_name& route, version_side side, timed_part part, double took_ms, time_bound bound)
+    const route_name& route, version_side side, timed_part part, double log_ms, time_bound bound)
     -> void
 {
     auto& one = this->at(route);
-    const double time = std::log(std::max(took_ms, 1.0));
     const auto usual = this->usual_time(route, part);
     if (usual.count >= least_usual) {
-        const auto slow = this->slowness(time - usual.value);
+        const auto slow = this->slowness(log_ms - usual.value);
         // One that was given up early says nothing: its whole time is not known.
         if (bound == time_bound::seen || slow > 0.0) {
             this->add(one, policy::signal::pace, side, slow);
         }
     }
     if (side == version_side::old && bound == time_bound::seen) {
-        one.usual_times[index_of(part)].add(time, usual_memory);
+        one.usual_times[index_of(part)].add(log_ms, usual_memory);
     }
 }
 
@@ -153,7 +152,7 @@
     return all;
 }
 
-auto version_evidence::log_against() const -> double
+auto version_evidence::log_against() const -> sums
 {
     if (!this->known_against) {
         this->known_against = this->sum_up();
@@ -161,7 +160,7 @@
     return *this->known_against;
 }
 
-auto version_evidence::sum_up() const -> double
+auto version_evidence::sum_up() const -> sums
 {
     policy::wealth total(policy::wealth_size, 0.0);
     double most = -std::numeric_limits<double>::infinity();
@@ -178,12 +177,13 @@
         policy::add_wealth(total, sum);
         most = std::max(most, judged(sum));
     }
-    return std::max(most, judged(total));
+    const double overall = judged(total);
+    return {overall, std::max(most, overall)};
 }
 
 auto version_evidence::is_worse() const -> bool
 {
-    return this->log_against() >= -std::log(this->settings.guard.false_alarm);
+    return this->log_against().strongest >= -std::log(this->settings.guard.false_alarm);
 }
 
 } // namespace reedramp::routing
--- a/source/core/routing/version_evidence.hpp
+++ b/source/core/routing/version_evidence.hpp
@@ -30,17 +30,26 @@
 /// before its end, so that it would have taken longer.
 enum class time_bound : std::uint8_t { seen, at_least };
 
+/// One observed time.
+struct timed_answer {
+    timed_part part = timed_part::whole_answer;
+    double took_ms = 0.0;
+    time_bound bound = time_bound::seen;
+    /// Tokens of prompts that waited at the server meanwhile; see `load_effect`.
+    double reading = 0.0;
+};
+
 struct evidence_options {
     policy::guard_options guard{
         .rating_slack = 0.02,
         .error_slack = 0.02,
         .slow_slack = 0.10,
-        .pace_slack = 0.05,
+        .pace_slack = 0.06,
         // Nothing here is rated. Pace shows most of what is slow; a late first event says less,
         // since prompts differ by tens.
         .weights = {0.0, 0.35, 0.15, 0.5},
         .growth_slack = 0.05,
-        .false_alarm = 0.002,
+        .false_alarm = 0.005,
         .least_reference = 10.0};
     /// A first event is slow when it takes this many times the old version's mean.
     double slow_factor = 3.0;
@@ -82,11 +91,12 @@
         std::chrono::milliseconds took,
         bool is_stalled = false) -> void;
 
+    /// `log_ms` is the time's logarithm, with the effect of load taken out.
     auto add_time(
         const route_name& route,
         version_side side,
         timed_part part,
-        double took_ms,
+        double log_ms,
         time_bound bound = time_bound::seen) -> void;
 
     /// A peer's words replace its older ones.
@@ -94,9 +104,15 @@
 
     [[nodiscard]] auto tell() const -> std::map<route_name, told_evidence>;
 
-    /// The strongest wealth against the new version, of one route or of all together, as a
-    /// logarithm. One route may be the only one on which it is bad.
-    [[nodiscard]] auto log_against() const -> double;
+    /// Logarithms of the wealth against the new version.
+    struct sums {
+        /// Of all routes together. Falls below zero as answers come that are no worse.
+        double overall = 0.0;
+        /// The strongest, of one route or of all: one route may be the only one on which it is bad.
+        double strongest = 0.0;
+    };
+
+    [[nodiscard]] auto log_against() const -> sums;
 
     [[nodiscard]] auto is_worse() const -> bool;
 
@@ -111,7 +127,7 @@
     auto at(const route_name& route) -> route_evidence&;
     auto add(route_evidence& to, policy::signal what, version_side side, double value) -> void;
     auto pool(const route_name& route) -> void;
-    [[nodiscard]] auto sum_up() const -> double;
+    [[nodiscard]] auto sum_up() const -> sums;
     [[nodiscard]] auto usual_time(const route_name& route, timed_part part) const
         -> policy::known_mean;
     /// 0 up to the usual time, 1 from several times on.
@@ -121,7 +137,7 @@
     std::map<route_name, route_evidence> routes;
     std::map<common::host_id, std::map<route_name, told_evidence>> peers;
     /// `log_against` since the last change: each request asks for it.
-    mutable std::optional<double> known_against;
+    mutable std::optional<sums> known_against;
 };
 
 } // namespace reedramp::routing
