Count a stalled send as a run before it is left

Cause: a stream that stalls was left for another server when its route allowed one more run, without counting the one that was being left; without a head it was never counted. Ruled out: the larger model's send alone (it asks for room for two already). Change: attempt_ledger::may_leave asks for room for the run that is left and the next one; a stall ends as unknown, which counts. The relay's test failed first, with and without heads.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -301,6 +301,12 @@
            this->core->hooks.clock() < this->give_up_at;
 }
 
+auto relay::may_leave_current() const -> bool
+{
+    return this->ledger.may_leave(*this->request.route, this->core->options.most_sends) &&
+           this->core->hooks.clock() < this->give_up_at;
+}
+
 auto relay::try_again(result_code why) -> void
 {
     if (this->ended) {
@@ -359,7 +365,7 @@
             }
             const bool is_silent = self->core->hooks.clock() - of->last_progress >= limit;
             // Without a second send the server is all there is: it may be slow, and not dead.
-            if (!is_silent || !self->may_send_again() || !self->retries().take_retry()) {
+            if (!is_silent || !self->may_leave_current() || !self->retries().take_retry()) {
                 self->watch_for_stall(of);
                 return;
             }
@@ -368,11 +374,7 @@
                 common::log_level::info,
                 "stalled request=" + self->request.caller.attempt +
                     " server=" + of->server.value());
-            const bool has_begun = of->said != verdict::none;
-            self->leave(
-                of,
-                has_begun ? attempt_end::ran : attempt_end::unknown_in_queue,
-                server_outcome::stalled);
+            self->leave(of, attempt_end::unknown, server_outcome::stalled);
             self->core->counters.resumed.add(self->is_streaming ? 1 : 0);
             self->send_next();
         });
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -152,6 +152,8 @@
     auto retries() -> placement::retry_budget&;
     auto try_again(common::result_code why) -> void;
     [[nodiscard]] auto may_send_again() const -> bool;
+    /// Whether the send under way may be left for another one.
+    [[nodiscard]] auto may_leave_current() const -> bool;
     auto give_up(common::result_code why) -> void;
 
     auto watch_for_stall(const std::shared_ptr<attempt>& of) -> void;
--- a/source/core/routing/attempt_ledger.cpp
+++ b/source/core/routing/attempt_ledger.cpp
@@ -29,9 +29,10 @@
     }
 }
 
-auto attempt_ledger::leaves_room(const route& on, unsigned most_sends, unsigned more) const -> bool
+auto attempt_ledger::leaves_room(
+    const route& on, unsigned most_sends, unsigned more_runs, unsigned more_sends) const -> bool
 {
-    return this->runs + more <= on.most_attempts && this->sent + more <= most_sends;
+    return this->runs + more_runs <= on.most_attempts && this->sent + more_sends <= most_sends;
 }
 
 auto attempt_ledger::may_send_again(const route& on, unsigned most_sends) const -> bool
@@ -39,13 +40,18 @@
     if (this->may_have_run && !is_repeatable(on)) {
         return false;
     }
-    return this->leaves_room(on, most_sends, 1);
+    return this->leaves_room(on, most_sends, 1, 1);
+}
+
+auto attempt_ledger::may_leave(const route& on, unsigned most_sends) const -> bool
+{
+    return is_repeatable(on) && this->leaves_room(on, most_sends, 2, 1);
 }
 
 auto attempt_ledger::may_be_dropped(const route& on, unsigned most_sends) const -> bool
 {
     // The answer that is dropped has run too, and is not yet in the ledger.
-    return is_repeatable(on) && this->leaves_room(on, most_sends, 2);
+    return is_repeatable(on) && this->leaves_room(on, most_sends, 2, 2);
 }
 
 } // namespace reedramp::routing
--- a/source/core/routing/attempt_ledger.hpp
+++ b/source/core/routing/attempt_ledger.hpp
@@ -39,11 +39,17 @@
     /// `most_sends` in all.
     [[nodiscard]] auto may_send_again(const route& on, unsigned most_sends) const -> bool;
 
+    /// Whether a send under way may be left for another one. It may have run, though no word of it
+    /// has come: servers that hang take requests and begin them. Left with only one run to spare,
+    /// a stream that stalled at several of them ran on more servers than its route allows.
+    [[nodiscard]] auto may_leave(const route& on, unsigned most_sends) const -> bool;
+
     /// Whether two more may be sent: one for a larger model, and one if that is lost.
     [[nodiscard]] auto may_be_dropped(const route& on, unsigned most_sends) const -> bool;
 
 private:
-    [[nodiscard]] auto leaves_room(const route& on, unsigned most_sends, unsigned more) const
+    [[nodiscard]] auto
+    leaves_room(const route& on, unsigned most_sends, unsigned more_runs, unsigned more_sends) const
         -> bool;
 
     unsigned sent = 0;
--- a/source/unit_tests/router/relay_test.cpp
+++ b/source/unit_tests/router/relay_test.cpp
@@ -230,6 +230,36 @@
     CHECK(out->is_finished);
 }
 
+TEST_CASE(
+    "a stream that stalls again and again runs on no more servers than its route allows", "[relay]")
+{
+    // Some servers take requests and hang, while their status checks are good. A stream whose small
+    // model's answer was dropped stalled at one of them after the other; each may have begun it,
+    // and it ran on four servers where its route allows three.
+    for (const bool has_begun : {false, true}) {
+        INFO("heads come " << has_begun);
+        world all;
+        all.add_server("d");
+        all.add_server("e");
+        const auto out = all.ask(stream, {{"Reedramp-Deadline-Ms", "9000"}});
+        all.last().head(200, {{"Reedramp-Confidence", "10"}});
+        REQUIRE(all.sends() == 2);
+        for (int i = 0; i < 3; ++i) {
+            if (has_begun && !all.last().is_cancelled) {
+                all.last().head(200, {{"Reedramp-Confidence", "90"}});
+            }
+            all.advance(seconds{2});
+        }
+        CHECK(all.sends() == 3);
+        // The last one is all there is, and its answer is still taken.
+        CHECK_FALSE(all.last().is_cancelled);
+        all.last().head(200, {{"Reedramp-Confidence", "90"}});
+        all.last().chunk(event(0));
+        all.last().end();
+        CHECK(out->is_finished);
+    }
+}
+
 TEST_CASE("a long prompt is given the time that it takes", "[relay]")
 {
     // The largest prompts take seconds to read, the route's mean first event comes in a tenth of
