Leave failing servers alone together; do not take their failures for usual

Cause: when a third of the engines fail at once they answer fast and draw most requests; the service's mean share of failures became theirs, and none was worse than the mean by the excess. Also each of 26 entries had to fail twice at a server by itself. Change: the usual share is believed up to a fifth; entries tell outcomes of servers that failed, and rest them from three failures over all.

--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -137,6 +137,13 @@
         words.loads.push_back(
             {load.getServer(), {load.getRequests(), load.getWork(), load.getReading()}});
     }
+    for (const auto outcomes : from.getOutcomes()) {
+        const double good = outcomes.getGood();
+        const double bad = outcomes.getBad();
+        if (std::isfinite(good) && std::isfinite(bad)) {
+            words.outcomes.push_back({outcomes.getServer(), good, bad});
+        }
+    }
     for (const auto rollout : from.getRollouts()) {
         words.rollouts.push_back(read_rollout(rollout));
     }
@@ -168,6 +175,12 @@
         loads[i].setWork(static_cast<float>(words.loads[i].load.work));
         loads[i].setReading(static_cast<float>(words.loads[i].load.reading));
     }
+    auto outcomes = root.initOutcomes(static_cast<unsigned>(words.outcomes.size()));
+    for (unsigned i = 0; i < words.outcomes.size(); ++i) {
+        outcomes[i].setServer(words.outcomes[i].server);
+        outcomes[i].setGood(static_cast<float>(words.outcomes[i].good));
+        outcomes[i].setBad(static_cast<float>(words.outcomes[i].bad));
+    }
     auto rollouts = root.initRollouts(static_cast<unsigned>(words.rollouts.size()));
     for (unsigned i = 0; i < words.rollouts.size(); ++i) {
         fill(rollouts[i], words.rollouts[i]);
--- a/source/core/router/peer_message.hpp
+++ b/source/core/router/peer_message.hpp
@@ -9,6 +9,7 @@
 #include "common/result.hpp"
 #include "routing/load_book.hpp"
 #include "routing/rollout_guide.hpp"
+#include "routing/server_health.hpp"
 
 namespace reedramp::router {
 
@@ -25,6 +26,8 @@
     /// Addresses of the peers that the sender hears, so that one known address is enough to find
     /// all.
     std::vector<std::string> peers;
+    /// Of servers that have failed lately at the sender.
+    std::vector<routing::told_outcomes> outcomes;
     /// Hashes of the servers that have lately said that they leave.
     std::vector<std::uint64_t> leaving;
     /// Until the sender's process ends at the latest; none while it stays.
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -12,6 +12,13 @@
   reading @3 :Float32;
 }
 
+# What a server that failed has answered at the sender lately.
+struct Outcomes {
+  server @0 :UInt64;
+  good @1 :Float32;
+  bad @2 :Float32;
+}
+
 struct RouteEvidence {
   route @0 :Text;
   wealth @1 :List(Float32);
@@ -49,4 +56,5 @@
   leaving @6 :List(UInt64);
   # Until the sender's process ends; 0 while it stays.
   endsInMs @7 :UInt32;
+  outcomes @8 :List(Outcomes);
 }
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -66,6 +66,7 @@
     words.rules_version = this->core->rules() == nullptr ? 0 : this->core->rules()->version();
     words.loads = this->core->loads.tell();
     words.rollouts = this->core->rollouts.tell(now);
+    words.outcomes = this->core->health.tell(now);
     words.leaving = this->core->servers.leaving();
     if (this->core->leaves_at() != common::never) {
         words.ends_in =
@@ -122,7 +123,9 @@
     }
     this->core->servers.retire_named(words->leaving);
     const auto round = this->period * static_cast<int>(this->calls_per_round());
-    this->core->loads.hear(words->host, words->loads, now + round * trusted_rounds);
+    const auto trusted_until = now + round * trusted_rounds;
+    this->core->loads.hear(words->host, words->loads, trusted_until);
+    this->core->health.hear(words->host, words->outcomes, trusted_until, now);
     this->core->rollouts.hear(words->host, words->rollouts, now);
     const auto own_version = this->core->rules() == nullptr ? 0 : this->core->rules()->version();
     if (words->rules_version > own_version) {
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -30,6 +30,7 @@
     rollout.state = routing::rollout_state::reverted;
     rollout.is_written = true;
     words.rollouts = {rollout};
+    words.outcomes = {{7, 1.5, 2.25}};
     words.peers = {"10.0.0.2:7000"};
     words.leaving = {77};
     words.ends_in = std::chrono::milliseconds{4200};
@@ -58,6 +59,10 @@
     CHECK(read->rollouts[0].old_sessions[0].left == std::chrono::milliseconds{1200});
     CHECK(read->rollouts[0].state == routing::rollout_state::reverted);
     CHECK(read->rollouts[0].is_written);
+    REQUIRE(read->outcomes.size() == 1);
+    CHECK(read->outcomes[0].server == 7);
+    CHECK(read->outcomes[0].good == 1.5);
+    CHECK(read->outcomes[0].bad == 2.25);
     CHECK(read->peers == words.peers);
     CHECK(read->leaving == words.leaving);
     CHECK(read->ends_in == words.ends_in);
--- a/source/unit_tests/routing/servers_test.cpp
+++ b/source/unit_tests/routing/servers_test.cpp
@@ -213,6 +213,115 @@
     CHECK(health.is_resting(grey, start + milliseconds{700}));
 }
 
+TEST_CASE("entries leave a failing server alone together", "[server_health]")
+{
+    // A server fails all of its requests while its status check is good. Of 20 entries each sends
+    // it one every second, and each would have to fail there twice: 40 callers' requests.
+    const common::server_id failing{"grey"};
+    const common::server_id sound{"sound"};
+    constexpr std::size_t entries = 20;
+    std::vector<server_health> all(entries, server_health{health_options{}});
+    auto now = start;
+    const auto tell_all = [&all, &now] {
+        for (std::size_t from = 0; from < all.size(); ++from) {
+            for (std::size_t to = 0; to < all.size(); ++to) {
+                if (from != to) {
+                    all[to].hear(
+                        common::host_id{std::to_string(from)},
+                        all[from].tell(now),
+                        now + seconds{3},
+                        now);
+                }
+            }
+        }
+    };
+    int failed = 0;
+    for (std::size_t i = 0; i < entries; ++i) {
+        auto& one = all[i];
+        one.note(sound, server_outcome::good, now);
+        if (!one.is_resting(failing, now)) {
+            one.note(failing, server_outcome::failed, now);
+            failed += 1;
+        }
+        now += milliseconds{50};
+        tell_all();
+    }
+    CHECK(failed <= 5);
+    CHECK_FALSE(all[0].is_resting(sound, now));
+}
+
+TEST_CASE("a service's usual failures do not add up over entries", "[server_health]")
+{
+    // A plain service fails one request in seven by itself. Each entry tells of the failures only;
+    // added up without the good answers of the others, every server would seem to fail always.
+    constexpr std::size_t entries = 20;
+    std::vector<server_health> all(entries, server_health{health_options{}});
+    auto alone = all;
+    std::mt19937_64 random{20261202};
+    auto now = start;
+    int more_rests = 0;
+    for (int round = 0; round < 40; ++round) {
+        for (std::size_t i = 0; i < entries; ++i) {
+            for (const auto* name : {"a", "b", "c"}) {
+                const common::server_id server{name};
+                const auto outcome =
+                    random() % 7 != 0 ? server_outcome::good : server_outcome::failed;
+                all[i].note(server, outcome, now);
+                alone[i].note(server, outcome, now);
+            }
+            for (std::size_t to = 0; to < entries; ++to) {
+                if (to != i) {
+                    const common::host_id host{std::to_string(i)};
+                    all[to].hear(host, all[i].tell(now), now + seconds{3}, now);
+                }
+            }
+        }
+        for (std::size_t i = 0; i < entries; ++i) {
+            const common::server_id server{"a"};
+            const bool rests = all[i].is_resting(server, now);
+            more_rests += rests && !alone[i].is_resting(server, now) ? 1 : 0;
+        }
+        now += milliseconds{500};
+    }
+    CHECK(more_rests == 0);
+}
+
+TEST_CASE("servers that fail together do not pass for usual", "[server_health]")
+{
+    // A third of the servers fail all that they get, at once, and being fast they get most of it.
+    // The service's mean share of failures became theirs, so that none of them was left alone.
+    server_health health{health_options{}};
+    auto now = start;
+    int to_failing = 0;
+    for (int i = 0; i < 300; ++i) {
+        now += milliseconds{10};
+        for (const auto* name : {"x", "y", "z"}) {
+            const common::server_id failing{name};
+            if (!health.is_resting(failing, now)) {
+                health.note(failing, server_outcome::failed, now);
+                to_failing += 1;
+            }
+        }
+        health.note(common::server_id{"sound"}, server_outcome::good, now);
+    }
+    CHECK(to_failing < 60);
+}
+
+TEST_CASE("what a peer that fell silent has said of servers is forgotten", "[server_health]")
+{
+    const common::server_id server{"a"};
+    server_health health{health_options{}};
+    health.hear(
+        common::host_id{"peer"}, {{hash_of(server), 0.0, 2.5}}, start + milliseconds{500}, start);
+    CHECK_FALSE(health.is_resting(server, start));
+    // Two own failures, and the peer's: too many, were the peer's still counted.
+    const auto later = start + seconds{1};
+    health.note(server, server_outcome::good, later);
+    health.note(server, server_outcome::good, later);
+    health.note(server, server_outcome::failed, later);
+    CHECK_FALSE(health.is_resting(server, later));
+}
+
 TEST_CASE("a full server has no fault", "[server_health]")
 {
     server_health health{health_options{}};
