Share the readings of the servers' list between entries

Ruled out: a fixed few readers by rank alone, whose death would leave the others without news until they are missed; reading rarely and taking leaving servers from peers, which misses registrations that are removed without a word. Change: entries tell where the list last changed and how long ago it was known to be the newest; one reads again when nobody has for a second, later by rank, or at once when a peer knows of a change that it lacks.

--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstring>
+#include <limits>
 #include <optional>
 
 #include <capnp/message.h>
@@ -137,6 +138,7 @@
         words.loads.push_back(
             {load.getServer(), {load.getRequests(), load.getWork(), load.getReading()}});
     }
+    words.freshness = {from.getListChanged(), std::chrono::milliseconds{from.getListAgeMs()}};
     for (const auto outcomes : from.getOutcomes()) {
         const double good = outcomes.getGood();
         const double bad = outcomes.getBad();
@@ -175,6 +177,9 @@
         loads[i].setWork(static_cast<float>(words.loads[i].load.work));
         loads[i].setReading(static_cast<float>(words.loads[i].load.reading));
     }
+    root.setListChanged(words.freshness.changed);
+    root.setListAgeMs(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        words.freshness.age.count(), 0, std::numeric_limits<std::uint32_t>::max())));
     auto outcomes = root.initOutcomes(static_cast<unsigned>(words.outcomes.size()));
     for (unsigned i = 0; i < words.outcomes.size(); ++i) {
         outcomes[i].setServer(words.outcomes[i].server);
--- a/source/core/router/peer_message.hpp
+++ b/source/core/router/peer_message.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "common/result.hpp"
+#include "routing/list_freshness.hpp"
 #include "routing/load_book.hpp"
 #include "routing/rollout_guide.hpp"
 #include "routing/server_health.hpp"
@@ -23,6 +24,8 @@
     std::uint64_t rules_version = 0;
     std::vector<routing::told_load> loads;
     std::vector<routing::told_rollout> rollouts;
+    /// Of the servers' list.
+    routing::told_freshness freshness{0, std::chrono::hours{1}};
     /// Addresses of the peers that the sender hears, so that one known address is enough to find
     /// all.
     std::vector<std::string> peers;
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -57,4 +57,7 @@
   # Until the sender's process ends; 0 while it stays.
   endsInMs @7 :UInt32;
   outcomes @8 :List(Outcomes);
+  # Of the servers' list: where its last change ends, and how long ago that was known.
+  listChanged @9 :UInt64;
+  listAgeMs @10 :UInt32 = 3600000;
 }
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -16,8 +16,8 @@
     router_options options_to_use,
     std::shared_ptr<http::client> servers_client)
     : hooks(std::move(hooks_to_use)), options(std::move(options_to_use)),
-      client(std::move(servers_client)), health(this->options.health),
-      rollouts(this->options.rollout), counters(this->series)
+      client(std::move(servers_client)), freshness(this->options.freshness),
+      health(this->options.health), rollouts(this->options.rollout), counters(this->series)
 {
 }
 
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -16,6 +16,7 @@
 #include "router/router_metrics.hpp"
 #include "router/shared_store.hpp"
 #include "routing/configuration.hpp"
+#include "routing/list_freshness.hpp"
 #include "routing/load_book.hpp"
 #include "routing/model_choice.hpp"
 #include "routing/rollout_guide.hpp"
@@ -41,6 +42,7 @@
     header_names names;
     common::data_centre_id data_centre;
     routing::choice_options choice;
+    routing::freshness_options freshness;
     routing::health_options health;
     routing::rollout_options rollout;
     routing::model_options models;
@@ -151,6 +153,7 @@
     router_options options;
     std::shared_ptr<http::client> client;
     routing::server_table servers;
+    routing::list_freshness freshness;
     routing::load_book loads;
     /// By service: what a unit of work takes differs between services by far more than within one.
     std::map<common::service_name, routing::pace_book> paces;
--- a/source/core/router/rules_follower.hpp
+++ b/source/core/router/rules_follower.hpp
@@ -11,9 +11,6 @@
     /// The store holds a reading back for this long while nothing is new: one call for each, and a
     /// connection that died without a sign is left after it.
     std::chrono::milliseconds rules_wait{8000};
-    /// Between two readings of the servers' list. Half of the time in which a server that leaves
-    /// still takes work, less a slow reading.
-    std::chrono::milliseconds servers_period{1000};
     /// After a failed call; the shorter one while nothing can be served yet, when each moment
     /// counts for all callers.
     std::chrono::milliseconds pause{400};
--- a/source/core/router/servers_follower.cpp
+++ b/source/core/router/servers_follower.cpp
@@ -14,9 +14,10 @@
     std::shared_ptr<router_core> core_to_feed,
     shared_store store_to_read,
     follower_options options_to_use,
-    std::function<auto()->void> store_regained)
+    std::function<auto()->void> store_regained,
+    std::function<auto()->std::size_t> own_rank)
     : core(std::move(core_to_feed)), store(std::move(store_to_read)), options(options_to_use),
-      on_regained(std::move(store_regained))
+      on_regained(std::move(store_regained)), rank(std::move(own_rank))
 {
 }
 
@@ -34,6 +35,24 @@
         this->core->hooks.clock() + wait, [self = this->shared_from_this()] { self->read_next(); });
 }
 
+auto servers_follower::read_when_due() -> void
+{
+    // As often as peers speak; what they say may make a reading needless, or due at once.
+    constexpr std::chrono::milliseconds between_checks{100};
+    const auto now = this->core->hooks.clock();
+    this->core->hooks.timer(now + between_checks, [self = this->shared_from_this()] {
+        const auto then = self->core->hooks.clock();
+        self->end_lapsed(then);
+        const auto own_rank = self->rank ? self->rank() : 0;
+        if (self->core->freshness.is_due(own_rank, then)) {
+            self->read_next();
+        }
+        else {
+            self->read_when_due();
+        }
+    });
+}
+
 auto servers_follower::on_reading(const common::result<reading>& found) -> void
 {
     const auto now = this->core->hooks.clock();
@@ -60,36 +79,39 @@
             this->on_regained();
         }
     }
-    this->apply(*found, now);
+    const bool has_changed = this->apply(*found, now);
     this->core->serve_held();
     this->position = found->end;
+    this->core->freshness.note_read(found->end.value(), has_changed, now);
     this->end_lapsed(now);
-    this->read_later(this->options.servers_period);
+    this->read_when_due();
 }
 
-auto servers_follower::apply(const reading& found, time_point now) -> void
+auto servers_follower::apply(const reading& found, time_point now) -> bool
 {
+    bool has_changed = false;
     std::set<common::server_id> named;
     for (const auto& change : found.documents) {
         named.insert(change.id);
         if (change.now) {
-            this->take(change, now);
+            has_changed = this->take(change, now) || has_changed;
         }
         else {
-            this->lapse(change.id, now);
+            has_changed = this->lapse(change.id, now) || has_changed;
         }
     }
     if (!found.is_whole) {
-        return;
+        return has_changed;
     }
     for (const auto& id : this->core->servers.ids()) {
         if (!named.contains(id)) {
-            this->lapse(id, now);
+            has_changed = this->lapse(id, now) || has_changed;
         }
     }
+    return has_changed;
 }
 
-auto servers_follower::take(routing::registration_change change, time_point now) -> void
+auto servers_follower::take(routing::registration_change change, time_point now) -> bool
 {
     this->lapsed.erase(change.id);
     auto& servers = this->core->servers;
@@ -107,11 +129,12 @@
                 " server=" + change.id.value() + " service=" + change.now->service.value() +
                 " version=" + change.now->version.value());
     }
+    return was_usable != is_usable;
 }
 
-auto servers_follower::lapse(const common::server_id& id, time_point now) -> void
+auto servers_follower::lapse(const common::server_id& id, time_point now) -> bool
 {
-    this->lapsed.try_emplace(id, std::max(now, this->grace_until));
+    return this->lapsed.try_emplace(id, std::max(now, this->grace_until)).second;
 }
 
 auto servers_follower::end_lapsed(time_point now) -> void
--- /dev/null
+++ b/source/core/routing/list_freshness.cpp
@@ -0,0 +1,43 @@
+#include "routing/list_freshness.hpp"
+
+#include <algorithm>
+
+namespace reedramp::routing {
+
+auto list_freshness::note_read(std::uint64_t end, bool has_changed, time_point now) -> void
+{
+    this->position = end;
+    if (has_changed || !this->has_read) {
+        this->changed = std::max(this->changed, end);
+    }
+    this->has_read = true;
+    this->current_at = now;
+}
+
+auto list_freshness::hear(const told_freshness& told, time_point now) -> void
+{
+    this->changed = std::max(this->changed, told.changed);
+    if (this->has_read && told.changed <= this->position) {
+        const auto age = std::max(told.age, std::chrono::milliseconds{0});
+        this->current_at = std::max(this->current_at, now - age);
+    }
+}
+
+auto list_freshness::tell(time_point now) const -> told_freshness
+{
+    // What this entry has only been told of is not passed on as known: its list lacks it.
+    const auto known = std::min(this->changed, this->position);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->current_at);
+    return {known, this->has_read ? age : std::chrono::hours{1}};
+}
+
+auto list_freshness::is_due(std::size_t rank, time_point now) const -> bool
+{
+    if (!this->has_read || this->changed > this->position) {
+        return true;
+    }
+    const auto steps = static_cast<int>(std::min(rank, this->settings.most_steps));
+    return now - this->current_at >= this->settings.period + this->settings.rank_step * steps;
+}
+
+} // namespace reedramp::routing
--- /dev/null
+++ b/source/core/routing/list_freshness.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+#include "common/units.hpp"
+
+namespace reedramp::routing {
+
+using common::time_point;
+
+/// How far an entry knows the servers' list, as it tells its peers.
+struct told_freshness {
+    /// Position in the list's stream behind its last change.
+    std::uint64_t changed = 0;
+    /// How long ago the store was read, by any entry, without a later change.
+    std::chrono::milliseconds age{0};
+};
+
+struct freshness_options {
+    /// The list is read again when no entry is known to have read it for so long. Half of the time
+    /// in which a server that leaves still takes work, less a slow reading.
+    common::duration period = std::chrono::seconds{1};
+    /// Later by this for each entry that goes first, so that one reads and the others hear of it.
+    common::duration rank_step = std::chrono::milliseconds{100};
+    /// Ranks that wait longer than those before them; the rest would wait too long if they failed.
+    std::size_t most_steps = 4;
+};
+
+/// When this entry should read the servers' list itself.
+///
+/// Each entry used to read it once a second, which with 26 entries was the larger part of all calls
+/// to the store. One reading tells whether the list has changed; the others only have to know that,
+/// and when. An entry that hears of nobody's reading, because it is cut off or those before it have
+/// died, reads as before, so that a server that leaves is known 1.5 s later at the latest.
+class list_freshness {
+public:
+    explicit list_freshness(freshness_options options) : settings(options) {}
+
+    /// This entry has read up to `end`; `has_changed` if that changed the list.
+    auto note_read(std::uint64_t end, bool has_changed, time_point now) -> void;
+
+    auto hear(const told_freshness& told, time_point now) -> void;
+
+    [[nodiscard]] auto tell(time_point now) const -> told_freshness;
+
+    /// Whether to read now, when `rank` living entries go before this one.
+    [[nodiscard]] auto is_due(std::size_t rank, time_point now) const -> bool;
+
+private:
+    freshness_options settings;
+    bool has_read = false;
+    /// Where this entry's own reading stands.
+    std::uint64_t position = 0;
+    /// The newest change that it knows of, read or told.
+    std::uint64_t changed = 0;
+    /// When the list that it holds was last known to be the newest.
+    time_point current_at{};
+};
+
+} // namespace reedramp::routing
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -66,6 +66,7 @@
     words.rules_version = this->core->rules() == nullptr ? 0 : this->core->rules()->version();
     words.loads = this->core->loads.tell();
     words.rollouts = this->core->rollouts.tell(now);
+    words.freshness = this->core->freshness.tell(now);
     words.outcomes = this->core->health.tell(now);
     words.leaving = this->core->servers.leaving();
     if (this->core->leaves_at() != common::never) {
@@ -125,6 +126,7 @@
     const auto round = this->period * static_cast<int>(this->calls_per_round());
     const auto trusted_until = now + round * trusted_rounds;
     this->core->loads.hear(words->host, words->loads, trusted_until);
+    this->core->freshness.hear(words->freshness, now);
     this->core->health.hear(words->host, words->outcomes, trusted_until, now);
     this->core->rollouts.hear(words->host, words->rollouts, now);
     const auto own_version = this->core->rules() == nullptr ? 0 : this->core->rules()->version();
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -325,7 +325,11 @@
     this->rules =
         std::make_shared<router::rules_follower>(this->core, this->store, this->settings.follower);
     this->servers = std::make_shared<router::servers_follower>(
-        this->core, this->store, this->settings.follower, [this] { this->rules->refresh(); });
+        this->core,
+        this->store,
+        this->settings.follower,
+        [this] { this->rules->refresh(); },
+        [this] { return this->peers->rank(); });
     this->rollouts = std::make_shared<router::rollout_writer>(
         this->core, this->store, [this] { return this->peers->rank(); });
     this->rules->start();
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -23,7 +23,11 @@
          .fallback = settings::text_list{}},
         time_key("peers.period", "Between two messages to each other entry.", 100, 10),
         address_key("store.address", "The platform's store."),
-        time_key("store.servers_period", "Between two readings of the servers' list.", 1000, 50),
+        time_key(
+            "store.servers_period",
+            "Between two readings of the servers' list, over all entries.",
+            1000,
+            50),
         time_key("shutdown.grace", "From SIGTERM until the process is killed.", 8000, 1000),
         time_key(
             "shutdown.balancer",
@@ -103,7 +107,7 @@
     read.grace = values.milliseconds("shutdown.grace");
     read.balancer_time = values.milliseconds("shutdown.balancer");
     read.peer_period = values.milliseconds("peers.period");
-    read.follower.servers_period = values.milliseconds("store.servers_period");
+    read.router.freshness.period = values.milliseconds("store.servers_period");
     read.router.data_centre = read.data_centre;
     read.router.rollout.session_time = values.milliseconds("session_time");
     // In the first half, so that it takes up three fifths of what a bad version may get; the rest
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -30,6 +30,7 @@
     rollout.state = routing::rollout_state::reverted;
     rollout.is_written = true;
     words.rollouts = {rollout};
+    words.freshness = {123456789012, std::chrono::milliseconds{250}};
     words.outcomes = {{7, 1.5, 2.25}};
     words.peers = {"10.0.0.2:7000"};
     words.leaving = {77};
@@ -59,6 +60,8 @@
     CHECK(read->rollouts[0].old_sessions[0].left == std::chrono::milliseconds{1200});
     CHECK(read->rollouts[0].state == routing::rollout_state::reverted);
     CHECK(read->rollouts[0].is_written);
+    CHECK(read->freshness.changed == words.freshness.changed);
+    CHECK(read->freshness.age == words.freshness.age);
     REQUIRE(read->outcomes.size() == 1);
     CHECK(read->outcomes[0].server == 7);
     CHECK(read->outcomes[0].good == 1.5);
