Split the rule of versions and the rate of requests out of rollout_guide

Cause: rollout_guide.cpp had grown to 560 lines with two matters that need nothing of it: which servers a rule leaves, and requests a second.

--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -85,11 +85,12 @@
         /// The server was still cold when it was sent: its times say nothing of its version.
         bool is_cold = false;
         time_point first_event;
-        /// Events of this attempt, and whether their pace has been judged.
+        /// Events of this attempt.
         std::int64_t events_seen = 0;
         /// Prompts that waited at the server, summed over `load_samples` moments of the stream.
         double reading_sum = 0.0;
         unsigned load_samples = 0;
+        /// Its pace, or its whole time, has been handed to the guard of roll-outs.
         bool is_timed = false;
         bool ended = false;
     };
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -33,59 +33,8 @@
 /// Requests a second below which a part of them says nothing.
 constexpr double least_rate = 0.5;
 
-/// Time in which a rate of requests forgets; at 10 requests a second an error of a fifth.
-constexpr double rate_memory_s = 3.0;
-
 } // namespace
 
-auto keep_allowed(std::vector<const registration*>& usable, const version_rule& rule) -> void
-{
-    std::erase_if(usable, [&rule](const auto* server) { return rule.bars(server->version); });
-    if (!rule.preferred) {
-        return;
-    }
-    const auto is_preferred = [&rule](const auto* server) {
-        return server->version == *rule.preferred;
-    };
-    if (std::ranges::any_of(usable, is_preferred)) {
-        std::erase_if(
-            usable, [&is_preferred](const auto* server) { return !is_preferred(server); });
-    }
-}
-
-auto keep_canaries(
-    std::vector<const registration*>& usable,
-    double spread,
-    const std::function<auto(const registration&)->bool>& is_out) -> void
-{
-    const auto wanted = static_cast<std::size_t>(
-        std::ceil(std::clamp(spread, 0.0, 1.0) * static_cast<double>(usable.size())));
-    const auto kept = std::max<std::size_t>(wanted, 1);
-    auto fit = usable;
-    std::erase_if(fit, [&is_out](const auto* server) { return is_out(*server); });
-    if (fit.size() <= kept) {
-        usable = fit.empty() ? usable : fit;
-        return;
-    }
-    const auto middle = fit.begin() + static_cast<std::ptrdiff_t>(kept);
-    std::ranges::nth_element(
-        fit, middle, {}, [](const auto* server) { return hash_of(server->id); });
-    fit.erase(middle, fit.end());
-    usable = std::move(fit);
-}
-
-auto request_rate::note(time_point now) -> void
-{
-    this->count = this->per_second(now) * rate_memory_s + 1.0;
-    this->counted_at = now;
-}
-
-auto request_rate::per_second(time_point now) const -> double
-{
-    const auto passed = std::chrono::duration<double>(now - this->counted_at).count();
-    return this->count * std::exp(-std::max(passed, 0.0) / rate_memory_s) / rate_memory_s;
-}
-
 auto rollout_guide::order(const rollout_order& wanted, time_point now) -> void
 {
     const auto found = this->rollouts.find(wanted.service);
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -9,45 +8,17 @@
 
 #include "routing/configuration.hpp"
 #include "routing/load_effect.hpp"
+#include "routing/request_rate.hpp"
 #include "routing/rollout.hpp"
 #include "routing/server_table.hpp"
 #include "routing/session_book.hpp"
 #include "routing/version_evidence.hpp"
+#include "routing/version_rule.hpp"
 
 namespace reedramp::routing {
 
 using common::time_point;
 
-/// Which versions a request may run on.
-struct version_rule {
-    /// Only this one, if it has servers.
-    std::optional<common::version_id> preferred;
-    /// Never these.
-    std::set<common::version_id> barred;
-    /// The part of the preferred version's servers that share its work; see `keep_canaries`.
-    double spread = 1.0;
-
-    [[nodiscard]] auto bars(const common::version_id& version) const -> bool
-    {
-        return this->barred.contains(version);
-    }
-};
-
-/// Leaves the servers that the rule allows. Those of the preferred version, if there are any.
-auto keep_allowed(std::vector<const registration*>& usable, const version_rule& rule) -> void;
-
-/// Leaves `spread` of the servers, at least one, the same in all entries; of those that are `out`
-/// none, unless all are.
-///
-/// A new version's first share on all of its servers leaves each all but idle: it answers three
-/// times as fast as the old one under its load, so that a version three times as slow looks alike,
-/// and one that fails under load does not fail. On its part of the servers it is compared at the
-/// load that the old one has.
-auto keep_canaries(
-    std::vector<const registration*>& usable,
-    double spread,
-    const std::function<auto(const registration&)->bool>& is_out) -> void;
-
 struct rollout_options {
     rollout_schedule schedule;
     evidence_options evidence;
@@ -64,17 +35,6 @@
     common::duration session_time = std::chrono::seconds{5};
 };
 
-/// Requests a second, newest weighted most.
-class request_rate {
-public:
-    auto note(time_point now) -> void;
-    [[nodiscard]] auto per_second(time_point now) const -> double;
-
-private:
-    double count = 0.0;
-    time_point counted_at{};
-};
-
 /// One entry's words about a roll-out, for its peers.
 struct told_rollout {
     common::service_name service;
