Say when a peer's word ends a server's work, and how long an ended registration is kept

Cause: in the incident's record an entry that learned from a peer that a server leaves, one that never learned it and one that keeps an ended registration for two seconds looked the same. Change: two log lines, one for each such decision.

--- a/source/core/router/servers_follower.cpp
+++ b/source/core/router/servers_follower.cpp
@@ -134,7 +134,16 @@
 
 auto servers_follower::lapse(const common::server_id& id, time_point now) -> bool
 {
-    return this->lapsed.try_emplace(id, std::max(now, this->grace_until)).second;
+    const auto kept_until = std::max(now, this->grace_until);
+    const bool is_new = this->lapsed.try_emplace(id, kept_until).second;
+    if (is_new && kept_until > now) {
+        const auto kept = std::chrono::duration_cast<std::chrono::milliseconds>(kept_until - now);
+        common::log(
+            log_part::members,
+            log_level::info,
+            "registration ended server=" + id.value() + " kept_ms=" + std::to_string(kept.count()));
+    }
+    return is_new;
 }
 
 auto servers_follower::end_lapsed(time_point now) -> void
--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -50,13 +50,17 @@
     return {this->newest_retired.begin(), this->newest_retired.end()};
 }
 
-auto server_table::retire_named(const std::vector<std::uint64_t>& hashes) -> void
+auto server_table::retire_named(const std::vector<std::uint64_t>& hashes)
+    -> std::vector<common::server_id>
 {
+    std::vector<common::server_id> named;
     for (const auto& id : this->ids()) {
         if (std::ranges::find(hashes, hash_of(id)) != hashes.end()) {
             this->retire(id);
+            named.push_back(id);
         }
     }
+    return named;
 }
 
 auto server_table::ids() const -> std::vector<common::server_id>
--- a/source/core/routing/server_table.hpp
+++ b/source/core/routing/server_table.hpp
@@ -58,8 +58,9 @@
     /// Hashes of the servers that have said that they leave, the newest ones, for the peers.
     [[nodiscard]] auto leaving() const -> std::vector<std::uint64_t>;
 
-    /// A peer has read that these leave; a server is named by `hash_of` its id.
-    auto retire_named(const std::vector<std::uint64_t>& hashes) -> void;
+    /// A peer has read that these leave; a server is named by `hash_of` its id. Gives those that
+    /// had work until now.
+    auto retire_named(const std::vector<std::uint64_t>& hashes) -> std::vector<common::server_id>;
 
     /// All that may get work.
     [[nodiscard]] auto ids() const -> std::vector<common::server_id>;
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -122,7 +122,12 @@
             this->add(*where);
         }
     }
-    this->core->servers.retire_named(words->leaving);
+    for (const auto& server : this->core->servers.retire_named(words->leaving)) {
+        common::log(
+            common::log_part::members,
+            common::log_level::info,
+            "server leaving server=" + server.value() + " told_by=" + words->host.value());
+    }
     const auto round = this->period * static_cast<int>(this->calls_per_round());
     const auto trusted_until = now + round * trusted_rounds;
     this->core->loads.hear(words->host, words->loads, trusted_until);
