A failing test of the incident: work for a server that left during a cut of one entry

The test brings about what the entry's new log lines showed: it is cut off from the store while peers read the list, a registration ends, and two seconds after its return the entry still uses that server.

--- a/source/unit_tests/router/followers_test.cpp
+++ b/source/unit_tests/router/followers_test.cpp
@@ -187,6 +187,41 @@
     CHECK(all.core->servers.find(common::server_id{"b"}) == nullptr);
 }
 
+TEST_CASE(
+    "a server whose registration ended in a cut of this entry alone gets no work", "[followers]")
+{
+    // Seen: an entry that was cut off from the store for six seconds, and from nothing else, sent
+    // requests to a server for two more seconds after it had the store back. The server had left
+    // eight seconds before, without saying so in its registration, which was simply gone.
+    // Cause: the entry took its own cut for an outage of the store, in which registrations lapse of
+    // servers that work on, and gave this one the time to come back. All the while its peers told
+    // it that they read the list. A day of that kind, with the lines "registration ended ...
+    // kept_ms=2000" of that entry alone, proved it.
+    world all;
+    held_store store;
+    using change = routing::registration_change;
+    std::make_shared<servers_follower>(all.core, store.hooks(), follower_options{})->start();
+    held_store::take(store.servers)
+        .second(reading<change>({registration_of("a"), registration_of("b")}, 2, true));
+    const auto pass = [&all](milliseconds time) {
+        for (milliseconds passed{0}; passed < time; passed += milliseconds{100}) {
+            // Another entry read the list up to here 50 ms ago.
+            all.core->freshness.hear({3, milliseconds{50}}, all.now);
+            all.advance(milliseconds{100});
+        }
+    };
+    pass(seconds{1});
+    for (int failed = 0; failed < 3; ++failed) {
+        held_store::take(store.servers).second(fails<change>(result_code::log_unavailable));
+        pass(seconds{2});
+    }
+    held_store::take(store.servers)
+        .second(reading<change>({{common::server_id{"b"}, std::nullopt}}, 3, false));
+    pass(milliseconds{200});
+    CHECK(all.core->servers.find(common::server_id{"a"}) != nullptr);
+    CHECK(all.core->servers.find(common::server_id{"b"}) == nullptr);
+}
+
 TEST_CASE("without an outage a server that is gone gets no more work at once", "[followers]")
 {
     world all;
