Keep ended registrations after an outage of the store only, not after a cut of one entry

Cause: an entry whose own readings failed took that for an outage of the store, and kept registrations that had ended for two seconds after its return. Where only the entry was cut off, their servers had left long before, some without a word. Class: a loss of one's own way taken for the other side's outage. Elsewhere: a reading that fails since the store has dropped its history was taken for an outage too. Ruled out: an entry that started anew (the sender had not), too many leaving servers for the peers' message (seven of sixteen). Change: store_contact gathers from own readings and from what peers tell since when the store has answered anybody; peers tell four bytes more. Registrations are kept until two seconds after the end of an outage that no entry had an answer in. Trimmed history is read anew at once.

--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -24,6 +24,13 @@
     return {text.cStr(), text.size()};
 }
 
+/// A time as the message holds it: whole milliseconds, none below 0, some weeks at the most.
+auto told_ms(std::chrono::milliseconds time) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(time.count(), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 /// Pairs of mean and count, signals before timed parts.
 constexpr unsigned pair_size = 2;
 constexpr unsigned told_means =
@@ -138,7 +145,10 @@
         words.loads.push_back(
             {load.getServer(), {load.getRequests(), load.getWork(), load.getReading()}});
     }
-    words.freshness = {from.getListChanged(), std::chrono::milliseconds{from.getListAgeMs()}};
+    words.freshness = {
+        from.getListChanged(),
+        std::chrono::milliseconds{from.getListAgeMs()},
+        std::chrono::milliseconds{from.getStoreSteadyMs()}};
     for (const auto outcomes : from.getOutcomes()) {
         const double good = outcomes.getGood();
         const double bad = outcomes.getBad();
@@ -178,8 +188,8 @@
         loads[i].setReading(static_cast<float>(words.loads[i].load.reading));
     }
     root.setListChanged(words.freshness.changed);
-    root.setListAgeMs(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-        words.freshness.age.count(), 0, std::numeric_limits<std::uint32_t>::max())));
+    root.setListAgeMs(told_ms(words.freshness.age));
+    root.setStoreSteadyMs(told_ms(words.freshness.steady));
     auto outcomes = root.initOutcomes(static_cast<unsigned>(words.outcomes.size()));
     for (unsigned i = 0; i < words.outcomes.size(); ++i) {
         outcomes[i].setServer(words.outcomes[i].server);
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -60,4 +60,6 @@
   # Of the servers' list: where its last change ends, and how long ago that was known.
   listChanged @9 :UInt64;
   listAgeMs @10 :UInt32 = 3600000;
+  # How long the store had answered by then, to any entry, without a gap.
+  storeSteadyMs @11 :UInt32;
 }
--- a/source/core/router/servers_follower.cpp
+++ b/source/core/router/servers_follower.cpp
@@ -10,6 +10,13 @@
 using common::log_level;
 using common::log_part;
 
+namespace {
+
+/// As often as peers speak; what they say may make a reading needless, or due at once.
+constexpr std::chrono::milliseconds between_checks{100};
+
+} // namespace
+
 servers_follower::servers_follower(
     std::shared_ptr<router_core> core_to_feed,
     shared_store store_to_read,
@@ -24,9 +31,9 @@
 auto servers_follower::read_next() -> void
 {
     this->store.read_servers(
-        this->position, [self = this->shared_from_this()](const common::result<reading>& found) {
-            self->on_reading(found);
-        });
+        this->position,
+        [self = this->shared_from_this(), asked_at = this->core->hooks.clock()](
+            const common::result<reading>& found) { self->on_reading(found, asked_at); });
 }
 
 auto servers_follower::read_later(std::chrono::milliseconds wait) -> void
@@ -37,12 +44,9 @@
 
 auto servers_follower::read_when_due() -> void
 {
-    // As often as peers speak; what they say may make a reading needless, or due at once.
-    constexpr std::chrono::milliseconds between_checks{100};
     const auto now = this->core->hooks.clock();
     this->core->hooks.timer(now + between_checks, [self = this->shared_from_this()] {
         const auto then = self->core->hooks.clock();
-        self->end_lapsed(then);
         const auto own_rank = self->rank ? self->rank() : 0;
         if (self->core->freshness.is_due(own_rank, then)) {
             self->read_next();
@@ -53,27 +57,31 @@
     });
 }
 
-auto servers_follower::on_reading(const common::result<reading>& found) -> void
+auto servers_follower::on_failure(const common::error& why, time_point asked_at) -> void
+{
+    if (why.code == common::result_code::log_trimmed && this->position) {
+        // The store is there, and has no more of its history. A pause here would come on top of the
+        // time in which a server that left is still used.
+        common::log(log_part::members, log_level::info, "history trimmed, reading all");
+        this->position.reset();
+        this->read_next();
+        return;
+    }
+    if (!std::exchange(this->is_lost, true)) {
+        common::log(log_part::members, log_level::warning, "store lost what=" + why.detail);
+    }
+    this->core->freshness.note_failure(asked_at);
+    this->read_later(pause_after_failure(*this->core, this->options));
+}
+
+auto servers_follower::on_reading(const common::result<reading>& found, time_point asked_at) -> void
 {
-    const auto now = this->core->hooks.clock();
     if (!found) {
-        if (!std::exchange(this->is_lost, true)) {
-            common::log(
-                log_part::members, log_level::warning, "store lost what=" + found.error().detail);
-        }
-        if (found.error().code == common::result_code::log_trimmed) {
-            this->position.reset();
-        }
-        this->read_later(pause_after_failure(*this->core, this->options));
+        this->on_failure(found.error(), asked_at);
         return;
     }
+    const auto now = this->core->hooks.clock();
     if (std::exchange(this->is_lost, false)) {
-        this->grace_until = now + this->options.registration_grace;
-        // On time, not with the next reading: where only this entry was cut off, a server that went
-        // meanwhile counts its time from when the store said so.
-        this->core->hooks.timer(this->grace_until, [self = this->shared_from_this()] {
-            self->end_lapsed(self->core->hooks.clock());
-        });
         common::log(log_part::members, log_level::info, "store regained");
         if (this->on_regained) {
             this->on_regained();
@@ -83,7 +91,7 @@
     this->core->serve_held();
     this->position = found->end;
     this->core->freshness.note_read(found->end.value(), has_changed, now);
-    this->end_lapsed(now);
+    this->check_lapsed();
     this->read_when_due();
 }
 
@@ -134,10 +142,10 @@
 
 auto servers_follower::lapse(const common::server_id& id, time_point now) -> bool
 {
-    const auto kept_until = std::max(now, this->grace_until);
-    const bool is_new = this->lapsed.try_emplace(id, kept_until).second;
-    if (is_new && kept_until > now) {
-        const auto kept = std::chrono::duration_cast<std::chrono::milliseconds>(kept_until - now);
+    const bool is_new = this->lapsed.insert(id).second;
+    const auto until = this->kept_until(now);
+    if (is_new && until > now) {
+        const auto kept = std::chrono::duration_cast<std::chrono::milliseconds>(until - now);
         common::log(
             log_part::members,
             log_level::info,
@@ -146,22 +154,39 @@
     return is_new;
 }
 
+auto servers_follower::kept_until(time_point now) const -> time_point
+{
+    return this->core->freshness.outage_ended(now) + this->options.registration_grace;
+}
+
 auto servers_follower::end_lapsed(time_point now) -> void
 {
-    for (auto item = this->lapsed.begin(); item != this->lapsed.end();) {
-        if (item->second > now) {
-            ++item;
-            continue;
-        }
-        common::log(
-            log_part::members, log_level::info, "server gone server=" + item->first.value());
-        this->core->servers.apply({item->first, std::nullopt});
-        this->core->health.forget(item->first);
+    if (now < this->kept_until(now)) {
+        return;
+    }
+    for (const auto& id : std::exchange(this->lapsed, {})) {
+        common::log(log_part::members, log_level::info, "server gone server=" + id.value());
+        this->core->servers.apply({id, std::nullopt});
+        this->core->health.forget(id);
         for (auto& [service, paces] : this->core->paces) {
-            paces.forget(item->first);
+            paces.forget(id);
         }
-        item = this->lapsed.erase(item);
     }
 }
 
+/// Not with the readings alone: what a peer says may end the time of kept registrations at once,
+/// and a reading may hang for longer than that time lasts.
+auto servers_follower::check_lapsed() -> void
+{
+    this->end_lapsed(this->core->hooks.clock());
+    if (this->lapsed.empty() || std::exchange(this->checks_lapsed, true)) {
+        return;
+    }
+    this->core->hooks.timer(
+        this->core->hooks.clock() + between_checks, [self = this->shared_from_this()] {
+            self->checks_lapsed = false;
+            self->check_lapsed();
+        });
+}
+
 } // namespace reedramp::router
--- a/source/core/router/servers_follower.hpp
+++ b/source/core/router/servers_follower.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 #include "router/rules_follower.hpp"
 
@@ -13,8 +13,9 @@
 /// there all the time, so that a waiting reading would end at once, and each is paid for. Entries
 /// share the readings: see `routing::list_freshness`.
 ///
-/// While the store is away, registrations lapse of servers that work on. A registration that ends
-/// in a reading soon after a failed one is therefore kept for the time in which it would be back.
+/// While the store is away, registrations lapse of servers that work on. One that ends soon after
+/// an outage is therefore kept for the time in which it would be back. An outage is what no entry
+/// had an answer in, see `routing::store_contact`; a cut of this entry alone keeps nothing.
 class servers_follower : public std::enable_shared_from_this<servers_follower> {
 public:
     /// `on_regained` runs when the store answers again after a failed reading; may be empty.
@@ -32,12 +33,16 @@
     using reading = stream_reading<routing::registration_change>;
 
     auto read_next() -> void;
-    auto on_reading(const common::result<reading>& found) -> void;
+    auto on_reading(const common::result<reading>& found, time_point asked_at) -> void;
+    auto on_failure(const common::error& why, time_point asked_at) -> void;
     auto apply(const reading& found, time_point now) -> bool;
     /// Whether that changed who may get work; the same for the two below.
     auto take(routing::registration_change change, time_point now) -> bool;
     auto lapse(const common::server_id& id, time_point now) -> bool;
+    /// Until when ended registrations are kept, as far as is known now.
+    [[nodiscard]] auto kept_until(time_point now) const -> time_point;
     auto end_lapsed(time_point now) -> void;
+    auto check_lapsed() -> void;
     auto read_later(std::chrono::milliseconds wait) -> void;
     auto read_when_due() -> void;
 
@@ -47,10 +52,9 @@
     std::function<auto()->void> on_regained;
     std::function<auto()->std::size_t> rank;
     std::optional<stream_position> position;
-    /// Registrations that ended before this time are kept until then.
-    time_point grace_until{};
     /// Ended, and not yet taken out.
-    std::map<common::server_id, time_point> lapsed;
+    std::set<common::server_id> lapsed;
+    bool checks_lapsed = false;
     bool is_lost = false;
 };
 
--- a/source/core/routing/list_freshness.cpp
+++ b/source/core/routing/list_freshness.cpp
@@ -12,14 +12,16 @@
     }
     this->has_read = true;
     this->current_at = now;
+    this->contact.note_answer(now);
 }
 
 auto list_freshness::hear(const told_freshness& told, time_point now) -> void
 {
+    const auto read_at = now - std::max(told.age, std::chrono::milliseconds{0});
+    this->contact.hear(read_at - told.steady, read_at, now);
     this->changed = std::max(this->changed, told.changed);
     if (this->has_read && told.changed <= this->position) {
-        const auto age = std::max(told.age, std::chrono::milliseconds{0});
-        this->current_at = std::max(this->current_at, now - age);
+        this->current_at = std::max(this->current_at, read_at);
     }
 }
 
@@ -27,8 +29,18 @@
 {
     // What this entry has only been told of is not passed on as known: its list lacks it.
     const auto known = std::min(this->changed, this->position);
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->current_at);
-    return {known, this->has_read ? age : std::chrono::hours{1}};
+    if (!this->has_read) {
+        return {known, std::chrono::hours{1}, {}};
+    }
+    const auto in_ms = [](common::duration time) {
+        return std::max(
+            std::chrono::duration_cast<std::chrono::milliseconds>(time),
+            std::chrono::milliseconds{0});
+    };
+    return {
+        known,
+        in_ms(now - this->current_at),
+        in_ms(this->current_at - this->contact.steady_since(now))};
 }
 
 auto list_freshness::is_due(std::size_t rank, time_point now) const -> bool
--- a/source/core/routing/list_freshness.hpp
+++ b/source/core/routing/list_freshness.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "common/units.hpp"
+#include "routing/store_contact.hpp"
 
 namespace reedramp::routing {
 
@@ -16,6 +17,8 @@
     std::uint64_t changed = 0;
     /// How long ago the store was read, by any entry, without a later change.
     std::chrono::milliseconds age{0};
+    /// How long the store had answered by then, without a gap.
+    std::chrono::milliseconds steady{0};
 };
 
 struct freshness_options {
@@ -41,8 +44,17 @@
     /// This entry has read up to `end`; `has_changed` if that changed the list.
     auto note_read(std::uint64_t end, bool has_changed, time_point now) -> void;
 
+    /// This entry's own reading, sent at `asked_at`, has failed.
+    auto note_failure(time_point asked_at) -> void { this->contact.note_failure(asked_at); }
+
     auto hear(const told_freshness& told, time_point now) -> void;
 
+    /// End of the store's last outage that this process has seen; see `store_contact`.
+    [[nodiscard]] auto outage_ended(time_point now) const -> time_point
+    {
+        return this->contact.outage_ended(now);
+    }
+
     [[nodiscard]] auto tell(time_point now) const -> told_freshness;
 
     /// Whether to read now, when `rank` living entries go before this one.
@@ -57,6 +69,7 @@
     std::uint64_t changed = 0;
     /// When the list that it holds was last known to be the newest.
     time_point current_at{};
+    store_contact contact;
 };
 
 } // namespace reedramp::routing
--- /dev/null
+++ b/source/core/routing/store_contact.cpp
@@ -0,0 +1,63 @@
+#include "routing/store_contact.hpp"
+
+#include <algorithm>
+
+namespace reedramp::routing {
+
+namespace {
+
+/// Longer silences count as an outage. The list is read once a second, so that this is two missed
+/// readings; a registration outlasts it, as servers write each 1.2 s and lapse after three times
+/// that.
+constexpr std::chrono::milliseconds longest_gap{2200};
+
+} // namespace
+
+auto store_contact::extend(time_point since, time_point at) -> void
+{
+    if (this->answers && at - this->answers->last > longest_gap) {
+        this->has_seen_outage = true;
+        this->answers.reset();
+    }
+    if (!this->answers) {
+        this->answers = run{since, at};
+        return;
+    }
+    this->answers->since = std::min(this->answers->since, since);
+    this->answers->last = std::max(this->answers->last, at);
+}
+
+auto store_contact::note_answer(time_point now) -> void
+{
+    this->extend(now, now);
+}
+
+auto store_contact::note_failure(time_point asked_at) -> void
+{
+    // An answer to somebody after this entry asked shows that the store is there.
+    if (this->answers && this->answers->last > asked_at) {
+        return;
+    }
+    this->has_seen_outage = true;
+    this->answers.reset();
+}
+
+auto store_contact::hear(time_point since, time_point answered_at, time_point now) -> void
+{
+    // An old answer does not speak for the time after it.
+    if (now - answered_at <= longest_gap) {
+        this->extend(std::min(since, answered_at), answered_at);
+    }
+}
+
+auto store_contact::steady_since(time_point now) const -> time_point
+{
+    return this->answers ? this->answers->since : now;
+}
+
+auto store_contact::outage_ended(time_point now) const -> time_point
+{
+    return this->has_seen_outage ? this->steady_since(now) : time_point::min();
+}
+
+} // namespace reedramp::routing
--- a/source/unit_tests/router/followers_test.cpp
+++ b/source/unit_tests/router/followers_test.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <deque>
+#include <iterator>
 
 #include <catch2/catch.hpp>
 
@@ -83,6 +85,17 @@
 const common::service_name engines{"engines"};
 const common::version_id target{"v2"};
 
+/// A follower that has read the servers `ids`, up to a position of their number.
+auto follow_servers(world& all, held_store& store, const std::vector<std::string>& ids) -> void
+{
+    std::make_shared<servers_follower>(all.core, store.hooks(), follower_options{})->start();
+    std::vector<routing::registration_change> known;
+    std::ranges::transform(ids, std::back_inserter(known), registration_of);
+    const auto end = known.size();
+    held_store::take(store.servers)
+        .second(reading<routing::registration_change>(std::move(known), end, true));
+}
+
 /// The writer of an entry of this rank, after a roll-out was ordered.
 auto writer_of(world& all, held_store& store, std::size_t rank) -> std::shared_ptr<rollout_writer>
 {
@@ -200,9 +213,7 @@
     world all;
     held_store store;
     using change = routing::registration_change;
-    std::make_shared<servers_follower>(all.core, store.hooks(), follower_options{})->start();
-    held_store::take(store.servers)
-        .second(reading<change>({registration_of("a"), registration_of("b")}, 2, true));
+    follow_servers(all, store, {"a", "b"});
     const auto pass = [&all](milliseconds time) {
         for (milliseconds passed{0}; passed < time; passed += milliseconds{100}) {
             // Another entry read the list up to here 50 ms ago.
@@ -222,6 +233,83 @@
     CHECK(all.core->servers.find(common::server_id{"b"}) == nullptr);
 }
 
+TEST_CASE(
+    "a peer's word that the store was there ends the time of kept registrations", "[followers]")
+{
+    // An entry is cut off from the store and from its peers. It has the store back first, reads
+    // that a server's registration has ended, and can't know why. The first peer that it hears
+    // again tells that the store answered all the while: the server left seconds ago.
+    world all;
+    held_store store;
+    using change = routing::registration_change;
+    follow_servers(all, store, {"a", "b"});
+    all.advance(milliseconds{1100});
+    for (int failed = 0; failed < 3; ++failed) {
+        held_store::take(store.servers).second(fails<change>(result_code::log_unavailable));
+        all.advance(seconds{2});
+    }
+    held_store::take(store.servers)
+        .second(reading<change>({{common::server_id{"b"}, std::nullopt}}, 3, false));
+    all.advance(milliseconds{500});
+    CHECK(all.core->servers.find(common::server_id{"b"}) != nullptr);
+    // What a peer was told before the cut, and has not read since, says nothing.
+    all.core->freshness.hear({3, seconds{4}, seconds{60}}, all.now);
+    all.advance(milliseconds{100});
+    CHECK(all.core->servers.find(common::server_id{"b"}) != nullptr);
+    all.core->freshness.hear({3, milliseconds{300}, seconds{60}}, all.now);
+    all.advance(milliseconds{100});
+    CHECK(all.core->servers.find(common::server_id{"b"}) == nullptr);
+}
+
+TEST_CASE("in an outage that peers meet too, registrations keep their time", "[followers]")
+{
+    // Peers that have read just before an outage tell that the store had answered for a minute. Let
+    // that speak for the time after it, and all servers would be taken out when the store is back.
+    world all;
+    held_store store;
+    using change = routing::registration_change;
+    follow_servers(all, store, {"a"});
+    all.core->freshness.hear({1, milliseconds{0}, seconds{60}}, all.now);
+    const auto read_by_peers = all.now;
+    const auto peers_tell = [&all, read_by_peers] {
+        const auto age = std::chrono::duration_cast<milliseconds>(all.now - read_by_peers);
+        all.core->freshness.hear({1, age, seconds{60}}, all.now);
+    };
+    for (milliseconds passed{0}; passed < seconds{5}; passed += milliseconds{100}) {
+        peers_tell();
+        all.advance(milliseconds{100});
+        if (!store.servers.empty()) {
+            held_store::take(store.servers).second(fails<change>(result_code::log_unavailable));
+        }
+    }
+    all.advance(seconds{1});
+    held_store::take(store.servers)
+        .second(reading<change>({{common::server_id{"a"}, std::nullopt}}, 2, false));
+    // A peer has the store back as well; its run begins with that.
+    all.core->freshness.hear({2, milliseconds{50}, milliseconds{0}}, all.now);
+    all.advance(milliseconds{1500});
+    CHECK(all.core->servers.find(common::server_id{"a"}) != nullptr);
+    all.advance(seconds{1});
+    CHECK(all.core->servers.find(common::server_id{"a"}) == nullptr);
+}
+
+TEST_CASE("a list read anew for want of history keeps no server that it lacks", "[followers]")
+{
+    // The store drops its history, so that the next reading fails and all is read anew. Taken for
+    // an outage, that gave a server whose registration had ended two more seconds of work.
+    world all;
+    held_store store;
+    using change = routing::registration_change;
+    follow_servers(all, store, {"a", "b"});
+    all.advance(milliseconds{1100});
+    held_store::take(store.servers).second(fails<change>(result_code::log_trimmed));
+    const auto anew = held_store::take(store.servers);
+    CHECK_FALSE(anew.first);
+    anew.second(reading<change>({registration_of("a")}, 9, true));
+    CHECK(all.core->servers.find(common::server_id{"a"}) != nullptr);
+    CHECK(all.core->servers.find(common::server_id{"b"}) == nullptr);
+}
+
 TEST_CASE("without an outage a server that is gone gets no more work at once", "[followers]")
 {
     world all;
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -30,7 +30,7 @@
     rollout.state = routing::rollout_state::reverted;
     rollout.is_written = true;
     words.rollouts = {rollout};
-    words.freshness = {123456789012, std::chrono::milliseconds{250}};
+    words.freshness = {123456789012, std::chrono::milliseconds{250}, std::chrono::seconds{77}};
     words.outcomes = {{7, 1.5, 2.25}};
     words.peers = {"10.0.0.2:7000"};
     words.leaving = {77};
@@ -62,6 +62,7 @@
     CHECK(read->rollouts[0].is_written);
     CHECK(read->freshness.changed == words.freshness.changed);
     CHECK(read->freshness.age == words.freshness.age);
+    CHECK(read->freshness.steady == words.freshness.steady);
     REQUIRE(read->outcomes.size() == 1);
     CHECK(read->outcomes[0].server == 7);
     CHECK(read->outcomes[0].good == 1.5);
