Tell readings of the servers' list apart, so that passing one on makes it no newer

Cause: entries tell each other how old the newest reading of the list is. A message that takes 60 ms to be read makes that reading 60 ms younger at its receiver, which passes it on; four entries that tell each other each 100 ms kept it looking new, and none read for 2.5 s. On slow hosts a server that left got work for as long. Ruled out: telling own readings only; in a large fleet each entry hears the reader too rarely. Change: words name the position where the reading ended, 8 bytes; only one that ended later counts as later.

--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -148,7 +148,8 @@
     words.freshness = {
         from.getListChanged(),
         std::chrono::milliseconds{from.getListAgeMs()},
-        std::chrono::milliseconds{from.getStoreSteadyMs()}};
+        std::chrono::milliseconds{from.getStoreSteadyMs()},
+        from.getListEnd()};
     for (const auto outcomes : from.getOutcomes()) {
         const double good = outcomes.getGood();
         const double bad = outcomes.getBad();
@@ -190,6 +191,7 @@
     root.setListChanged(words.freshness.changed);
     root.setListAgeMs(told_ms(words.freshness.age));
     root.setStoreSteadyMs(told_ms(words.freshness.steady));
+    root.setListEnd(words.freshness.end);
     auto outcomes = root.initOutcomes(static_cast<unsigned>(words.outcomes.size()));
     for (unsigned i = 0; i < words.outcomes.size(); ++i) {
         outcomes[i].setServer(words.outcomes[i].server);
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -62,4 +62,6 @@
   listAgeMs @10 :UInt32 = 3600000;
   # How long the store had answered by then, to any entry, without a gap.
   storeSteadyMs @11 :UInt32;
+  # Where the list ended when it was read so long ago.
+  listEnd @12 :UInt64;
 }
--- a/source/core/routing/list_freshness.hpp
+++ b/source/core/routing/list_freshness.hpp
@@ -19,6 +19,9 @@
     std::chrono::milliseconds age{0};
     /// How long the store had answered by then, without a gap.
     std::chrono::milliseconds steady{0};
+    /// Where that reading ended. It tells one reading from another: an age alone grows less than
+    /// time does when entries pass it on to each other and each message takes its time.
+    std::uint64_t end = 0;
 };
 
 struct freshness_options {
@@ -69,6 +72,9 @@
     std::uint64_t changed = 0;
     /// When the list that it holds was last known to be the newest.
     time_point current_at{};
+    /// Where the reading ended that shows it, and the newest one that this entry knows of.
+    std::uint64_t current_end = 0;
+    std::uint64_t newest_end = 0;
     store_contact contact;
 };
 
--- a/source/core/routing/store_contact.cpp
+++ b/source/core/routing/store_contact.cpp
@@ -42,12 +42,16 @@
     this->answers.reset();
 }
 
-auto store_contact::hear(time_point since, time_point answered_at, time_point now) -> void
+auto store_contact::hear(time_point since, time_point answered_at, time_point now, bool is_news)
+    -> void
 {
     // An old answer does not speak for the time after it.
-    if (now - answered_at <= longest_gap) {
-        this->extend(std::min(since, answered_at), answered_at);
+    if (now - answered_at > longest_gap) {
+        return;
     }
+    const bool is_later = is_news || !this->answers;
+    const auto at = is_later ? answered_at : std::min(answered_at, this->answers->last);
+    this->extend(std::min(since, at), at);
 }
 
 auto store_contact::steady_since(time_point now) const -> time_point
--- a/source/core/routing/store_contact.hpp
+++ b/source/core/routing/store_contact.hpp
@@ -25,8 +25,9 @@
     /// before says that the store is there.
     auto note_failure(time_point asked_at) -> void;
 
-    /// Another entry was answered at `answered_at`, and knows of no gap since `since`.
-    auto hear(time_point since, time_point answered_at, time_point now) -> void;
+    /// Another entry was answered at `answered_at`, and knows of no gap since `since`. `is_news`
+    /// unless that answer is known already; told again, it is no later one.
+    auto hear(time_point since, time_point answered_at, time_point now, bool is_news) -> void;
 
     /// Start of the time over which the store has answered up to its last known answer; `now` when
     /// nothing is known.
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -30,7 +30,8 @@
     rollout.state = routing::rollout_state::reverted;
     rollout.is_written = true;
     words.rollouts = {rollout};
-    words.freshness = {123456789012, std::chrono::milliseconds{250}, std::chrono::seconds{77}};
+    words.freshness = {
+        123456789012, std::chrono::milliseconds{250}, std::chrono::seconds{77}, 123456789100};
     words.outcomes = {{7, 1.5, 2.25}};
     words.peers = {"10.0.0.2:7000"};
     words.leaving = {77};
@@ -63,6 +64,7 @@
     CHECK(read->freshness.changed == words.freshness.changed);
     CHECK(read->freshness.age == words.freshness.age);
     CHECK(read->freshness.steady == words.freshness.steady);
+    CHECK(read->freshness.end == words.freshness.end);
     REQUIRE(read->outcomes.size() == 1);
     CHECK(read->outcomes[0].server == 7);
     CHECK(read->outcomes[0].good == 1.5);
--- a/source/unit_tests/routing/list_freshness_test.cpp
+++ b/source/unit_tests/routing/list_freshness_test.cpp
@@ -21,6 +21,8 @@
     std::uint64_t end = 10;
     std::uint64_t last_change = 10;
     int readings = 0;
+    /// What a message takes until its receiver has read it.
+    milliseconds delay{0};
     time_point now = start;
 
     explicit followed_list(std::size_t count)
@@ -52,7 +54,8 @@
         for (std::size_t from = 0; from < this->entries.size(); ++from) {
             for (std::size_t to = 0; to < this->entries.size(); ++to) {
                 if (from != to && this->is_up[from] && this->is_up[to]) {
-                    this->entries[to].hear(this->entries[from].tell(this->now), this->now);
+                    this->entries[to].hear(
+                        this->entries[from].tell(this->now), this->now + this->delay);
                 }
             }
         }
@@ -124,6 +127,23 @@
     CHECK(all.all_know());
 }
 
+TEST_CASE("words that take time make no old reading new", "[list_freshness]")
+{
+    // Entries on slow hosts take each other's messages in 60 ms late. Each passed on what it had
+    // heard as that much younger than it was, ten times a second and round in a circle, so that a
+    // reading aged by 40 ms in 100: all thought their list new for 2.5 s after the last reading,
+    // and sent work to a server that had left for as long.
+    followed_list all{4};
+    all.delay = milliseconds{60};
+    all.run(seconds{3});
+    for (int i = 0; i < 12; ++i) {
+        all.run(milliseconds{100 * (i + 3)});
+        all.change();
+        all.run(milliseconds{1500});
+        CHECK(all.all_know());
+    }
+}
+
 TEST_CASE("an entry that is cut off from the others reads by itself", "[list_freshness]")
 {
     list_freshness one{freshness_options{}};
--- a/source/unit_tests/routing/store_contact_test.cpp
+++ b/source/unit_tests/routing/store_contact_test.cpp
@@ -34,7 +34,7 @@
     }
     SECTION("another entry was, after this one asked")
     {
-        contact.hear(start, start + milliseconds{1100}, start + milliseconds{1200});
+        contact.hear(start, start + milliseconds{1100}, start + milliseconds{1200}, true);
         contact.note_failure(start + seconds{1});
         contact.note_answer(start + seconds{2});
         CHECK(contact.outage_ended(start + seconds{2}) == time_point::min());
@@ -51,18 +51,30 @@
     contact.note_answer(back);
     CHECK(contact.outage_ended(back) == back);
     // Another was back before.
-    contact.hear(back - seconds{1}, back, back);
+    contact.hear(back - seconds{1}, back, back, true);
     CHECK(contact.outage_ended(back) == back - seconds{1});
     // One that knows of no gap at all.
-    contact.hear(start, back, back);
+    contact.hear(start, back, back, true);
     CHECK(contact.outage_ended(back) == start);
 }
 
+TEST_CASE("an answer that is told again makes the store answer no longer", "[store_contact]")
+{
+    store_contact contact;
+    contact.note_answer(start);
+    // Passed on in a circle, 60 ms younger each time.
+    for (int i = 1; i <= 100; ++i) {
+        contact.hear(start, start + milliseconds{60 * i}, start + milliseconds{100 * i}, false);
+    }
+    contact.note_answer(start + seconds{10});
+    CHECK(contact.outage_ended(start + seconds{10}) == start + seconds{10});
+}
+
 TEST_CASE("an answer of long ago says nothing about now", "[store_contact]")
 {
     store_contact contact;
     contact.note_failure(start);
-    contact.hear(start - seconds{60}, start, start + seconds{5});
+    contact.hear(start - seconds{60}, start, start + seconds{5}, true);
     CHECK(contact.steady_since(start + seconds{5}) == start + seconds{5});
 }
 
