--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -166,6 +166,9 @@
     for (const auto server : from.getLeaving()) {
         words.leaving.push_back(server);
     }
+    for (const auto end : from.getEnded()) {
+        words.ended.push_back({end.getServer(), end.getReadTo()});
+    }
     if (from.getEndsInMs() > 0) {
         words.ends_in = std::chrono::milliseconds{from.getEndsInMs()};
     }
@@ -210,6 +213,11 @@
     for (unsigned i = 0; i < words.leaving.size(); ++i) {
         leaving.set(i, words.leaving[i]);
     }
+    auto ended = root.initEnded(static_cast<unsigned>(words.ended.size()));
+    for (unsigned i = 0; i < words.ended.size(); ++i) {
+        ended[i].setServer(words.ended[i].server);
+        ended[i].setReadTo(words.ended[i].read_to);
+    }
     if (words.ends_in) {
         // At least 1: 0 says that the sender stays.
         const auto left = std::max<std::int64_t>(words.ends_in->count(), 1);
--- a/source/core/router/peer_message.hpp
+++ b/source/core/router/peer_message.hpp
@@ -11,6 +11,7 @@
 #include "routing/load_book.hpp"
 #include "routing/rollout_guide.hpp"
 #include "routing/server_health.hpp"
+#include "routing/server_table.hpp"
 
 namespace reedramp::router {
 
@@ -31,8 +32,10 @@
     std::vector<std::string> peers;
     /// Of servers that have failed lately at the sender.
     std::vector<routing::told_outcomes> outcomes;
-    /// Hashes of the servers that have lately said that they leave.
+    /// Hashes of the starts of servers that have lately said that they leave.
     std::vector<std::uint64_t> leaving;
+    /// Registrations that have lately ended, perhaps without a word that the server leaves.
+    std::vector<routing::told_end> ended;
     /// Until the sender's process ends at the latest; none while it stays.
     std::optional<std::chrono::milliseconds> ends_in;
 };
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -19,6 +19,12 @@
   bad @2 :Float32;
 }
 
+# The end of a registration, read at a position of the list's stream up to readTo.
+struct EndedServer {
+  server @0 :UInt64;
+  readTo @1 :UInt64;
+}
+
 struct RouteEvidence {
   route @0 :Text;
   wealth @1 :List(Float32);
@@ -64,4 +70,6 @@
   storeSteadyMs @11 :UInt32;
   # Where the list ended when it was read so long ago.
   listEnd @12 :UInt64;
+  # Of the last seconds.
+  ended @13 :List(EndedServer);
 }
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -157,9 +157,10 @@
     routing::keep_allowed(usable, rule);
     if (rule.preferred && rule.spread < 1.0) {
         routing::keep_canaries(usable, rule.spread, [this, now](const auto& server) {
-            const bool is_tried = std::ranges::find(this->tried, server.id) != this->tried.end();
+            const bool is_tried =
+                std::ranges::find(this->tried, server.start()) != this->tried.end();
             return is_tried || server.cold_until > now ||
-                   this->core->health.is_resting(server.id, now);
+                   this->core->health.is_resting(server.start(), now);
         });
     }
     return routing::choose_server(
@@ -221,19 +222,19 @@
     const auto now = this->core->hooks.clock();
     const auto work = this->work();
     auto next = std::make_shared<attempt>();
-    next->server = server.id;
+    next->server = server.start();
     next->version = server.version;
     next->work = work.prompt + work.answer;
     next->prompt_work = work.prompt;
-    next->work_ahead = this->core->loads.total(server.id, now).work + work.prompt;
+    next->work_ahead = this->core->loads.total(next->server, now).work + work.prompt;
     next->is_cold = server.cold_until > now;
     next->sent = now;
     next->last_progress = now;
     this->current = next;
-    this->tried.push_back(server.id);
+    this->tried.push_back(next->server);
     this->ledger.note_sent();
     this->core->counters.sends.add();
-    this->core->loads.begin(server.id, next->work, next->prompt_work);
+    this->core->loads.begin(next->server, next->work, next->prompt_work);
     this->core->rollouts.note_sent(this->service, this->session_hash, server.version, now);
     return next;
 }
@@ -373,7 +374,7 @@
                 common::log_part::place,
                 common::log_level::info,
                 "stalled request=" + self->request.caller.attempt +
-                    " server=" + of->server.value());
+                    " server=" + of->server.id.value());
             self->leave(of, attempt_end::unknown, server_outcome::stalled);
             self->core->counters.resumed.add(self->is_streaming ? 1 : 0);
             self->send_next();
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -67,7 +67,7 @@
 
     /// One send to one server.
     struct attempt {
-        common::server_id server;
+        routing::server_start server;
         common::version_id version;
         /// Work still under way; `prompt_work` of it ends with the first event.
         double work = 0.0;
@@ -178,7 +178,7 @@
     std::uint64_t session_hash = 0;
 
     std::shared_ptr<attempt> current;
-    std::vector<common::server_id> tried;
+    std::vector<routing::server_start> tried;
     routing::attempt_ledger ledger;
     /// A failure that a server answered, for the caller when nothing better comes.
     std::optional<http::response> failure_to_pass;
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -77,14 +77,14 @@
             common::log_part::place,
             common::log_level::warning,
             "answer not trusted request=" + this->request.caller.attempt +
-                " server=" + of->server.value() + " status=" + std::to_string(head.status));
+                " server=" + of->server.id.value() + " status=" + std::to_string(head.status));
         this->leave(of, attempt_end::unknown, server_outcome::failed);
         this->try_again(result_code::outcome_unknown);
         return;
     }
     if (of->said == verdict::not_executed && head.status == misdirected) {
         // Another server has the address: the one that was meant has ended.
-        this->core->servers.apply({of->server, std::nullopt});
+        this->core->servers.drop(of->server);
     }
     if (of->said == verdict::success && this->is_stream() && !this->ask_larger_model(of)) {
         of->events.emplace(this->last_event);
@@ -97,7 +97,7 @@
     const auto used = this->model_at;
     this->use_model(routing::next_model(*this->request.route));
     const auto* server = this->choose_server();
-    const auto ahead = server == nullptr ? 0.0 : this->core->loads.total(server->id, now).work;
+    const auto ahead = server == nullptr ? 0.0 : this->core->loads.total(server->start(), now).work;
     const auto first_event = this->core->paces[this->service].expected(ahead + this->work().prompt);
     this->use_model(used);
     return now + first_event > this->received + this->request.route->target;
@@ -276,7 +276,7 @@
         common::log_part::place,
         common::log_level::info,
         std::string{what} + " request=" + this->request.caller.attempt +
-            " server=" + of.server.value() + " status=" + std::to_string(of.head.status));
+            " server=" + of.server.id.value() + " status=" + std::to_string(of.head.status));
 }
 
 auto relay::on_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void
@@ -290,8 +290,9 @@
     common::log(
         common::log_part::place,
         common::log_level::info,
-        "attempt lost request=" + this->request.caller.attempt + " server=" + of->server.value() +
-            " run=" + std::string{common::to_string(why.run)} + " detail=" + why.detail);
+        "attempt lost request=" + this->request.caller.attempt +
+            " server=" + of->server.id.value() + " run=" + std::string{common::to_string(why.run)} +
+            " detail=" + why.detail);
     this->try_again(result_code::outcome_unknown);
 }
 
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -36,6 +36,9 @@
     /// When another entry, or this one's next process, takes requests that this process can't
     /// finish any more. Empty: at once.
     std::function<auto(time_point now)->time_point> served_elsewhere_at = {};
+    /// Milliseconds since 1970 by this host, for a look at the starts that servers name. Empty: no
+    /// start is taken for one of the future.
+    std::function<auto()->std::uint64_t> unix_ms = {};
 };
 
 struct router_options {
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -34,4 +34,27 @@
         .add();
 }
 
+auto router_metrics::count_skipped(const std::string& stream, std::size_t records) const -> void
+{
+    if (records == 0) {
+        return;
+    }
+    this->all
+        .counter_of(
+            "router_records_skipped_total",
+            "Records of the product's own streams that could not be read.",
+            {{"stream", stream}})
+        .add(records);
+}
+
+auto router_metrics::count_server_word(const std::string& what) const -> void
+{
+    this->all
+        .counter_of(
+            "router_server_words_total",
+            "Words of backend servers that changed what is believed of them, or were not believed.",
+            {{"what", what}})
+        .add();
+}
+
 } // namespace reedramp::router
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "metrics/registry.hpp"
@@ -21,6 +22,12 @@
 
     /// A request's end, by result: "served", the name of a result code, or "caller_left".
     auto count_end(const std::string& result) const -> void;
+
+    /// A word of a backend server that changed what is believed of it, or that can't be believed.
+    auto count_server_word(const std::string& what) const -> void;
+
+    /// Records of one of the product's own streams that could not be read.
+    auto count_skipped(const std::string& stream, std::size_t records) const -> void;
 };
 
 } // namespace reedramp::router
--- a/source/core/router/rules_follower.cpp
+++ b/source/core/router/rules_follower.cpp
@@ -46,6 +46,7 @@
                     [self] { self->read_outcomes(); });
                 return;
             }
+            self->core->counters.count_skipped("states", reading->skipped);
             for (const auto& status : reading->documents) {
                 self->core->rollouts.learn(status);
             }
--- a/source/core/router/servers_follower.cpp
+++ b/source/core/router/servers_follower.cpp
@@ -1,5 +1,6 @@
 #include "router/servers_follower.hpp"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -15,6 +16,13 @@
 /// As often as peers speak; what they say may make a reading needless, or due at once.
 constexpr std::chrono::milliseconds between_checks{100};
 
+/// What is kept of servers that have gone is small; this bounds it, and costs nothing.
+constexpr std::chrono::seconds between_sweeps{10};
+
+/// Clocks of hosts differ by seconds, also where one has just been set; a start later than that is
+/// a clock that is wrong, the server's or this host's.
+constexpr std::uint64_t clocks_differ_by_ms = 60'000;
+
 } // namespace
 
 servers_follower::servers_follower(
@@ -92,6 +100,7 @@
     this->position = found->end;
     this->core->freshness.note_read(found->end.value(), has_changed, now);
     this->check_lapsed();
+    this->sweep(now);
     this->read_when_due();
 }
 
@@ -101,17 +110,12 @@
     std::set<common::server_id> named;
     for (const auto& change : found.documents) {
         named.insert(change.id);
-        if (change.now) {
-            has_changed = this->take(change, now) || has_changed;
-        }
-        else {
-            has_changed = this->lapse(change.id, now) || has_changed;
-        }
+        has_changed = this->apply(change, now) || has_changed;
     }
     if (!found.is_whole) {
         return has_changed;
     }
-    for (const auto& id : this->core->servers.ids()) {
+    for (const auto& id : this->core->servers.listed()) {
         if (!named.contains(id)) {
             has_changed = this->lapse(id, now) || has_changed;
         }
@@ -119,39 +123,62 @@
     return has_changed;
 }
 
-auto servers_follower::take(routing::registration_change change, time_point now) -> bool
+auto servers_follower::apply(const routing::registration_change& change, time_point now) -> bool
 {
-    this->lapsed.erase(change.id);
+    using routing::table_event;
+    if (!change.now && change.problem.empty()) {
+        return this->lapse(change.id, now);
+    }
     auto& servers = this->core->servers;
-    const bool was_usable = servers.find(change.id) != nullptr;
+    const auto event =
+        change.now ? servers.take(this->as_read(*change.now, now), now) : servers.spoil(change.id);
+    this->tell(event, change);
+    return event != table_event::none && event != table_event::late;
+}
+
+auto servers_follower::as_read(routing::registration read, time_point now) const
+    -> routing::registration
+{
+    read.cold_until = now + read.cold_for;
+    if (this->core->hooks.unix_ms) {
+        const auto latest = this->core->hooks.unix_ms() + clocks_differ_by_ms;
+        read.is_born_ahead = read.born.value() > latest;
+    }
+    return read;
+}
+
+auto servers_follower::tell(
+    routing::table_event event,
+    const routing::registration_change& change,
+    const std::string& more) const -> void
+{
+    if (event == routing::table_event::none) {
+        return;
+    }
+    this->core->counters.count_server_word(std::string{to_string(event)});
+    std::string line = "server " + std::string{to_string(event)} + " server=";
     if (change.now) {
-        change.now->cold_until = now + change.now->cold_for;
-    }
-    servers.apply(change);
-    const bool is_usable = servers.find(change.id) != nullptr;
-    if (was_usable != is_usable) {
-        common::log(
-            log_part::members,
-            log_level::info,
-            std::string{is_usable ? "server usable" : "server leaving"} +
-                " server=" + change.id.value() + " service=" + change.now->service.value() +
-                " version=" + change.now->version.value());
-    }
-    return was_usable != is_usable;
+        line += to_string(change.now->start()) + " service=" + change.now->service.value() +
+                " version=" + change.now->version.value() +
+                (change.now->is_born_ahead ? " start=ahead_of_the_time_of_day" : "");
+    }
+    else {
+        line += change.id.value();
+    }
+    if (!change.problem.empty()) {
+        line += " why=" + change.problem;
+    }
+    common::log(log_part::members, log_level::info, line + more);
 }
 
 auto servers_follower::lapse(const common::server_id& id, time_point now) -> bool
 {
-    const bool is_new = this->lapsed.insert(id).second;
+    const auto event = this->core->servers.lapse(id);
     const auto until = this->kept_until(now);
-    if (is_new && until > now) {
-        const auto kept = std::chrono::duration_cast<std::chrono::milliseconds>(until - now);
-        common::log(
-            log_part::members,
-            log_level::info,
-            "registration ended server=" + id.value() + " kept_ms=" + std::to_string(kept.count()));
-    }
-    return is_new;
+    const auto kept = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::max(until - now, common::duration{0}));
+    this->tell(event, {id, std::nullopt}, " kept_ms=" + std::to_string(kept.count()));
+    return event == routing::table_event::lapsed;
 }
 
 auto servers_follower::kept_until(time_point now) const -> time_point
@@ -164,13 +191,9 @@
     if (now < this->kept_until(now)) {
         return;
     }
-    for (const auto& id : std::exchange(this->lapsed, {})) {
-        common::log(log_part::members, log_level::info, "server gone server=" + id.value());
-        this->core->servers.apply({id, std::nullopt});
-        this->core->health.forget(id);
-        for (auto& [service, paces] : this->core->paces) {
-            paces.forget(id);
-        }
+    const auto read_to = this->core->freshness.read_to();
+    for (const auto& server : this->core->servers.end_lapsed(read_to, now)) {
+        common::log(log_part::members, log_level::info, "server gone server=" + to_string(server));
     }
 }
 
@@ -179,7 +202,7 @@
 auto servers_follower::check_lapsed() -> void
 {
     this->end_lapsed(this->core->hooks.clock());
-    if (this->lapsed.empty() || std::exchange(this->checks_lapsed, true)) {
+    if (!this->core->servers.has_lapsed() || std::exchange(this->checks_lapsed, true)) {
         return;
     }
     this->core->hooks.timer(
@@ -189,4 +212,22 @@
         });
 }
 
+auto servers_follower::sweep(time_point now) -> void
+{
+    if (now - this->swept_at < between_sweeps) {
+        return;
+    }
+    this->swept_at = now;
+    auto& servers = this->core->servers;
+    servers.forget_left(now);
+    const auto is_gone = [&servers](const routing::server_start& server) {
+        const auto* known = servers.find(server.id);
+        return known == nullptr || known->start() != server;
+    };
+    this->core->health.forget_if(is_gone);
+    for (auto& [service, paces] : this->core->paces) {
+        paces.forget_if(is_gone);
+    }
+}
+
 } // namespace reedramp::router
--- a/source/core/router/servers_follower.hpp
+++ b/source/core/router/servers_follower.hpp
@@ -3,7 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
+#include <string>
 
 #include "router/rules_follower.hpp"
 
@@ -35,14 +35,24 @@
     auto read_next() -> void;
     auto on_reading(const common::result<reading>& found, time_point asked_at) -> void;
     auto on_failure(const common::error& why, time_point asked_at) -> void;
-    auto apply(const reading& found, time_point now) -> bool;
     /// Whether that changed who may get work; the same for the two below.
-    auto take(routing::registration_change change, time_point now) -> bool;
+    auto apply(const reading& found, time_point now) -> bool;
+    auto apply(const routing::registration_change& change, time_point now) -> bool;
     auto lapse(const common::server_id& id, time_point now) -> bool;
+    /// Sets what depends on the moment of the reading.
+    [[nodiscard]] auto as_read(routing::registration read, time_point now) const
+        -> routing::registration;
+    /// One line and one count for a word that changed something or was not believed.
+    auto tell(
+        routing::table_event event,
+        const routing::registration_change& change,
+        const std::string& more = {}) const -> void;
     /// Until when ended registrations are kept, as far as is known now.
     [[nodiscard]] auto kept_until(time_point now) const -> time_point;
     auto end_lapsed(time_point now) -> void;
     auto check_lapsed() -> void;
+    /// Forgets what belongs to servers that have gone.
+    auto sweep(time_point now) -> void;
     auto read_later(std::chrono::milliseconds wait) -> void;
     auto read_when_due() -> void;
 
@@ -52,9 +62,8 @@
     std::function<auto()->void> on_regained;
     std::function<auto()->std::size_t> rank;
     std::optional<stream_position> position;
-    /// Ended, and not yet taken out.
-    std::set<common::server_id> lapsed;
     bool checks_lapsed = false;
+    time_point swept_at{};
     bool is_lost = false;
 };
 
--- a/source/core/router/shared_store.hpp
+++ b/source/core/router/shared_store.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -34,6 +35,8 @@
     stream_position end;
     /// The documents are all that there are, not only what is new.
     bool is_whole = false;
+    /// Records that are no documents, and that no earlier reading had.
+    std::size_t skipped = 0;
 };
 
 template <typename Answer>
--- a/source/core/routing/list_freshness.hpp
+++ b/source/core/routing/list_freshness.hpp
@@ -60,6 +60,9 @@
 
     [[nodiscard]] auto tell(time_point now) const -> told_freshness;
 
+    /// Where this entry's own reading stands; 0 before the first.
+    [[nodiscard]] auto read_to() const -> std::uint64_t { return this->position; }
+
     /// Whether to read now, when `rank` living entries go before this one.
     [[nodiscard]] auto is_due(std::size_t rank, time_point now) const -> bool;
 
--- a/source/core/routing/load_book.cpp
+++ b/source/core/routing/load_book.cpp
@@ -4,7 +4,7 @@
 
 namespace reedramp::routing {
 
-auto load_book::begin(const common::server_id& server, double work, double reading) -> void
+auto load_book::begin(const server_start& server, double work, double reading) -> void
 {
     auto& load = this->ours[server];
     load.requests += 1.0;
@@ -12,7 +12,7 @@
     load.reading += reading;
 }
 
-auto load_book::end(const common::server_id& server, double work, double reading) -> void
+auto load_book::end(const server_start& server, double work, double reading) -> void
 {
     const auto found = this->ours.find(server);
     if (found == this->ours.end()) {
@@ -27,7 +27,7 @@
     }
 }
 
-auto load_book::lighten(const common::server_id& server, double work) -> void
+auto load_book::lighten(const server_start& server, double work) -> void
 {
     const auto found = this->ours.find(server);
     if (found != this->ours.end()) {
@@ -48,7 +48,7 @@
     }
 }
 
-auto load_book::total(const common::server_id& server, time_point now) const -> server_load
+auto load_book::total(const server_start& server, time_point now) const -> server_load
 {
     auto sum = this->own(server);
     const auto hash = hash_of(server);
@@ -63,7 +63,7 @@
     return sum;
 }
 
-auto load_book::own(const common::server_id& server) const -> server_load
+auto load_book::own(const server_start& server) const -> server_load
 {
     const auto found = this->ours.find(server);
     return found == this->ours.end() ? server_load{} : found->second;
--- a/source/core/routing/load_book.hpp
+++ b/source/core/routing/load_book.hpp
@@ -36,12 +36,12 @@
 class load_book {
 public:
     /// `reading` of the work is the prompt.
-    auto begin(const common::server_id& server, double work, double reading = 0.0) -> void;
+    auto begin(const server_start& server, double work, double reading = 0.0) -> void;
     /// What is left of the request's work, and of its prompt.
-    auto end(const common::server_id& server, double work, double reading = 0.0) -> void;
+    auto end(const server_start& server, double work, double reading = 0.0) -> void;
 
     /// The prompt of a request has been read.
-    auto lighten(const common::server_id& server, double work) -> void;
+    auto lighten(const server_start& server, double work) -> void;
 
     /// A peer's words replace its older ones, and count until `trusted_until`: an entry that has
     /// died has nothing under way.
@@ -50,9 +50,9 @@
         -> void;
 
     /// Own and peers' together.
-    [[nodiscard]] auto total(const common::server_id& server, time_point now) const -> server_load;
+    [[nodiscard]] auto total(const server_start& server, time_point now) const -> server_load;
 
-    [[nodiscard]] auto own(const common::server_id& server) const -> server_load;
+    [[nodiscard]] auto own(const server_start& server) const -> server_load;
 
     /// For the peers.
     [[nodiscard]] auto tell() const -> std::vector<told_load>;
@@ -63,7 +63,7 @@
         std::unordered_map<std::uint64_t, server_load> loads;
     };
 
-    std::unordered_map<common::server_id, server_load> ours;
+    std::unordered_map<server_start, server_load> ours;
     std::map<common::host_id, peer_words> peers;
 };
 
--- a/source/core/routing/pace_book.cpp
+++ b/source/core/routing/pace_book.cpp
@@ -33,7 +33,7 @@
     to.time_per_work += weight * (sample - to.time_per_work);
 }
 
-auto pace_book::note(const common::server_id& server, std::chrono::milliseconds took, double work)
+auto pace_book::note(const server_start& server, std::chrono::milliseconds took, double work)
     -> void
 {
     const auto sample = static_cast<double>(took.count()) / (work + fixed_work);
@@ -51,7 +51,7 @@
         static_cast<std::int64_t>(time_per_work * (work + fixed_work))};
 }
 
-auto pace_book::slowness(const common::server_id& server) const -> double
+auto pace_book::slowness(const server_start& server) const -> double
 {
     const auto found = this->servers.find(server);
     const bool is_known =
@@ -78,4 +78,10 @@
     this->usual = *middle;
 }
 
+auto pace_book::forget_if(const std::function<auto(const server_start& server)->bool>& is_gone)
+    -> void
+{
+    std::erase_if(this->servers, [&is_gone](const auto& item) { return is_gone(item.first); });
+}
+
 } // namespace reedramp::routing
--- a/source/core/routing/pace_book.hpp
+++ b/source/core/routing/pace_book.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <unordered_map>
 
-#include "common/ids.hpp"
+#include "routing/server_start.hpp"
 
 namespace reedramp::routing {
 
@@ -15,16 +16,17 @@
 class pace_book {
 public:
     /// A server's first answer came after `took`, with `work` to do before it.
-    auto note(const common::server_id& server, std::chrono::milliseconds took, double work) -> void;
+    auto note(const server_start& server, std::chrono::milliseconds took, double work) -> void;
 
     /// Time for the same work against that of the middle one of all servers; 1 for an unknown one.
-    [[nodiscard]] auto slowness(const common::server_id& server) const -> double;
+    [[nodiscard]] auto slowness(const server_start& server) const -> double;
 
     /// Time that `work` takes at a server of mean pace, the work before it included. Zero before
     /// the first sample.
     [[nodiscard]] auto expected(double work) const -> std::chrono::milliseconds;
 
-    auto forget(const common::server_id& server) -> void { this->servers.erase(server); }
+    /// Forgets those that `is_gone`.
+    auto forget_if(const std::function<auto(const server_start& server)->bool>& is_gone) -> void;
 
 private:
     struct record {
@@ -35,7 +37,7 @@
     auto find_usual() -> void;
     static auto add_sample(record& to, double sample, double weight_of_newest) -> void;
 
-    std::unordered_map<common::server_id, record> servers;
+    std::unordered_map<server_start, record> servers;
     /// The middle one's time for a unit of work. Not the mean: one server that is ten times as slow
     /// would make all others look fast.
     double usual = 0.0;
--- a/source/core/routing/server_choice.cpp
+++ b/source/core/routing/server_choice.cpp
@@ -51,10 +51,10 @@
     time_point now) -> const registration*
 {
     const auto untried = without(usable, [&asked](const registration& server) {
-        return std::ranges::find(asked.tried, server.id) != asked.tried.end();
+        return std::ranges::find(asked.tried, server.start()) != asked.tried.end();
     });
     auto choices = without(untried, [&health, now](const registration& server) {
-        return health.is_resting(server.id, now);
+        return health.is_resting(server.start(), now);
     });
     if (choices.empty()) {
         choices = untried;
@@ -63,7 +63,8 @@
     const registration* best = nullptr;
     auto best_cost = std::numeric_limits<double>::infinity();
     for (const auto* server : choices) {
-        auto cost = paces.slowness(server->id) * (loads.total(server->id, now).work + asked.work);
+        auto cost =
+            paces.slowness(server->start()) * (loads.total(server->start(), now).work + asked.work);
         if (server->data_centre != asked.own_data_centre) {
             cost += options.distance_work;
         }
--- a/source/core/routing/server_choice.hpp
+++ b/source/core/routing/server_choice.hpp
@@ -19,7 +19,7 @@
     /// Work that a server saves when it holds that part, in the load book's unit.
     double saved_work = 0.0;
     /// Servers that have had this request.
-    std::vector<common::server_id> tried;
+    std::vector<server_start> tried;
     common::data_centre_id own_data_centre;
 };
 
--- a/source/core/routing/server_health.cpp
+++ b/source/core/routing/server_health.cpp
@@ -16,8 +16,7 @@
 
 } // namespace
 
-auto server_health::note(const common::server_id& server, server_outcome outcome, time_point now)
-    -> void
+auto server_health::note(const server_start& server, server_outcome outcome, time_point now) -> void
 {
     auto& of = this->servers[server];
     if (outcome == server_outcome::refused) {
@@ -41,7 +40,7 @@
     this->judge_pooled(hash_of(server), now);
 }
 
-auto server_health::is_resting(const common::server_id& server, time_point now) const -> bool
+auto server_health::is_resting(const server_start& server, time_point now) const -> bool
 {
     const auto found = this->servers.find(server);
     if (found != this->servers.end() && found->second.own.until > now) {
@@ -51,12 +50,18 @@
     return told != this->pooled_rests.end() && told->second.until > now;
 }
 
-auto server_health::failures(const common::server_id& server) const -> double
+auto server_health::failures(const server_start& server) const -> double
 {
     const auto found = this->servers.find(server);
     return found == this->servers.end() ? 0.0 : found->second.failures;
 }
 
+auto server_health::forget_if(const std::function<auto(const server_start& server)->bool>& is_gone)
+    -> void
+{
+    std::erase_if(this->servers, [&is_gone](const auto& item) { return is_gone(item.first); });
+}
+
 auto server_health::rest(rests& of, time_point now) const -> void
 {
     if (of.until > now) {
--- a/source/core/routing/server_health.hpp
+++ b/source/core/routing/server_health.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <unordered_map>
 #include <vector>
 
 #include "common/ids.hpp"
 #include "common/units.hpp"
+#include "routing/server_start.hpp"
 
 namespace reedramp::routing {
 
@@ -61,14 +63,15 @@
 public:
     explicit server_health(health_options options) : settings(options) {}
 
-    auto note(const common::server_id& server, server_outcome outcome, time_point now) -> void;
+    auto note(const server_start& server, server_outcome outcome, time_point now) -> void;
 
-    [[nodiscard]] auto is_resting(const common::server_id& server, time_point now) const -> bool;
+    [[nodiscard]] auto is_resting(const server_start& server, time_point now) const -> bool;
 
     /// Share of failures, 0 to 1, newest weighted most.
-    [[nodiscard]] auto failures(const common::server_id& server) const -> double;
+    [[nodiscard]] auto failures(const server_start& server) const -> double;
 
-    auto forget(const common::server_id& server) -> void { this->servers.erase(server); }
+    /// Forgets those that `is_gone`.
+    auto forget_if(const std::function<auto(const server_start& server)->bool>& is_gone) -> void;
 
     /// For the peers.
     [[nodiscard]] auto tell(time_point now) const -> std::vector<told_outcomes>;
@@ -116,7 +119,7 @@
     auto judge_pooled(std::uint64_t server, time_point now) -> void;
 
     health_options settings;
-    std::unordered_map<common::server_id, record> servers;
+    std::unordered_map<server_start, record> servers;
     /// By the hash of the server's id.
     std::unordered_map<std::uint64_t, rests> pooled_rests;
     std::map<common::host_id, peer_words> peers;
--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -1,73 +1,316 @@
 #include "routing/server_table.hpp"
 
 #include <algorithm>
-
-#include "placement/affinity.hpp"
+#include <utility>
 
 namespace reedramp::routing {
 
 namespace {
 
-/// Leaving servers that peers are told of: more than leave within some seconds, in 128 bytes.
+/// Servers that peers are told of, as leaving or as ended: more than leave within some seconds, in
+/// 128 and 256 bytes.
 constexpr std::size_t most_told = 16;
 
+/// Peers are told of an end for so long: a hundred messages, or ten where there are hundreds of
+/// peers. Who hears none of them is cut off from all, and reads the list when it is back.
+constexpr std::chrono::seconds ends_told_for{10};
+
+/// A start that has not been heard of for so long is over: servers write each 1.2 s, lapse after
+/// three times that, and what they wrote may come some seconds late.
+constexpr std::chrono::seconds silent_after{10};
+
+/// A server that left is remembered for so long after the last word that it does. Words of an
+/// earlier moment arrive for some seconds, from a store whose list lags or a peer that stood still.
+constexpr std::chrono::minutes left_kept_for{5};
+
+/// So many are remembered at the most, 0.6 MB: in five minutes all of the 620 servers that the
+/// design is for may be replaced twice.
+constexpr std::size_t most_left = 2048;
+
 } // namespace
 
-auto hash_of(const common::server_id& server) -> std::uint64_t
+auto to_string(server_state state) -> std::string_view
+{
+    switch (state) {
+    case server_state::usable:
+        return "usable";
+    case server_state::lapsed:
+        return "lapsed";
+    case server_state::unreadable:
+        return "unreadable";
+    case server_state::leaving:
+        return "leaving";
+    }
+    return "unknown";
+}
+
+auto to_string(table_event event) -> std::string_view
 {
-    return placement::affinity_hash(server.value());
+    switch (event) {
+    case table_event::none:
+        return "none";
+    case table_event::usable:
+        return "usable";
+    case table_event::restarted:
+        return "restarted";
+    case table_event::leaving:
+        return "leaving";
+    case table_event::lapsed:
+        return "lapsed";
+    case table_event::unreadable:
+        return "unreadable";
+    case table_event::late:
+        return "late";
+    }
+    return "unknown";
 }
 
-auto server_table::apply(const registration_change& change) -> void
+auto server_table::is_late(const registration& read, const known_server& known, time_point now)
+    -> bool
+{
+    // A start that can't be true yet ranks behind none; its server's clock was wrong.
+    return read.born < known.last.born && !known.last.is_born_ahead &&
+           now - known.heard_at <= silent_after;
+}
+
+auto server_table::take(const registration& read, time_point now) -> table_event
+{
+    const auto found = this->servers.find(read.id);
+    if (found == this->servers.end()) {
+        return this->begin(read, now);
+    }
+    auto& known = found->second;
+    const bool says_no_start = read.born == start_time{0} && known.last.born != start_time{0};
+    if (says_no_start) {
+        return this->spoil(read.id);
+    }
+    if (is_late(read, known, now)) {
+        return std::exchange(known.has_late_word, true) ? table_event::none : table_event::late;
+    }
+    known.has_late_word = false;
+    known.heard_at = now;
+    if (read.born != known.last.born) {
+        const bool had_work = known.gets_work();
+        const auto began = this->begin(read, now);
+        const bool gets_work = began == table_event::usable;
+        return gets_work ? table_event::restarted : (had_work ? began : table_event::none);
+    }
+    if (read.is_leaving) {
+        return this->set_leaving(known, now);
+    }
+    if (known.state == server_state::leaving) {
+        return table_event::none;
+    }
+    const bool had_work = known.gets_work();
+    known.last = read;
+    known.state = server_state::usable;
+    return had_work ? table_event::none : table_event::usable;
+}
+
+auto server_table::begin(const registration& read, time_point now) -> table_event
 {
-    if (!change.now) {
-        this->live.erase(change.id);
-        return;
+    auto& known = this->servers[read.id];
+    known = {read, server_state::usable, now, {}};
+    return read.is_leaving ? this->set_leaving(known, now) : table_event::usable;
+}
+
+auto server_table::set_leaving(known_server& server, time_point now) -> table_event
+{
+    server.left_at = now;
+    if (server.state == server_state::leaving) {
+        return table_event::none;
+    }
+    const bool had_work = server.gets_work();
+    server.state = server_state::leaving;
+    this->newest_leaving.push_back(hash_of(server.last.start()));
+    if (this->newest_leaving.size() > most_told) {
+        this->newest_leaving.pop_front();
+    }
+    return had_work ? table_event::leaving : table_event::none;
+}
+
+auto server_table::lapse(const common::server_id& id) -> table_event
+{
+    const auto found = this->servers.find(id);
+    if (found == this->servers.end()) {
+        return table_event::none;
     }
-    if (this->retired.contains(change.id)) {
-        return;
+    if (found->second.state == server_state::unreadable) {
+        this->servers.erase(found);
+        return table_event::none;
     }
-    if (change.now->is_leaving) {
-        this->retire(change.id);
-        return;
+    if (found->second.state != server_state::usable) {
+        return table_event::none;
     }
-    this->live.insert_or_assign(change.id, *change.now);
+    found->second.state = server_state::lapsed;
+    return table_event::lapsed;
 }
 
-auto server_table::retire(const common::server_id& id) -> void
+auto server_table::spoil(const common::server_id& id) -> table_event
 {
-    if (this->retired.insert(id).second) {
-        this->newest_retired.push_back(hash_of(id));
+    const auto found = this->servers.find(id);
+    if (found == this->servers.end()) {
+        return this->begin_unreadable(id);
+    }
+    if (!found->second.gets_work()) {
+        return table_event::none;
+    }
+    found->second.state = server_state::unreadable;
+    return table_event::unreadable;
+}
+
+auto server_table::begin_unreadable(const common::server_id& id) -> table_event
+{
+    // Kept only so that it is said once; whoever fills the list with rubbish gets no memory.
+    if (this->servers.size() >= most_left) {
+        return table_event::none;
+    }
+    auto& known = this->servers[id];
+    known.last.id = id;
+    known.state = server_state::unreadable;
+    return table_event::unreadable;
+}
+
+auto server_table::retire(const server_start& start, time_point now) -> void
+{
+    auto& known = this->servers[start.id];
+    if (known.last.id != start.id) {
+        known.last.id = start.id;
+        known.last.born = start.born;
+    }
+    if (known.last.born == start.born) {
+        this->set_leaving(known, now);
+    }
+}
+
+auto server_table::end_lapsed(std::uint64_t read_to, time_point now) -> std::vector<server_start>
+{
+    std::vector<server_start> gone;
+    std::erase_if(this->servers, [&gone](const auto& item) {
+        if (item.second.state == server_state::lapsed) {
+            gone.push_back(item.second.last.start());
+        }
+        return item.second.state == server_state::lapsed;
+    });
+    for (const auto& start : gone) {
+        this->newest_ended.push_back({{hash_of(start), read_to}, now});
     }
-    if (this->newest_retired.size() > most_told) {
-        this->newest_retired.pop_front();
+    while (this->newest_ended.size() > most_told) {
+        this->newest_ended.pop_front();
+    }
+    return gone;
+}
+
+auto server_table::drop(const server_start& start) -> void
+{
+    const auto found = this->servers.find(start.id);
+    const bool is_meant = found != this->servers.end() && found->second.gets_work() &&
+                          found->second.last.start() == start;
+    if (is_meant) {
+        this->servers.erase(found);
+    }
+}
+
+auto server_table::forget_left(time_point now) -> void
+{
+    std::vector<std::pair<time_point, common::server_id>> left;
+    for (const auto& [id, known] : this->servers) {
+        if (known.state == server_state::leaving) {
+            left.emplace_back(known.left_at, id);
+        }
+    }
+    std::ranges::sort(left);
+    const auto surplus = left.size() > most_left ? left.size() - most_left : 0;
+    for (std::size_t i = 0; i < left.size(); ++i) {
+        if (i < surplus || now - left[i].first > left_kept_for) {
+            this->servers.erase(left[i].second);
+        }
+    }
+}
+
+auto server_table::apply(const registration_change& change) -> void
+{
+    if (change.now) {
+        this->take(*change.now, {});
+    }
+    else if (!change.problem.empty()) {
+        this->spoil(change.id);
+    }
+    else if (this->lapse(change.id) == table_event::lapsed) {
+        this->servers.erase(change.id);
     }
-    this->live.erase(id);
 }
 
 auto server_table::leaving() const -> std::vector<std::uint64_t>
 {
-    return {this->newest_retired.begin(), this->newest_retired.end()};
+    return {this->newest_leaving.begin(), this->newest_leaving.end()};
 }
 
-auto server_table::retire_named(const std::vector<std::uint64_t>& hashes)
-    -> std::vector<common::server_id>
+auto server_table::retire_named(const std::vector<std::uint64_t>& hashes, time_point now)
+    -> std::vector<server_start>
 {
-    std::vector<common::server_id> named;
-    for (const auto& id : this->ids()) {
-        if (std::ranges::find(hashes, hash_of(id)) != hashes.end()) {
-            this->retire(id);
-            named.push_back(id);
+    std::vector<server_start> named;
+    for (auto& [id, known] : this->servers) {
+        const auto start = known.last.start();
+        if (std::ranges::find(hashes, hash_of(start)) == hashes.end()) {
+            continue;
+        }
+        if (this->set_leaving(known, now) == table_event::leaving) {
+            named.push_back(start);
         }
     }
     return named;
 }
 
+auto server_table::ended(time_point now) const -> std::vector<told_end>
+{
+    std::vector<told_end> newest;
+    for (const auto& one : this->newest_ended) {
+        if (now - one.at < ends_told_for) {
+            newest.push_back(one.word);
+        }
+    }
+    return newest;
+}
+
+auto server_table::end_named(const std::vector<told_end>& ends, std::uint64_t read_to)
+    -> std::vector<server_start>
+{
+    std::vector<server_start> gone;
+    std::erase_if(this->servers, [&](const auto& item) {
+        const auto start = item.second.last.start();
+        const auto is_meant = [&start, read_to](const told_end& end) {
+            return end.read_to > read_to && end.server == hash_of(start);
+        };
+        const bool ends_here = item.second.gets_work() && std::ranges::any_of(ends, is_meant);
+        if (ends_here) {
+            gone.push_back(start);
+        }
+        return ends_here;
+    });
+    return gone;
+}
+
 auto server_table::ids() const -> std::vector<common::server_id>
 {
     std::vector<common::server_id> all;
-    for (const auto& [id, one] : this->live) {
-        all.push_back(id);
+    for (const auto& [id, known] : this->servers) {
+        if (known.gets_work()) {
+            all.push_back(id);
+        }
+    }
+    return all;
+}
+
+auto server_table::listed() const -> std::vector<common::server_id>
+{
+    std::vector<common::server_id> all;
+    for (const auto& [id, known] : this->servers) {
+        const bool is_listed =
+            known.state == server_state::usable || known.state == server_state::unreadable;
+        if (is_listed) {
+            all.push_back(id);
+        }
     }
     return all;
 }
@@ -76,9 +319,9 @@
     -> std::vector<const registration*>
 {
     std::vector<const registration*> found;
-    for (const auto& [id, one] : this->live) {
-        if (one.service == service) {
-            found.push_back(&one);
+    for (const auto& [id, known] : this->servers) {
+        if (known.gets_work() && known.last.service == service) {
+            found.push_back(&known.last);
         }
     }
     return found;
@@ -86,8 +329,27 @@
 
 auto server_table::find(const common::server_id& id) const -> const registration*
 {
-    const auto found = this->live.find(id);
-    return found == this->live.end() ? nullptr : &found->second;
+    const auto found = this->servers.find(id);
+    const bool gets_work = found != this->servers.end() && found->second.gets_work();
+    return gets_work ? &found->second.last : nullptr;
+}
+
+auto server_table::state_of(const common::server_id& id) const -> std::optional<server_state>
+{
+    const auto found = this->servers.find(id);
+    return found == this->servers.end() ? std::nullopt : std::optional{found->second.state};
+}
+
+auto server_table::has_lapsed() const -> bool
+{
+    return std::ranges::any_of(
+        this->servers, [](const auto& item) { return item.second.state == server_state::lapsed; });
+}
+
+auto server_table::size() const -> std::size_t
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->servers, [](const auto& item) { return item.second.gets_work(); }));
 }
 
 } // namespace reedramp::routing
--- a/source/core/routing/server_table.hpp
+++ b/source/core/routing/server_table.hpp
@@ -5,16 +5,19 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "common/ids.hpp"
 #include "common/units.hpp"
+#include "routing/server_start.hpp"
 
 namespace reedramp::routing {
 
-/// One life of a backend server, as it has registered itself. A restarted server has another id.
+using common::time_point;
+
+/// One start of a backend server, as it has registered itself.
 struct registration {
     common::server_id id;
     common::service_name service;
@@ -29,62 +32,182 @@
     std::chrono::milliseconds cold_for{0};
     /// The same as a deadline of this process; whoever reads the list sets it.
     common::time_point cold_until{};
-};
+    start_time born{0};
+    /// Its start lies ahead of this host's time of day by more than clocks differ; whoever reads
+    /// the list sets it.
+    bool is_born_ahead = false;
 
-/// Hash of a server's id, equal in all processes.
-auto hash_of(const common::server_id& server) -> std::uint64_t;
+    [[nodiscard]] auto start() const -> server_start { return {this->id, this->born}; }
+};
 
 /// A change of the servers' list: a registration, or the end of one.
 struct registration_change {
     common::server_id id;
     /// None when the registration is gone.
     std::optional<registration> now;
+    /// Why the record under that id is no registration; empty if it is one, or is gone.
+    std::string problem{};
+};
+
+/// What is known of a server, and whether it gets work.
+enum class server_state : std::uint8_t {
+    /// Registered: gets work.
+    usable,
+    /// Its registration has ended soon after an outage of the store, in which registrations lapse
+    /// of servers that work on: gets work until that is known.
+    lapsed,
+    /// The record under its id is no registration. Another writer's, as a rule; the next one that
+    /// the server writes brings it back. Until then its address may be anybody's: no work.
+    unreadable,
+    /// It has said that it leaves, here or to a peer: no work for this start of it, whatever is
+    /// read of it later.
+    leaving,
+};
+
+auto to_string(server_state state) -> std::string_view;
+
+/// What a word of a server did.
+enum class table_event : std::uint8_t {
+    /// Nothing that concerns who gets work.
+    none,
+    /// It gets work from now on.
+    usable,
+    /// The same, and it is a later start under its id.
+    restarted,
+    leaving,
+    lapsed,
+    unreadable,
+    /// The word was of an earlier start, and changed nothing.
+    late,
+};
+
+auto to_string(table_event event) -> std::string_view;
+
+/// The end of a registration, as an entry tells those that are cut off from the store.
+struct told_end {
+    /// `hash_of` the start.
+    std::uint64_t server = 0;
+    /// Position in the list's stream behind what was read.
+    std::uint64_t read_to = 0;
 };
 
-/// The backend servers that may get work.
+/// The backend servers, what state each is in, and so which may get work.
+///
+///     take, ready:    (none) | lapsed | unreadable -> usable;  a later start: any state -> usable
+///     take, leaving:  any state -> leaving
+///     lapse:          usable -> lapsed;  unreadable -> (none)
+///     spoil:          (none) | usable | lapsed -> unreadable
+///     retire:         any state -> leaving
+///     end_lapsed:     lapsed -> (none)
+///     drop:           usable | lapsed -> (none)
+///     forget_left:    leaving -> (none)
 ///
-/// Leaving is final for an id. A list that lags, or is read again after an outage, may show a
+/// Leaving is final for a start. A list that lags, or is read again after an outage, may show a
 /// server that has already said that it leaves; taking it back would send it work after the time
-/// that it granted. Gone is not: a registration lapses also when only the store was away, and then
-/// returns.
+/// that it granted. Words of an earlier start than the known one change nothing: a registration
+/// that was read out of order, a write that came late, or a peer's message that was long on its
+/// way. Only a start that has fallen silent gives way to whatever comes: its server's clock was set
+/// back before it started again, and what it says now has to count, leaving above all.
 class server_table {
 public:
-    /// Applies a change that came in the order of the store.
-    auto apply(const registration_change& change) -> void;
+    /// A registration was read.
+    auto take(const registration& read, time_point now) -> table_event;
 
-    /// `id` leaves.
-    auto retire(const common::server_id& id) -> void;
+    /// The registration under an id has ended.
+    auto lapse(const common::server_id& id) -> table_event;
 
-    /// Hashes of the servers that have said that they leave, the newest ones, for the peers.
+    /// The record under an id is no registration.
+    auto spoil(const common::server_id& id) -> table_event;
+
+    /// This start leaves.
+    auto retire(const server_start& start, time_point now = {}) -> void;
+
+    /// Takes out the servers whose registrations have ended; gives them. `read_to` as in
+    /// `told_end`.
+    auto end_lapsed(std::uint64_t read_to, time_point now) -> std::vector<server_start>;
+
+    /// Another server answers at its address.
+    auto drop(const server_start& start) -> void;
+
+    /// Forgets servers that left long ago.
+    auto forget_left(time_point now) -> void;
+
+    /// Applies a change that came in the order of the store, and believes an end at once.
+    auto apply(const registration_change& change) -> void;
+
+    /// Hashes of the starts that have said that they leave, the newest ones, for the peers.
     [[nodiscard]] auto leaving() const -> std::vector<std::uint64_t>;
 
-    /// A peer has read that these leave; a server is named by `hash_of` its id. Gives those that
-    /// had work until now.
-    auto retire_named(const std::vector<std::uint64_t>& hashes) -> std::vector<common::server_id>;
+    /// A peer has read that these leave. Gives those that had work until now.
+    auto retire_named(const std::vector<std::uint64_t>& hashes, time_point now = {})
+        -> std::vector<server_start>;
+
+    /// Registrations that ended in the last seconds, for the peers.
+    [[nodiscard]] auto ended(time_point now) const -> std::vector<told_end>;
+
+    /// A peer has read that these registrations ended. Those that this entry, which has read the
+    /// list up to `read_to`, cannot know of yet are taken out; gives them. They may return.
+    auto end_named(const std::vector<told_end>& ends, std::uint64_t read_to)
+        -> std::vector<server_start>;
 
     /// All that may get work.
     [[nodiscard]] auto ids() const -> std::vector<common::server_id>;
 
+    /// Ids that a reading of the whole list would name, if nothing had changed.
+    [[nodiscard]] auto listed() const -> std::vector<common::server_id>;
+
     /// Servers of a service that may get new work.
     [[nodiscard]] auto usable(const common::service_name& service) const
         -> std::vector<const registration*>;
 
+    /// Null unless it may get work.
     [[nodiscard]] auto find(const common::server_id& id) const -> const registration*;
 
+    [[nodiscard]] auto state_of(const common::server_id& id) const -> std::optional<server_state>;
+
     [[nodiscard]] auto is_retired(const common::server_id& id) const -> bool
     {
-        return this->retired.contains(id);
+        return this->state_of(id) == server_state::leaving;
     }
 
-    [[nodiscard]] auto size() const -> std::size_t { return this->live.size(); }
+    [[nodiscard]] auto has_lapsed() const -> bool;
+
+    /// How many may get work.
+    [[nodiscard]] auto size() const -> std::size_t;
 
 private:
-    std::map<common::server_id, registration> live;
-    /// Ids are never used again, and some hundred bytes for each restart of a server are less than
-    /// what its connections cost.
-    std::set<common::server_id> retired;
-    /// The newest of them, the newest last.
-    std::deque<std::uint64_t> newest_retired;
+    struct known_server {
+        registration last;
+        server_state state = server_state::usable;
+        /// When a word of this start was read last.
+        time_point heard_at{};
+        /// When it was last heard that it leaves.
+        time_point left_at{};
+        /// A word of an earlier start was read, and no other since.
+        bool has_late_word = false;
+
+        [[nodiscard]] auto gets_work() const -> bool
+        {
+            return this->state == server_state::usable || this->state == server_state::lapsed;
+        }
+    };
+
+    struct ended_server {
+        told_end word;
+        time_point at;
+    };
+
+    auto set_leaving(known_server& server, time_point now) -> table_event;
+    auto begin(const registration& read, time_point now) -> table_event;
+    auto begin_unreadable(const common::server_id& id) -> table_event;
+    [[nodiscard]] static auto
+    is_late(const registration& read, const known_server& known, time_point now) -> bool;
+
+    std::map<common::server_id, known_server> servers;
+    /// Hashes of starts that leave, the newest last.
+    std::deque<std::uint64_t> newest_leaving;
+    /// The newest last.
+    std::deque<ended_server> newest_ended;
 };
 
 } // namespace reedramp::routing
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -69,6 +69,7 @@
     words.freshness = this->core->freshness.tell(now);
     words.outcomes = this->core->health.tell(now);
     words.leaving = this->core->servers.leaving();
+    words.ended = this->core->servers.ended(now);
     if (this->core->leaves_at() != common::never) {
         words.ends_in =
             std::chrono::duration_cast<std::chrono::milliseconds>(this->core->leaves_at() - now);
@@ -122,12 +123,7 @@
             this->add(*where);
         }
     }
-    for (const auto& server : this->core->servers.retire_named(words->leaving)) {
-        common::log(
-            common::log_part::members,
-            common::log_level::info,
-            "server leaving server=" + server.value() + " told_by=" + words->host.value());
-    }
+    this->hear_of_servers(*words, now);
     const auto round = this->period * static_cast<int>(this->calls_per_round());
     const auto trusted_until = now + round * trusted_rounds;
     this->core->loads.hear(words->host, words->loads, trusted_until);
@@ -140,6 +136,23 @@
     }
 }
 
+auto peer_group::hear_of_servers(const router::peer_words& words, common::time_point now) -> void
+{
+    const auto log = [&words](const char* what, const routing::server_start& server) {
+        common::log(
+            common::log_part::members,
+            common::log_level::info,
+            std::string{what} + " server=" + to_string(server) + " told_by=" + words.host.value());
+    };
+    auto& servers = this->core->servers;
+    for (const auto& server : servers.retire_named(words.leaving, now)) {
+        log("server leaving", server);
+    }
+    for (const auto& server : servers.end_named(words.ended, this->core->freshness.read_to())) {
+        log("server gone", server);
+    }
+}
+
 auto peer_group::living() const -> std::vector<peer>
 {
     const auto now = this->core->hooks.clock();
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -52,6 +52,8 @@
     [[nodiscard]] auto calls_per_round() const -> std::size_t;
     /// A peer that has been silent for this long is not counted among the living.
     [[nodiscard]] auto silence() const -> common::duration;
+    /// Takes out the servers that the sender has seen leave or end.
+    auto hear_of_servers(const router::peer_words& words, common::time_point now) -> void;
     [[nodiscard]] auto own_words(common::time_point now) const -> router::peer_words;
 
     struct peer {
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -98,6 +98,11 @@
         router::router_hooks hooks;
         hooks.clock = daemon::boot_time;
         hooks.random = daemon::random_bits;
+        hooks.unix_ms = [] {
+            const auto since_1970 = std::chrono::system_clock::now().time_since_epoch();
+            return static_cast<std::uint64_t>(
+                std::chrono::duration_cast<milliseconds>(since_1970).count());
+        };
         hooks.on_rules = [this](const routing::configuration& adopted) {
             const auto& limits = adopted.limits;
             // A caller may use a connection again up to its idle limit; the second covers the way.
@@ -350,6 +355,7 @@
     this->store.read_entries(
         [this](const common::result<router::stream_reading<router::entry_record>>& reading) {
             if (reading) {
+                this->core->counters.count_skipped("entries", reading->skipped);
                 for (const auto& entry : reading->documents) {
                     if (const auto where = http::parse_endpoint(entry.address)) {
                         this->peers->add(*where);
--- a/source/router/state_page.cpp
+++ b/source/router/state_page.cpp
@@ -12,18 +12,21 @@
     const router::router_core& core, const routing::registration& server, common::time_point now)
     -> json::object
 {
-    const auto load = core.loads.total(server.id, now);
+    const auto start = server.start();
+    const auto load = core.loads.total(start, now);
     const auto paces = core.paces.find(server.service);
     return {
         {"id", server.id.value()},
+        {"started_unix_ms", server.born.value()},
+        {"state", std::string{to_string(*core.servers.state_of(server.id))}},
         {"service", server.service.value()},
         {"version", server.version.value()},
         {"data_centre", server.data_centre.value()},
         {"requests", load.requests},
         {"work", load.work},
-        {"slowness", paces == core.paces.end() ? 1.0 : paces->second.slowness(server.id)},
-        {"failures", core.health.failures(server.id)},
-        {"resting", core.health.is_resting(server.id, now)}};
+        {"slowness", paces == core.paces.end() ? 1.0 : paces->second.slowness(start)},
+        {"failures", core.health.failures(start)},
+        {"resting", core.health.is_resting(start, now)}};
 }
 
 auto rollout_row(const routing::rollout_progress& one) -> json::object
--- a/source/unit_tests/router/followers_test.cpp
+++ b/source/unit_tests/router/followers_test.cpp
@@ -326,6 +326,46 @@
     CHECK(all.core->servers.find(common::server_id{"a"}) == nullptr);
 }
 
+TEST_CASE(
+    "words of servers that change something are counted, and none of them stops the rest",
+    "[followers]")
+{
+    world all;
+    held_store store;
+    using change = routing::registration_change;
+    all.core->hooks.unix_ms = [] {
+        return std::uint64_t{1'790'000'000'000};
+    };
+    follow_servers(all, store, {"a", "b"});
+    const auto started = [](const std::string& id, std::uint64_t born) {
+        auto one = registration_of(id);
+        one.now->born = routing::start_time{born};
+        return one;
+    };
+    all.advance(milliseconds{1100});
+    held_store::take(store.servers)
+        .second(reading<change>(
+            {started("a", 1'789'000'000'000),
+             {common::server_id{"b"}, std::nullopt, "unreadable"},
+             started("a", 1'788'000'000'000),
+             started("d", 1'795'000'000'000),
+             started("e", 1'789'000'000'000)},
+            7,
+            false));
+    const auto text = all.core->series.prometheus_text();
+    for (const auto* what : {"restarted", "unreadable", "late", "usable"}) {
+        INFO(text);
+        CHECK(text.find(std::string{"what=\""} + what + "\"") != std::string::npos);
+    }
+    CHECK(all.core->servers.find(common::server_id{"a"})->born.value() == 1'789'000'000'000);
+    CHECK(all.core->servers.find(common::server_id{"b"}) == nullptr);
+    CHECK(all.core->servers.find(common::server_id{"d"})->is_born_ahead);
+    CHECK_FALSE(all.core->servers.find(common::server_id{"e"})->is_born_ahead);
+    // The position moves on over the bad record.
+    all.advance(milliseconds{1100});
+    CHECK(held_store::take(store.servers).first == stream_position{7});
+}
+
 TEST_CASE("of two writers one follows the other's word", "[followers]")
 {
     // This entry would call the roll-out running; another, with evidence that this one lacks, has
--- a/source/unit_tests/router/peer_group_test.cpp
+++ b/source/unit_tests/router/peer_group_test.cpp
@@ -90,6 +90,26 @@
     CHECK(one.sent.empty());
 }
 
+TEST_CASE(
+    "an entry without the store lets a server go that its peers have seen end", "[peer_group]")
+{
+    // The server's registration ended without a word that it leaves. The peer has read that; this
+    // entry is turned away by the store, and would send work there until it is let in again.
+    world here;
+    world there;
+    told_entry one{here, 1};
+    told_entry two{there, 2};
+    two.group.add(address_of(1));
+    there.core->freshness.note_read(9, true, there.now);
+    there.core->servers.lapse(common::server_id{"b"});
+    there.core->servers.end_lapsed(9, there.now);
+    here.core->freshness.note_read(5, true, here.now);
+    two.group.tell();
+    one.group.hear(two.sent.front().second);
+    CHECK(here.core->servers.find(common::server_id{"a"}) != nullptr);
+    CHECK(here.core->servers.find(common::server_id{"b"}) == nullptr);
+}
+
 TEST_CASE("callers come back when an entry will serve them", "[peer_group]")
 {
     // All entries are told to leave, seconds after one another. A caller whose long request comes
--- a/source/unit_tests/router/relay_test.cpp
+++ b/source/unit_tests/router/relay_test.cpp
@@ -158,6 +158,74 @@
     CHECK(all.core->servers.find(gone) == nullptr);
 }
 
+TEST_CASE("a restarted server's word says nothing of what its former self took", "[relay]")
+{
+    // The only server takes a request and dies; it starts again under its id, and refuses whatever
+    // comes next as "not executed". That is true of the second send alone: the first may have run.
+    world all;
+    for (const auto* id : {"b", "c"}) {
+        all.core->servers.retire(common::server_id{id});
+    }
+    const auto restart = [&all] {
+        all.add_server("a", "v1", 1000 + all.sends());
+    };
+    restart();
+    SECTION("what may run twice is sent to the new start, and its refusal frees nothing")
+    {
+        const auto out = all.ask(again);
+        all.last().lose(execution::unknown);
+        CHECK(out->status() == 502);
+        const auto repeated = all.ask(again);
+        const auto first = all.client->sent.back();
+        restart();
+        first->lose(execution::unknown);
+        REQUIRE(all.sends() == 3);
+        all.last().answer(503, "", {{"Reedramp-Not-Executed", "1"}});
+        CHECK(repeated->status() == 502);
+        CHECK_FALSE(http::find_header(repeated->answer->headers, "Retry-After"));
+    }
+    SECTION("what may run once is not sent again")
+    {
+        const auto out = all.ask(once);
+        const auto first = all.client->sent.back();
+        restart();
+        first->lose(execution::unknown);
+        CHECK(all.sends() == 1);
+        CHECK(out->status() == 502);
+    }
+    SECTION("of which nothing was sent, it goes to the new start")
+    {
+        // Still true: the connection was closed before a byte of the request had left.
+        const auto out = all.ask(once);
+        const auto first = all.client->sent.back();
+        restart();
+        first->lose(execution::not_run);
+        REQUIRE(all.sends() == 2);
+        all.last().answer(200, "answer");
+        CHECK(out->status() == 200);
+    }
+    SECTION("refused by the start that took it, it goes to the new one")
+    {
+        // Still true: the refusal came on the connection that the request went out on, which ends
+        // with the process that accepted it.
+        const auto out = all.ask(once);
+        const auto first = all.client->sent.back();
+        restart();
+        first->answer(503, "", {{"Reedramp-Not-Executed", "1"}});
+        REQUIRE(all.sends() == 2);
+        all.last().answer(200, "answer");
+        CHECK(out->status() == 200);
+    }
+    SECTION("that another has its address now is said of the earlier start")
+    {
+        all.ask(once);
+        const auto first = all.client->sent.back();
+        restart();
+        first->answer(421, "");
+        CHECK(all.core->servers.find(common::server_id{"a"}) != nullptr);
+    }
+}
+
 TEST_CASE("a broken stream goes on behind its last whole event", "[relay]")
 {
     // The server breaks off inside event 2. The caller has the head and two events; it must get the
--- a/source/unit_tests/router/world.cpp
+++ b/source/unit_tests/router/world.cpp
@@ -139,19 +139,20 @@
     }
 }
 
-auto world::add_server(const std::string& id, const std::string& version) -> void
+auto world::add_server(const std::string& id, const std::string& version, std::uint64_t born)
+    -> void
 {
     const common::server_id name{id};
-    this->core->servers.apply(
-        {name,
-         routing::registration{
-             name,
-             common::service_name{"engines"},
-             "127.0.0.1:8080",
-             common::data_centre_id{""},
-             common::version_id{version},
-             8,
-             false}});
+    routing::registration read{
+        name,
+        common::service_name{"engines"},
+        "127.0.0.1:8080",
+        common::data_centre_id{""},
+        common::version_id{version},
+        8,
+        false};
+    read.born = routing::start_time{born};
+    this->core->servers.apply({name, std::move(read)});
 }
 
 auto world::advance(milliseconds time) -> void
--- a/source/unit_tests/router/world.hpp
+++ b/source/unit_tests/router/world.hpp
@@ -129,7 +129,9 @@
 
     [[nodiscard]] auto sends() const -> std::size_t { return this->client->sent.size(); }
 
-    auto add_server(const std::string& id, const std::string& version = "v1") -> void;
+    auto
+    add_server(const std::string& id, const std::string& version = "v1", std::uint64_t born = 0)
+        -> void;
 
     common::time_point now{seconds{1000}};
     std::multimap<common::time_point, std::function<auto()->void>> timers;
--- a/source/unit_tests/routing/servers_test.cpp
+++ b/source/unit_tests/routing/servers_test.cpp
@@ -155,7 +155,7 @@
     auto asked = wish();
     asked.tried = {common::server_id{"a"}, common::server_id{"b"}};
     CHECK(all.choose(asked) == "c");
-    asked.tried.emplace_back("c");
+    asked.tried.emplace_back(common::server_id{"c"});
     CHECK(all.choose(asked) == "");
 }
 
