--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -4,8 +4,6 @@
 #include <utility>
 
 #include "common/log.hpp"
-#include "placement/affinity.hpp"
-#include "routing/model_choice.hpp"
 
 namespace reedramp::router {
 
@@ -13,16 +11,6 @@
 using routing::attempt_end;
 using routing::server_outcome;
 
-namespace {
-
-/// A token written counts as two tokens read: a batch writes all its tokens in one step, so that
-/// one answer more slows the others little, while a prompt that is read stops them all.
-constexpr double read_tokens_per_written = 2.0;
-/// Work of a request to a plain service, in tokens: the order of a short prompt.
-constexpr double plain_work = 1000.0;
-
-} // namespace
-
 auto relay::begin(
     std::shared_ptr<router_core> core,
     admitted_request request,
@@ -67,112 +55,11 @@
     this->send_next();
 }
 
-auto relay::choose_target() -> void
-{
-    const auto& route = *this->request.route;
-    this->service = routing::choose_service(route, common::random_unit(this->core->hooks.random));
-    if (!route.models.empty() && this->request.caller.model == any_model) {
-        this->use_model(routing::first_model(route));
-    }
-    const auto& caller = this->request.caller;
-    const auto& session = caller.session.empty() ? caller.attempt : caller.session;
-    this->session_hash = placement::affinity_hash(session);
-    if (this->is_resumed()) {
-        this->core->rollouts.note_resumed(this->service, this->session_hash, this->received);
-    }
-}
-
-auto relay::use_model(std::size_t at) -> void
-{
-    this->model_at = at;
-    this->model = this->request.route->models[at].value();
-}
-
-auto relay::model_slowness() const -> double
-{
-    return routing::slowness(this->request.rules->find_service(this->service), this->model);
-}
-
-auto relay::work() const -> request_work
-{
-    const auto& caller = this->request.caller;
-    if (caller.prompt_tokens == 0) {
-        return {0.0, plain_work};
-    }
-    const auto answer = caller.expected_answer_tokens > 0
-                            ? std::min(caller.expected_answer_tokens, caller.most_answer_tokens)
-                            : caller.most_answer_tokens;
-    const auto slowness = this->model_slowness();
-    return {
-        slowness * static_cast<double>(caller.prompt_tokens),
-        slowness * read_tokens_per_written * static_cast<double>(answer)};
-}
-
 auto relay::is_resumed() const -> bool
 {
     return this->request.caller.last_event >= 0;
 }
 
-/// A route's rank around the middle. What was dropped or broken off once has waited already, and
-/// goes first; so does a stream that was cut with its entry: its caller has a part of it, and the
-/// pause counts.
-auto relay::urgency() const -> int
-{
-    constexpr int middle = 4;
-    constexpr int ahead = 3;
-    constexpr int last = 9;
-    const auto rank = middle + static_cast<int>(this->request.route->priority);
-    const bool has_waited = this->ledger.sends() > 1 || this->is_resumed();
-    return std::clamp(has_waited ? rank - ahead : rank, 0, last);
-}
-
-auto relay::placement_wish() const -> routing::placement_request
-{
-    routing::placement_request wish;
-    wish.tried = this->tried;
-    const auto work = this->work();
-    wish.work = work.prompt + work.answer;
-    wish.own_data_centre = this->core->options.data_centre;
-    const auto& parts = this->request.caller.parts;
-    // The last part belongs to this request or its session alone: only a stream that is resumed
-    // finds it, too, at the server that wrote its beginning, a moment ago.
-    const std::size_t own_parts = this->is_resumed() ? 0 : 1;
-    std::uint64_t shared = 0;
-    for (std::size_t i = 0; i + own_parts < parts.size(); ++i) {
-        shared += parts[i].tokens;
-    }
-    if (parts.size() >= 2) {
-        wish.affinity = placement::affinity_hash(parts[parts.size() - 2].id);
-        wish.saved_work = this->model_slowness() * static_cast<double>(shared);
-    }
-    return wish;
-}
-
-auto relay::choose_server() const -> const routing::registration*
-{
-    const auto now = this->core->hooks.clock();
-    auto usable = this->core->servers.usable(this->service);
-    // Anew for each send: a version that was fine for the first may have been found bad since.
-    const auto rule = this->core->rollouts.rule_for(this->service, this->session_hash, now);
-    routing::keep_allowed(usable, rule);
-    if (rule.preferred && rule.spread < 1.0) {
-        routing::keep_canaries(usable, rule.spread, [this, now](const auto& server) {
-            const bool is_tried =
-                std::ranges::find(this->tried, server.start()) != this->tried.end();
-            return is_tried || server.cold_until > now ||
-                   this->core->health.is_resting(server.start(), now);
-        });
-    }
-    return routing::choose_server(
-        usable,
-        this->placement_wish(),
-        this->core->loads,
-        this->core->paces[this->service],
-        this->core->health,
-        this->core->options.choice,
-        now);
-}
-
 auto relay::send_next() -> void
 {
     const auto* server = this->choose_server();
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -91,18 +91,6 @@
     }
 }
 
-auto relay::larger_would_be_late() -> bool
-{
-    const auto now = this->core->hooks.clock();
-    const auto used = this->model_at;
-    this->use_model(routing::next_model(*this->request.route));
-    const auto* server = this->choose_server();
-    const auto ahead = server == nullptr ? 0.0 : this->core->loads.total(server->start(), now).work;
-    const auto first_event = this->core->paces[this->service].expected(ahead + this->work().prompt);
-    this->use_model(used);
-    return now + first_event > this->received + this->request.route->target;
-}
-
 auto relay::ask_larger_model(const std::shared_ptr<attempt>& of) -> bool
 {
     const auto& route = *this->request.route;
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -1,7 +1,6 @@
 #include "routing/rollout_guide.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "common/log.hpp"
@@ -10,21 +9,6 @@
 
 namespace {
 
-/// An entry that has been silent for this long has ended, or can't be waited for.
-constexpr common::duration peer_silence = std::chrono::seconds{2};
-
-/// A peer's order is newer than this entry's when it began later by this: beginnings are taken from
-/// messages, and differ by as much as those take.
-constexpr common::duration order_distance = std::chrono::milliseconds{500};
-
-/// Sessions told in one message, 16 bytes each: a tenth of what an entry serves in session_time at
-/// 150 requests a second. Those left out may change their version at another entry.
-constexpr std::size_t most_told_sessions = 96;
-
-/// Callers whose entry lost its power notice that their stream is silent after 8 s or more, four
-/// times the target of today's drafts. One that comes back sooner after an order began before it.
-constexpr common::duration cut_stream_known_after = std::chrono::seconds{8};
-
 /// Servers of the new version that get its part of the work, against that part. With as many as the
 /// part asks for, those that read all prompts anew were more than twice as slow as the old ones.
 constexpr double canary_room = 1.5;
@@ -98,74 +82,6 @@
     }
 }
 
-auto rollout_guide::hear(
-    const common::host_id& peer, const std::vector<told_rollout>& words, time_point now) -> void
-{
-    for (const auto& told : words) {
-        auto found = this->rollouts.find(told.service);
-        if (found == this->rollouts.end()) {
-            // The store turns this entry away, and has told the peer of an order.
-            this->order({told.service, told.target, told.allowed}, now);
-            found = this->rollouts.find(told.service);
-        }
-        if (found == this->rollouts.end()) {
-            continue;
-        }
-        auto& one = found->second;
-        if (one.order.target != told.target) {
-            this->hear_other_order(one, told, now);
-            continue;
-        }
-        // An entry that started later, or heard of the order later, takes the older beginning.
-        one.began = std::min(one.began, now - told.elapsed);
-        one.peers[peer] = {now, told.left_on_old};
-        one.evidence.hear(peer, told.evidence);
-        one.reached_share = std::max(one.reached_share, std::min(told.share, 1.0));
-        this->sessions.hear(told.service, told.old_sessions, now);
-        if (told.is_written) {
-            this->learn({told.service, told.target, told.state});
-        }
-    }
-}
-
-auto rollout_guide::hear_other_order(const rollout& ours, const told_rollout& told, time_point now)
-    -> void
-{
-    const auto began = now - told.elapsed;
-    if (told.state == rollout_state::running && began > ours.began + order_distance) {
-        this->order({told.service, told.target, told.allowed}, began);
-    }
-    else if (told.is_written && ours.state == rollout_state::running && began < ours.began) {
-        // How the one before it ended: this entry may not have read it before the next order.
-        this->note_end(told.service, told.target, told.state);
-    }
-}
-
-auto rollout_guide::tell(time_point now) const -> std::vector<told_rollout>
-{
-    std::vector<told_rollout> all;
-    for (const auto& [service, one] : this->rollouts) {
-        told_rollout told{
-            service,
-            one.order.target,
-            one.order.allowed,
-            this->elapsed(one, now),
-            this->own_left_on_old(one, now),
-            {},
-            this->share_of(one, now),
-            one.state,
-            one.written == one.state,
-            this->sessions_to_tell(one, now)};
-        if (told.is_written && told.state != rollout_state::running) {
-            all.push_back(std::move(told)); // What has been seen decides nothing any more.
-            continue;
-        }
-        told.evidence = one.evidence.tell();
-        all.push_back(std::move(told));
-    }
-    return all;
-}
-
 auto rollout_guide::states(time_point now) const -> std::vector<rollout_progress>
 {
     std::vector<rollout_progress> all;
@@ -262,23 +178,6 @@
            " overall=" + std::to_string(against.overall);
 }
 
-auto rollout_guide::sessions_to_tell(const rollout& one, time_point now) const
-    -> std::vector<told_session>
-{
-    if (one.state != rollout_state::running || this->may_move(one, now)) {
-        return {};
-    }
-    const auto& order = one.order;
-    return this->sessions.on_other_versions(
-        order.service,
-        order.target,
-        [this](std::uint64_t session) {
-            return is_in_share(session, this->settings.schedule.first_share);
-        },
-        most_told_sessions,
-        now);
-}
-
 auto rollout_guide::rule_for(
     const common::service_name& service, std::uint64_t session, time_point now) -> version_rule
 {
@@ -316,171 +215,6 @@
     return is_meant && !is_kept;
 }
 
-auto rollout_guide::note_end(
-    const common::service_name& service, const common::version_id& target, rollout_state state)
-    -> void
-{
-    auto& history = this->histories[service];
-    if (state == rollout_state::complete) {
-        history.current = target;
-    }
-    else if (state == rollout_state::reverted) {
-        history.reverted.insert(target);
-    }
-}
-
-auto rollout_guide::note_resumed(
-    const common::service_name& service, std::uint64_t session, time_point now) -> void
-{
-    const auto* one = this->running(service);
-    if (one != nullptr && now < one->began + cut_stream_known_after) {
-        // It began before the order, on an old version; or else no entry is left that knows.
-        this->sessions.hear(
-            service,
-            {{session,
-              std::chrono::duration_cast<std::chrono::milliseconds>(this->settings.session_time)}},
-            now);
-    }
-}
-
-auto rollout_guide::note_sent(
-    const common::service_name& service,
-    std::uint64_t session,
-    const common::version_id& version,
-    time_point now) -> void
-{
-    this->under_way[{service, version}] += 1;
-    this->rates[service].note(now);
-    this->version_rates[{service, version}].note(now);
-    this->sessions.note_sent(service, session, version, now);
-}
-
-auto rollout_guide::note_ended(
-    const common::service_name& service,
-    std::uint64_t session,
-    const common::version_id& version,
-    time_point now) -> void
-{
-    this->sessions.note_ended(service, session, now);
-    auto& count = this->under_way[{service, version}];
-    count -= count > 0 ? 1 : 0;
-}
-
-auto rollout_guide::running(const common::service_name& service) -> rollout*
-{
-    const auto found = this->rollouts.find(service);
-    const bool runs =
-        found != this->rollouts.end() && found->second.state == rollout_state::running;
-    return runs ? &found->second : nullptr;
-}
-
-namespace {
-
-auto side_of(const rollout_order& order, const common::version_id& version) -> version_side
-{
-    return version == order.target ? version_side::new_one : version_side::old;
-}
-
-} // namespace
-
-auto rollout_guide::note_outcome(
-    const common::service_name& service,
-    const common::version_id& version,
-    const route_name& route,
-    bool is_good) -> void
-{
-    if (auto* one = this->running(service)) {
-        one->evidence.add_outcome(route, side_of(one->order, version), is_good);
-    }
-}
-
-auto rollout_guide::note_first_event(
-    const common::service_name& service,
-    const common::version_id& version,
-    const route_name& route,
-    std::chrono::milliseconds took,
-    time_point now) -> void
-{
-    auto* one = this->running(service);
-    // With all sessions on the new version there is nothing to compare with: what was measured of
-    // the old one belongs to another load, and a burst of callers would look like a slow version.
-    if (one != nullptr && this->share_of(*one, now) < 1.0) {
-        one->evidence.add_first_event(route, side_of(one->order, version), took);
-    }
-}
-
-auto rollout_guide::note_stall(
-    const common::service_name& service,
-    const common::version_id& version,
-    const route_name& route,
-    time_point now) -> void
-{
-    auto* one = this->running(service);
-    if (one != nullptr && this->share_of(*one, now) < 1.0) {
-        one->evidence.add_first_event(
-            route, side_of(one->order, version), std::chrono::milliseconds{0}, true);
-    }
-}
-
-auto rollout_guide::note_time(
-    const common::service_name& service,
-    const common::version_id& version,
-    const route_name& route,
-    const timed_answer& timed,
-    time_point now) -> void
-{
-    auto* one = this->running(service);
-    const bool is_new = one != nullptr && version == one->order.target;
-    const bool depends_on_load = timed.part == timed_part::event_pause;
-    auto& effect = this->load_effects[service];
-    // Below a millisecond there is no difference that anyone would notice.
-    auto log_ms = std::log(std::max(timed.took_ms, 1.0));
-    if (depends_on_load && !is_new) {
-        // A slow version's own streams would pass its slowness off as an effect of load.
-        effect.note(route, timed.reading, log_ms);
-    }
-    if (depends_on_load) {
-        log_ms = effect.without_load(timed.reading, log_ms);
-    }
-    if (one != nullptr && this->is_comparable(*one, version, now)) {
-        one->evidence.add_time(
-            route, side_of(one->order, version), timed.part, log_ms, timed.bound);
-    }
-}
-
-auto rollout_guide::is_comparable(rollout& one, const common::version_id& version, time_point now)
-    -> bool
-{
-    const auto rate = this->rates[one.order.service].per_second(now);
-    if (this->share_of(one, now) < 1.0) {
-        one.usual_rate = rate;
-        return true;
-    }
-    // The old version's last answers come from servers that have little else to do.
-    return version == one.order.target && rate <= one.usual_rate * this->settings.same_load;
-}
-
-auto rollout_guide::own_left_on_old(const rollout& one, time_point now) const -> unsigned
-{
-    const auto& order = one.order;
-    auto count = static_cast<unsigned>(
-        this->sessions.count_on_other_versions(order.service, order.target, now));
-    for (const auto& [key, requests] : this->under_way) {
-        const bool is_old = key.first == order.service && key.second != order.target;
-        count += is_old ? requests : 0;
-    }
-    return count;
-}
-
-auto rollout_guide::left_on_old(const rollout& one, time_point now) const -> unsigned
-{
-    auto count = this->own_left_on_old(one, now);
-    for (const auto& [peer, words] : one.peers) {
-        count += now - words.heard < peer_silence ? words.left_on_old : 0;
-    }
-    return count;
-}
-
 auto rollout_guide::due(time_point now) const -> std::vector<rollout_status>
 {
     std::vector<rollout_status> wanted;
--- /dev/null
+++ b/source/core/routing/rollout_outcomes.cpp
@@ -0,0 +1,157 @@
+#include <algorithm>
+#include <cmath>
+
+#include "routing/rollout_guide.hpp"
+
+/// What becomes of requests under a roll-out: the part of `rollout_guide` that gathers evidence.
+namespace reedramp::routing {
+
+namespace {
+
+/// Callers whose entry lost its power notice that their stream is silent after 8 s or more, four
+/// times the target of today's drafts. One that comes back sooner after an order began before it.
+constexpr common::duration cut_stream_known_after = std::chrono::seconds{8};
+
+auto side_of(const rollout_order& order, const common::version_id& version) -> version_side
+{
+    return version == order.target ? version_side::new_one : version_side::old;
+}
+
+} // namespace
+
+auto rollout_guide::running(const common::service_name& service) -> rollout*
+{
+    const auto found = this->rollouts.find(service);
+    const bool runs =
+        found != this->rollouts.end() && found->second.state == rollout_state::running;
+    return runs ? &found->second : nullptr;
+}
+
+auto rollout_guide::note_end(
+    const common::service_name& service, const common::version_id& target, rollout_state state)
+    -> void
+{
+    auto& history = this->histories[service];
+    if (state == rollout_state::complete) {
+        history.current = target;
+    }
+    else if (state == rollout_state::reverted) {
+        history.reverted.insert(target);
+    }
+}
+
+auto rollout_guide::note_resumed(
+    const common::service_name& service, std::uint64_t session, time_point now) -> void
+{
+    const auto* one = this->running(service);
+    if (one != nullptr && now < one->began + cut_stream_known_after) {
+        // It began before the order, on an old version; or else no entry is left that knows.
+        this->sessions.hear(
+            service,
+            {{session,
+              std::chrono::duration_cast<std::chrono::milliseconds>(this->settings.session_time)}},
+            now);
+    }
+}
+
+auto rollout_guide::note_sent(
+    const common::service_name& service,
+    std::uint64_t session,
+    const common::version_id& version,
+    time_point now) -> void
+{
+    this->under_way[{service, version}] += 1;
+    this->rates[service].note(now);
+    this->version_rates[{service, version}].note(now);
+    this->sessions.note_sent(service, session, version, now);
+}
+
+auto rollout_guide::note_ended(
+    const common::service_name& service,
+    std::uint64_t session,
+    const common::version_id& version,
+    time_point now) -> void
+{
+    this->sessions.note_ended(service, session, now);
+    auto& count = this->under_way[{service, version}];
+    count -= count > 0 ? 1 : 0;
+}
+
+auto rollout_guide::note_outcome(
+    const common::service_name& service,
+    const common::version_id& version,
+    const route_name& route,
+    bool is_good) -> void
+{
+    if (auto* one = this->running(service)) {
+        one->evidence.add_outcome(route, side_of(one->order, version), is_good);
+    }
+}
+
+auto rollout_guide::note_first_event(
+    const common::service_name& service,
+    const common::version_id& version,
+    const route_name& route,
+    std::chrono::milliseconds took,
+    time_point now) -> void
+{
+    auto* one = this->running(service);
+    // With all sessions on the new version there is nothing to compare with: what was measured of
+    // the old one belongs to another load, and a burst of callers would look like a slow version.
+    if (one != nullptr && this->share_of(*one, now) < 1.0) {
+        one->evidence.add_first_event(route, side_of(one->order, version), took);
+    }
+}
+
+auto rollout_guide::note_stall(
+    const common::service_name& service,
+    const common::version_id& version,
+    const route_name& route,
+    time_point now) -> void
+{
+    auto* one = this->running(service);
+    if (one != nullptr && this->share_of(*one, now) < 1.0) {
+        one->evidence.add_first_event(
+            route, side_of(one->order, version), std::chrono::milliseconds{0}, true);
+    }
+}
+
+auto rollout_guide::note_time(
+    const common::service_name& service,
+    const common::version_id& version,
+    const route_name& route,
+    const timed_answer& timed,
+    time_point now) -> void
+{
+    auto* one = this->running(service);
+    const bool is_new = one != nullptr && version == one->order.target;
+    const bool depends_on_load = timed.part == timed_part::event_pause;
+    auto& effect = this->load_effects[service];
+    // Below a millisecond there is no difference that anyone would notice.
+    auto log_ms = std::log(std::max(timed.took_ms, 1.0));
+    if (depends_on_load && !is_new) {
+        // A slow version's own streams would pass its slowness off as an effect of load.
+        effect.note(route, timed.reading, log_ms);
+    }
+    if (depends_on_load) {
+        log_ms = effect.without_load(timed.reading, log_ms);
+    }
+    if (one != nullptr && this->is_comparable(*one, version, now)) {
+        one->evidence.add_time(
+            route, side_of(one->order, version), timed.part, log_ms, timed.bound);
+    }
+}
+
+auto rollout_guide::is_comparable(rollout& one, const common::version_id& version, time_point now)
+    -> bool
+{
+    const auto rate = this->rates[one.order.service].per_second(now);
+    if (this->share_of(one, now) < 1.0) {
+        one.usual_rate = rate;
+        return true;
+    }
+    // The old version's last answers come from servers that have little else to do.
+    return version == one.order.target && rate <= one.usual_rate * this->settings.same_load;
+}
+
+} // namespace reedramp::routing
