Find slow versions of services with few requests: slack in requests, plain answers, usual times from before

Cause: a plain service with 13 requests a second showed 26 answers of a new version in the first half of a short roll-out. With half of them three times as slow the guard's wealth was 1 to 3, short of 5.3, and all callers moved. Ruled out by a simulation of the bets (300 roll-outs): other thresholds alone (0.76 -> 0.91 found within 60 answers, of which there were not so many). Change: the first share counts the operators' slack in requests too, worked out from all entries' rates, the same at all; plain answers count from twice the usual with half the slack, as their own times differ by half; what is usual of the version in use is gathered before the order.

--- a/source/core/policy/guard.cpp
+++ b/source/core/policy/guard.cpp
@@ -191,6 +191,24 @@
     add_returns(this->logs, first, direction::below, clamp_unit(value), least);
 }
 
+auto evidence::set_slack(signal what, double slack) -> void
+{
+    switch (what) {
+    case signal::rating:
+        this->options.rating_slack = slack;
+        return;
+    case signal::error:
+        this->options.error_slack = slack;
+        return;
+    case signal::slow:
+        this->options.slow_slack = slack;
+        return;
+    case signal::pace:
+        this->options.pace_slack = slack;
+        return;
+    }
+}
+
 auto add_wealth(wealth& total, std::span<const double> part) -> void
 {
     total.resize(wealth_size, 0.0);
--- a/source/core/policy/guard.hpp
+++ b/source/core/policy/guard.hpp
@@ -94,6 +94,9 @@
     /// thousand ratings of the old version would otherwise take an hour.
     auto use_pooled(signal what, double mean, double count) -> void;
 
+    /// How much worse the new version may be from now on, by this signal.
+    auto set_slack(signal what, double slack) -> void;
+
     [[nodiscard]] auto log_wealth() const -> const wealth& { return this->logs; }
 
     /// What this process has seen itself of the old version, to be pooled.
--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -94,6 +94,8 @@
         fill_means(one.initOldMeans(told_means), told);
     }
     to.setShare(from.share);
+    to.setFirstShare(from.first_share);
+    to.setRate(static_cast<float>(from.rate));
     to.setState(static_cast<std::uint8_t>(from.state));
     to.setIsWritten(from.is_written);
     auto sessions = to.initOldSessions(static_cast<unsigned>(from.old_sessions.size()));
@@ -124,6 +126,10 @@
     told.is_written = from.getIsWritten();
     const double share = from.getShare();
     told.share = std::isfinite(share) ? std::clamp(share, 0.0, 1.0) : 0.0;
+    const double first_share = from.getFirstShare();
+    told.first_share = std::isfinite(first_share) ? std::clamp(first_share, 0.0, 1.0) : 0.0;
+    const double rate = from.getRate();
+    told.rate = std::isfinite(rate) ? std::max(rate, 0.0) : 0.0;
     for (const auto one : from.getEvidence()) {
         if (auto evidence = read_evidence(one)) {
             told.evidence[routing::route_name{text_of(one.getRoute())}] = std::move(*evidence);
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -50,6 +50,10 @@
   state @7 :UInt8;
   isWritten @8 :Bool;
   share @9 :Float64;
+  # Of the first half, once it has begun.
+  firstShare @10 :Float64;
+  # Requests a second for the service at the sender.
+  rate @11 :Float32;
 }
 
 struct Words {
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -173,7 +173,10 @@
     if (!of.is_timed && !is_dropped) {
         this->note_time(
             of,
-            {.part = routing::timed_part::whole_answer, .took_ms = took.count(), .bound = bound});
+            {.part = this->is_stream() ? routing::timed_part::whole_answer
+                                       : routing::timed_part::plain_answer,
+             .took_ms = took.count(),
+             .bound = bound});
     }
 }
 
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -14,6 +14,11 @@
 constexpr double canary_room = 1.5;
 /// The part is taken to be at least this of the share.
 constexpr double least_canary_part = 0.4;
+/// Between the first share and the next.
+constexpr double least_step = 0.07;
+/// An entry that has not been heard for this long has gone; in the largest fleets each is heard
+/// within half of it.
+constexpr common::duration peer_known_for = std::chrono::seconds{20};
 /// Requests a second below which a part of them says nothing.
 constexpr double least_rate = 0.5;
 
@@ -28,14 +33,16 @@
     if (found != this->rollouts.end()) {
         this->infer_end(found->second, now);
     }
+    const auto usual = this->calm.extract(wanted.service);
     rollout fresh{
         wanted,
         now,
         rollout_state::running,
         std::nullopt,
-        version_evidence{this->settings.evidence},
+        usual.empty() ? version_evidence{this->settings.evidence} : usual.mapped(),
         {},
         0.0,
+        0.0,
         0.0};
     const auto known = this->early.find(wanted.service);
     if (known != this->early.end() && known->second.target == wanted.target) {
@@ -103,18 +110,69 @@
 
 auto rollout_guide::may_move(const rollout& one, time_point now) const -> bool
 {
-    return this->share_of(one, now) > this->settings.schedule.first_share;
+    return this->share_of(one, now) > this->schedule_of(one).first_share;
 }
 
 auto rollout_guide::share_of(const rollout& one, time_point now) const -> double
 {
-    const auto& schedule = this->settings.schedule;
+    const auto schedule = this->schedule_of(one);
     const auto planned = share_at(schedule, this->elapsed(one, now), one.order.allowed);
     const auto held = std::max(one.reached_share, std::min(planned, schedule.first_share));
     return planned > held && this->is_held_up(one, now) ? held
                                                         : std::max(planned, one.reached_share);
 }
 
+auto rollout_guide::first_share_at_most(const rollout& one) const -> double
+{
+    if (one.first_share > 0.0) {
+        return std::max(one.first_share, this->settings.schedule.first_share);
+    }
+    const auto largest =
+        this->settings.exposure_slack > 0.0 ? this->settings.largest_first_share : 0.0;
+    return std::max(largest, this->settings.schedule.first_share);
+}
+
+auto rollout_guide::schedule_of(const rollout& one) const -> rollout_schedule
+{
+    auto schedule = this->settings.schedule;
+    schedule.first_share = std::max(schedule.first_share, one.first_share);
+    schedule.second_share = std::max(schedule.second_share, schedule.first_share + least_step);
+    return schedule;
+}
+
+auto rollout_guide::total_rate(const rollout& one, time_point now) const -> double
+{
+    const auto own = this->rates.find(one.order.service);
+    double sum = own == this->rates.end() ? 0.0 : own->second.per_second(now);
+    double known = 1.0;
+    for (const auto& [peer, words] : one.peers) {
+        if (now - words.heard < peer_known_for) {
+            sum += words.rate;
+            known += 1.0;
+        }
+    }
+    // In a large fleet few have spoken since the order; the others get as much on average.
+    const auto living = std::ranges::count_if(
+        this->peers_heard, [now](const auto& item) { return now - item.second < peer_known_for; });
+    return sum * std::max(1.0, (1.0 + static_cast<double>(living)) / known);
+}
+
+auto rollout_guide::planned_first_share(const rollout& one, time_point now) const -> double
+{
+    const auto& schedule = this->settings.schedule;
+    const auto seconds = std::chrono::duration<double>(one.order.allowed).count();
+    const auto requests = this->total_rate(one, now) * seconds * schedule.second_at;
+    // Of a service that gets nothing, nothing is known.
+    if (requests < this->settings.exposure_slack) {
+        return schedule.first_share;
+    }
+    const auto extra = this->settings.exposure_slack * this->settings.slack_part / requests;
+    return std::clamp(
+        schedule.first_share + extra,
+        schedule.first_share,
+        std::max(schedule.first_share, this->settings.largest_first_share));
+}
+
 auto rollout_guide::is_held_up(const rollout& one, time_point now) const -> bool
 {
     const auto latest = one.order.allowed * this->settings.schedule.latest_growth;
@@ -135,6 +193,9 @@
     if (one.state != rollout_state::running) {
         return;
     }
+    if (one.first_share == 0.0 && this->elapsed(one, now) >= this->settings.schedule.begins_after) {
+        one.first_share = this->planned_first_share(one, now);
+    }
     if (!this->must_revert(one, now)) {
         const auto share = this->share_of(one, now);
         if (share != std::exchange(one.reached_share, share)) {
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -21,6 +21,16 @@
 
 struct rollout_options {
     rollout_schedule schedule;
+    /// Requests that a bad version may get beside its share of all. For a service with few they
+    /// are the larger part: at 13 requests a second and 20 s the share alone gave 26 answers in the
+    /// first half, too few to find a version that is three times as slow for half of its requests.
+    double exposure_slack = 0.0;
+    /// What the first half may use of that; the rest is for requests that are under way when the
+    /// version is found.
+    double slack_part = 0.6;
+    /// The largest first share. Its steps grow from there, and half a service's servers have to
+    /// stay with the old version.
+    double largest_first_share = 0.33;
     evidence_options evidence;
     /// The share grows once the evidence over all routes, as a logarithm, is down to this: answers
     /// that are no worse have earned it. Before, it starts at 0.
@@ -47,6 +57,10 @@
     std::map<route_name, told_evidence> evidence;
     /// Share of sessions that this entry sends to the new version.
     double share = 0.0;
+    /// The share of the first half, as this entry has worked it out; 0 before.
+    double first_share = 0.0;
+    /// Requests a second for the service at this entry.
+    double rate = 0.0;
     rollout_state state = rollout_state::running;
     /// The store has this state.
     bool is_written = false;
@@ -142,6 +156,7 @@
     struct peer_words {
         time_point heard;
         unsigned left_on_old = 0;
+        double rate = 0.0;
     };
 
     struct rollout {
@@ -154,6 +169,9 @@
         std::map<common::host_id, peer_words> peers;
         /// The largest share so far, at any entry: a session that has moved does not move back.
         double reached_share = 0.0;
+        /// The share of the first half, the largest of all entries' once it has begun. It tells
+        /// whether the share has grown, so that all must have the same.
+        double first_share = 0.0;
         /// Requests a second at this entry while both versions served.
         double usual_rate = 0.0;
     };
@@ -174,6 +192,14 @@
         -> void;
     /// The share by schedule and evidence.
     [[nodiscard]] auto share_of(const rollout& one, time_point now) const -> double;
+    /// The share of the first half by what the operators allow and what the service gets.
+    [[nodiscard]] auto planned_first_share(const rollout& one, time_point now) const -> double;
+    /// The same while it is not known yet: the largest that it can be.
+    [[nodiscard]] auto first_share_at_most(const rollout& one) const -> double;
+    /// The schedule with the roll-out's own first share.
+    [[nodiscard]] auto schedule_of(const rollout& one) const -> rollout_schedule;
+    /// Requests a second for the service over all entries.
+    [[nodiscard]] auto total_rate(const rollout& one, time_point now) const -> double;
     /// Whether the evidence holds the share's growth up.
     [[nodiscard]] auto is_held_up(const rollout& one, time_point now) const -> bool;
     /// Whether the new version has to go: worse for certain, or doubtful when time is up.
@@ -193,6 +219,9 @@
     [[nodiscard]] auto elapsed(const rollout& one, time_point now) const
         -> std::chrono::milliseconds;
     auto running(const common::service_name& service) -> rollout*;
+    /// Where an answer of `version` counts while no roll-out of the service runs; null if nowhere.
+    auto calm_evidence(const common::service_name& service, const common::version_id& version)
+        -> version_evidence*;
     /// Whether a session goes to the new version while the roll-out runs.
     [[nodiscard]] auto goes_new(const rollout& one, std::uint64_t session, time_point now) const
         -> bool;
@@ -204,6 +233,10 @@
     rollout_options settings;
     std::map<common::service_name, rollout> rollouts;
     std::map<common::service_name, service_history> histories;
+    /// What is usual of the version in use, gathered while no roll-out runs. A roll-out starts from
+    /// it: with the old version's answers since the order alone, the first half of a short one was
+    /// over before a service with few requests had enough to compare with.
+    std::map<common::service_name, version_evidence> calm;
     /// States that were read before their order.
     std::map<common::service_name, rollout_status> early;
     session_book sessions;
@@ -211,6 +244,8 @@
     std::map<common::service_name, load_effect> load_effects;
     std::map<common::service_name, request_rate> rates;
     std::map<std::pair<common::service_name, common::version_id>, request_rate> version_rates;
+    /// When each peer was heard last, with or without a roll-out.
+    std::map<common::host_id, time_point> peers_heard;
 };
 
 } // namespace reedramp::routing
--- a/source/core/routing/rollout_outcomes.cpp
+++ b/source/core/routing/rollout_outcomes.cpp
@@ -27,6 +27,20 @@
     return runs ? &found->second : nullptr;
 }
 
+auto rollout_guide::calm_evidence(
+    const common::service_name& service, const common::version_id& version) -> version_evidence*
+{
+    const auto history = this->histories.find(service);
+    const bool is_in_use = history == this->histories.end() || !history->second.current ||
+                           *history->second.current == version;
+    const bool is_reverted =
+        history != this->histories.end() && history->second.reverted.contains(version);
+    if (!is_in_use || is_reverted) {
+        return nullptr;
+    }
+    return &this->calm.try_emplace(service, this->settings.evidence).first->second;
+}
+
 auto rollout_guide::note_end(
     const common::service_name& service, const common::version_id& target, rollout_state state)
     -> void
@@ -86,6 +100,9 @@
     if (auto* one = this->running(service)) {
         one->evidence.add_outcome(route, side_of(one->order, version), is_good);
     }
+    else if (auto* usual = this->calm_evidence(service, version)) {
+        usual->add_outcome(route, version_side::old, is_good);
+    }
 }
 
 auto rollout_guide::note_first_event(
@@ -101,6 +118,10 @@
     if (one != nullptr && this->share_of(*one, now) < 1.0) {
         one->evidence.add_first_event(route, side_of(one->order, version), took);
     }
+    auto* usual = one == nullptr ? this->calm_evidence(service, version) : nullptr;
+    if (usual != nullptr) {
+        usual->add_first_event(route, version_side::old, took);
+    }
 }
 
 auto rollout_guide::note_stall(
@@ -140,6 +161,10 @@
         one->evidence.add_time(
             route, side_of(one->order, version), timed.part, log_ms, timed.bound);
     }
+    auto* usual = one == nullptr ? this->calm_evidence(service, version) : nullptr;
+    if (usual != nullptr) {
+        usual->add_time(route, version_side::old, timed.part, log_ms, timed.bound);
+    }
 }
 
 auto rollout_guide::is_comparable(rollout& one, const common::version_id& version, time_point now)
--- a/source/core/routing/rollout_peers.cpp
+++ b/source/core/routing/rollout_peers.cpp
@@ -11,6 +11,9 @@
 /// An entry that has been silent for this long has ended, or can't be waited for.
 constexpr common::duration peer_silence = std::chrono::seconds{2};
 
+/// Peers that have not been heard for this long are forgotten.
+constexpr common::duration forgotten_after = std::chrono::minutes{1};
+
 /// A peer's order is newer than this entry's when it began later by this: beginnings are taken from
 /// messages, and differ by as much as those take.
 constexpr common::duration order_distance = std::chrono::milliseconds{500};
@@ -24,6 +27,9 @@
 auto rollout_guide::hear(
     const common::host_id& peer, const std::vector<told_rollout>& words, time_point now) -> void
 {
+    this->peers_heard[peer] = now;
+    std::erase_if(
+        this->peers_heard, [now](const auto& item) { return now - item.second > forgotten_after; });
     for (const auto& told : words) {
         auto found = this->rollouts.find(told.service);
         if (found == this->rollouts.end()) {
@@ -41,7 +47,10 @@
         }
         // An entry that started later, or heard of the order later, takes the older beginning.
         one.began = std::min(one.began, now - told.elapsed);
-        one.peers[peer] = {now, told.left_on_old};
+        one.peers[peer] = {now, told.left_on_old, std::max(told.rate, 0.0)};
+        // Before its share: a peer that counts more first answers has not let sessions move.
+        one.first_share = std::max(
+            one.first_share, std::min(told.first_share, this->settings.largest_first_share));
         one.evidence.hear(peer, told.evidence);
         one.reached_share = std::max(one.reached_share, std::min(told.share, 1.0));
         this->sessions.hear(told.service, told.old_sessions, now);
@@ -68,6 +77,7 @@
 {
     std::vector<told_rollout> all;
     for (const auto& [service, one] : this->rollouts) {
+        const auto rate = this->rates.find(service);
         told_rollout told{
             service,
             one.order.target,
@@ -76,6 +86,8 @@
             this->own_left_on_old(one, now),
             {},
             this->share_of(one, now),
+            one.first_share,
+            rate == this->rates.end() ? 0.0 : rate->second.per_second(now),
             one.state,
             one.written == one.state,
             this->sessions_to_tell(one, now)};
@@ -99,8 +111,8 @@
     return this->sessions.on_other_versions(
         order.service,
         order.target,
-        [this](std::uint64_t session) {
-            return is_in_share(session, this->settings.schedule.first_share);
+        [first_share = this->first_share_at_most(one)](std::uint64_t session) {
+            return is_in_share(session, first_share);
         },
         most_told_sessions,
         now);
--- a/source/core/routing/version_evidence.cpp
+++ b/source/core/routing/version_evidence.cpp
@@ -72,9 +72,12 @@
     -> void
 {
     auto& one = this->at(route);
+    if (part == timed_part::plain_answer) {
+        one.bets.set_slack(policy::signal::pace, this->settings.plain_pace_slack);
+    }
     const auto usual = this->usual_time(route, part);
     if (usual.count >= least_usual) {
-        const auto slow = this->slowness(log_ms - usual.value);
+        const auto slow = this->slowness(part, log_ms - usual.value);
         // One that was given up early says nothing: its whole time is not known.
         if (bound == time_bound::seen || slow > 0.0) {
             this->add(one, policy::signal::pace, side, slow);
@@ -85,10 +88,12 @@
     }
 }
 
-auto version_evidence::slowness(double log_ratio) const -> double
+auto version_evidence::slowness(timed_part part, double log_ratio) const -> double
 {
-    const double from = std::log(this->settings.usual_times);
-    const double to = std::log(this->settings.several_times);
+    const auto& scale =
+        part == timed_part::plain_answer ? this->settings.plain : this->settings.streams;
+    const double from = std::log(scale.usual_times);
+    const double to = std::log(scale.several_times);
     return std::clamp((log_ratio - from) / (to - from), 0.0, 1.0);
 }
 
--- a/source/core/routing/version_evidence.hpp
+++ b/source/core/routing/version_evidence.hpp
@@ -20,11 +20,13 @@
 enum class timed_part : std::uint8_t {
     /// The mean pause between a stream's events, once it has had some.
     event_pause,
-    /// A whole answer, from its sending.
+    /// A whole stream that was too short to show its pace, from its sending.
     whole_answer,
+    /// A plain answer, from its sending.
+    plain_answer,
 };
 
-inline constexpr std::size_t timed_part_count = 2;
+inline constexpr std::size_t timed_part_count = 3;
 
 /// Whether a time counts: `seen` for one that has passed, `at_least` where the answer was given up
 /// before its end, so that it would have taken longer.
@@ -39,6 +41,17 @@
     double reading = 0.0;
 };
 
+/// What times the usual time count as slow.
+struct slowness_scale {
+    /// An answer that takes up to this many times the old version's usual time is no slower than
+    /// others: servers of one service differ by a third.
+    double usual_times = 1.5;
+    /// From this many times on it is as slow as can be. Between them it counts in part, so that a
+    /// version three times as slow shows after some ten answers, where a threshold at three would
+    /// need twenty or more.
+    double several_times = 3.0;
+};
+
 struct evidence_options {
     policy::guard_options guard{
         .rating_slack = 0.02,
@@ -53,13 +66,13 @@
         .least_reference = 10.0};
     /// A first event is slow when it takes this many times the old version's mean.
     double slow_factor = 3.0;
-    /// An answer that takes up to this many times the old version's usual time is no slower than
-    /// others: servers of one service differ by a third.
-    double usual_times = 1.5;
-    /// From this many times on it is as slow as can be. Between them it counts in part, so that a
-    /// version three times as slow shows after some ten answers, where a threshold at three would
-    /// need twenty or more.
-    double several_times = 3.0;
+    slowness_scale streams{1.5, 3.0};
+    /// Plain answers have no pace to go by, and their own times differ by half: at 1.5 times the
+    /// usual one in five is a good version's. From twice on few are, so that less slack is needed.
+    /// In 300 simulated roll-outs, half of whose new answers take three times as long, 26 answers
+    /// show it in 0.45 of them and 60 in 0.91, with the streams' scale and slack in 0.28 and 0.76.
+    slowness_scale plain{2.0, 3.0};
+    double plain_pace_slack = 0.03;
 };
 
 /// What one process has seen of one route, for its peers.
@@ -131,7 +144,7 @@
     [[nodiscard]] auto usual_time(const route_name& route, timed_part part) const
         -> policy::known_mean;
     /// 0 up to the usual time, 1 from several times on.
-    [[nodiscard]] auto slowness(double log_ratio) const -> double;
+    [[nodiscard]] auto slowness(timed_part part, double log_ratio) const -> double;
 
     evidence_options settings;
     std::map<route_name, route_evidence> routes;
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -73,6 +73,12 @@
          .fallback = 0.15,
          .lowest = 0.01,
          .highest = 0.5},
+        {.path = "rollouts.exposure_slack",
+         .type = settings::value_type::real,
+         .doc = "Requests that a bad version may get beside that part.",
+         .fallback = 0.0,
+         .lowest = 0.0,
+         .highest = 1e6},
         {.path = "retries.ratio",
          .type = settings::value_type::real,
          .doc = "Second sends allowed for each first one, over all entries.",
@@ -114,6 +120,7 @@
     // is for what is under way, and sent, until it is found.
     constexpr double first_half_part = 1.2;
     read.router.rollout.schedule.first_share = values.real("rollouts.exposure") * first_half_part;
+    read.router.rollout.exposure_slack = values.real("rollouts.exposure_slack");
     // The rest is for entries that start anew with a full budget.
     constexpr double used_part = 0.85;
     read.router.retries.retries_per_first_try = values.real("retries.ratio") * used_part;
--- a/source/unit_tests/routing/rollout_guide_test.cpp
+++ b/source/unit_tests/routing/rollout_guide_test.cpp
@@ -340,6 +340,114 @@
     CHECK(still.size() == 9);
 }
 
+TEST_CASE("what was usual before the order counts after it", "[rollout]")
+{
+    // A plain service with few requests: by the time that enough answers of the old version had
+    // come since the order, the first half was over, and a slow version was moved to.
+    rollout_guide guide{rollout_options{}};
+    const auto answer = [&guide](const common::version_id& version, double ms, time_point at) {
+        guide.note_time(engines, version, tags, {timed_part::plain_answer, ms}, at);
+    };
+    for (int i = 0; i < 200; ++i) {
+        answer(old_version, i % 5 == 0 ? 90.0 : 55.0, start - seconds{10} + milliseconds{50 * i});
+    }
+    guide.order({engines, new_version, allowed}, start);
+    const auto is_barred = [&guide](time_point at) {
+        return guide.rule_for(engines, early_session, at).bars(new_version);
+    };
+    auto at = start + seconds{1};
+    SECTION("a slow version is found by its first answers")
+    {
+        int needed = 0;
+        while (needed < 40 && !is_barred(at)) {
+            answer(new_version, needed % 2 == 0 ? 180.0 : 60.0, at);
+            needed += 1;
+            at += milliseconds{300};
+        }
+        CHECK(needed <= 20);
+    }
+    SECTION("one that is as fast is not")
+    {
+        for (int i = 0; i < 100; ++i) {
+            answer(new_version, i % 5 == 0 ? 90.0 : 55.0, at);
+            CHECK_FALSE(is_barred(at));
+            at += milliseconds{100};
+        }
+    }
+    SECTION("of a version that was replaced or reverted nothing is usual")
+    {
+        guide.learn({engines, new_version, rollout_state::reverted});
+        for (int i = 0; i < 100; ++i) {
+            answer(new_version, 900.0, at);
+        }
+        const common::version_id third{"v3"};
+        guide.order({engines, third, allowed}, at + seconds{1});
+        for (int i = 0; i < 40; ++i) {
+            answer(old_version, 55.0, at + seconds{2});
+            answer(third, i % 2 == 0 ? 180.0 : 60.0, at + seconds{2});
+        }
+        CHECK(guide.rule_for(engines, early_session, at + seconds{3}).bars(third));
+    }
+}
+
+TEST_CASE("a service with few requests shows its new version to more of them", "[rollout]")
+{
+    // The operators allow a bad version a part of the requests, and some beside. Of 13 requests a
+    // second the part alone gave 26 answers before the share grows, too few to know a slow version.
+    rollout_options options;
+    options.schedule.first_share = 0.18;
+    options.exposure_slack = 30.0;
+    const auto first_share = [&options](int per_second, std::size_t entries) {
+        std::vector<rollout_guide> guides(entries, rollout_guide{options});
+        const auto requests = per_second * 10;
+        for (int i = 0; i < requests; ++i) {
+            const auto at = start - seconds{10} + milliseconds{10'000 * i / requests};
+            guides[static_cast<std::size_t>(i) % entries].note_sent(
+                engines, late_session, old_version, at);
+        }
+        for (auto& guide : guides) {
+            guide.order({engines, new_version, allowed}, start);
+        }
+        const auto ask = [&guides](std::size_t which, time_point now) {
+            guides[which].rule_for(engines, early_session, now);
+            return guides[which].states(now).front().share;
+        };
+        const auto tell_all = [&guides, entries](time_point now) {
+            for (std::size_t from = 0; from < entries; ++from) {
+                for (std::size_t to = 0; to < entries; ++to) {
+                    if (from != to) {
+                        const common::host_id name{"host-" + std::to_string(from)};
+                        guides[to].hear(name, guides[from].tell(now), now);
+                    }
+                }
+            }
+        };
+        tell_all(start + milliseconds{300});
+        const auto begun = start + milliseconds{700};
+        for (std::size_t i = 0; i < entries; ++i) {
+            ask(i, begun);
+        }
+        tell_all(begun);
+        const auto share = ask(0, begun);
+        for (std::size_t i = 0; i < entries; ++i) {
+            // All have the same, so that none takes another's for a share that has grown.
+            CHECK(ask(i, begun) == share);
+            guides[i].note_sent(engines, early_session, old_version, begun);
+            CHECK_FALSE(guides[i].rule_for(engines, early_session, begun).preferred == new_version);
+        }
+        return share;
+    };
+    const auto few = first_share(13, 4);
+    CHECK(few > 0.28);
+    CHECK(few <= 0.33);
+    CHECK(first_share(13, 1) == Approx(few).margin(0.03));
+    const auto many = first_share(400, 4);
+    CHECK(many > 0.18);
+    CHECK(many < 0.19);
+    // A service of which nothing is known, after a start of all entries.
+    CHECK(first_share(1, 4) == Approx(0.18));
+}
+
 TEST_CASE("entries add up what they have seen", "[rollout]")
 {
     // Each of three entries has seen too few failures to be sure.
--- a/source/unit_tests/routing/version_evidence_test.cpp
+++ b/source/unit_tests/routing/version_evidence_test.cpp
@@ -20,6 +20,7 @@
     std::vector<version_evidence> entries;
     /// Spread of a version's own times, as of plain answers; streams have half of it.
     double spread = 0.45;
+    timed_part part = timed_part::whole_answer;
 
     seen_rollout(std::uint64_t seed, std::size_t count)
         : random(seed), entries(count, version_evidence{evidence_options{}})
@@ -39,8 +40,7 @@
 
     auto serve(version_side side, const route_name& route, double ms) -> void
     {
-        this->any_entry().add_time(
-            route, side, timed_part::whole_answer, std::log(std::max(ms, 1.0)));
+        this->any_entry().add_time(route, side, this->part, std::log(std::max(ms, 1.0)));
     }
 
     auto tell_all() -> void
@@ -117,6 +117,36 @@
     }
 }
 
+TEST_CASE("a plain service with few requests shows a slow version in its first half", "[evidence]")
+{
+    // A plain service gets 13 requests a second, and its new version some 40 in the first half of a
+    // short roll-out; half of them take three times as long. The guard wanted more, and all callers
+    // were moved to it.
+    const auto found_within = [](timed_part part, int most) {
+        int found = 0;
+        for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+            seen_rollout one{seed, 4};
+            one.part = part;
+            found += one.answers_until_found(3.0, 0.5, most) ? 1 : 0;
+        }
+        return found;
+    };
+    const auto plain = found_within(timed_part::plain_answer, 40);
+    const auto as_streams = found_within(timed_part::whole_answer, 40);
+    INFO("plain " << plain << ", by the streams' scale " << as_streams);
+    CHECK(plain >= 150);
+    CHECK(plain >= as_streams + 20);
+    // One that is as fast, or a third slower, is not called worse.
+    int false_alarms = 0;
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        seen_rollout one{seed, 4};
+        one.part = timed_part::plain_answer;
+        const double times = seed % 2 == 0 ? 1.0 : 1.33;
+        false_alarms += one.answers_until_found(times, 1.0, 80) ? 1 : 0;
+    }
+    CHECK(false_alarms == 0);
+}
+
 TEST_CASE("many entries find a slow version as soon as few do", "[evidence]")
 {
     // With 26 entries each sees an old answer now and then; alone none would know what is usual.
