Give open requests a final answer as the entry ends, and send late streams elsewhere

Ruled out: a longer estimate of the time needed: the wait was nine times the route's mean. Change: 150 ms of the rest that the process keeps before it is killed go to final answers for what is open; streams that come after the balancer has noticed (3 s) are refused as not run where another entry serves.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -27,12 +27,12 @@
     : core(std::move(core_to_use)), request(std::move(request_to_relay)), out(std::move(responder)),
       received(this->request.received), last_event(this->request.caller.last_event)
 {
-    this->core->open_requests += 1;
+    this->core->open_requests.insert(this);
 }
 
 relay::~relay()
 {
-    this->core->open_requests -= 1;
+    this->core->open_requests.erase(this);
 }
 
 auto relay::start() -> void
@@ -280,6 +280,19 @@
         this->ledger.is_not_run() ? result_code::deadline_too_near : result_code::deadline_passed);
 }
 
+auto relay::on_process_ends() -> void
+{
+    if (this->ended) {
+        return;
+    }
+    if (this->current != nullptr) {
+        // Says nothing about the server.
+        this->leave(this->current, attempt_end::unknown, server_outcome::refused);
+    }
+    this->give_up(
+        this->ledger.is_not_run() ? result_code::shutting_down : result_code::outcome_unknown);
+}
+
 auto relay::on_caller_left() -> void
 {
     if (this->ended) {
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -45,6 +45,10 @@
         admitted_request request,
         std::shared_ptr<http::responder> out);
     ~relay();
+
+    /// The entry's process ends now.
+    auto on_process_ends() -> void;
+
     relay(const relay&) = delete;
     relay(relay&&) = delete;
     auto operator=(const relay&) -> relay& = delete;
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -115,6 +115,20 @@
     }
 }
 
+auto router_core::end_all() -> void
+{
+    for (const auto& one : std::exchange(this->held, {})) {
+        this->refuse(common::make_error(common::result_code::shutting_down), "-", *one->out);
+    }
+    std::vector<std::shared_ptr<relay>> open;
+    for (auto* one : this->open_requests) {
+        open.push_back(one->shared_from_this());
+    }
+    for (const auto& one : open) {
+        one->on_process_ends();
+    }
+}
+
 auto router_core::come_back_after(common::result_code why) const -> std::chrono::milliseconds
 {
     if (why == common::result_code::not_ready) {
@@ -144,12 +158,20 @@
     const bool has_small_model = !found->models.empty() && caller.model == any_model;
     const auto token =
         has_small_model ? this->options.small_token_needs : this->options.token_needs;
-    if (!this->may_finish(*found, caller, token)) {
+    if (this->should_go_elsewhere(*found) || !this->may_finish(*found, caller, token)) {
         return common::failure(common::result_code::shutting_down);
     }
     return found;
 }
 
+auto router_core::should_go_elsewhere(const routing::route& on) const -> bool
+{
+    const auto now = this->hooks.clock();
+    const bool is_late = on.kind == routing::request_kind::stream && now >= this->streams_until;
+    const auto& elsewhere = this->hooks.served_elsewhere_at;
+    return is_late && elsewhere && elsewhere(now) <= now;
+}
+
 auto router_core::may_finish(
     const routing::route& on, const caller_request& caller, std::chrono::milliseconds token) const
     -> bool
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -91,6 +92,8 @@
     double first_event_work_factor = 3.0;
 };
 
+class relay;
+
 /// What all requests of an entry share, on one thread: the rules in force, the servers, what is
 /// under way, and what is known of versions.
 class router_core : public std::enable_shared_from_this<router_core> {
@@ -106,7 +109,15 @@
 
     /// The process will end at `last`: requests that may take longer than is left are refused, so
     /// that their callers go elsewhere in time.
-    auto leave(time_point last) -> void { this->ends_at = last; }
+    ///
+    /// Streams are taken until `streams_until` where another entry takes them: the balancer has
+    /// noticed by then. A stream's end can't be known; short ones that were taken later waited at
+    /// busy servers for all the time that was left, and were cut when the process ended.
+    auto leave(time_point last, time_point streams_until = common::never) -> void
+    {
+        this->ends_at = last;
+        this->streams_until = streams_until;
+    }
 
     /// When the process ends at the latest; `never` while it stays.
     [[nodiscard]] auto leaves_at() const -> time_point { return this->ends_at; }
@@ -142,7 +153,11 @@
     auto change_retries(placement::retry_budget_settings settings) -> void;
 
     /// Requests that have no final answer yet.
-    [[nodiscard]] auto under_way() const -> std::size_t { return this->open_requests; }
+    [[nodiscard]] auto under_way() const -> std::size_t { return this->open_requests.size(); }
+
+    /// The process ends now: gives every request that is still open its final answer. A caller
+    /// whose connection closed without one learns nothing, and loses the time until it tries again.
+    auto end_all() -> void;
 
     /// The process will end before a larger model's answer would; the smallest one's has to do.
     [[nodiscard]] auto must_be_quick(const routing::route& on, const caller_request& caller) const
@@ -165,7 +180,8 @@
     metrics::registry series;
     routing::wait_gauge waits;
     router_metrics counters;
-    std::size_t open_requests = 0;
+    /// Requests that have no final answer yet; each enters and leaves by itself.
+    std::set<relay*> open_requests;
 
 private:
     /// A request that came before there were rules and servers.
@@ -187,6 +203,8 @@
         const routing::route& on,
         const caller_request& caller,
         std::chrono::milliseconds token) const -> bool;
+    /// Whether a request of the route should go to another entry, since this one leaves.
+    [[nodiscard]] auto should_go_elsewhere(const routing::route& on) const -> bool;
     /// When a caller that is refused for `why` should come back.
     [[nodiscard]] auto come_back_after(common::result_code why) const -> std::chrono::milliseconds;
     auto check(const http::request& asked, const caller_request& caller) const
@@ -196,6 +214,7 @@
     std::shared_ptr<const routing::route_table> rules_in_force;
     std::string text_in_force;
     time_point ends_at = common::never;
+    time_point streams_until = common::never;
     std::map<common::service_name, placement::retry_budget> retries;
     /// Mean time to the first event in ms, newest weighted most.
     std::map<routing::route_name, double> first_event_ms;
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -49,6 +49,8 @@
 constexpr milliseconds store_connect_time{1000};
 /// From the end of the grace: the process ends itself before it is killed.
 constexpr milliseconds grace_rest{400};
+/// Of that rest: what the last answers need to leave the host.
+constexpr milliseconds answers_leave{150};
 constexpr milliseconds shutdown_check{50};
 constexpr milliseconds entries_period{10000};
 /// A process that starts has its rules and servers some tens of ms later, and until then callers'
@@ -160,6 +162,7 @@
     std::unique_ptr<http::server> for_balancer;
     std::unique_ptr<http::server> for_peers;
     bool is_leaving = false;
+    bool has_ended_requests = false;
     bool is_fetching_rules = false;
 };
 
@@ -380,7 +383,7 @@
     const auto now = daemon::boot_time();
     const auto balancer_done = now + this->settings.balancer_time;
     const auto last = std::max(balancer_done, now + this->settings.grace - grace_rest);
-    this->core->leave(last);
+    this->core->leave(last, balancer_done);
     this->check_shutdown(balancer_done, last);
 }
 
@@ -389,7 +392,14 @@
 {
     const auto now = daemon::boot_time();
     const bool is_idle = this->core->under_way() == 0 && this->for_callers->busy_connections() == 0;
-    if ((now >= balancer_done && is_idle) || now >= last) {
+    if (now >= last && !is_idle && !std::exchange(this->has_ended_requests, true)) {
+        common::log(
+            log_part::entry,
+            log_level::info,
+            "ending under_way=" + std::to_string(this->core->under_way()));
+        this->core->end_all();
+    }
+    if ((now >= balancer_done && is_idle) || now >= last + answers_leave) {
         common::log(
             log_part::entry,
             log_level::info,
--- a/source/unit_tests/router/admission_test.cpp
+++ b/source/unit_tests/router/admission_test.cpp
@@ -131,6 +131,32 @@
     CHECK(all.ask("/once/1")->status() == 503);
 }
 
+TEST_CASE("a leaving entry sends streams elsewhere once the balancer has noticed", "[admission]")
+{
+    // An entry is stopped while servers are busy. A short stream that it takes 3.6 s later waits
+    // 3.2 s for its first event, and is cut in its midst when the process ends. Another entry would
+    // have finished it.
+    world all;
+    const auto left = all.now;
+    all.core->leave(left + milliseconds{7600}, left + seconds{3});
+    bool is_alone = false;
+    all.core->hooks.served_elsewhere_at = [&is_alone](common::time_point now) {
+        return is_alone ? now + seconds{5} : now;
+    };
+    const auto ask_stream = [&all] {
+        return all.ask("/stream/1", {{"Reedramp-Tokens", "100,20"}})->status();
+    };
+    all.advance(milliseconds{2900});
+    CHECK(ask_stream() == 0);
+    all.advance(milliseconds{200});
+    CHECK(ask_stream() == 503);
+    // A plain answer takes some tens of ms.
+    CHECK(all.ask("/once/1")->status() == 0);
+    // Where all entries leave, the time that is left is all there is.
+    is_alone = true;
+    CHECK(ask_stream() == 0);
+}
+
 TEST_CASE("rules never go back", "[admission]")
 {
     // A peer that lags, or a reading that was under way when a newer one came, holds older rules.
