--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -270,27 +270,25 @@
 
 auto relay::on_time_up() -> void
 {
-    if (this->ended) {
-        return;
-    }
-    if (this->current != nullptr) {
-        this->leave(this->current, attempt_end::unknown, server_outcome::failed);
-    }
-    this->give_up(
-        this->ledger.is_not_run() ? result_code::deadline_too_near : result_code::deadline_passed);
+    this->stop(
+        server_outcome::failed, result_code::deadline_too_near, result_code::deadline_passed);
 }
 
 auto relay::on_process_ends() -> void
+{
+    // Says nothing about the server.
+    this->stop(server_outcome::refused, result_code::shutting_down, result_code::outcome_unknown);
+}
+
+auto relay::stop(server_outcome current_one, result_code if_not_run, result_code else_why) -> void
 {
     if (this->ended) {
         return;
     }
     if (this->current != nullptr) {
-        // Says nothing about the server.
-        this->leave(this->current, attempt_end::unknown, server_outcome::refused);
+        this->leave(this->current, attempt_end::unknown, current_one);
     }
-    this->give_up(
-        this->ledger.is_not_run() ? result_code::shutting_down : result_code::outcome_unknown);
+    this->give_up(this->ledger.is_not_run() ? if_not_run : else_why);
 }
 
 auto relay::on_caller_left() -> void
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -163,6 +163,11 @@
 
     auto watch_for_stall(const std::shared_ptr<attempt>& of) -> void;
     auto on_time_up() -> void;
+    /// Ends the send under way, and gives the caller a final answer for one of two reasons.
+    auto stop(
+        routing::server_outcome current_one,
+        common::result_code if_not_run,
+        common::result_code else_why) -> void;
     auto on_caller_left() -> void;
     auto drop_call() -> void;
     auto finish(std::string_view how) -> void;
