Tell peers for half a minute which servers leave, not for ever

Cause: the newest sixteen servers that ever left stood in every message, forty times a second: 136 of 520 bytes. A test holds the bound of a message with 300 servers replaced.

--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -11,6 +11,10 @@
 /// 128 and 256 bytes.
 constexpr std::size_t most_told = 16;
 
+/// Peers are told that a server leaves for so long. Told for ever, the newest sixteen would be a
+/// quarter of each message; a list that lags and a peer that stood still are seconds behind.
+constexpr std::chrono::seconds leaving_told_for{30};
+
 /// Peers are told of an end for so long: a hundred messages, or ten where there are hundreds of
 /// peers. Who hears none of them is cut off from all, and reads the list when it is back.
 constexpr std::chrono::seconds ends_told_for{10};
@@ -122,7 +126,7 @@
     }
     const bool had_work = server.gets_work();
     server.state = server_state::leaving;
-    this->newest_leaving.push_back(hash_of(server.last.start()));
+    this->newest_leaving.push_back({hash_of(server.last.start()), now});
     if (this->newest_leaving.size() > most_told) {
         this->newest_leaving.pop_front();
     }
@@ -220,6 +224,9 @@
         }
     }
     std::ranges::sort(left);
+    std::erase_if(this->newest_leaving, [now](const auto& one) {
+        return now - one.at > leaving_told_for;
+    });
     const auto surplus = left.size() > most_left ? left.size() - most_left : 0;
     for (std::size_t i = 0; i < left.size(); ++i) {
         if (i < surplus || now - left[i].first > left_kept_for) {
@@ -243,7 +250,11 @@
 
 auto server_table::leaving() const -> std::vector<std::uint64_t>
 {
-    return {this->newest_leaving.begin(), this->newest_leaving.end()};
+    std::vector<std::uint64_t> hashes;
+    for (const auto& one : this->newest_leaving) {
+        hashes.push_back(one.hash);
+    }
+    return hashes;
 }
 
 auto server_table::retire_named(const std::vector<std::uint64_t>& hashes, time_point now)
--- a/source/core/routing/server_table.hpp
+++ b/source/core/routing/server_table.hpp
@@ -129,7 +129,7 @@
     /// Another server answers at its address.
     auto drop(const server_start& start) -> void;
 
-    /// Forgets servers that left long ago.
+    /// Forgets servers that left long ago, and what peers need not be told any more.
     auto forget_left(time_point now) -> void;
 
     /// Applies a change that came in the order of the store, and believes an end at once.
@@ -192,6 +192,11 @@
         }
     };
 
+    struct left_server {
+        std::uint64_t hash = 0;
+        time_point at;
+    };
+
     struct ended_server {
         told_end word;
         time_point at;
@@ -204,8 +209,8 @@
     is_late(const registration& read, const known_server& known, time_point now) -> bool;
 
     std::map<common::server_id, known_server> servers;
-    /// Hashes of starts that leave, the newest last.
-    std::deque<std::uint64_t> newest_leaving;
+    /// The newest last.
+    std::deque<left_server> newest_leaving;
     /// The newest last.
     std::deque<ended_server> newest_ended;
 };
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -109,4 +109,37 @@
     }
 }
 
+TEST_CASE("words on servers that left and ended have a bounded size", "[peer_message]")
+{
+    // All of a service's servers are replaced within seconds. What is told of that must not grow
+    // with their number: it is told forty times a second.
+    peer_words calm;
+    calm.host = common::host_id{"host-with-a-name"};
+    calm.address = "10.0.0.1:7000";
+    for (int i = 0; i < 8; ++i) {
+        calm.peers.push_back("10.0.0." + std::to_string(10 + i) + ":7000");
+    }
+    routing::server_table table;
+    const common::time_point now{std::chrono::seconds{100}};
+    for (int i = 0; i < 300; ++i) {
+        routing::registration left;
+        left.id = common::server_id{"left-" + std::to_string(i)};
+        left.is_leaving = true;
+        table.take(left, now);
+        routing::registration ended;
+        ended.id = common::server_id{"ended-" + std::to_string(i)};
+        table.take(ended, now);
+        table.lapse(ended.id);
+    }
+    table.end_lapsed(9, now);
+    auto busy = calm;
+    busy.leaving = table.leaving();
+    busy.ended = table.ended(now);
+    const auto calm_size = encode(calm).size();
+    const auto busy_size = encode(busy).size();
+    INFO("calm " << calm_size << " bytes, busy " << busy_size);
+    CHECK(calm_size <= 400);
+    CHECK(busy_size <= calm_size + 400);
+}
+
 } // namespace reedramp::router
--- a/source/unit_tests/routing/server_table_test.cpp
+++ b/source/unit_tests/routing/server_table_test.cpp
@@ -188,6 +188,18 @@
     CHECK(reader.ended(start + seconds{11}).empty());
 }
 
+TEST_CASE("peers are told for half a minute that a server leaves", "[server_table]")
+{
+    server_table table;
+    table.take(registered(a, 10), start);
+    table.retire(started(a, 10), start);
+    table.forget_left(start + seconds{20});
+    CHECK(table.leaving().size() == 1);
+    table.forget_left(start + seconds{31});
+    CHECK(table.leaving().empty());
+    CHECK(table.is_retired(a));
+}
+
 TEST_CASE("servers that left are remembered for minutes, and not without bound", "[server_table]")
 {
     server_table table;
