--- a/source/unit_tests/router/peer_group_test.cpp
+++ b/source/unit_tests/router/peer_group_test.cpp
@@ -110,6 +110,45 @@
     CHECK(here.core->servers.find(common::server_id{"b"}) == nullptr);
 }
 
+TEST_CASE("what an entry has seen of a new version outlives its process", "[peer_group]")
+{
+    // Entries are restarted in turn while a new version is bad. Each new process told its peers
+    // that it had seen nothing yet, which took the place of what its former process had seen. With
+    // all of them restarted the evidence was gone, and all callers were moved to the version.
+    const common::service_name engines{"engines"};
+    const common::version_id bad{"v2"};
+    const routing::route_name route{"again"};
+    world here;
+    told_entry one{here, 1};
+    here.core->rollouts.order({engines, bad, seconds{20}}, here.now);
+    const auto is_barred = [&] {
+        return here.core->rollouts.rule_for(engines, 0, here.now).bars(bad);
+    };
+    here.advance(seconds{1});
+    // Three processes of one host, none of which has seen enough alone.
+    for (std::uint64_t process = 1; process <= 3; ++process) {
+        CHECK_FALSE(is_barred());
+        world there;
+        there.core->hooks.random = [process] {
+            return process;
+        };
+        told_entry two{there, 2};
+        two.group.add(address_of(1));
+        there.core->rollouts.order({engines, bad, seconds{20}}, there.now);
+        for (int i = 0; i < 60; ++i) {
+            there.core->rollouts.note_outcome(engines, common::version_id{"v1"}, route, true);
+        }
+        for (int i = 0; i < 2; ++i) {
+            there.core->rollouts.note_outcome(engines, bad, route, false);
+        }
+        two.group.tell();
+        one.group.hear(two.sent.front().second);
+        // Said again, it is no more than it was.
+        one.group.hear(two.sent.front().second);
+    }
+    CHECK(is_barred());
+}
+
 TEST_CASE("callers come back when an entry will serve them", "[peer_group]")
 {
     // All entries are told to leave, seconds after one another. A caller whose long request comes
