Keep what a peer's former process has seen of a new version

Cause: a peer's words on a roll-out replace its older ones, by its host's name; a process that has just started has seen nothing, and with each restart the evidence of the one before it was gone everywhere. Class: a name taken for one life of what bears it, as with servers that return under their id. Change: messages bear a random number of the sender's process, 8 bytes; words on roll-outs are kept by process. Loads and outcomes stay by host: what a process had under way ends with it.

--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -145,6 +145,7 @@
 {
     peer_words words;
     words.host = common::host_id{text_of(from.getHost())};
+    words.process = from.getProcess();
     words.address = text_of(from.getAddress());
     words.rules_version = from.getRulesVersion();
     for (const auto load : from.getLoads()) {
@@ -188,6 +189,7 @@
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::Words>();
     root.setHost(words.host.value());
+    root.setProcess(words.process);
     root.setAddress(words.address);
     root.setRulesVersion(words.rules_version);
     auto loads = root.initLoads(static_cast<unsigned>(words.loads.size()));
--- a/source/core/router/peer_message.hpp
+++ b/source/core/router/peer_message.hpp
@@ -19,6 +19,8 @@
 /// the next: each holds the present state, no change.
 struct peer_words {
     common::host_id host;
+    /// Random, another one for each process of the host.
+    std::uint64_t process = 0;
     /// "IP:port" on which the sender hears its peers and gives its rules out.
     std::string address;
     /// 0 without rules.
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -76,4 +76,6 @@
   listEnd @12 :UInt64;
   # Of the last seconds.
   ended @13 :List(EndedServer);
+  # Random, another one for each process of a host; 0 from earlier releases.
+  process @14 :UInt64;
 }
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -26,6 +26,14 @@
 /// One that has been silent for this long is forgotten; if it lives, it will speak first.
 constexpr common::duration forgotten_after = std::chrono::seconds{20};
 
+/// What a process has seen of a new version stays true when it ends. Under its host's name alone,
+/// the next process' empty words took the place of it: after a restart of all entries in turn
+/// nothing was known against a bad version, and all callers were moved to it.
+auto process_name(const router::peer_words& words) -> common::host_id
+{
+    return common::host_id{words.host.value() + "#" + std::to_string(words.process)};
+}
+
 } // namespace
 
 peer_group::peer_group(
@@ -35,7 +43,8 @@
     std::chrono::milliseconds tell_period,
     send_hook send_datagram,
     newer_rules_hook newer_rules)
-    : core(std::move(core_to_tell_of)), self(std::move(own_host)), own_address(std::move(address)),
+    : core(std::move(core_to_tell_of)), self(std::move(own_host)),
+      process(this->core->hooks.random()), own_address(std::move(address)),
       send(std::move(send_datagram)), on_newer_rules(std::move(newer_rules)), period(tell_period)
 {
 }
@@ -62,6 +71,7 @@
 {
     router::peer_words words;
     words.host = this->self;
+    words.process = this->process;
     words.address = http::to_string(this->own_address);
     words.rules_version = this->core->rules() == nullptr ? 0 : this->core->rules()->version();
     words.loads = this->core->loads.tell();
@@ -129,7 +139,7 @@
     this->core->loads.hear(words->host, words->loads, trusted_until);
     this->core->freshness.hear(words->freshness, now);
     this->core->health.hear(words->host, words->outcomes, trusted_until, now);
-    this->core->rollouts.hear(words->host, words->rollouts, now);
+    this->core->rollouts.hear(process_name(*words), words->rollouts, now);
     const auto own_version = this->core->rules() == nullptr ? 0 : this->core->rules()->version();
     if (words->rules_version > own_version) {
         this->on_newer_rules(*from);
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -68,6 +68,8 @@
 
     std::shared_ptr<router::router_core> core;
     common::host_id self;
+    /// Of this process, so that peers tell its words from its predecessor's.
+    std::uint64_t process;
     http::endpoint own_address;
     send_hook send;
     newer_rules_hook on_newer_rules;
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -30,6 +30,7 @@
     rollout.state = routing::rollout_state::reverted;
     rollout.is_written = true;
     words.rollouts = {rollout};
+    words.process = 4711;
     words.ended = {{17, 123456789000}, {18, 0}};
     words.freshness = {
         123456789012, std::chrono::milliseconds{250}, std::chrono::seconds{77}, 123456789100};
@@ -62,6 +63,7 @@
     CHECK(read->rollouts[0].old_sessions[0].left == std::chrono::milliseconds{1200});
     CHECK(read->rollouts[0].state == routing::rollout_state::reverted);
     CHECK(read->rollouts[0].is_written);
+    CHECK(read->process == words.process);
     REQUIRE(read->ended.size() == 2);
     CHECK(read->ended[0].server == 17);
     CHECK(read->ended[0].read_to == 123456789000);
