--- a/source/unit_tests/router/peer_group_test.cpp
+++ b/source/unit_tests/router/peer_group_test.cpp
@@ -171,7 +171,8 @@
     const auto refused_for = [&all] {
         const auto out = all.ask("/stream/1", {{"Reedramp-Tokens", "100,300"}});
         REQUIRE(out->status() == 503);
-        return http::find_header(out->answer->headers, "Retry-After").value_or("");
+        // Of its own: the answer ends with the caller, here.
+        return std::string{http::find_header(out->answer->headers, "Retry-After").value_or("")};
     };
     tell();
     all.core->leave(all.now + milliseconds{1000});
