--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -224,9 +224,8 @@
         }
     }
     std::ranges::sort(left);
-    std::erase_if(this->newest_leaving, [now](const auto& one) {
-        return now - one.at > leaving_told_for;
-    });
+    std::erase_if(
+        this->newest_leaving, [now](const auto& one) { return now - one.at > leaving_told_for; });
     const auto surplus = left.size() > most_left ? left.size() - most_left : 0;
     for (std::size_t i = 0; i < left.size(); ++i) {
         if (i < surplus || now - left[i].first > left_kept_for) {
