Tell readings of the list apart by reader and number, not by where they ended

Change: words name the reader's process and its how-manieth reading. The test of calls plays a list without signs of life too.

--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -156,7 +156,8 @@
         from.getListChanged(),
         std::chrono::milliseconds{from.getListAgeMs()},
         std::chrono::milliseconds{from.getStoreSteadyMs()},
-        from.getListEnd()};
+        from.getListReader(),
+        from.getListReading()};
     for (const auto outcomes : from.getOutcomes()) {
         const double good = outcomes.getGood();
         const double bad = outcomes.getBad();
@@ -202,7 +203,8 @@
     root.setListChanged(words.freshness.changed);
     root.setListAgeMs(told_ms(words.freshness.age));
     root.setStoreSteadyMs(told_ms(words.freshness.steady));
-    root.setListEnd(words.freshness.end);
+    root.setListReader(words.freshness.reader);
+    root.setListReading(words.freshness.number);
     auto outcomes = root.initOutcomes(static_cast<unsigned>(words.outcomes.size()));
     for (unsigned i = 0; i < words.outcomes.size(); ++i) {
         outcomes[i].setServer(words.outcomes[i].server);
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -72,10 +72,11 @@
   listAgeMs @10 :UInt32 = 3600000;
   # How long the store had answered by then, to any entry, without a gap.
   storeSteadyMs @11 :UInt32;
-  # Where the list ended when it was read so long ago.
-  listEnd @12 :UInt64;
+  # Which reading that was: the reader's process, and its how-manieth.
+  listReader @12 :UInt64;
   # Of the last seconds.
   ended @13 :List(EndedServer);
   # Random, another one for each process of a host; 0 from earlier releases.
   process @14 :UInt64;
+  listReading @15 :UInt64;
 }
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -11,12 +11,24 @@
 
 namespace reedramp::router {
 
+namespace {
+
+auto with_reader(routing::freshness_options options, std::uint64_t reader)
+    -> routing::freshness_options
+{
+    options.reader = reader;
+    return options;
+}
+
+} // namespace
+
 router_core::router_core(
     router_hooks hooks_to_use,
     router_options options_to_use,
     std::shared_ptr<http::client> servers_client)
     : hooks(std::move(hooks_to_use)), options(std::move(options_to_use)),
-      client(std::move(servers_client)), freshness(this->options.freshness),
+      client(std::move(servers_client)),
+      freshness(with_reader(this->options.freshness, this->hooks.random())),
       health(this->options.health), rollouts(this->options.rollout), counters(this->series)
 {
 }
--- a/source/core/routing/list_freshness.cpp
+++ b/source/core/routing/list_freshness.cpp
@@ -12,24 +12,42 @@
     }
     this->has_read = true;
     this->current_at = now;
-    this->current_end = std::max(this->current_end, end);
-    this->newest_end = std::max(this->newest_end, end);
+    this->own_readings += 1;
+    this->current_reader = this->settings.reader;
+    this->current_number = this->own_readings;
     this->contact.note_answer(now);
 }
 
+auto list_freshness::is_news(const told_freshness& told) -> bool
+{
+    if (told.reader == 0) {
+        return true;
+    }
+    if (told.reader == this->settings.reader) {
+        return false; // Its own reading, passed back.
+    }
+    // Each process is another reader; those that have ended are not worth keeping.
+    constexpr std::size_t most_readers = 2048;
+    if (this->newest_of.size() >= most_readers) {
+        this->newest_of.clear();
+    }
+    auto& newest = this->newest_of[told.reader];
+    const bool is_new = told.number > newest;
+    newest = std::max(newest, told.number);
+    return is_new;
+}
+
 auto list_freshness::hear(const told_freshness& told, time_point now) -> void
 {
     const auto read_at = now - std::max(told.age, std::chrono::milliseconds{0});
-    // An entry of an earlier release does not say where its reading ended.
-    const bool is_named = told.end > 0;
-    const bool is_news = !is_named || told.end > this->newest_end;
-    this->contact.hear(read_at - told.steady, read_at, now, is_news);
-    this->newest_end = std::max(this->newest_end, told.end);
+    const bool is_new = this->is_news(told);
+    this->contact.hear(read_at - told.steady, read_at, now, is_new);
     this->changed = std::max(this->changed, told.changed);
-    const bool is_later = !is_named || told.end > this->current_end;
-    if (this->has_read && told.changed <= this->position && is_later) {
-        this->current_at = std::max(this->current_at, read_at);
-        this->current_end = std::max(this->current_end, told.end);
+    const bool shows_it = this->has_read && told.changed <= this->position;
+    if (is_new && shows_it && read_at > this->current_at) {
+        this->current_at = read_at;
+        this->current_reader = told.reader;
+        this->current_number = told.number;
     }
 }
 
@@ -49,7 +67,8 @@
         known,
         in_ms(now - this->current_at),
         in_ms(this->current_at - this->contact.steady_since(now)),
-        this->current_end};
+        this->current_reader,
+        this->current_number};
 }
 
 auto list_freshness::is_due(std::size_t rank, time_point now) const -> bool
@@ -58,7 +77,9 @@
         return true;
     }
     const auto steps = static_cast<int>(std::min(rank, this->settings.most_steps));
-    return now - this->current_at >= this->settings.period + this->settings.rank_step * steps;
+    const auto later = steps == 0 ? common::duration{0}
+                                  : this->settings.lead + this->settings.rank_step * (steps - 1);
+    return now - this->current_at >= this->settings.period + later;
 }
 
 } // namespace reedramp::routing
--- a/source/core/routing/list_freshness.hpp
+++ b/source/core/routing/list_freshness.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <unordered_map>
 
 #include "common/units.hpp"
 #include "routing/store_contact.hpp"
@@ -19,19 +20,27 @@
     std::chrono::milliseconds age{0};
     /// How long the store had answered by then, without a gap.
     std::chrono::milliseconds steady{0};
-    /// Where that reading ended. It tells one reading from another: an age alone grows less than
-    /// time does when entries pass it on to each other and each message takes its time.
-    std::uint64_t end = 0;
+    /// Which reading that was: who read, and the how-manieth time. An age alone grows less than
+    /// time does when entries pass it on to each other and each message takes its time. The reader
+    /// is 0 in words of earlier releases.
+    std::uint64_t reader = 0;
+    std::uint64_t number = 0;
 };
 
 struct freshness_options {
     /// The list is read again when no entry is known to have read it for so long. Half of the time
     /// in which a server that leaves still takes work, less a slow reading.
     common::duration period = std::chrono::seconds{1};
-    /// Later by this for each entry that goes first, so that one reads and the others hear of it.
-    common::duration rank_step = std::chrono::milliseconds{100};
+    /// Who is not the first waits for this longer, so that one reads and the others hear of it:
+    /// until the first one looks again (100 ms), has read, and tells (100 ms). With 100 ms a second
+    /// entry read as well, and calls to the store were twice as many.
+    common::duration lead = std::chrono::milliseconds{250};
+    /// And by this more for each further entry that goes before.
+    common::duration rank_step = std::chrono::milliseconds{50};
     /// Ranks that wait longer than those before them; the rest would wait too long if they failed.
     std::size_t most_steps = 4;
+    /// Names this process among all readers; random. 0: its readings are told by their age alone.
+    std::uint64_t reader = 0;
 };
 
 /// When this entry should read the servers' list itself.
@@ -67,6 +76,9 @@
     [[nodiscard]] auto is_due(std::size_t rank, time_point now) const -> bool;
 
 private:
+    /// Whether this entry has not heard of that reading yet; from then on it has.
+    auto is_news(const told_freshness& told) -> bool;
+
     freshness_options settings;
     bool has_read = false;
     /// Where this entry's own reading stands.
@@ -75,9 +87,12 @@
     std::uint64_t changed = 0;
     /// When the list that it holds was last known to be the newest.
     time_point current_at{};
-    /// Where the reading ended that shows it, and the newest one that this entry knows of.
-    std::uint64_t current_end = 0;
-    std::uint64_t newest_end = 0;
+    /// The reading that shows it.
+    std::uint64_t current_reader = 0;
+    std::uint64_t current_number = 0;
+    /// This entry's own readings so far, and the newest that it knows of each other reader.
+    std::uint64_t own_readings = 0;
+    std::unordered_map<std::uint64_t, std::uint64_t> newest_of;
     store_contact contact;
 };
 
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -33,7 +33,7 @@
     words.process = 4711;
     words.ended = {{17, 123456789000}, {18, 0}};
     words.freshness = {
-        123456789012, std::chrono::milliseconds{250}, std::chrono::seconds{77}, 123456789100};
+        123456789012, std::chrono::milliseconds{250}, std::chrono::seconds{77}, 11, 12};
     words.outcomes = {{7, 1.5, 2.25}};
     words.peers = {"10.0.0.2:7000"};
     words.leaving = {77};
@@ -70,7 +70,8 @@
     CHECK(read->freshness.changed == words.freshness.changed);
     CHECK(read->freshness.age == words.freshness.age);
     CHECK(read->freshness.steady == words.freshness.steady);
-    CHECK(read->freshness.end == words.freshness.end);
+    CHECK(read->freshness.reader == words.freshness.reader);
+    CHECK(read->freshness.number == words.freshness.number);
     REQUIRE(read->outcomes.size() == 1);
     CHECK(read->outcomes[0].server == 7);
     CHECK(read->outcomes[0].good == 1.5);
--- a/source/unit_tests/routing/list_freshness_test.cpp
+++ b/source/unit_tests/routing/list_freshness_test.cpp
@@ -23,11 +23,16 @@
     int readings = 0;
     /// What a message takes until its receiver has read it.
     milliseconds delay{0};
+    bool has_signs_of_life = true;
     time_point now = start;
 
-    explicit followed_list(std::size_t count)
-        : entries(count, list_freshness{freshness_options{}}), is_up(count, true), read_to(count, 0)
+    explicit followed_list(std::size_t count) : is_up(count, true), read_to(count, 0)
     {
+        for (std::size_t i = 0; i < count; ++i) {
+            freshness_options options;
+            options.reader = i + 1;
+            this->entries.emplace_back(options);
+        }
     }
 
     auto rank(std::size_t of) const -> std::size_t
@@ -42,7 +47,8 @@
     auto step() -> void
     {
         this->now += milliseconds{100};
-        this->end += 1; // A server's sign of life, which changes nothing.
+        // A server's sign of life, which changes nothing.
+        this->end += this->has_signs_of_life ? 1 : 0;
         for (std::size_t i = 0; i < this->entries.size(); ++i) {
             if (this->is_up[i] && this->entries[i].is_due(this->rank(i), this->now)) {
                 this->entries[i].note_read(
@@ -91,6 +97,8 @@
 {
     for (const std::size_t count : {1, 4, 26, 100}) {
         followed_list all{count};
+        // Also where nothing is written for long, so that all readings end at one place.
+        all.has_signs_of_life = count % 4 != 0;
         all.run(seconds{1}); // Each reads once at its start.
         all.readings = 0;
         all.run(seconds{20});
