Take the hash of a server once a message, and nothing from empty ones

A peer's words come forty times a second: an empty list of leaving or ended servers hashed every server all the same, and a list of ended ones hashed each server once for each of its entries. Both end at once, or hash once; by reading, not measured. A nested condition in take is two returns, and relay::stop's parameters say what they are.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -280,15 +280,15 @@
     this->stop(server_outcome::refused, result_code::shutting_down, result_code::outcome_unknown);
 }
 
-auto relay::stop(server_outcome current_one, result_code if_not_run, result_code else_why) -> void
+auto relay::stop(server_outcome of_current, result_code if_not_run, result_code otherwise) -> void
 {
     if (this->ended) {
         return;
     }
     if (this->current != nullptr) {
-        this->leave(this->current, attempt_end::unknown, current_one);
+        this->leave(this->current, attempt_end::unknown, of_current);
     }
-    this->give_up(this->ledger.is_not_run() ? if_not_run : else_why);
+    this->give_up(this->ledger.is_not_run() ? if_not_run : otherwise);
 }
 
 auto relay::on_caller_left() -> void
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -165,9 +165,9 @@
     auto on_time_up() -> void;
     /// Ends the send under way, and gives the caller a final answer for one of two reasons.
     auto stop(
-        routing::server_outcome current_one,
+        routing::server_outcome of_current,
         common::result_code if_not_run,
-        common::result_code else_why) -> void;
+        common::result_code otherwise) -> void;
     auto on_caller_left() -> void;
     auto drop_call() -> void;
     auto finish(std::string_view how) -> void;
--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -96,8 +96,10 @@
     if (read.born != known.last.born) {
         const bool had_work = known.gets_work();
         const auto began = this->begin(read, now);
-        const bool gets_work = began == table_event::usable;
-        return gets_work ? table_event::restarted : (had_work ? began : table_event::none);
+        if (began == table_event::usable) {
+            return table_event::restarted;
+        }
+        return had_work ? began : table_event::none;
     }
     if (read.is_leaving) {
         return this->set_leaving(known, now);
@@ -259,6 +261,10 @@
 auto server_table::retire_named(const std::vector<std::uint64_t>& hashes, time_point now)
     -> std::vector<server_start>
 {
+    // Forty messages a second, and mostly there is nothing in them.
+    if (hashes.empty()) {
+        return {};
+    }
     std::vector<server_start> named;
     for (auto& [id, known] : this->servers) {
         const auto start = known.last.start();
@@ -286,11 +292,15 @@
 auto server_table::end_named(const std::vector<told_end>& ends, std::uint64_t read_to)
     -> std::vector<server_start>
 {
+    if (ends.empty()) {
+        return {};
+    }
     std::vector<server_start> gone;
     std::erase_if(this->servers, [&](const auto& item) {
         const auto start = item.second.last.start();
-        const auto is_meant = [&start, read_to](const told_end& end) {
-            return end.read_to > read_to && end.server == hash_of(start);
+        const auto hash = hash_of(start);
+        const auto is_meant = [hash, read_to](const told_end& end) {
+            return end.read_to > read_to && end.server == hash;
         };
         const bool ends_here = item.second.gets_work() && std::ranges::any_of(ends, is_meant);
         if (ends_here) {
