Let two entries of each data centre read the store and hand on what changed

Cause: calls to the store grew with entries times changes.

Ruled out: waiting readings of the list (servers write 150 times a second), the store's groups (a call a second and member), one reader for all data centres (docs/design/store-readers.md).

Change: the first two living entries of each data centre read for the others. What a reading changed is sent at once to the reader's data centre and to two entries of each other one, which pass it on; what is lost is asked of whoever tells of it, and read from the store after 300 ms. Orders and newer rules are told the same way. An entry that starts asks neighbours first. Peers are named in turn in messages. Calls are counted by kind; the state page shows readers, source and age of the list.

A reader frozen between question and answer told all others that an old answer was of this moment (test). A neighbour that names a position which the store never had is found out (test).

--- /dev/null
+++ b/source/core/router/counted_store.cpp
@@ -0,0 +1,31 @@
+#include "router/counted_store.hpp"
+
+#include <utility>
+
+namespace reedramp::router {
+
+namespace {
+
+template <typename Call>
+auto counting(Call call, const char* kind, router_metrics& counters) -> Call
+{
+    return [call = std::move(call), kind, &counters](auto... arguments) {
+        counters.count_store_call(kind);
+        call(std::move(arguments)...);
+    };
+}
+
+} // namespace
+
+auto counted(shared_store store, router_metrics& counters) -> shared_store
+{
+    store.read_rules = counting(std::move(store.read_rules), "rules", counters);
+    store.read_servers = counting(std::move(store.read_servers), "servers", counters);
+    store.read_outcomes = counting(std::move(store.read_outcomes), "rollout_states", counters);
+    store.write_outcome = counting(std::move(store.write_outcome), "write_rollout_state", counters);
+    store.read_entries = counting(std::move(store.read_entries), "entries", counters);
+    store.write_entry = counting(std::move(store.write_entry), "write_entry", counters);
+    return store;
+}
+
+} // namespace reedramp::router
--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -10,6 +10,7 @@
 #include <capnp/serialize.h>
 #include <kj/exception.h>
 
+#include "placement/affinity.hpp"
 #include "router/generated/peers.capnp.h"
 
 namespace reedramp::router {
@@ -147,10 +148,16 @@
     words.host = common::host_id{text_of(from.getHost())};
     words.process = from.getProcess();
     words.address = text_of(from.getAddress());
+    words.place = from.getDataCentre();
     words.rules_version = from.getRulesVersion();
     for (const auto load : from.getLoads()) {
-        words.loads.push_back(
-            {load.getServer(), {load.getRequests(), load.getWork(), load.getReading()}});
+        const bool is_sound = std::isfinite(load.getRequests()) && std::isfinite(load.getWork()) &&
+                              std::isfinite(load.getReading());
+        // What is no number would stay in every sum.
+        if (is_sound) {
+            words.loads.push_back(
+                {load.getServer(), {load.getRequests(), load.getWork(), load.getReading()}});
+        }
     }
     words.freshness = {
         from.getListChanged(),
@@ -185,6 +192,11 @@
 
 } // namespace
 
+auto place_of(const common::data_centre_id& data_centre) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(placement::affinity_hash(data_centre.value()));
+}
+
 auto encode(const peer_words& words) -> std::string
 {
     capnp::MallocMessageBuilder message;
@@ -192,6 +204,7 @@
     root.setHost(words.host.value());
     root.setProcess(words.process);
     root.setAddress(words.address);
+    root.setDataCentre(words.place);
     root.setRulesVersion(words.rules_version);
     auto loads = root.initLoads(static_cast<unsigned>(words.loads.size()));
     for (unsigned i = 0; i < words.loads.size(); ++i) {
--- a/source/core/router/peer_message.hpp
+++ b/source/core/router/peer_message.hpp
@@ -23,6 +23,8 @@
     std::uint64_t process = 0;
     /// "IP:port" on which the sender hears its peers and gives its rules out.
     std::string address;
+    /// `place_of` the sender's data centre; 0 from earlier releases.
+    std::uint32_t place = 0;
     /// 0 without rules.
     std::uint64_t rules_version = 0;
     std::vector<routing::told_load> loads;
@@ -42,6 +44,9 @@
     std::optional<std::chrono::milliseconds> ends_in;
 };
 
+/// A data centre as entries name it to each other: a hash, as only equality counts.
+auto place_of(const common::data_centre_id& data_centre) -> std::uint32_t;
+
 auto encode(const peer_words& words) -> std::string;
 
 /// Error `malformed_request` for bytes that are no such message.
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -79,4 +79,47 @@
   # Random, another one for each process of a host; 0 from earlier releases.
   process @14 :UInt64;
   listReading @15 :UInt64;
+  # Hash of the sender's data centre; 0 from earlier releases. Its name would be 16 bytes more, ten
+  # thousand times a second over all entries.
+  dataCentre @16 :UInt32;
+}
+
+# A change of the servers' list, as the store gave it to an entry that read it.
+struct ServerChange {
+  id @0 :Text;
+  # The registration has ended, or its record is none; the rest is empty then.
+  isGone @1 :Bool;
+  # Why the record is no registration; empty if it is one, or has ended.
+  problem @2 :Text;
+  service @3 :Text;
+  address @4 :Text;
+  dataCentre @5 :Text;
+  version @6 :Text;
+  slots @7 :UInt32;
+  isLeaving @8 :Bool;
+  coldMs @9 :UInt32;
+  bornMs @10 :UInt64;
+}
+
+# What an entry has read of the servers' list, for its neighbours: as a datagram behind the bytes
+# that codec list_news.cpp names, and packed as the answer to a neighbour that lacks something.
+struct ListNews {
+  host @0 :Text;
+  address @1 :Text;
+  dataCentre @2 :Text;
+  # As in Words.
+  listChanged @3 :UInt64;
+  listAgeMs @4 :UInt32;
+  storeSteadyMs @5 :UInt32;
+  listReader @6 :UInt64;
+  listReading @7 :UInt64;
+  rulesVersion @8 :UInt64;
+  # Combined hash of the servers that get work at the sender; tells a neighbour whether its list is
+  # the same.
+  digest @9 :UInt64;
+  # The changes are those after this position, or the whole list.
+  from @10 :UInt64;
+  isWhole @11 :Bool;
+  end @12 :UInt64;
+  changes @13 :List(ServerChange);
 }
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -23,7 +23,12 @@
           milliseconds_range)),
       answer_ms(registry.histogram_of(
           "router_answer_ms", "From a request to its end, in ms.", {}, milliseconds_range)),
-      under_way(registry.gauge_of("router_under_way", "Requests without a final answer."))
+      under_way(registry.gauge_of("router_under_way", "Requests without a final answer.")),
+      list_questions(registry.counter_of(
+          "router_list_questions_total",
+          "Questions to neighbours for missing changes of the servers' list.")),
+      list_rejected(registry.counter_of(
+          "router_list_rejected_total", "News of the servers' list that were not taken."))
 {
 }
 
@@ -34,6 +39,13 @@
         .add();
 }
 
+auto router_metrics::count_store_call(const std::string& call) const -> void
+{
+    this->all
+        .counter_of("router_store_calls_total", "Calls to the platform's store.", {{"call", call}})
+        .add();
+}
+
 auto router_metrics::count_skipped(const std::string& stream, std::size_t records) const -> void
 {
     if (records == 0) {
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -19,6 +19,10 @@
     metrics::histogram& first_event_ms;
     metrics::histogram& answer_ms;
     metrics::gauge& under_way;
+    /// Questions to neighbours for what is missing of the servers' list.
+    metrics::counter& list_questions;
+    /// News of the list from neighbours that were none, or lay ahead of the store.
+    metrics::counter& list_rejected;
 
     /// A request's end, by result: "served", the name of a result code, or "caller_left".
     auto count_end(const std::string& result) const -> void;
@@ -26,6 +30,9 @@
     /// A word of a backend server that changed what is believed of it, or that can't be believed.
     auto count_server_word(const std::string& what) const -> void;
 
+    /// A call to the platform's store; each is paid for.
+    auto count_store_call(const std::string& call) const -> void;
+
     /// Records of one of the product's own streams that could not be read.
     auto count_skipped(const std::string& stream, std::size_t records) const -> void;
 };
--- a/source/core/router/rules_follower.cpp
+++ b/source/core/router/rules_follower.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::chrono::milliseconds at_once{0};
 
+/// Whether an entry's readers live shows each 100 ms, as peers speak.
+constexpr std::chrono::milliseconds between_checks{100};
+
 } // namespace
 
 auto pause_after_failure(const router_core& core, const follower_options& options)
@@ -24,14 +27,22 @@
 rules_follower::rules_follower(
     std::shared_ptr<router_core> core_to_feed,
     shared_store store_to_read,
-    follower_options options_to_use)
-    : core(std::move(core_to_feed)), store(std::move(store_to_read)), options(options_to_use)
+    follower_options options_to_use,
+    std::function<auto()->bool> reads_in_turn,
+    std::function<auto()->void> after_reading)
+    : core(std::move(core_to_feed)), store(std::move(store_to_read)), options(options_to_use),
+      reads(std::move(reads_in_turn)), on_read(std::move(after_reading))
 {
 }
 
 auto rules_follower::start() -> void
 {
-    this->read_outcomes();
+    if (this->core->rules() == nullptr) {
+        this->read_outcomes();
+        return;
+    }
+    // A neighbour has given all that there is; the store is read when this entry's turn comes.
+    this->read_in_turn();
 }
 
 /// The states of roll-outs first: an order that is read without its state would begin anew.
@@ -90,10 +101,8 @@
         this->core->hooks.timer(
             now + pause_after_failure(*this->core, this->options),
             [self = this->shared_from_this(), number = this->newest] {
-                // Not waiting: while the store is away, a call that waits looks like one that is
-                // lost, and the next one would come seconds after the store.
                 if (number == self->newest) {
-                    self->read_next(at_once);
+                    self->read_after_failure();
                 }
             });
         return;
@@ -111,7 +120,49 @@
         }
     }
     this->position = reading->end;
+    if (this->on_read) {
+        this->on_read();
+    }
+    this->read_in_turn();
+}
+
+auto rules_follower::read_on() -> void
+{
+    if (this->newest == 0) {
+        this->read_outcomes();
+        return;
+    }
     this->read_next(this->options.rules_wait);
 }
 
+auto rules_follower::read_after_failure() -> void
+{
+    // Who has rules and does not read for others leaves the store to those that do; without any
+    // rules nothing can be served.
+    const bool leaves_it = this->core->rules() != nullptr && this->reads && !this->reads();
+    if (leaves_it) {
+        this->read_in_turn();
+        return;
+    }
+    // Not waiting: while the store is away, a call that waits looks like one that is lost, and the
+    // next one would come seconds after the store.
+    this->read_next(at_once);
+}
+
+auto rules_follower::read_in_turn() -> void
+{
+    if (!this->reads || this->reads()) {
+        this->read_on();
+        return;
+    }
+    this->core->hooks.timer(
+        this->core->hooks.clock() + between_checks,
+        [self = this->shared_from_this(), number = this->newest] {
+            // Another reading may have begun meanwhile, when the store came back.
+            if (number == self->newest) {
+                self->read_in_turn();
+            }
+        });
+}
+
 } // namespace reedramp::router
--- a/source/core/router/rules_follower.hpp
+++ b/source/core/router/rules_follower.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -25,12 +26,22 @@
 
 /// Keeps the rules and the orders of roll-outs up to date from the store.
 ///
-/// One reading is always waiting at the store, so that a change comes at once and a quiet day costs
-/// few calls. Where the store has dropped the records since the last reading, all is read anew.
+/// At an entry that `reads`, one reading is always waiting at the store, so that a change comes at
+/// once and a quiet day costs few calls. The others hear of a newer version, and of orders, from
+/// peers: with a reading of each entry, calls grew with the entries. Where the store has dropped
+/// the records since the last reading, all is read anew.
 class rules_follower : public std::enable_shared_from_this<rules_follower> {
 public:
-    rules_follower(std::shared_ptr<router_core> core, shared_store store, follower_options options);
+    /// `reads` tells whether this entry is one of those that read for the others; empty: it is.
+    /// `on_read` runs after each reading; may be empty.
+    rules_follower(
+        std::shared_ptr<router_core> core,
+        shared_store store,
+        follower_options options,
+        std::function<auto()->bool> reads = {},
+        std::function<auto()->void> on_read = {});
 
+    /// From the store, unless rules are in force: then a neighbour has given them.
     auto start() -> void;
 
     /// The store answers again after it was away: reads at once. A reading that was sent meanwhile
@@ -42,11 +53,17 @@
     auto read_outcomes() -> void;
     /// Reads what is new, and waits for it up to `wait`.
     auto read_next(std::chrono::milliseconds wait) -> void;
+    auto read_on() -> void;
+    auto read_after_failure() -> void;
+    /// Reads on at once, or as soon as this entry is one of those that do.
+    auto read_in_turn() -> void;
     auto on_reading(common::result<stream_reading<rules_document>> reading) -> void;
 
     std::shared_ptr<router_core> core;
     shared_store store;
     follower_options options;
+    std::function<auto()->bool> reads;
+    std::function<auto()->void> on_read;
     std::optional<stream_position> position;
 
     bool is_lost = false;
--- a/source/core/routing/list_freshness.cpp
+++ b/source/core/routing/list_freshness.cpp
@@ -4,20 +4,32 @@
 
 namespace reedramp::routing {
 
-auto list_freshness::note_read(std::uint64_t end, bool has_changed, time_point now) -> void
+auto list_freshness::note_read(
+    std::uint64_t end, bool has_changed, time_point now, std::optional<time_point> asked_at) -> void
 {
     this->position = end;
     if (has_changed || !this->has_read) {
         this->changed = std::max(this->changed, end);
     }
+    // The store answers with all that it has. A change beyond that, told before the question, was
+    // never there; believed, it would have this entry read again and again.
+    if (this->changed > end && this->lacking_since < asked_at.value_or(now)) {
+        this->changed = end;
+    }
     this->has_read = true;
-    this->current_at = now;
+    this->current_at = std::max(asked_at.value_or(now), now - this->settings.longest_answer);
     this->own_readings += 1;
     this->current_reader = this->settings.reader;
     this->current_number = this->own_readings;
     this->contact.note_answer(now);
 }
 
+auto list_freshness::note_told(std::uint64_t end) -> void
+{
+    this->position = end;
+    this->has_read = true;
+}
+
 auto list_freshness::is_news(const told_freshness& told) -> bool
 {
     if (told.reader == 0) {
@@ -37,18 +49,23 @@
     return is_new;
 }
 
-auto list_freshness::hear(const told_freshness& told, time_point now) -> void
+auto list_freshness::hear(const told_freshness& told, time_point now) -> bool
 {
     const auto read_at = now - std::max(told.age, std::chrono::milliseconds{0});
     const bool is_new = this->is_news(told);
     this->contact.hear(read_at - told.steady, read_at, now, is_new);
-    this->changed = std::max(this->changed, told.changed);
+    if (told.changed > this->changed) {
+        const bool lacked_none = !this->lacks_change();
+        this->changed = told.changed;
+        this->lacking_since = lacked_none ? now : this->lacking_since;
+    }
     const bool shows_it = this->has_read && told.changed <= this->position;
     if (is_new && shows_it && read_at > this->current_at) {
         this->current_at = read_at;
         this->current_reader = told.reader;
         this->current_number = told.number;
     }
+    return is_new;
 }
 
 auto list_freshness::tell(time_point now) const -> told_freshness
@@ -71,15 +88,19 @@
         this->current_number};
 }
 
-auto list_freshness::is_due(std::size_t rank, time_point now) const -> bool
+auto list_freshness::is_due(std::size_t rank, time_point now, bool is_reader) const -> bool
 {
-    if (!this->has_read || this->changed > this->position) {
+    if (!this->has_read) {
+        return true;
+    }
+    if (this->lacks_change() && now - this->lacking_since >= this->settings.hand_on_time) {
         return true;
     }
     const auto steps = static_cast<int>(std::min(rank, this->settings.most_steps));
     const auto later = steps == 0 ? common::duration{0}
                                   : this->settings.lead + this->settings.rank_step * (steps - 1);
-    return now - this->current_at >= this->settings.period + later;
+    const auto others = is_reader ? common::duration{0} : this->settings.others_wait;
+    return now - this->current_at >= this->settings.period + later + others;
 }
 
 } // namespace reedramp::routing
--- a/source/core/routing/list_freshness.hpp
+++ b/source/core/routing/list_freshness.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 #include "common/units.hpp"
@@ -39,6 +40,18 @@
     common::duration rank_step = std::chrono::milliseconds{50};
     /// Ranks that wait longer than those before them; the rest would wait too long if they failed.
     std::size_t most_steps = 4;
+    /// Who is none of its data centre's readers waits for this longer than the last of those: what
+    /// they read is handed on within some 20 ms, and repaired by the next words of a peer, 100 ms
+    /// later. Hundreds of entries with 50 ms between them read the list ten times as often as it
+    /// takes; nobody's news within 1.6 s still leaves half of the time in which a server that
+    /// leaves takes work.
+    common::duration others_wait = std::chrono::milliseconds{200};
+    /// A change that an entry has heard of, and not got from its neighbours, is read from the store
+    /// after this. Zero where neighbours hand nothing on.
+    common::duration hand_on_time{0};
+    /// The most by which an answer of the store may be older than its arrival. A process that stood
+    /// still finds an answer of seconds ago, and would tell all others that nothing has changed.
+    common::duration longest_answer = std::chrono::milliseconds{500};
     /// Names this process among all readers; random. 0: its readings are told by their age alone.
     std::uint64_t reader = 0;
 };
@@ -53,13 +66,22 @@
 public:
     explicit list_freshness(freshness_options options) : settings(options) {}
 
-    /// This entry has read up to `end`; `has_changed` if that changed the list.
-    auto note_read(std::uint64_t end, bool has_changed, time_point now) -> void;
+    /// This entry has read up to `end`; `has_changed` if that changed the list. `asked_at` is when
+    /// the store was asked; just now if it is left out.
+    auto note_read(
+        std::uint64_t end,
+        bool has_changed,
+        time_point now,
+        std::optional<time_point> asked_at = std::nullopt) -> void;
+
+    /// A neighbour has handed the list on up to `end`.
+    auto note_told(std::uint64_t end) -> void;
 
     /// This entry's own reading, sent at `asked_at`, has failed.
     auto note_failure(time_point asked_at) -> void { this->contact.note_failure(asked_at); }
 
-    auto hear(const told_freshness& told, time_point now) -> void;
+    /// True if that reading was not known yet.
+    auto hear(const told_freshness& told, time_point now) -> bool;
 
     /// End of the store's last outage that this process has seen; see `store_contact`.
     [[nodiscard]] auto outage_ended(time_point now) const -> time_point
@@ -72,8 +94,16 @@
     /// Where this entry's own reading stands; 0 before the first.
     [[nodiscard]] auto read_to() const -> std::uint64_t { return this->position; }
 
-    /// Whether to read now, when `rank` living entries go before this one.
-    [[nodiscard]] auto is_due(std::size_t rank, time_point now) const -> bool;
+    /// Whether to read now, when `rank` living entries go before this one. `is_reader` if it is one
+    /// of those that read for their data centre.
+    [[nodiscard]] auto is_due(std::size_t rank, time_point now, bool is_reader = true) const
+        -> bool;
+
+    /// Another entry knows of a change that this one's list lacks.
+    [[nodiscard]] auto lacks_change() const -> bool { return this->changed > this->position; }
+
+    /// When the list that it holds was last known to be the newest, and by whose reading.
+    [[nodiscard]] auto known_current_at() const -> time_point { return this->current_at; }
 
 private:
     /// Whether this entry has not heard of that reading yet; from then on it has.
@@ -85,6 +115,8 @@
     std::uint64_t position = 0;
     /// The newest change that it knows of, read or told.
     std::uint64_t changed = 0;
+    /// When this entry began to lack it.
+    time_point lacking_since{};
     /// When the list that it holds was last known to be the newest.
     time_point current_at{};
     /// The reading that shows it.
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -30,6 +30,7 @@
     if (found != this->rollouts.end() && found->second.order == wanted) {
         return;
     }
+    this->orders += 1;
     if (found != this->rollouts.end()) {
         this->infer_end(found->second, now);
     }
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -90,6 +90,10 @@
     }
 
     auto order(const rollout_order& wanted, time_point now) -> void;
+
+    /// How many orders this entry has taken; grows with each one that is new to it.
+    [[nodiscard]] auto orders_taken() const -> std::uint64_t { return this->orders; }
+
     auto learn(const rollout_status& status) -> void;
     auto hear(const common::host_id& peer, const std::vector<told_rollout>& words, time_point now)
         -> void;
@@ -231,6 +235,7 @@
         -> std::vector<told_session>;
 
     rollout_options settings;
+    std::uint64_t orders = 0;
     std::map<common::service_name, rollout> rollouts;
     std::map<common::service_name, service_history> histories;
     /// What is usual of the version in use, gathered while no roll-out runs. A roll-out starts from
--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -348,6 +348,28 @@
     return all;
 }
 
+auto server_table::registrations(time_point now) const -> std::vector<registration_change>
+{
+    std::vector<registration_change> all;
+    for (const auto& [id, known] : this->servers) {
+        if (known.state == server_state::unreadable) {
+            all.push_back({id, std::nullopt, "unreadable for a neighbour"});
+            continue;
+        }
+        // One that is known to leave by hearsay alone has no record to hand on.
+        if (known.state == server_state::lapsed || known.last.address.empty()) {
+            continue;
+        }
+        registration_change one{id, known.last};
+        one.now->is_leaving = known.state == server_state::leaving;
+        one.now->cold_for = std::max(
+            std::chrono::duration_cast<std::chrono::milliseconds>(known.last.cold_until - now),
+            std::chrono::milliseconds{0});
+        all.push_back(std::move(one));
+    }
+    return all;
+}
+
 auto server_table::usable(const common::service_name& service) const
     -> const std::vector<const registration*>&
 {
@@ -381,6 +403,15 @@
         this->servers, [](const auto& item) { return item.second.state == server_state::lapsed; });
 }
 
+auto server_table::digest() const -> std::uint64_t
+{
+    std::uint64_t sum = 0;
+    for (const auto& [id, known] : this->servers) {
+        sum += known.gets_work() ? hash_of(known.last.start()) : 0;
+    }
+    return sum;
+}
+
 auto server_table::size() const -> std::size_t
 {
     return static_cast<std::size_t>(std::ranges::count_if(
--- a/source/core/routing/server_table.hpp
+++ b/source/core/routing/server_table.hpp
@@ -158,6 +158,9 @@
     /// Ids that a reading of the whole list would name, if nothing had changed.
     [[nodiscard]] auto listed() const -> std::vector<common::server_id>;
 
+    /// What a reading of the whole list would give, for a neighbour that has none.
+    [[nodiscard]] auto registrations(time_point now) const -> std::vector<registration_change>;
+
     /// Servers of a service that may get new work. Kept from one look to the next while nothing
     /// changes in who gets work; valid until the table changes.
     [[nodiscard]] auto usable(const common::service_name& service) const
@@ -175,6 +178,9 @@
 
     [[nodiscard]] auto has_lapsed() const -> bool;
 
+    /// Combined hash of the starts that may get work; equal where the same ones do.
+    [[nodiscard]] auto digest() const -> std::uint64_t;
+
     /// How many may get work.
     [[nodiscard]] auto size() const -> std::size_t;
 
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -1,6 +1,7 @@
 #include "peer_group.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "common/log.hpp"
@@ -11,12 +12,26 @@
 
 /// Peers told at a time. At a message of some 300 bytes each 100 ms, 12 KB a second go out.
 constexpr std::size_t told_at_once = 4;
-/// Addresses of others in a message; enough to find all within some messages.
+/// Addresses of others in a message, another few each time: an entry that hears forty messages a
+/// second meets a hundred others within two seconds.
 constexpr std::size_t named_peers = 8;
 /// Least time of silence after which a peer is not counted among the living, and the rounds of
 /// messages that it may miss.
 constexpr common::duration least_silence = std::chrono::seconds{2};
 constexpr int missed_rounds = 3;
+/// After an order, all peers are told in this time which sessions are on an old version, and not in
+/// turn: the first ones are moved 0.6 s after it, and a round of a hundred entries takes 2.6 s.
+constexpr common::duration hurried_round = std::chrono::milliseconds{500};
+/// Entries of a data centre that read the store for all of it, and pass news on in it: with one,
+/// its death costs all of them the time until that shows.
+constexpr std::size_t readers_in_each = 2;
+/// A reader of this entry's data centre that has been silent for so long is not relied on. Two
+/// news of the list, which it passes on each second.
+constexpr common::duration near_reader_silence = std::chrono::milliseconds{2200};
+/// One of another data centre speaks once a round.
+constexpr double far_reader_rounds = 1.25;
+/// An entry that has just started has not heard the others yet, and would read as if it were alone.
+constexpr common::duration finds_peers_within = std::chrono::seconds{1};
 /// A peer's load counts for this many rounds: it is gone soon after its entry.
 constexpr int trusted_rounds = 5;
 /// From the end of an entry's process until callers reach the next one: the platform's pause of
@@ -42,17 +57,20 @@
     http::endpoint address,
     std::chrono::milliseconds tell_period,
     send_hook send_datagram,
-    newer_rules_hook newer_rules)
+    newer_rules_hook newer_rules,
+    newer_list_hook newer_list)
     : core(std::move(core_to_tell_of)), self(std::move(own_host)),
-      process(this->core->hooks.random()), own_address(std::move(address)),
-      send(std::move(send_datagram)), on_newer_rules(std::move(newer_rules)), period(tell_period)
+      place(router::place_of(this->core->options.data_centre)), process(this->core->hooks.random()),
+      own_address(std::move(address)), send(std::move(send_datagram)),
+      on_newer_rules(std::move(newer_rules)), on_newer_list(std::move(newer_list)),
+      started(this->core->hooks.clock()), spread(this->newest_news()), period(tell_period)
 {
 }
 
 auto peer_group::add(const http::endpoint& where) -> void
 {
     if (where != this->own_address) {
-        this->peers.try_emplace(where, peer{this->core->hooks.clock(), {}});
+        this->peers.try_emplace(where, peer{this->core->hooks.clock(), {}, 0});
     }
 }
 
@@ -67,12 +85,14 @@
     return std::max<common::duration>(least_silence, round * missed_rounds);
 }
 
-auto peer_group::own_words(common::time_point now) const -> router::peer_words
+auto peer_group::own_words(common::time_point now, std::size_t most_named) const
+    -> router::peer_words
 {
     router::peer_words words;
     words.host = this->self;
     words.process = this->process;
     words.address = http::to_string(this->own_address);
+    words.place = this->place;
     words.rules_version = this->core->rules() == nullptr ? 0 : this->core->rules()->version();
     words.loads = this->core->loads.tell();
     words.rollouts = this->core->rollouts.tell(now);
@@ -84,11 +104,7 @@
         words.ends_in =
             std::chrono::duration_cast<std::chrono::milliseconds>(this->core->leaves_at() - now);
     }
-    for (const auto& [where, known] : this->peers) {
-        if (words.peers.size() < named_peers && now - known.heard < this->silence()) {
-            words.peers.push_back(http::to_string(where));
-        }
-    }
+    words.peers = this->some_living(most_named);
     return words;
 }
 
@@ -97,8 +113,8 @@
     const auto now = this->core->hooks.clock();
     std::erase_if(
         this->peers, [now](const auto& item) { return now - item.second.heard > forgotten_after; });
-    const auto bytes = router::encode(this->own_words(now));
-    const auto count = std::min(told_at_once, this->peers.size());
+    const auto bytes = router::encode(this->own_words(now, named_peers));
+    const auto count = this->told_now(now);
     auto next = this->peers.upper_bound(this->told_last);
     for (std::size_t i = 0; i < count; ++i) {
         if (next == this->peers.end()) {
@@ -110,6 +126,70 @@
     }
 }
 
+auto peer_group::some_living(std::size_t most) const -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    if (this->peers.empty()) {
+        return names;
+    }
+    const auto now = this->core->hooks.clock();
+    const auto skipped = this->core->hooks.random() % this->peers.size();
+    auto next = std::next(this->peers.begin(), static_cast<std::ptrdiff_t>(skipped));
+    for (std::size_t i = 0; i < this->peers.size() && names.size() < most; ++i) {
+        if (now - next->second.heard < this->silence()) {
+            names.push_back(http::to_string(next->first));
+        }
+        ++next;
+        next = next == this->peers.end() ? this->peers.begin() : next;
+    }
+    return names;
+}
+
+auto peer_group::told_now(common::time_point now) const -> std::size_t
+{
+    const auto usual = std::min(told_at_once, this->peers.size());
+    if (now >= this->hurries_until) {
+        return usual;
+    }
+    const auto calls = static_cast<std::size_t>(hurried_round / this->period);
+    return std::max(usual, (this->peers.size() + calls - 1) / std::max<std::size_t>(calls, 1));
+}
+
+auto peer_group::newest_news() const -> urgent_news
+{
+    const auto& rules = this->core->rules();
+    return {rules == nullptr ? 0 : rules->version(), this->core->rollouts.orders_taken()};
+}
+
+auto peer_group::spread_news() -> void
+{
+    const auto newest = this->newest_news();
+    if (newest == this->spread) {
+        return;
+    }
+    const auto now = this->core->hooks.clock();
+    if (newest.orders != this->spread.orders) {
+        this->hurries_until = now + hurried_round;
+    }
+    this->spread = newest;
+    const auto to = this->audience();
+    if (!to.passes_on) {
+        return;
+    }
+    const auto bytes = router::encode(this->own_words(now, named_peers));
+    for (const auto& where : to.near) {
+        this->send(where, bytes);
+    }
+    for (const auto& where : to.far) {
+        this->send(where, bytes);
+    }
+}
+
+auto peer_group::words_for_start() const -> std::string
+{
+    return router::encode(this->own_words(this->core->hooks.clock(), this->peers.size()));
+}
+
 auto peer_group::hear(std::string_view bytes) -> void
 {
     const auto words = router::decode_peer_words(bytes);
@@ -127,6 +207,7 @@
     }
     known.heard = now;
     known.host = words->host;
+    known.place = words->place;
     known.ends_at = words->ends_in ? now + *words->ends_in : common::never;
     for (const auto& other : words->peers) {
         if (const auto where = http::parse_endpoint(other)) {
@@ -144,6 +225,105 @@
     if (words->rules_version > own_version) {
         this->on_newer_rules(*from);
     }
+    this->spread_news();
+    const bool has_more = words->freshness.changed > this->core->freshness.read_to();
+    if (has_more && this->on_newer_list) {
+        this->on_newer_list(*from);
+    }
+}
+
+auto peer_group::note_news(const router::list_news& news, const http::endpoint& from) -> void
+{
+    auto& known = this->peers[from];
+    known.heard = this->core->hooks.clock();
+    known.host = news.host;
+    known.place = router::place_of(news.data_centre);
+    const auto own_version = this->core->rules() == nullptr ? 0 : this->core->rules()->version();
+    if (news.rules_version > own_version) {
+        this->on_newer_rules(from);
+    }
+}
+
+auto peer_group::reader_silence(std::uint32_t at) const -> common::duration
+{
+    if (at == this->place) {
+        return near_reader_silence;
+    }
+    const auto round = this->period * static_cast<int>(this->calls_per_round());
+    return std::max<common::duration>(
+        near_reader_silence,
+        std::chrono::duration_cast<common::duration>(round * far_reader_rounds));
+}
+
+auto peer_group::by_data_centre() const -> std::map<std::uint32_t, std::vector<reader>>
+{
+    const auto now = this->core->hooks.clock();
+    std::map<std::uint32_t, std::vector<reader>> all;
+    all[this->place].push_back({this->self, this->own_address});
+    for (const auto& [where, known] : this->peers) {
+        const bool is_relied_on = !known.host.value().empty() && known.ends_at == common::never &&
+                                  now - known.heard < this->reader_silence(known.place);
+        if (is_relied_on) {
+            all[known.place].push_back({known.host, where});
+        }
+    }
+    for (auto& [at, readers] : all) {
+        std::ranges::sort(readers, {}, &reader::host);
+    }
+    return all;
+}
+
+auto peer_group::audience() const -> router::news_audience
+{
+    router::news_audience to;
+    const auto now = this->core->hooks.clock();
+    for (const auto& [where, known] : this->peers) {
+        // All that may live: a datagram to one that does not costs little, and one that is left out
+        // learns of a leaving server later.
+        if (known.place == this->place && now - known.heard < this->silence()) {
+            to.near.push_back(where);
+        }
+    }
+    for (const auto& [at, readers] : this->by_data_centre()) {
+        const auto count = std::min(readers.size(), readers_in_each);
+        const auto few = std::vector<reader>(
+            readers.begin(), readers.begin() + static_cast<std::ptrdiff_t>(count));
+        if (at != this->place) {
+            std::ranges::transform(few, std::back_inserter(to.far), &reader::where);
+        }
+        else {
+            to.passes_on = std::ranges::find(few, this->self, &reader::host) != few.end();
+        }
+    }
+    return to;
+}
+
+auto peer_group::turn() const -> router::reader_turn
+{
+    const auto all = this->by_data_centre();
+    const auto& near = all.at(this->place);
+    const auto own_place =
+        static_cast<std::size_t>(std::ranges::find(near, this->self, &reader::host) - near.begin());
+    std::size_t before = 0;
+    for (const auto& [at, readers] : all) {
+        before += std::min(readers.size(), own_place);
+        const bool goes_first =
+            readers.size() > own_place && at != this->place && readers[own_place].host < this->self;
+        before += goes_first ? 1 : 0;
+    }
+    const bool knows_peers = this->core->hooks.clock() - this->started >= finds_peers_within;
+    return {before, own_place < readers_in_each && knows_peers};
+}
+
+auto peer_group::readers() const -> std::vector<common::host_id>
+{
+    const auto all = this->by_data_centre();
+    const auto& near = all.at(this->place);
+    std::vector<common::host_id> names;
+    for (std::size_t i = 0; i < std::min(near.size(), readers_in_each); ++i) {
+        names.push_back(near[i].host);
+    }
+    return names;
 }
 
 auto peer_group::hear_of_servers(const router::peer_words& words, common::time_point now) -> void
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -114,6 +114,9 @@
     read.balancer_time = values.milliseconds("shutdown.balancer");
     read.peer_period = values.milliseconds("peers.period");
     read.router.freshness.period = values.milliseconds("store.servers_period");
+    // One lost datagram, and the answer to a question.
+    constexpr std::chrono::milliseconds hand_on_time{300};
+    read.router.freshness.hand_on_time = hand_on_time;
     read.router.data_centre = read.data_centre;
     read.router.rollout.session_time = values.milliseconds("session_time");
     // In the first half, so that it takes up three fifths of what a bad version may get; the rest
--- a/source/router/state_page.cpp
+++ b/source/router/state_page.cpp
@@ -40,11 +40,33 @@
         {"left_on_old", one.left_on_old}};
 }
 
+auto list_row(
+    const router::router_core& core,
+    const peer_group& peers,
+    const router::list_courier& courier,
+    common::time_point now) -> json::object
+{
+    json::array readers;
+    for (const auto& reader : peers.readers()) {
+        readers.emplace_back(reader.value());
+    }
+    const auto told = core.freshness.tell(now);
+    return {
+        {"read_to", core.freshness.read_to()},
+        {"age_ms", told.age.count()},
+        {"told_by", courier.source()},
+        {"lacks_change", core.freshness.lacks_change()},
+        {"readers", std::move(readers)},
+        {"reads", peers.turn().is_reader}};
+}
+
 } // namespace
 
 auto state_page(
-    const router::router_core& core, const peer_group& peers, const common::host_id& host)
-    -> std::string
+    const router::router_core& core,
+    const peer_group& peers,
+    const router::list_courier& courier,
+    const common::host_id& host) -> std::string
 {
     const auto now = core.hooks.clock();
     json::array servers;
@@ -62,6 +84,7 @@
         {"under_way", core.under_way()},
         {"wait_level", core.waits.level()},
         {"peers", peers.heard()},
+        {"list", list_row(core, peers, courier, now)},
         {"servers", std::move(servers)},
         {"rollouts", std::move(rollouts)}});
 }
--- a/source/router/state_page.hpp
+++ b/source/router/state_page.hpp
@@ -10,7 +10,9 @@
 /// What this entry believes, as JSON for operators: rules in force, servers with their load, pace
 /// and health, roll-outs, peers.
 auto state_page(
-    const router::router_core& core, const peer_group& peers, const common::host_id& host)
-    -> std::string;
+    const router::router_core& core,
+    const peer_group& peers,
+    const router::list_courier& courier,
+    const common::host_id& host) -> std::string;
 
 } // namespace reedramp::router_program
--- /dev/null
+++ b/source/unit_tests/router/entry_fleet.cpp
@@ -0,0 +1,297 @@
+#include "entry_fleet.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace reedramp::router::testing {
+
+namespace {
+
+constexpr milliseconds step_time{10};
+constexpr milliseconds tell_period{100};
+/// A datagram on the way, and a call to the store or a neighbour, there and back.
+constexpr milliseconds trip{2};
+constexpr milliseconds call_time{6};
+
+} // namespace
+
+entry_fleet::entry_fleet(const fleet_shape& wanted) : shape(wanted), random(wanted.seed)
+{
+    for (const auto* server : {"a", "b", "c", "d"}) {
+        this->write(server);
+    }
+    for (std::size_t i = 0; i < this->shape.entries; ++i) {
+        this->make_entry(i);
+    }
+    for (auto& one : this->entries) {
+        for (auto& other : this->entries) {
+            if (!this->shape.knows_first_only || other == this->entries.front()) {
+                one->peers->add(other->where);
+            }
+        }
+        one->follower->start();
+    }
+}
+
+auto entry_fleet::make_entry(std::size_t number) -> void
+{
+    this->entries.push_back(std::make_unique<entry>());
+    auto& one = *this->entries.back();
+    one.where = {"10.0." + std::to_string(number / 200) + "." + std::to_string(number % 200), 7000};
+    one.data_centre = number % this->shape.data_centres;
+    this->numbers[one.where] = number;
+    one.own.now = this->now;
+    one.own.core->hooks.random = [this] {
+        return this->random();
+    };
+    one.own.core->options.data_centre =
+        common::data_centre_id{"dc-" + std::to_string(one.data_centre)};
+    if (this->shape.hands_on) {
+        one.own.core->options.freshness.hand_on_time = milliseconds{300};
+    }
+    one.own.core->options.freshness.reader = number + 1;
+    one.own.core->freshness = routing::list_freshness{one.own.core->options.freshness};
+    const common::host_id host{"host-" + std::to_string(1000 + number)};
+    one.peers = std::make_unique<router_program::peer_group>(
+        one.own.core,
+        host,
+        one.where,
+        tell_period,
+        [this, number](const http::endpoint& to, std::string bytes) {
+            this->send(number, to, std::move(bytes));
+        },
+        [](const http::endpoint&) {},
+        [this, &one](const http::endpoint& from) {
+            if (this->shape.hands_on) {
+                one.courier->fetch_from(from);
+            }
+        });
+    one.list = std::make_shared<servers_list>(one.own.core, follower_options{});
+    courier_hooks hooks;
+    hooks.send = [this, number](const http::endpoint& to, const std::string& bytes) {
+        this->send(number, to, bytes);
+    };
+    hooks.ask = [this, number](const auto& of, auto since, auto done) {
+        this->ask(number, of, since, std::move(done));
+    };
+    hooks.audience = [&one] {
+        return one.peers->audience();
+    };
+    hooks.on_heard = [&one](const list_news& news, const http::endpoint& from) {
+        one.peers->note_news(news, from);
+    };
+    one.courier =
+        std::make_shared<list_courier>(one.own.core, one.list, host, one.where, std::move(hooks));
+    one.follower = std::make_shared<servers_follower>(
+        one.own.core,
+        this->store_of(one),
+        follower_options{},
+        one.list,
+        this->shape.hands_on ? servers_follower_hooks{
+                                   .turn = [&one] { return one.peers->turn(); },
+                                   .on_read =
+                                       [&one](const list_part& read) {
+                                           one.courier->publish(read);
+                                       }}
+                             : servers_follower_hooks{.turn = [&one] {
+                                   return reader_turn{one.peers->rank(), true};
+                               }});
+}
+
+auto entry_fleet::store_of(entry& of) -> shared_store
+{
+    shared_store store;
+    store.read_servers = [this, &of](auto from, auto done) {
+        this->calls += 1;
+        auto found = this->read(of, from);
+        this->answers.emplace(
+            this->now + call_time, [&of, found = std::move(found), done = std::move(done)] {
+                if (!of.is_dead) {
+                    done(found);
+                }
+            });
+    };
+    return store;
+}
+
+auto entry_fleet::read(entry& by, std::optional<stream_position> from)
+    -> common::result<stream_reading<routing::registration_change>>
+{
+    if (by.is_turned_away) {
+        return common::failure(common::result_code::log_unavailable);
+    }
+    const stream_position end{this->log.size()};
+    if (from) {
+        if (from->value() > end.value()) {
+            return common::failure(common::result_code::log_trimmed);
+        }
+        const auto first = this->log.begin() + static_cast<std::ptrdiff_t>(from->value());
+        return stream_reading<routing::registration_change>{{first, this->log.end()}, end, false};
+    }
+    std::map<common::server_id, routing::registration_change> newest;
+    for (const auto& change : this->log) {
+        newest.insert_or_assign(change.id, change);
+    }
+    stream_reading<routing::registration_change> whole{{}, end, true};
+    for (auto& [id, change] : newest) {
+        if (change.now) {
+            whole.documents.push_back(change);
+        }
+    }
+    return whole;
+}
+
+auto entry_fleet::write(const std::string& server, bool is_leaving) -> void
+{
+    routing::registration one;
+    one.id = common::server_id{server};
+    one.service = common::service_name{"engines"};
+    one.address = "10.9.0.1:80";
+    one.data_centre = common::data_centre_id{"dc-0"};
+    one.version = common::version_id{"v1"};
+    one.is_leaving = is_leaving;
+    this->log.push_back({one.id, one});
+}
+
+auto entry_fleet::remove(const std::string& server) -> void
+{
+    this->log.push_back({common::server_id{server}, std::nullopt});
+}
+
+auto entry_fleet::passes(std::size_t from, std::size_t to) const -> bool
+{
+    const auto& sender = *this->entries[from];
+    const auto& receiver = *this->entries[to];
+    const bool is_cut_off = this->is_cut && this->is_cut(sender.data_centre, receiver.data_centre);
+    return !is_cut_off && !receiver.is_dead;
+}
+
+auto entry_fleet::number_of(const http::endpoint& where) const -> std::optional<std::size_t>
+{
+    const auto found = this->numbers.find(where);
+    return found == this->numbers.end() ? std::nullopt : std::optional{found->second};
+}
+
+auto entry_fleet::send(std::size_t from, const http::endpoint& to, std::string bytes) -> void
+{
+    if (this->keeps_sent) {
+        this->sent.emplace_back(to, bytes);
+    }
+    const auto number = this->number_of(to);
+    const bool is_lost = std::uniform_real_distribution<double>{}(this->random) < this->shape.loss;
+    if (number && !is_lost && this->passes(from, *number)) {
+        this->letters.emplace(this->now + trip, letter{from, *number, std::move(bytes)});
+    }
+}
+
+auto entry_fleet::ask(
+    std::size_t from,
+    const http::endpoint& of,
+    std::optional<std::uint64_t> since,
+    answer_hook<std::string> done) -> void
+{
+    const auto number = this->number_of(of);
+    const bool is_reached = number && this->passes(from, *number) && this->passes(*number, from) &&
+                            !this->entries[*number]->is_frozen;
+    auto body = is_reached ? this->entries[*number]->courier->answer(since) : std::string{};
+    this->answers.emplace(this->now + call_time, [body = std::move(body), done = std::move(done)] {
+        if (body.empty()) {
+            done(common::failure(common::result_code::not_ready));
+        }
+        else {
+            done(body);
+        }
+    });
+}
+
+auto entry_fleet::deliver(std::size_t to, const std::string& bytes) -> void
+{
+    auto& one = *this->entries[to];
+    if (is_list_news(bytes)) {
+        one.courier->hear(bytes);
+    }
+    else {
+        one.peers->hear(bytes);
+    }
+}
+
+auto entry_fleet::deliver_due() -> void
+{
+    while (!this->answers.empty() && this->answers.begin()->first <= this->now) {
+        const auto answer = std::move(this->answers.begin()->second);
+        this->answers.erase(this->answers.begin());
+        answer();
+    }
+    while (!this->letters.empty() && this->letters.begin()->first <= this->now) {
+        const auto next = std::move(this->letters.begin()->second);
+        this->letters.erase(this->letters.begin());
+        auto& to = *this->entries[next.to];
+        if (to.is_frozen) {
+            // Its socket keeps what comes; it reads on when it wakes.
+            this->letters.emplace(this->now + step_time, next);
+            continue;
+        }
+        if (!to.is_dead) {
+            this->deliver(next.to, next.bytes);
+        }
+    }
+}
+
+auto entry_fleet::step() -> void
+{
+    this->now += step_time;
+    for (std::size_t i = 0; i < this->entries.size(); ++i) {
+        auto& one = *this->entries[i];
+        if (one.is_dead || one.is_frozen) {
+            continue;
+        }
+        // One that was frozen finds that all of the time has passed.
+        one.own.advance(std::chrono::duration_cast<milliseconds>(this->now - one.own.now));
+        const auto since_start =
+            std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch()).count();
+        const auto phase = static_cast<std::int64_t>(i % 10) * step_time.count();
+        if ((since_start + phase) % tell_period.count() == 0) {
+            one.peers->tell();
+        }
+    }
+    this->deliver_due();
+}
+
+auto entry_fleet::run(milliseconds time) -> void
+{
+    for (const auto until = this->now + time; this->now < until;) {
+        this->step();
+    }
+}
+
+auto entry_fleet::using_server(const std::string& server) const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->entries, [&server](const auto& one) {
+            return !one->is_dead && !one->is_frozen &&
+                   one->own.core->servers.find(common::server_id{server}) != nullptr;
+        }));
+}
+
+auto entry_fleet::time_until_unused(const std::string& server, milliseconds limit) -> milliseconds
+{
+    const auto began = this->now;
+    while (this->using_server(server) > 0 && this->now - began < limit) {
+        this->step();
+    }
+    return std::chrono::duration_cast<milliseconds>(this->now - began);
+}
+
+auto entry_fleet::readers_of(std::size_t data_centre) const -> std::vector<std::size_t>
+{
+    std::vector<std::size_t> found;
+    for (std::size_t i = 0; i < this->entries.size(); ++i) {
+        const auto& one = *this->entries[i];
+        if (one.data_centre == data_centre && !one.is_dead && one.peers->turn().is_reader) {
+            found.push_back(i);
+        }
+    }
+    return found;
+}
+
+} // namespace reedramp::router::testing
--- a/source/unit_tests/router/followers_test.cpp
+++ b/source/unit_tests/router/followers_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "router/counted_store.hpp"
 #include "router/rollout_writer.hpp"
 #include "router/servers_follower.hpp"
 #include "world.hpp"
@@ -85,10 +86,21 @@
 const common::service_name engines{"engines"};
 const common::version_id target{"v2"};
 
+auto make_follower(world& all, held_store& store, servers_follower_hooks hooks = {})
+    -> std::shared_ptr<servers_follower>
+{
+    return std::make_shared<servers_follower>(
+        all.core,
+        store.hooks(),
+        follower_options{},
+        std::make_shared<servers_list>(all.core, follower_options{}),
+        std::move(hooks));
+}
+
 /// A follower that has read the servers `ids`, up to a position of their number.
 auto follow_servers(world& all, held_store& store, const std::vector<std::string>& ids) -> void
 {
-    std::make_shared<servers_follower>(all.core, store.hooks(), follower_options{})->start();
+    make_follower(all, store)->start();
     std::vector<routing::registration_change> known;
     std::ranges::transform(ids, std::back_inserter(known), registration_of);
     const auto end = known.size();
@@ -105,6 +117,21 @@
 
 } // namespace
 
+TEST_CASE("each call to the store is counted by its kind", "[followers]")
+{
+    world all;
+    held_store store;
+    const auto calls = counted(store.hooks(), all.core->counters);
+    calls.read_servers(std::nullopt, [](const auto&) {});
+    calls.read_servers(stream_position{3}, [](const auto&) {});
+    calls.read_outcomes([](const auto&) {});
+    CHECK(store.servers.size() == 2);
+    CHECK(store.servers.back().first == stream_position{3});
+    const auto text = all.core->series.prometheus_text();
+    CHECK(text.find("router_store_calls_total{call=\"servers\"} 2") != std::string::npos);
+    CHECK(text.find("router_store_calls_total{call=\"rollout_states\"} 1") != std::string::npos);
+}
+
 TEST_CASE("trimmed history is read anew from the newest", "[followers]")
 {
     world all;
@@ -148,9 +175,14 @@
     held_store store;
     const auto rules =
         std::make_shared<rules_follower>(all.core, store.hooks(), follower_options{});
-    std::make_shared<servers_follower>(all.core, store.hooks(), follower_options{}, [rules] {
-        rules->refresh();
-    })->start();
+    make_follower(
+        all,
+        store,
+        {.on_regained =
+             [rules] {
+                 rules->refresh();
+             }})
+        ->start();
     rules->refresh(); // Before the first reading there is nothing to do.
     CHECK(store.rules.empty());
     rules->start();
@@ -170,6 +202,68 @@
     CHECK(store.rules.size() == 1);
 }
 
+TEST_CASE("who does not read for others leaves the store alone until it does", "[followers]")
+{
+    // With a reading of each entry waiting at the store, calls grew with the entries. One that is
+    // not among its data centre's readers has the rules from its start, and newer ones from peers;
+    // when the readers have died it reads on from where it stood.
+    world all;
+    held_store store;
+    bool reads = false;
+    const auto core = std::make_shared<router_core>(all.core->hooks, router_options{}, all.client);
+    std::make_shared<rules_follower>(core, store.hooks(), follower_options{}, [&reads] {
+        return reads;
+    })->start();
+    held_store::take(store.outcomes)(reading<routing::rollout_status>({}, 0, true));
+    held_store::take(store.rules).second(reading<rules_document>({rules_of(2)}, 4, true));
+    all.advance(seconds{5});
+    CHECK(store.rules.empty());
+    reads = true;
+    all.advance(milliseconds{100});
+    const auto next = held_store::take(store.rules);
+    CHECK(next.first == stream_position{4});
+    // The store fails, and others have become readers meanwhile: it is theirs to try again.
+    reads = false;
+    next.second(fails<rules_document>(result_code::log_unavailable));
+    all.advance(seconds{5});
+    CHECK(store.rules.empty());
+}
+
+TEST_CASE("an entry that a neighbour gave the rules reads them when its turn comes", "[followers]")
+{
+    // States of roll-outs first, as at any start: an order that is read without its state would
+    // begin anew.
+    world all;
+    held_store store;
+    bool reads = false;
+    std::make_shared<rules_follower>(all.core, store.hooks(), follower_options{}, [&reads] {
+        return reads;
+    })->start();
+    all.advance(seconds{5});
+    CHECK(store.outcomes.empty());
+    reads = true;
+    all.advance(milliseconds{100});
+    CHECK(store.rules.empty());
+    held_store::take(store.outcomes)(reading<routing::rollout_status>({}, 0, true));
+    CHECK_FALSE(held_store::take(store.rules).first);
+}
+
+TEST_CASE("an entry without rules asks the store, whoever reads for others", "[followers]")
+{
+    world all;
+    const auto core = std::make_shared<router_core>(all.core->hooks, router_options{}, all.client);
+    held_store store;
+    std::make_shared<rules_follower>(core, store.hooks(), follower_options{}, [] {
+        return false;
+    })->start();
+    held_store::take(store.outcomes)(reading<routing::rollout_status>({}, 0, true));
+    for (int i = 0; i < 3; ++i) {
+        held_store::take(store.rules).second(fails<rules_document>(result_code::log_unavailable));
+        all.advance(seconds{1});
+    }
+    CHECK(store.rules.size() == 1);
+}
+
 TEST_CASE("registrations that lapsed in an outage are given time to come back", "[followers]")
 {
     // The store is away for longer than registrations live. When it is back, its log says that all
@@ -177,7 +271,7 @@
     // that time would be refused while the servers idle.
     world all;
     held_store store;
-    std::make_shared<servers_follower>(all.core, store.hooks(), follower_options{})->start();
+    make_follower(all, store)->start();
     using change = routing::registration_change;
     held_store::take(store.servers)
         .second(reading<change>(
@@ -314,7 +408,7 @@
 {
     world all;
     held_store store;
-    std::make_shared<servers_follower>(all.core, store.hooks(), follower_options{})->start();
+    make_follower(all, store)->start();
     using change = routing::registration_change;
     held_store::take(store.servers)
         .second(reading<change>({registration_of("a"), registration_of("b")}, 2, true));
--- a/source/unit_tests/router/peer_group_test.cpp
+++ b/source/unit_tests/router/peer_group_test.cpp
@@ -110,6 +110,50 @@
     CHECK(here.core->servers.find(common::server_id{"b"}) == nullptr);
 }
 
+TEST_CASE(
+    "an order is told at once, and all peers within the time before its share", "[peer_group]")
+{
+    // A roll-out is ordered. One entry has read it; the others heard of it in turn, the last of a
+    // hundred half a second later. It served sessions on the old version that the first entry,
+    // which had not been told of them, moved to the new one when the share began.
+    world all;
+    all.core->options.data_centre = common::data_centre_id{"dc-1"};
+    told_entry one{all, 1};
+    world near;
+    near.core->options.data_centre = common::data_centre_id{"dc-1"};
+    told_entry neighbour{near, 2};
+    neighbour.group.add(address_of(1));
+    neighbour.group.tell();
+    one.group.hear(neighbour.sent.front().second);
+    for (int number = 3; number <= 103; ++number) {
+        one.group.add(address_of(number));
+    }
+    one.sent.clear();
+    all.core->rollouts.order(
+        {common::service_name{"engines"}, common::version_id{"v2"}, seconds{20}}, all.now);
+    one.group.spread_news();
+    REQUIRE(one.sent.size() == 1);
+    CHECK(one.sent.front().first == address_of(2));
+    neighbour.group.hear(one.sent.front().second);
+    CHECK(near.core->rollouts.orders_taken() == 1);
+    // It is said once; what it is about is then told to all.
+    one.sent.clear();
+    one.group.spread_news();
+    CHECK(one.sent.empty());
+    std::set<http::endpoint> told;
+    for (int i = 0; i < 5; ++i) {
+        one.group.tell();
+        all.advance(milliseconds{100});
+    }
+    for (const auto& [to, bytes] : one.sent) {
+        told.insert(to);
+    }
+    CHECK(told.size() == 102);
+    one.sent.clear();
+    one.group.tell();
+    CHECK(one.sent.size() == 4);
+}
+
 TEST_CASE("what an entry has seen of a new version outlives its process", "[peer_group]")
 {
     // Entries are restarted in turn while a new version is bad. Each new process told its peers
