--- /dev/null
+++ b/source/router/process_neighbours.cpp
@@ -0,0 +1,232 @@
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "common/log.hpp"
+#include "daemon/clock.hpp"
+#include "process_parts.hpp"
+
+/// What entries give each other by HTTP: rules, the servers' list, and all of it to one that
+/// starts.
+namespace reedramp::router_program {
+
+using common::log_level;
+using common::log_part;
+
+namespace {
+
+/// Entries find each other by what peers say; their records in the store join groups that have lost
+/// sight of each other, and few readers see to that.
+constexpr milliseconds entries_period{30000};
+/// Who is no reader looks as often as this whether it has become one.
+constexpr milliseconds entries_check{5000};
+/// A neighbour's answers take some ms, some tens where its processor's share is used up. Past this
+/// the store is asked, which answers in 4 ms.
+constexpr milliseconds neighbours_time{150};
+
+constexpr std::uint16_t status_ok = 200;
+constexpr std::uint16_t status_not_ready = 503;
+
+} // namespace
+
+auto router_process::parts_of_process::give_list(std::string_view target) const -> http::response
+{
+    std::optional<std::uint64_t> since;
+    if (target.starts_with(list_since)) {
+        target.remove_prefix(list_since.size());
+        std::uint64_t position = 0;
+        const auto read = std::from_chars(target.data(), target.data() + target.size(), position);
+        since = read.ec == std::errc{} ? std::optional{position} : std::nullopt;
+    }
+    auto body = this->courier->answer(since);
+    const auto status = body.empty() ? status_not_ready : status_ok;
+    return {status, {}, std::move(body)};
+}
+
+auto router_process::parts_of_process::help_start(std::string_view target) const -> http::response
+{
+    target.remove_prefix(start_path.size());
+    const auto where = http::parse_endpoint(target);
+    if (!this->core->is_ready() || !where) {
+        return {status_not_ready, {}, ""};
+    }
+    const auto* has_record = this->peers->is_recorded(*where) ? "yes" : "no";
+    return {
+        status_ok, {{std::string{recorded_header}, has_record}}, this->peers->words_for_start()};
+}
+
+auto router_process::parts_of_process::ask_neighbours() -> void
+{
+    for (const auto& neighbour : this->settings.first_peers) {
+        const http::endpoint where{neighbour.address, this->own_address().port};
+        if (where == this->own_address()) {
+            continue;
+        }
+        http::request ask;
+        ask.method = "GET";
+        ask.target = std::string{start_path} + http::to_string(this->own_address());
+        this->neighbours_asked += 1;
+        this->to_store.quick->send(where, std::move(ask), {.on_done = [this](const auto& answer) {
+                                       this->on_neighbour(answer);
+                                   }});
+    }
+    this->start_when_helped(daemon::boot_time() + neighbours_time);
+}
+
+auto router_process::parts_of_process::on_neighbour(const common::result<http::response>& answer)
+    -> void
+{
+    this->neighbours_asked -= 1;
+    if (this->has_started || !answer || answer->status != status_ok) {
+        return;
+    }
+    this->is_helped = true;
+    if (http::find_header(answer->headers, recorded_header) == "yes") {
+        this->is_recorded = true;
+    }
+    // It names rules and a list that this entry lacks, which are asked for at once.
+    this->peers->hear(answer->body);
+}
+
+auto router_process::parts_of_process::start_when_helped(common::time_point latest) -> void
+{
+    const auto now = daemon::boot_time();
+    const bool is_alone = this->neighbours_asked == 0 && !this->is_helped;
+    if (this->core->is_ready() || is_alone || now >= latest) {
+        this->has_started = true;
+        common::log(
+            log_part::entry,
+            log_level::info,
+            std::string{"starting from="} + (this->core->is_ready() ? "a neighbour" : "the store"));
+        this->start_followers();
+        return;
+    }
+    this->timers->add(now + start_check, [this, latest] { this->start_when_helped(latest); });
+}
+
+auto router_process::parts_of_process::ask_for_list(
+    const http::endpoint& of,
+    std::optional<std::uint64_t> since,
+    router::answer_hook<std::string> done) -> void
+{
+    http::request ask;
+    ask.method = "GET";
+    ask.target = since ? std::string{list_since} + std::to_string(*since) : std::string{list_path};
+    this->to_store.quick->send(
+        of,
+        std::move(ask),
+        {.on_done = [done = std::move(done)](const common::result<http::response>& answer) {
+            if (!answer || answer->status != status_ok) {
+                done(common::failure(common::result_code::not_ready));
+                return;
+            }
+            done(answer->body);
+        }});
+}
+
+auto router_process::parts_of_process::open_list() -> void
+{
+    this->list = std::make_shared<router::servers_list>(this->core, this->settings.follower);
+    router::courier_hooks hooks;
+    hooks.send = [this](const http::endpoint& to, const std::string& bytes) {
+        this->send_datagram(to, bytes);
+    };
+    hooks.ask = [this](const auto& of, auto since, auto done) {
+        this->ask_for_list(of, since, std::move(done));
+    };
+    hooks.audience = [this] {
+        return this->peers->audience();
+    };
+    hooks.on_heard = [this](const router::list_news& news, const http::endpoint& where) {
+        this->peers->note_news(news, where);
+    };
+    this->courier = std::make_shared<router::list_courier>(
+        this->core, this->list, this->settings.host, this->own_address(), std::move(hooks));
+}
+
+auto router_process::parts_of_process::fetch_rules(const http::endpoint& from) -> void
+{
+    if (std::exchange(this->is_fetching_rules, true)) {
+        return;
+    }
+    http::request ask;
+    ask.method = "GET";
+    ask.target = rules_path;
+    this->to_store.quick->send(
+        from, std::move(ask), {.on_done = [this](const common::result<http::response>& answer) {
+            this->is_fetching_rules = false;
+            if (!answer || answer->status != status_ok) {
+                return; // The peer's next message asks again.
+            }
+            if (auto found = this->store.decode_rules(answer->body)) {
+                this->core->adopt(std::move(*found));
+                this->peers->spread_news();
+            }
+        }});
+}
+
+auto router_process::parts_of_process::start_followers() -> void
+{
+    this->rules->start();
+    this->servers->start();
+    if (!this->core->is_ready()) {
+        this->find_entries();
+        return;
+    }
+    // The neighbour has named all entries. Others find this one by its record, if all that they
+    // know to look for first are gone.
+    if (!this->is_recorded) {
+        this->record_entry();
+    }
+    this->find_entries_later(entries_check);
+}
+
+auto router_process::parts_of_process::record_entry() -> void
+{
+    this->store.write_entry(
+        {this->settings.host, http::to_string(this->own_address())},
+        [this](const auto& written) { this->is_recorded = written.has_value(); });
+}
+
+auto router_process::parts_of_process::find_entries() -> void
+{
+    this->store.read_entries(
+        [this](const common::result<router::stream_reading<router::entry_record>>& reading) {
+            if (reading) {
+                this->meet(*reading);
+            }
+            this->find_entries_later(reading ? entries_period : entries_check);
+        });
+}
+
+auto router_process::parts_of_process::find_entries_later(milliseconds wait) -> void
+{
+    this->timers->add(daemon::boot_time() + wait, [this] {
+        if (this->is_recorded && !this->peers->turn().is_reader) {
+            this->find_entries_later(entries_check);
+            return;
+        }
+        this->find_entries();
+    });
+}
+
+auto router_process::parts_of_process::meet(
+    const router::stream_reading<router::entry_record>& entries) -> void
+{
+    this->core->counters.count_skipped("entries", entries.skipped);
+    const router::entry_record self{this->settings.host, http::to_string(this->own_address())};
+    for (const auto& entry : entries.documents) {
+        if (const auto where = http::parse_endpoint(entry.address)) {
+            this->peers->add(*where);
+            this->peers->note_recorded(*where);
+        }
+    }
+    // A process that starts again on its host finds its record there.
+    if (std::ranges::find(entries.documents, self) != entries.documents.end()) {
+        this->is_recorded = true;
+        return;
+    }
+    this->record_entry();
+}
+
+} // namespace reedramp::router_program
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -1,45 +1,24 @@
 #include "router_process.hpp"
 
-#include <algorithm>
-#include <array>
-#include <charconv>
 #include <utility>
 
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
 
 #include "common/log.hpp"
 #include "daemon/clock.hpp"
 #include "daemon/line_log.hpp"
 #include "daemon/signals.hpp"
-#include "daemon/timer_queue.hpp"
-#include "http/client.hpp"
-#include "http/server.hpp"
-#include "peer_group.hpp"
+#include "process_parts.hpp"
 #include "router/counted_store.hpp"
-#include "router/list_courier.hpp"
-#include "router/rollout_writer.hpp"
-#include "router/servers_follower.hpp"
 #include "state_page.hpp"
 
 namespace reedramp::router_program {
 
-namespace asio = boost::asio;
 using common::log_level;
 using common::log_part;
-using std::chrono::milliseconds;
 
 namespace {
 
-/// Path under which an entry gives its rules to peers.
-constexpr std::string_view rules_path = "/rules";
-/// Path under which it gives the servers' list, whole or behind a position.
-constexpr std::string_view list_path = "/servers";
-constexpr std::string_view list_since = "/servers?since=";
-/// What a neighbour that starts needs besides: all peers, roll-outs, and whether the store has its
-/// record, which a header of that answer says.
-constexpr std::string_view start_path = "/start?address=";
-constexpr std::string_view recorded_header = "Reedramp-Recorded";
 /// For operators, on the same address.
 constexpr std::string_view metrics_path = "/metrics";
 constexpr std::string_view state_path = "/state";
@@ -63,23 +42,12 @@
 /// Of that rest: what the last answers need to leave the host.
 constexpr milliseconds answers_leave{150};
 constexpr milliseconds shutdown_check{50};
-/// Entries find each other by what peers say; their records in the store join groups that have lost
-/// sight of each other, and few readers see to that.
-constexpr milliseconds entries_period{30000};
-/// Who is no reader looks as often as this whether it has become one.
-constexpr milliseconds entries_check{5000};
 /// A process that starts has its rules and servers some tens of ms later, and until then callers'
 /// connections wait in the system's queue: all callers of a process that was killed come back in
 /// that time, most of them with their last try. Past this the store is away: requests are read, and
 /// held for `router_options::start_hold` more. Below the second after which callers leave what is
 /// not read.
 constexpr milliseconds start_patience{600};
-constexpr milliseconds start_check{5};
-/// A neighbour's answers take some ms, some tens where its processor's share is used up. Past this
-/// the store is asked, which answers in 4 ms.
-constexpr milliseconds neighbours_time{150};
-/// A message to a peer has some hundred bytes; a roll-out adds 100 for each of its routes.
-constexpr std::size_t largest_datagram = 16384;
 
 auto server_client_options() -> http::client_options
 {
@@ -104,112 +72,45 @@
 
 } // namespace
 
-struct router_process::parts_of_process {
-    parts_of_process(router_settings wanted, platform_parts parts_of_platform)
-        : settings(std::move(wanted)), platform(std::move(parts_of_platform)),
-          timers(std::make_shared<daemon::timer_queue>(this->context, daemon::boot_time)),
-          datagrams(this->context), to_store{
-                                        http::client::create(
-                                            this->context, store_client_options(waiting_silence)),
-                                        http::client::create(
-                                            this->context, store_client_options(quick_silence))}
-    {
-        this->settings.router.names = this->platform.names;
-        router::router_hooks hooks;
-        hooks.clock = daemon::boot_time;
-        hooks.random = daemon::random_bits;
-        hooks.unix_ms = [] {
-            const auto since_1970 = std::chrono::system_clock::now().time_since_epoch();
-            return static_cast<std::uint64_t>(
-                std::chrono::duration_cast<milliseconds>(since_1970).count());
-        };
-        hooks.on_rules = [this](const routing::configuration& adopted) {
-            const auto& limits = adopted.limits;
-            // A caller may use a connection again up to its idle limit; the second covers the way.
-            this->for_callers->change_limits(
-                limits.header_bytes, limits.body_bytes, limits.idle + std::chrono::seconds{1});
-        };
-        hooks.served_elsewhere_at = [this](common::time_point now) {
-            return this->peers->served_elsewhere_at(now);
-        };
-        hooks.timer =
-            [queue = this->timers](common::time_point when, std::function<auto()->void> action) {
-                queue->add(when, std::move(action));
-            };
-        this->core = std::make_shared<router::router_core>(
-            std::move(hooks),
-            this->settings.router,
-            http::client::create(this->context, server_client_options()));
-        this->store = router::counted(
-            this->platform.open_store(this->to_store, this->settings.store), this->core->counters);
-    }
-
-    ~parts_of_process() { this->timers->clear(); }
-
-    parts_of_process(const parts_of_process&) = delete;
-    parts_of_process(parts_of_process&&) = delete;
-    auto operator=(const parts_of_process&) -> parts_of_process& = delete;
-    auto operator=(parts_of_process&&) -> parts_of_process& = delete;
-
-    auto listen() -> common::result<void>;
-    auto accept_when_ready(common::time_point latest) -> void;
-    auto answer_peer(const http::request& asked) const -> http::response;
-    auto open_peers() -> void;
-    [[nodiscard]] auto own_address() const -> http::endpoint;
-    auto send_datagram(const http::endpoint& to, const std::string& bytes) -> void;
-    auto follow_store() -> void;
-    auto answer_ready(const http::request& asked, http::responder& out) const -> void;
-    auto receive() -> void;
-    auto every(milliseconds period, std::function<auto()->void> action) -> void;
-    auto fetch_rules(const http::endpoint& from) -> void;
-    auto ask_for_list(
-        const http::endpoint& of,
-        std::optional<std::uint64_t> since,
-        router::answer_hook<std::string> done) -> void;
-    [[nodiscard]] auto give_list(std::string_view target) const -> http::response;
-    auto open_list() -> void;
-    [[nodiscard]] auto help_start(std::string_view target) const -> http::response;
-    auto ask_neighbours() -> void;
-    auto on_neighbour(const common::result<http::response>& answer) -> void;
-    auto start_when_helped(common::time_point latest) -> void;
-    auto start_followers() -> void;
-    auto find_entries() -> void;
-    auto find_entries_later(milliseconds wait) -> void;
-    auto record_entry() -> void;
-    auto meet(const router::stream_reading<router::entry_record>& entries) -> void;
-    auto shut_down() -> void;
-    auto check_shutdown(common::time_point balancer_done, common::time_point last) -> void;
-
-    router_settings settings;
-    platform_parts platform;
-    asio::io_context context{1};
-    std::shared_ptr<daemon::timer_queue> timers;
-    asio::ip::udp::socket datagrams;
-    std::array<char, largest_datagram> datagram{};
-    store_clients to_store;
-    std::shared_ptr<router::router_core> core;
-    router::shared_store store;
-    std::unique_ptr<peer_group> peers;
-    std::shared_ptr<router::servers_list> list;
-    std::shared_ptr<router::list_courier> courier;
-    std::shared_ptr<router::rules_follower> rules;
-    std::shared_ptr<router::servers_follower> servers;
-    std::shared_ptr<router::rollout_writer> rollouts;
-    std::unique_ptr<http::server> for_callers;
-    std::unique_ptr<http::server> for_balancer;
-    std::unique_ptr<http::server> for_peers;
-    bool is_leaving = false;
-    bool has_ended_requests = false;
-    bool is_fetching_rules = false;
-    /// The store has this entry's record.
-    bool is_recorded = false;
-    /// Neighbours that have not answered yet, at the start.
-    std::size_t neighbours_asked = 0;
-    /// One of them has told what it knows.
-    bool is_helped = false;
-    /// The store is followed.
-    bool has_started = false;
-};
+router_process::parts_of_process::parts_of_process(
+    router_settings wanted, platform_parts parts_of_platform)
+    : settings(std::move(wanted)), platform(std::move(parts_of_platform)),
+      timers(std::make_shared<daemon::timer_queue>(this->context, daemon::boot_time)),
+      datagrams(this->context), to_store{
+                                    http::client::create(
+                                        this->context, store_client_options(waiting_silence)),
+                                    http::client::create(
+                                        this->context, store_client_options(quick_silence))}
+{
+    this->settings.router.names = this->platform.names;
+    router::router_hooks hooks;
+    hooks.clock = daemon::boot_time;
+    hooks.random = daemon::random_bits;
+    hooks.unix_ms = [] {
+        const auto since_1970 = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<milliseconds>(since_1970).count());
+    };
+    hooks.on_rules = [this](const routing::configuration& adopted) {
+        const auto& limits = adopted.limits;
+        // A caller may use a connection again up to its idle limit; the second covers the way.
+        this->for_callers->change_limits(
+            limits.header_bytes, limits.body_bytes, limits.idle + std::chrono::seconds{1});
+    };
+    hooks.served_elsewhere_at = [this](common::time_point now) {
+        return this->peers->served_elsewhere_at(now);
+    };
+    hooks.timer = [queue =
+                       this->timers](common::time_point when, std::function<auto()->void> action) {
+        queue->add(when, std::move(action));
+    };
+    this->core = std::make_shared<router::router_core>(
+        std::move(hooks),
+        this->settings.router,
+        http::client::create(this->context, server_client_options()));
+    this->store = router::counted(
+        this->platform.open_store(this->to_store, this->settings.store), this->core->counters);
+}
 
 auto router_process::parts_of_process::listen() -> common::result<void>
 {
@@ -292,123 +193,6 @@
     return {404, {}, ""};
 }
 
-auto router_process::parts_of_process::give_list(std::string_view target) const -> http::response
-{
-    constexpr std::uint16_t not_ready = 503;
-    std::optional<std::uint64_t> since;
-    if (target.starts_with(list_since)) {
-        target.remove_prefix(list_since.size());
-        std::uint64_t position = 0;
-        const auto read = std::from_chars(target.data(), target.data() + target.size(), position);
-        since = read.ec == std::errc{} ? std::optional{position} : std::nullopt;
-    }
-    auto body = this->courier->answer(since);
-    const auto status = body.empty() ? not_ready : std::uint16_t{200};
-    return {status, {}, std::move(body)};
-}
-
-auto router_process::parts_of_process::help_start(std::string_view target) const -> http::response
-{
-    constexpr std::uint16_t not_ready = 503;
-    target.remove_prefix(start_path.size());
-    const auto where = http::parse_endpoint(target);
-    if (!this->core->is_ready() || !where) {
-        return {not_ready, {}, ""};
-    }
-    const auto* has_record = this->peers->is_recorded(*where) ? "yes" : "no";
-    return {200, {{std::string{recorded_header}, has_record}}, this->peers->words_for_start()};
-}
-
-auto router_process::parts_of_process::ask_neighbours() -> void
-{
-    for (const auto& neighbour : this->settings.first_peers) {
-        const http::endpoint where{neighbour.address, this->own_address().port};
-        if (where == this->own_address()) {
-            continue;
-        }
-        http::request ask;
-        ask.method = "GET";
-        ask.target = std::string{start_path} + http::to_string(this->own_address());
-        this->neighbours_asked += 1;
-        this->to_store.quick->send(where, std::move(ask), {.on_done = [this](const auto& answer) {
-                                       this->on_neighbour(answer);
-                                   }});
-    }
-}
-
-auto router_process::parts_of_process::on_neighbour(const common::result<http::response>& answer)
-    -> void
-{
-    constexpr std::uint16_t status_ok = 200;
-    this->neighbours_asked -= 1;
-    if (this->has_started || !answer || answer->status != status_ok) {
-        return;
-    }
-    this->is_helped = true;
-    if (http::find_header(answer->headers, recorded_header) == "yes") {
-        this->is_recorded = true;
-    }
-    // It names rules and a list that this entry lacks, which are asked for at once.
-    this->peers->hear(answer->body);
-}
-
-auto router_process::parts_of_process::start_when_helped(common::time_point latest) -> void
-{
-    const auto now = daemon::boot_time();
-    const bool is_alone = this->neighbours_asked == 0 && !this->is_helped;
-    if (this->core->is_ready() || is_alone || now >= latest) {
-        this->has_started = true;
-        common::log(
-            log_part::entry,
-            log_level::info,
-            std::string{"starting from="} + (this->core->is_ready() ? "a neighbour" : "the store"));
-        this->start_followers();
-        return;
-    }
-    this->timers->add(now + start_check, [this, latest] { this->start_when_helped(latest); });
-}
-
-auto router_process::parts_of_process::ask_for_list(
-    const http::endpoint& of,
-    std::optional<std::uint64_t> since,
-    router::answer_hook<std::string> done) -> void
-{
-    http::request ask;
-    ask.method = "GET";
-    ask.target = since ? std::string{list_since} + std::to_string(*since) : std::string{list_path};
-    this->to_store.quick->send(
-        of,
-        std::move(ask),
-        {.on_done = [done = std::move(done)](const common::result<http::response>& answer) {
-            constexpr std::uint16_t status_ok = 200;
-            if (!answer || answer->status != status_ok) {
-                done(common::failure(common::result_code::not_ready));
-                return;
-            }
-            done(answer->body);
-        }});
-}
-
-auto router_process::parts_of_process::open_list() -> void
-{
-    this->list = std::make_shared<router::servers_list>(this->core, this->settings.follower);
-    router::courier_hooks hooks;
-    hooks.send = [this](const http::endpoint& to, const std::string& bytes) {
-        this->send_datagram(to, bytes);
-    };
-    hooks.ask = [this](const auto& of, auto since, auto done) {
-        this->ask_for_list(of, since, std::move(done));
-    };
-    hooks.audience = [this] {
-        return this->peers->audience();
-    };
-    hooks.on_heard = [this](const router::list_news& news, const http::endpoint& where) {
-        this->peers->note_news(news, where);
-    };
-    this->courier = std::make_shared<router::list_courier>(
-        this->core, this->list, this->settings.host, this->own_address(), std::move(hooks));
-}
-
 auto router_process::parts_of_process::own_address() const -> http::endpoint
 {
     return {this->settings.peers.address, this->for_peers->port()};
@@ -492,28 +276,6 @@
     });
 }
 
-auto router_process::parts_of_process::fetch_rules(const http::endpoint& from) -> void
-{
-    if (std::exchange(this->is_fetching_rules, true)) {
-        return;
-    }
-    http::request ask;
-    ask.method = "GET";
-    ask.target = rules_path;
-    this->to_store.quick->send(
-        from, std::move(ask), {.on_done = [this](const common::result<http::response>& answer) {
-            this->is_fetching_rules = false;
-            constexpr std::uint16_t status_ok = 200;
-            if (!answer || answer->status != status_ok) {
-                return; // The peer's next message asks again.
-            }
-            if (auto found = this->store.decode_rules(answer->body)) {
-                this->core->adopt(std::move(*found));
-                this->peers->spread_news();
-            }
-        }});
-}
-
 auto router_process::parts_of_process::follow_store() -> void
 {
     this->rules = std::make_shared<router::rules_follower>(
@@ -541,71 +303,6 @@
         daemon::flush_line_log();
     });
     this->ask_neighbours();
-    this->start_when_helped(daemon::boot_time() + neighbours_time);
-}
-
-auto router_process::parts_of_process::start_followers() -> void
-{
-    this->rules->start();
-    this->servers->start();
-    if (!this->core->is_ready()) {
-        this->find_entries();
-        return;
-    }
-    // The neighbour has named all entries. Others find this one by its record, if all that they
-    // know to look for first are gone.
-    if (!this->is_recorded) {
-        this->record_entry();
-    }
-    this->find_entries_later(entries_check);
-}
-
-auto router_process::parts_of_process::record_entry() -> void
-{
-    this->store.write_entry(
-        {this->settings.host, http::to_string(this->own_address())},
-        [this](const auto& written) { this->is_recorded = written.has_value(); });
-}
-
-auto router_process::parts_of_process::find_entries() -> void
-{
-    this->store.read_entries(
-        [this](const common::result<router::stream_reading<router::entry_record>>& reading) {
-            if (reading) {
-                this->meet(*reading);
-            }
-            this->find_entries_later(reading ? entries_period : entries_check);
-        });
-}
-
-auto router_process::parts_of_process::find_entries_later(milliseconds wait) -> void
-{
-    this->timers->add(daemon::boot_time() + wait, [this] {
-        if (this->is_recorded && !this->peers->turn().is_reader) {
-            this->find_entries_later(entries_check);
-            return;
-        }
-        this->find_entries();
-    });
-}
-
-auto router_process::parts_of_process::meet(
-    const router::stream_reading<router::entry_record>& entries) -> void
-{
-    this->core->counters.count_skipped("entries", entries.skipped);
-    const router::entry_record self{this->settings.host, http::to_string(this->own_address())};
-    for (const auto& entry : entries.documents) {
-        if (const auto where = http::parse_endpoint(entry.address)) {
-            this->peers->add(*where);
-            this->peers->note_recorded(*where);
-        }
-    }
-    // A process that starts again on its host finds its record there.
-    if (std::ranges::find(entries.documents, self) != entries.documents.end()) {
-        this->is_recorded = true;
-        return;
-    }
-    this->record_entry();
 }
 
 auto router_process::parts_of_process::shut_down() -> void
