Rank readers without copying their names

A reader's turn is worked out some twenty times a second over all peers; with hundreds, each copied two strings a peer. Pointers to what the group holds.

--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -259,16 +259,17 @@
 {
     const auto now = this->core->hooks.clock();
     std::map<std::uint32_t, std::vector<reader>> all;
-    all[this->place].push_back({this->self, this->own_address});
+    all[this->place].push_back({&this->self, &this->own_address});
     for (const auto& [where, known] : this->peers) {
         const bool is_relied_on = !known.host.value().empty() && known.ends_at == common::never &&
                                   now - known.heard < this->reader_silence(known.place);
         if (is_relied_on) {
-            all[known.place].push_back({known.host, where});
+            all[known.place].push_back({&known.host, &where});
         }
     }
     for (auto& [at, readers] : all) {
-        std::ranges::sort(readers, {}, &reader::host);
+        std::ranges::sort(
+            readers, {}, [](const reader& one) -> const auto& { return *one.host; });
     }
     return all;
 }
@@ -286,14 +287,16 @@
     }
     for (const auto& [at, readers] : this->by_data_centre()) {
         const auto count = std::min(readers.size(), readers_in_each);
-        const auto few = std::vector<reader>(
-            readers.begin(), readers.begin() + static_cast<std::ptrdiff_t>(count));
-        if (at != this->place) {
-            std::ranges::transform(few, std::back_inserter(to.far), &reader::where);
-        }
-        else {
-            to.passes_on = std::ranges::find(few, this->self, &reader::host) != few.end();
+        const auto end = readers.begin() + static_cast<std::ptrdiff_t>(count);
+        if (at == this->place) {
+            to.passes_on =
+                std::ranges::find(readers.begin(), end, &this->self, &reader::host) != end;
+            continue;
         }
+        std::ranges::transform(
+            readers.begin(), end, std::back_inserter(to.far), [](const reader& one) {
+                return *one.where;
+            });
     }
     return to;
 }
@@ -302,13 +305,13 @@
 {
     const auto all = this->by_data_centre();
     const auto& near = all.at(this->place);
-    const auto own_place =
-        static_cast<std::size_t>(std::ranges::find(near, this->self, &reader::host) - near.begin());
+    const auto own_place = static_cast<std::size_t>(
+        std::ranges::find(near, &this->self, &reader::host) - near.begin());
     std::size_t before = 0;
     for (const auto& [at, readers] : all) {
         before += std::min(readers.size(), own_place);
-        const bool goes_first =
-            readers.size() > own_place && at != this->place && readers[own_place].host < this->self;
+        const bool goes_first = readers.size() > own_place && at != this->place &&
+                                *readers[own_place].host < this->self;
         before += goes_first ? 1 : 0;
     }
     const bool knows_peers = this->core->hooks.clock() - this->started >= finds_peers_within;
@@ -321,7 +324,7 @@
     const auto& near = all.at(this->place);
     std::vector<common::host_id> names;
     for (std::size_t i = 0; i < std::min(near.size(), readers_in_each); ++i) {
-        names.push_back(near[i].host);
+        names.push_back(*near[i].host);
     }
     return names;
 }
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -117,10 +117,11 @@
         common::time_point ends_at = common::never;
     };
 
-    /// One that may read the store for others: a peer, or this entry.
+    /// One that may read the store for others: a peer, or this entry. Names what the group holds,
+    /// as hundreds are looked at some twenty times a second.
     struct reader {
-        common::host_id host;
-        http::endpoint where;
+        const common::host_id* host = nullptr;
+        const http::endpoint* where = nullptr;
     };
 
     /// Peers that have spoken, and not too long ago.
