Hand on what a reading of the whole list changed, and not the whole list

Cause: after the store drops its history a reader reads all anew; its neighbours saw a gap and each asked for the whole list, 12 KB to each entry in one moment. Change: the reading is told as what followed the position that was forgotten. Test 'history that is trimmed costs the neighbours nothing' failed before.

--- a/source/core/router/servers_list.cpp
+++ b/source/core/router/servers_list.cpp
@@ -48,8 +48,11 @@
     if (this->position && end < *this->position) {
         return this->take_earlier(end, asked_at);
     }
-    list_part part{this->position, end, this->apply(found.documents, found.is_whole)};
-    this->journal.note(this->position.value_or(end), end, part.changes);
+    const auto before = this->position ? this->position : std::exchange(this->forgotten, {});
+    const bool follows = before && *before <= end;
+    list_part part{
+        follows ? before : std::nullopt, end, this->apply(found.documents, found.is_whole)};
+    this->journal.note(part.from.value_or(end), end, part.changes);
     this->position = end;
     this->core->freshness.note_read(end, !part.changes.empty(), now, asked_at);
     this->settle(now);
@@ -68,7 +71,7 @@
             log_level::warning,
             "list read anew, a neighbour's lay ahead of the store's known_to=" +
                 std::to_string(known) + " end=" + std::to_string(end));
-        this->position.reset();
+        this->forget_position();
     }
     // Records of before what is known, read out of order, would undo what came after them.
     return {known, known, {}};
--- a/source/core/router/servers_list.hpp
+++ b/source/core/router/servers_list.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "router/router_core.hpp"
@@ -58,7 +59,7 @@
     [[nodiscard]] auto handed_at() const -> time_point { return this->taken_over_at; }
 
     /// The store has no history from there on; the next reading is of the whole list.
-    auto forget_position() -> void { this->position.reset(); }
+    auto forget_position() -> void { this->forgotten = std::exchange(this->position, {}); }
 
 private:
     /// The store's answer ends before what is known.
@@ -88,6 +89,9 @@
     std::shared_ptr<router_core> core;
     follower_options options;
     std::optional<std::uint64_t> position;
+    /// Where the list stood when its position was forgotten: what the whole list then changes is
+    /// what came after that, and neighbours need no more.
+    std::optional<std::uint64_t> forgotten;
     /// When a neighbour last moved the position.
     time_point taken_over_at{};
     routing::list_journal journal;
--- a/source/unit_tests/router/entry_fleet.cpp
+++ b/source/unit_tests/router/entry_fleet.cpp
@@ -122,7 +122,7 @@
     }
     const stream_position end{this->log.size()};
     if (from) {
-        if (from->value() > end.value()) {
+        if (from->value() > end.value() || from->value() < this->trimmed_to) {
             return common::failure(common::result_code::log_trimmed);
         }
         const auto first = this->log.begin() + static_cast<std::ptrdiff_t>(from->value());
--- a/source/unit_tests/router/entry_fleet.hpp
+++ b/source/unit_tests/router/entry_fleet.hpp
@@ -69,6 +69,8 @@
     std::vector<std::unique_ptr<entry>> entries;
     /// Readings that the store answered or refused.
     std::size_t calls = 0;
+    /// Records before this position are gone.
+    std::uint64_t trimmed_to = 0;
     /// Whether nothing passes from one data centre to another.
     std::function<auto(std::size_t from, std::size_t to)->bool> is_cut;
     /// Each datagram as it is sent; for tests that repeat or hold them.
--- a/source/unit_tests/router/hand_on_test.cpp
+++ b/source/unit_tests/router/hand_on_test.cpp
@@ -297,6 +297,26 @@
     CHECK(fleet.using_server("b") == 26);
 }
 
+TEST_CASE("history that is trimmed costs the neighbours nothing", "[hand_on]")
+{
+    // The store drops its history while the list changes. The reader reads all anew and knows what
+    // that changed; without it each neighbour asked for the whole list, 12 KB to each of a hundred
+    // in one moment.
+    entry_fleet fleet{{.entries = 26, .data_centres = 3}};
+    fleet.run(settled);
+    fleet.write("new");
+    fleet.write("a", true);
+    fleet.trimmed_to = 6;
+    fleet.run(seconds{2});
+    CHECK(fleet.using_server("new") == 26);
+    CHECK(fleet.using_server("a") == 0);
+    std::uint64_t questions = 0;
+    for (const auto& one : fleet.entries) {
+        questions += one->own.core->counters.list_questions.value();
+    }
+    CHECK(questions <= 2);
+}
+
 TEST_CASE("news with more changes than a datagram holds are asked for", "[hand_on]")
 {
     entry_fleet fleet{{.entries = 26, .data_centres = 3}};
