--- a/source/router/process_neighbours.cpp
+++ b/source/router/process_neighbours.cpp
@@ -25,8 +25,8 @@
 constexpr milliseconds neighbours_time{150};
 
 /// Entries that one helps to start in a second. All of hundreds that start at once look for the
-/// same three: at 66 KB for the list of 620 servers, these many take less than a second of a link of 20
-/// Mbit/s, and the others read the store at once in place of waiting behind them.
+/// same three: at 66 KB for the list of 620 servers, these many take less than a second of a link
+/// of 20 Mbit/s, and the others read the store at once in place of waiting behind them.
 constexpr std::size_t most_helped = 32;
 
 constexpr std::uint16_t status_ok = 200;
