--- a/source/core/routing/list_freshness.hpp
+++ b/source/core/routing/list_freshness.hpp
@@ -61,7 +61,7 @@
 /// Each entry used to read it once a second, which with 26 entries was the larger part of all calls
 /// to the store. One reading tells whether the list has changed; the others only have to know that,
 /// and when. An entry that hears of nobody's reading, because it is cut off or those before it have
-/// died, reads as before, so that a server that leaves is known 1.5 s later at the latest.
+/// died, reads as before, so that a server that leaves is known 1.7 s later at the latest.
 class list_freshness {
 public:
     explicit list_freshness(freshness_options options) : settings(options) {}
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -12,8 +12,8 @@
 
 /// Peers told at a time. At a message of some 300 bytes each 100 ms, 12 KB a second go out.
 constexpr std::size_t told_at_once = 4;
-/// Addresses of others in a message, another few each time: an entry that hears forty messages a
-/// second meets a hundred others within two seconds.
+/// Addresses of others in a message, another few each time: of a hundred entries that start at once
+/// and know one of them, each has met nearly all others 5 s later.
 constexpr std::size_t named_peers = 8;
 /// Least time of silence after which a peer is not counted among the living, and the rounds of
 /// messages that it may miss.
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -52,7 +52,7 @@
     /// All that this entry tells, and all peers that it knows, for one that starts.
     [[nodiscard]] auto words_for_start() const -> std::string;
 
-    /// The store has the record of the entry at `where`, or of none there as far as is known.
+    /// The store has the record of the entry at `where`.
     auto note_recorded(const http::endpoint& where) -> void { this->recorded.insert(where); }
 
     [[nodiscard]] auto is_recorded(const http::endpoint& where) const -> bool
--- a/source/router/process_neighbours.cpp
+++ b/source/router/process_neighbours.cpp
@@ -48,22 +48,25 @@
     return {status, {}, std::move(body)};
 }
 
-auto router_process::parts_of_process::has_helped_enough() -> bool
+auto router_process::parts_of_process::may_help_another() -> bool
 {
     const auto now = daemon::boot_time();
     if (now - this->helped_since >= std::chrono::seconds{1}) {
         this->helped_since = now;
         this->helped = 0;
     }
+    if (this->helped >= most_helped) {
+        return false;
+    }
     this->helped += 1;
-    return this->helped > most_helped;
+    return true;
 }
 
 auto router_process::parts_of_process::help_start(std::string_view target) -> http::response
 {
     target.remove_prefix(start_path.size());
     const auto where = http::parse_endpoint(target);
-    if (!this->core->is_ready() || !where || this->has_helped_enough()) {
+    if (!this->core->is_ready() || !where || !this->may_help_another()) {
         return {status_not_ready, {}, ""};
     }
     const auto* has_record = this->peers->is_recorded(*where) ? "yes" : "no";
--- a/source/router/process_parts.hpp
+++ b/source/router/process_parts.hpp
@@ -74,8 +74,8 @@
     [[nodiscard]] auto give_list(std::string_view target) const -> http::response;
     auto open_list() -> void;
     auto help_start(std::string_view target) -> http::response;
-    /// Whether this entry has done its part for entries that start now.
-    auto has_helped_enough() -> bool;
+    /// Whether this entry helps one more of those that start now; counts it if so.
+    auto may_help_another() -> bool;
     auto ask_neighbours() -> void;
     auto on_neighbour(const common::result<http::response>& answer) -> void;
     auto start_when_helped(common::time_point latest) -> void;
