Say once what entries' codecs and peers share, and keep the servers found while nothing changes

The time of a round stood in three: peer_group::round. server_table forgot the usable servers of each service at each of a peer's messages that told of ends (40 a second for ten seconds) and each second, also where nobody had gone, so that the next request walked all servers again: only where somebody has.

Behaviour is the same; all 32 tests pass, none was changed.

--- a/source/core/router/list_courier.cpp
+++ b/source/core/router/list_courier.cpp
@@ -44,7 +44,7 @@
     news.address = http::to_string(this->own_address);
     news.data_centre = this->core->options.data_centre;
     news.freshness = this->core->freshness.tell(this->core->hooks.clock());
-    news.rules_version = this->core->rules() == nullptr ? 0 : this->core->rules()->version();
+    news.rules_version = this->core->rules_version();
     news.digest = this->core->servers.digest();
     news.part = std::move(part);
     return news;
--- a/source/core/router/list_news.cpp
+++ b/source/core/router/list_news.cpp
@@ -1,8 +1,6 @@
 #include "router/list_news.hpp"
 
 #include <algorithm>
-#include <cstring>
-#include <limits>
 #include <optional>
 #include <vector>
 
@@ -13,6 +11,7 @@
 #include <kj/io.h>
 
 #include "router/generated/peers.capnp.h"
+#include "router/message_bytes.hpp"
 
 namespace reedramp::router {
 
@@ -35,17 +34,6 @@
 /// A service that comes with more than this is none of ours, and no message may fill the memory.
 constexpr std::size_t most_changes = 6200;
 
-auto text_of(capnp::Text::Reader text) -> std::string
-{
-    return {text.cStr(), text.size()};
-}
-
-auto told_ms(std::chrono::milliseconds time) -> std::uint32_t
-{
-    return static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(time.count(), 0, std::numeric_limits<std::uint32_t>::max()));
-}
-
 auto fill(schema::ServerChange::Builder to, const routing::registration_change& from) -> void
 {
     to.setId(from.id.value());
@@ -144,13 +132,6 @@
            news.part.changes.size() <= most_changes;
 }
 
-auto bytes_of(capnp::MallocMessageBuilder& message) -> std::string
-{
-    const auto flat = capnp::messageToFlatArray(message);
-    const auto bytes = flat.asBytes();
-    return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
-}
-
 auto no_news() -> tl::unexpected<common::error>
 {
     return common::failure(common::result_code::malformed_request, "no news of the list");
@@ -160,7 +141,7 @@
 {
     capnp::MallocMessageBuilder message;
     fill(message.initRoot<schema::ListNews>(), news);
-    return bytes_of(message);
+    return flat_bytes(message);
 }
 
 } // namespace
@@ -189,9 +170,7 @@
         return no_news();
     }
     bytes.remove_prefix(mark.size());
-    // Words need their alignment, which a socket's buffer does not have.
-    std::vector<capnp::word> aligned(bytes.size() / sizeof(capnp::word));
-    std::memcpy(aligned.data(), bytes.data(), bytes.size());
+    const auto aligned = aligned_words(bytes);
     std::optional<list_news> news;
     const auto problem = kj::runCatchingExceptions([&aligned, &news] {
         capnp::ReaderOptions limits;
--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstring>
-#include <limits>
 #include <optional>
 
 #include <capnp/message.h>
@@ -12,6 +10,7 @@
 
 #include "placement/affinity.hpp"
 #include "router/generated/peers.capnp.h"
+#include "router/message_bytes.hpp"
 
 namespace reedramp::router {
 
@@ -20,18 +19,6 @@
 /// Words of Cap'n Proto that a message may make the reader visit; a datagram has 8,192.
 constexpr std::uint64_t traversal_words = 64UL * 1024UL;
 
-auto text_of(capnp::Text::Reader text) -> std::string
-{
-    return {text.cStr(), text.size()};
-}
-
-/// A time as the message holds it: whole milliseconds, none below 0, some weeks at the most.
-auto told_ms(std::chrono::milliseconds time) -> std::uint32_t
-{
-    return static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(time.count(), 0, std::numeric_limits<std::uint32_t>::max()));
-}
-
 /// Pairs of mean and count, signals before timed parts.
 constexpr unsigned pair_size = 2;
 constexpr unsigned told_means =
@@ -246,19 +233,15 @@
         const auto left = std::max<std::int64_t>(words.ends_in->count(), 1);
         root.setEndsInMs(static_cast<std::uint32_t>(left));
     }
-    const auto flat = capnp::messageToFlatArray(message);
-    const auto bytes = flat.asBytes();
-    return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+    return flat_bytes(message);
 }
 
 auto decode_peer_words(std::string_view bytes) -> common::result<peer_words>
 {
-    // Words need their alignment, which a socket's buffer does not have.
-    std::vector<capnp::word> aligned(bytes.size() / sizeof(capnp::word));
+    const auto aligned = aligned_words(bytes);
     if (aligned.empty()) {
         return common::failure(common::result_code::malformed_request, "empty datagram");
     }
-    std::memcpy(aligned.data(), bytes.data(), aligned.size() * sizeof(capnp::word));
     std::optional<peer_words> words;
     const auto problem = kj::runCatchingExceptions([&aligned, &words] {
         capnp::ReaderOptions limits;
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -142,6 +142,12 @@
         return this->rules_in_force;
     }
 
+    /// 0 without rules.
+    [[nodiscard]] auto rules_version() const -> std::uint64_t
+    {
+        return this->rules_in_force == nullptr ? 0 : this->rules_in_force->version();
+    }
+
     /// The text of the rules in force, for peers that lack them.
     [[nodiscard]] auto rules_text() const -> const std::string& { return this->text_in_force; }
 
--- a/source/core/routing/list_journal.cpp
+++ b/source/core/routing/list_journal.cpp
@@ -1,8 +1,5 @@
 #include "routing/list_journal.hpp"
 
-#include <algorithm>
-#include <iterator>
-
 namespace reedramp::routing {
 
 namespace {
--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -207,7 +207,9 @@
         }
         return item.second.state == server_state::lapsed;
     });
-    this->forget_usable();
+    if (!gone.empty()) {
+        this->forget_usable();
+    }
     for (const auto& start : gone) {
         this->newest_ended.push_back({{hash_of(start), read_to}, now});
     }
@@ -320,7 +322,9 @@
         }
         return ends_here;
     });
-    this->forget_usable();
+    if (!gone.empty()) {
+        this->forget_usable();
+    }
     return gone;
 }
 
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -79,10 +79,14 @@
     return std::max<std::size_t>(1, (this->peers.size() + told_at_once - 1) / told_at_once);
 }
 
+auto peer_group::round() const -> std::chrono::milliseconds
+{
+    return this->period * static_cast<int>(this->calls_per_round());
+}
+
 auto peer_group::silence() const -> common::duration
 {
-    const auto round = this->period * static_cast<int>(this->calls_per_round());
-    return std::max<common::duration>(least_silence, round * missed_rounds);
+    return std::max<common::duration>(least_silence, this->round() * missed_rounds);
 }
 
 auto peer_group::own_words(common::time_point now, std::size_t most_named) const
@@ -93,7 +97,7 @@
     words.process = this->process;
     words.address = http::to_string(this->own_address);
     words.place = this->place;
-    words.rules_version = this->core->rules() == nullptr ? 0 : this->core->rules()->version();
+    words.rules_version = this->core->rules_version();
     words.loads = this->core->loads.tell();
     words.rollouts = this->core->rollouts.tell(now);
     words.freshness = this->core->freshness.tell(now);
@@ -157,8 +161,7 @@
 
 auto peer_group::newest_news() const -> urgent_news
 {
-    const auto& rules = this->core->rules();
-    return {rules == nullptr ? 0 : rules->version(), this->core->rollouts.orders_taken()};
+    return {this->core->rules_version(), this->core->rollouts.orders_taken()};
 }
 
 auto peer_group::spread_news() -> void
@@ -215,14 +218,12 @@
         }
     }
     this->hear_of_servers(*words, now);
-    const auto round = this->period * static_cast<int>(this->calls_per_round());
-    const auto trusted_until = now + round * trusted_rounds;
+    const auto trusted_until = now + this->round() * trusted_rounds;
     this->core->loads.hear(words->host, words->loads, trusted_until);
     this->core->freshness.hear(words->freshness, now);
     this->core->health.hear(words->host, words->outcomes, trusted_until, now);
     this->core->rollouts.hear(process_name(*words), words->rollouts, now);
-    const auto own_version = this->core->rules() == nullptr ? 0 : this->core->rules()->version();
-    if (words->rules_version > own_version) {
+    if (words->rules_version > this->core->rules_version()) {
         this->on_newer_rules(*from);
     }
     this->spread_news();
@@ -238,8 +239,7 @@
     known.heard = this->core->hooks.clock();
     known.host = news.host;
     known.place = router::place_of(news.data_centre);
-    const auto own_version = this->core->rules() == nullptr ? 0 : this->core->rules()->version();
-    if (news.rules_version > own_version) {
+    if (news.rules_version > this->core->rules_version()) {
         this->on_newer_rules(from);
     }
 }
@@ -249,10 +249,9 @@
     if (at == this->place) {
         return near_reader_silence;
     }
-    const auto round = this->period * static_cast<int>(this->calls_per_round());
     return std::max<common::duration>(
         near_reader_silence,
-        std::chrono::duration_cast<common::duration>(round * far_reader_rounds));
+        std::chrono::duration_cast<common::duration>(this->round() * far_reader_rounds));
 }
 
 auto peer_group::by_data_centre() const -> std::map<std::uint32_t, std::vector<reader>>
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -101,6 +101,8 @@
     [[nodiscard]] auto told_now(common::time_point now) const -> std::size_t;
     /// How many calls of `tell` it takes until each peer has been told.
     [[nodiscard]] auto calls_per_round() const -> std::size_t;
+    /// Time until each peer has been told.
+    [[nodiscard]] auto round() const -> std::chrono::milliseconds;
     /// A peer that has been silent for this long is not counted among the living.
     [[nodiscard]] auto silence() const -> common::duration;
     /// Takes out the servers that the sender has seen leave or end.
--- a/source/router/state_page.cpp
+++ b/source/router/state_page.cpp
@@ -80,7 +80,7 @@
     return json::serialize(json::object{
         {"host", host.value()},
         {"ready", core.is_ready()},
-        {"rules_version", core.rules() == nullptr ? 0 : core.rules()->version()},
+        {"rules_version", core.rules_version()},
         {"under_way", core.under_way()},
         {"wait_level", core.waits.level()},
         {"peers", peers.heard()},
