Rank servers by rendezvous in one place

server_choice had written the short list of the best again that placement::preferred has, with servers left out on the way. placement::first_by_affinity serves both: it asks whether a server may be only where it would rank. The same choices; all 32 tests pass, none was changed.

--- a/source/core/placement/affinity.cpp
+++ b/source/core/placement/affinity.cpp
@@ -1,6 +1,5 @@
 #include "placement/affinity.hpp"
 
-#include <algorithm>
 #include <utility>
 
 #include <xxhash.h>
@@ -47,25 +46,12 @@
 auto preferred(std::span<const candidate> candidates, std::uint64_t key, std::size_t count)
     -> std::vector<std::size_t>
 {
-    // Few are wanted of many, so that insertion into a short list beats sorting them all.
-    std::vector<std::pair<std::uint64_t, std::size_t>> best;
-    best.reserve(count + 1);
-    for (std::size_t index = 0; index < candidates.size(); ++index) {
-        const auto weight = affinity_weight(candidates[index].hash, key);
-        if (best.size() == count && weight <= best.back().first) {
-            continue;
-        }
-        const auto place = std::ranges::find_if(
-            best, [weight](const auto& other) { return other.first < weight; });
-        best.insert(place, {weight, index});
-        best.resize(std::min(best.size(), count));
-    }
-    std::vector<std::size_t> indexes;
-    indexes.reserve(best.size());
-    for (const auto& [weight, index] : best) {
-        indexes.push_back(index);
-    }
-    return indexes;
+    return first_by_affinity(
+        candidates.size(),
+        key,
+        count,
+        [&candidates](std::size_t index) { return candidates[index].hash; },
+        [](std::size_t) { return true; });
 }
 
 } // namespace reedramp::placement
--- a/source/core/routing/server_choice.cpp
+++ b/source/core/routing/server_choice.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <utility>
 
 #include "placement/affinity.hpp"
 
@@ -52,24 +51,17 @@
     const servers& usable, std::uint64_t key, std::size_t count, const eligibility& may_go)
     -> servers
 {
-    std::vector<std::pair<std::uint64_t, const registration*>> best;
-    best.reserve(count + 1);
-    for (const auto* server : usable) {
-        const auto weight = placement::affinity_weight(id_hash(*server), key);
-        const bool ranks = best.size() < count || weight > best.back().first;
-        // Few rank, so that few are looked up in the books.
-        if (!ranks || !may_go.holds(*server)) {
-            continue;
-        }
-        const auto place = std::ranges::find_if(
-            best, [weight](const auto& other) { return other.first < weight; });
-        best.insert(place, {weight, server});
-        best.resize(std::min(best.size(), count));
-    }
+    // Few rank, so that few are looked up in the books.
+    const auto first = placement::first_by_affinity(
+        usable.size(),
+        key,
+        count,
+        [&usable](std::size_t index) { return id_hash(*usable[index]); },
+        [&](std::size_t index) { return may_go.holds(*usable[index]); });
     servers found;
-    found.reserve(best.size());
-    for (const auto& [weight, server] : best) {
-        found.push_back(server);
+    found.reserve(first.size());
+    for (const auto index : first) {
+        found.push_back(usable[index]);
     }
     return found;
 }
