Tell requests that come again from others in the logs: a print of their content

Sight for the incident of requests that end servers. A lost send's line names a hash of caller, method, host, path and body, how long after the send it was lost, and whether the head of an answer had come.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -176,6 +176,18 @@
     this->settle(of, end, outcome);
 }
 
+auto relay::print() const -> routing::request_print
+{
+    const auto& asked = this->request.asked;
+    const auto* owner = this->request.rules->owner_of(this->request.caller.key);
+    return routing::print_of(
+        {owner == nullptr ? std::string_view{} : owner->name.value(),
+         asked.method,
+         http::find_header(asked.headers, "Host").value_or(""),
+         asked.target,
+         asked.body});
+}
+
 auto relay::is_stream() const -> bool
 {
     return this->request.route->kind == routing::request_kind::stream;
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -8,6 +8,7 @@
 #include "router/router_core.hpp"
 #include "routing/attempt_ledger.hpp"
 #include "routing/event_splitter.hpp"
+#include "routing/request_print.hpp"
 
 namespace reedramp::router {
 
@@ -147,6 +148,7 @@
     auto note_whole_time(attempt& of, routing::time_bound bound) const -> void;
     auto note_time(attempt& of, const routing::timed_answer& timed) const -> void;
     auto log_answer(const attempt& of, std::string_view what) const -> void;
+    auto log_lost(const attempt& of, const common::error& why) const -> void;
     auto on_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void;
 
     /// Ends the attempt's bookkeeping; once.
@@ -160,6 +162,8 @@
         routing::attempt_end end,
         routing::server_outcome outcome) -> void;
     [[nodiscard]] auto is_stream() const -> bool;
+    /// Of the content, so that a request that comes again is known under its next id.
+    [[nodiscard]] auto print() const -> routing::request_print;
     /// The caller has a part of the stream from a connection that was cut.
     [[nodiscard]] auto is_resumed() const -> bool;
     auto retries() -> placement::retry_budget&;
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -270,6 +270,18 @@
             " server=" + of.server.id.value() + " status=" + std::to_string(of.head.status));
 }
 
+auto relay::log_lost(const attempt& of, const common::error& why) const -> void
+{
+    common::log(
+        common::log_part::place,
+        common::log_level::info,
+        "attempt lost request=" + this->request.caller.attempt + " print=" +
+            to_string(this->print()) + " server=" + of.server.id.value() + " after_ms=" +
+            std::to_string(milliseconds_between(of.sent, this->core->hooks.clock()).count()) +
+            " head=" + (of.said == verdict::none ? "no" : "yes") +
+            " run=" + std::string{common::to_string(why.run)} + " detail=" + why.detail);
+}
+
 auto relay::on_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void
 {
     const bool unsent = why.run == execution::not_run && of->said == verdict::none;
@@ -279,12 +291,7 @@
                                                : attempt_end::unknown;
     of->was_lost = !unsent;
     this->settle(of, end, unsent ? server_outcome::unreachable : server_outcome::failed);
-    common::log(
-        common::log_part::place,
-        common::log_level::info,
-        "attempt lost request=" + this->request.caller.attempt +
-            " server=" + of->server.id.value() + " run=" + std::string{common::to_string(why.run)} +
-            " detail=" + why.detail);
+    this->log_lost(*of, why);
     this->try_again(result_code::outcome_unknown);
 }
 
--- /dev/null
+++ b/source/core/routing/request_print.cpp
@@ -0,0 +1,48 @@
+#include "routing/request_print.hpp"
+
+#include <array>
+#include <cstdio>
+#include <cstring>
+
+#include <boost/uuid/name_generator_sha1.hpp>
+#include <boost/uuid/nil_generator.hpp>
+#include <boost/uuid/uuid.hpp>
+
+namespace reedramp::routing {
+
+namespace {
+
+/// A name-based UUID (RFC 4122, 4.3) within the one before it, so that no two fields run into each
+/// other.
+auto within(const boost::uuids::uuid& space, std::string_view name) -> boost::uuids::uuid
+{
+    return boost::uuids::name_generator_sha1{space}(name.data(), name.size());
+}
+
+} // namespace
+
+auto print_of(const request_content& content) -> request_print
+{
+    auto id = boost::uuids::nil_uuid();
+    for (const auto field :
+         {content.caller, content.method, content.host, content.target, content.body}) {
+        id = within(id, field);
+    }
+    // The version and variant, 6 bits that are the same in all, stand in different halves.
+    std::array<std::uint64_t, 2> halves{};
+    std::memcpy(halves.data(), id.data, sizeof(halves));
+    return request_print{halves[0] ^ halves[1]};
+}
+
+auto to_string(request_print print) -> std::string
+{
+    std::array<char, 17> digits{};
+    std::snprintf(
+        digits.data(),
+        digits.size(),
+        "%016llx",
+        static_cast<unsigned long long>(print.value())); // NOLINT(google-runtime-int)
+    return digits.data();
+}
+
+} // namespace reedramp::routing
