--- /dev/null
+++ b/source/unit_tests/router/crash_play.cpp
@@ -0,0 +1,195 @@
+#include "crash_play.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace reedramp::router::testing {
+
+namespace {
+
+constexpr milliseconds step{10};
+/// From a request's arrival until the server that it ends is gone.
+constexpr milliseconds ends_after{60};
+constexpr milliseconds shortest_answer{100};
+constexpr std::int64_t longest_more_ms = 900;
+/// A server that ended is missed by the store, and another one starts.
+constexpr milliseconds registration_lapses{3600};
+constexpr milliseconds restarts_after{3000};
+constexpr seconds entries_settle{3};
+
+constexpr std::string_view ending_mark = "ends servers: ";
+
+} // namespace
+
+crash_play::crash_play(const crash_play_shape& shape)
+    : fleet({.entries = shape.entries, .loss = shape.loss, .seed = shape.seed}), random(shape.seed),
+      taken(shape.entries, 0)
+{
+    for (const auto* server : {"a", "b", "c", "d"}) {
+        this->fleet.remove(server);
+    }
+    for (std::size_t i = 0; i < shape.servers; ++i) {
+        this->start_server();
+    }
+    this->fleet.run(entries_settle);
+}
+
+auto crash_play::ending(const std::string& name) -> std::string
+{
+    return std::string{ending_mark} + name;
+}
+
+auto crash_play::now() const -> common::time_point
+{
+    return this->fleet.now;
+}
+
+auto crash_play::start_server() -> void
+{
+    this->started += 1;
+    const auto id = "s-" + std::to_string(this->started);
+    this->alive.insert(id);
+    this->fleet.write(id);
+}
+
+auto crash_play::ask(std::size_t entry, const std::string& body, const std::string& key)
+    -> std::shared_ptr<caller>
+{
+    this->attempts += 1;
+    auto out = this->fleet.entries[entry]->own.ask(
+        "/stream/1",
+        {{"Reedramp-Attempt-Id", "attempt-" + std::to_string(this->attempts)},
+         {"Reedramp-Model", "s"},
+         {"Reedramp-Key", key}},
+        body);
+    this->asked.push_back({entry, body, out});
+    return out;
+}
+
+auto crash_play::ask_anywhere(const std::string& body) -> std::shared_ptr<caller>
+{
+    auto& entries = this->fleet.entries;
+    auto entry = this->random() % entries.size();
+    while (entries[entry]->is_dead || entries[entry]->is_frozen) {
+        entry = this->random() % entries.size();
+    }
+    return this->ask(entry, body);
+}
+
+auto crash_play::take_new_sends() -> void
+{
+    for (std::size_t i = 0; i < this->fleet.entries.size(); ++i) {
+        const auto& sent = this->fleet.entries[i]->own.client->sent;
+        for (; this->taken[i] < sent.size(); ++this->taken[i]) {
+            const auto call = sent[this->taken[i]];
+            const auto server = call->header("Reedramp-Expect-Server");
+            this->sends.push_back({this->now(), i, server, call->asked.body});
+            const bool ends = call->asked.body.starts_with(ending_mark);
+            const milliseconds more{static_cast<std::int64_t>(this->random() % longest_more_ms)};
+            this->under_way.push_back(
+                {call,
+                 server,
+                 call->asked.body,
+                 this->now() + (ends ? ends_after : shortest_answer + more)});
+        }
+    }
+}
+
+auto crash_play::end_server(const std::string& server) -> void
+{
+    if (this->alive.erase(server) == 0) {
+        return;
+    }
+    this->to_remove.emplace(this->now() + registration_lapses, server);
+    this->to_start.emplace(this->now() + restarts_after, server);
+    // Each loss may lead to another send, which is taken in the next step.
+    for (const auto& one : std::exchange(this->under_way, {})) {
+        if (one.server != server) {
+            this->under_way.push_back(one);
+        }
+        else if (one.call->events.on_done) {
+            one.call->lose(common::execution::unknown);
+        }
+    }
+}
+
+auto crash_play::crash(const std::string& server) -> void
+{
+    this->end_server(server);
+}
+
+auto crash_play::answer_due() -> void
+{
+    std::vector<begun> due;
+    std::erase_if(this->under_way, [this, &due](const begun& one) {
+        const bool is_refused = !this->alive.contains(one.server);
+        const bool is_due = is_refused || one.ends_at <= this->now();
+        if (is_due) {
+            due.push_back(one);
+        }
+        return is_due;
+    });
+    for (const auto& one : due) {
+        if (!one.call->events.on_done) {
+            continue; // Its caller or its entry has left it.
+        }
+        if (!this->alive.contains(one.server)) {
+            one.call->lose(common::execution::not_run);
+        }
+        else if (one.body.starts_with(ending_mark)) {
+            one.call->head(200);
+            this->ends_of[one.body].push_back(this->now());
+            this->under_way.push_back(one);
+            this->end_server(one.server);
+        }
+        else {
+            one.call->answer(200, "id: 0\ndata: 0\n\n");
+        }
+    }
+}
+
+auto crash_play::replace_due() -> void
+{
+    while (!this->to_remove.empty() && this->to_remove.begin()->first <= this->now()) {
+        this->fleet.remove(this->to_remove.begin()->second);
+        this->to_remove.erase(this->to_remove.begin());
+    }
+    while (!this->to_start.empty() && this->to_start.begin()->first <= this->now()) {
+        this->start_server();
+        this->to_start.erase(this->to_start.begin());
+    }
+}
+
+auto crash_play::run(milliseconds time) -> void
+{
+    for (const auto until = this->now() + time; this->now() < until;) {
+        this->fleet.run(step);
+        this->take_new_sends();
+        this->answer_due();
+        this->replace_due();
+    }
+}
+
+auto crash_play::third_end(const std::string& body) const -> common::time_point
+{
+    constexpr std::size_t third = 2;
+    const auto found = this->ends_of.find(body);
+    const bool has_three = found != this->ends_of.end() && found->second.size() > third;
+    return has_three ? found->second[third] : common::never;
+}
+
+auto crash_play::arrivals_after(const std::string& body, common::time_point time) const
+    -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->sends, [&body, time](const played_send& one) {
+            return one.body == body && one.at > time;
+        }));
+}
+
+auto crash_play::living() const -> std::vector<std::string>
+{
+    return {this->alive.begin(), this->alive.end()};
+}
+
+} // namespace reedramp::router::testing
--- a/source/unit_tests/router/entry_fleet.hpp
+++ b/source/unit_tests/router/entry_fleet.hpp
@@ -67,6 +67,7 @@
     auto deliver(std::size_t to, const std::string& bytes) -> void;
 
     std::vector<std::unique_ptr<entry>> entries;
+    common::time_point now{seconds{1000}};
     /// Readings that the store answered or refused.
     std::size_t calls = 0;
     /// Records before this position are gone.
@@ -101,7 +102,6 @@
 
     fleet_shape shape;
     std::mt19937_64 random;
-    common::time_point now{seconds{1000}};
     std::vector<routing::registration_change> log;
     std::multimap<common::time_point, letter> letters;
     std::multimap<common::time_point, std::function<auto()->void>> answers;
--- a/source/unit_tests/router/world.cpp
+++ b/source/unit_tests/router/world.cpp
@@ -167,12 +167,13 @@
     this->now = until;
 }
 
-auto world::ask(const std::string& path, std::vector<http::header> extra) -> std::shared_ptr<caller>
+auto world::ask(const std::string& path, std::vector<http::header> extra, const std::string& body)
+    -> std::shared_ptr<caller>
 {
     http::request asked;
     asked.method = "POST";
     asked.target = path;
-    asked.body = "body";
+    asked.body = body;
     asked.headers = {
         {"Host", "h"},
         {"Reedramp-Attempt-Id", "attempt-1"},
--- a/source/unit_tests/router/world.hpp
+++ b/source/unit_tests/router/world.hpp
@@ -121,8 +121,10 @@
     auto advance(milliseconds time) -> void;
 
     /// A caller's request for `path`; `extra` replaces or adds headers.
-    auto ask(const std::string& path, std::vector<http::header> extra = {})
-        -> std::shared_ptr<caller>;
+    auto
+    ask(const std::string& path,
+        std::vector<http::header> extra = {},
+        const std::string& body = "body") -> std::shared_ptr<caller>;
 
     /// The newest request to a server.
     [[nodiscard]] auto last() const -> sent_request& { return *this->client->sent.back(); }
