Send requests that end servers to none, whatever id and entry they come by

What callers saw: in waves of ten seconds and more, over a tenth of all requests failed. One request ended each engine that began it, with all that engine was running; its caller came again with new ids, at any entry, and each copy was given up to four engines.

Cause: every bound on sends is of one attempt. Nothing told that two attempts are the same request, and nothing asked what servers that end had in common. Ruled out: an attempt that is sent on without bound (none had more than four sends), and servers that end by themselves (the lost sends' prints).

Change: entries keep what was lost with which server, by a print of its content (routing/crash_book), and tell all others at once (router/crash_news, crash_courier). A request that was there at three crashes, at each of them more often than anybody else who was, and that was never served since, is refused at its arrival with a final 503 ends_servers and a Retry-After of the time for which that is remembered; a copy under way is not sent on. While servers end under no suspect, up to three more crashes are asked for.

Why it holds: the request is never served and is at each of its crashes; a harmless one shares them only with it, and is served in the end.

--- a/source/core/common/result.hpp
+++ b/source/core/common/result.hpp
@@ -54,6 +54,7 @@
     stale_configuration = 308,
     already_refused = 309,
     wrong_incarnation = 310,
+    ends_servers = 311,
     outcome_unknown = 400,
     server_failed = 401,
     server_lost = 402,
--- /dev/null
+++ b/source/core/router/crash_courier.cpp
@@ -0,0 +1,131 @@
+#include "router/crash_courier.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/log.hpp"
+
+namespace reedramp::router {
+
+namespace {
+
+/// Barred requests that peers are told of, those that came last; as a rule there is none. 600 bytes
+/// each 100 ms at the most.
+constexpr std::size_t most_barred = 16;
+
+/// Adds what was told `ago` for the second time.
+template <typename Item>
+auto add_again(std::vector<Item>& to, std::vector<Item> told, std::chrono::milliseconds ago) -> void
+{
+    for (auto& one : told) {
+        one.age += ago;
+        to.push_back(one);
+    }
+}
+
+} // namespace
+
+crash_courier::crash_courier(
+    std::shared_ptr<router_core> core_to_tell_of,
+    common::host_id own_host,
+    crash_courier_hooks hooks_to_use)
+    : core(std::move(core_to_tell_of)), self(std::move(own_host)), hooks(std::move(hooks_to_use))
+{
+}
+
+auto crash_courier::tick() -> void
+{
+    const auto now = this->core->hooks.clock();
+    this->tell(now);
+    this->judge(now);
+    this->tell_next();
+}
+
+auto crash_courier::tell(time_point now) -> void
+{
+    crash_news news{
+        this->self, this->core->crashes.take_losses(now), this->core->crashes.take_served(now), {}};
+    auto before = std::exchange(this->told_once, news);
+    const auto ago = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->told_at);
+    this->told_at = now;
+    add_again(news.lost, std::move(before.lost), ago);
+    add_again(news.served, std::move(before.served), ago);
+    this->tell_all(news);
+}
+
+auto crash_courier::tell_all(const crash_news& news) const -> void
+{
+    const auto datagrams = encode_datagrams(news);
+    if (datagrams.empty()) {
+        return;
+    }
+    for (const auto& to : this->hooks.everyone()) {
+        for (const auto& bytes : datagrams) {
+            this->hooks.send(to, bytes);
+        }
+    }
+}
+
+auto crash_courier::barred_news(time_point now) const -> crash_news
+{
+    return {this->self, {}, {}, this->core->crashes.tell_barred(most_barred, now)};
+}
+
+auto crash_courier::tell_barred(const http::endpoint& to) const -> void
+{
+    for (const auto& bytes : encode_datagrams(this->barred_news(this->core->hooks.clock()))) {
+        this->hooks.send(to, bytes);
+    }
+}
+
+auto crash_courier::tell_next() -> void
+{
+    if (!this->core->crashes.has_barred()) {
+        return;
+    }
+    const auto all = this->hooks.everyone();
+    if (all.empty()) {
+        return;
+    }
+    const auto next = std::ranges::upper_bound(all, this->told_last);
+    this->told_last = next == all.end() ? all.front() : *next;
+    this->tell_barred(this->told_last);
+}
+
+auto crash_courier::judge(time_point now) -> void
+{
+    bool is_own = false;
+    for (const auto& one : this->core->crashes.judge(now)) {
+        is_own = is_own || one.is_own;
+        this->core->counters.barred.add();
+        common::log(
+            common::log_part::place,
+            common::log_level::warning,
+            "request barred print=" + to_string(one.print) + " crashes=" +
+                std::to_string(one.crashes) + " others=" + std::to_string(one.others));
+    }
+    if (is_own) {
+        this->tell_all(this->barred_news(now));
+    }
+}
+
+auto crash_courier::hear(std::string_view datagram) -> void
+{
+    const auto news = decode_crash_news(datagram);
+    if (!news) {
+        return;
+    }
+    const auto now = this->core->hooks.clock();
+    this->core->crashes.hear_losses(news->lost, now);
+    this->core->crashes.hear_served(news->served, now);
+    for (const auto& one : news->barred) {
+        if (this->core->crashes.hear_barred(one, now)) {
+            common::log(
+                common::log_part::place,
+                common::log_level::warning,
+                "request barred print=" + to_string(one.print) + " told_by=" + news->host.value());
+        }
+    }
+}
+
+} // namespace reedramp::router
--- a/source/core/router/list_news.cpp
+++ b/source/core/router/list_news.cpp
@@ -170,19 +170,13 @@
         return no_news();
     }
     bytes.remove_prefix(mark.size());
-    const auto aligned = aligned_words(bytes);
-    std::optional<list_news> news;
-    const auto problem = kj::runCatchingExceptions([&aligned, &news] {
-        capnp::ReaderOptions limits;
-        limits.traversalLimitInWords = traversal_words;
-        capnp::FlatArrayMessageReader reader(
-            kj::ArrayPtr<const capnp::word>(aligned.data(), aligned.size()), limits);
-        news = read_news(reader.getRoot<schema::ListNews>());
-    });
-    if (problem != nullptr || !news || !is_sound(*news)) {
+    list_news news;
+    const bool is_read = read_flat<schema::ListNews>(
+        bytes, traversal_words, [&news](schema::ListNews::Reader root) { news = read_news(root); });
+    if (!is_read || !is_sound(news)) {
         return no_news();
     }
-    return std::move(*news);
+    return news;
 }
 
 auto encode_answer(const list_news& news) -> std::string
--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -5,8 +5,6 @@
 #include <optional>
 
 #include <capnp/message.h>
-#include <capnp/serialize.h>
-#include <kj/exception.h>
 
 #include "placement/affinity.hpp"
 #include "router/generated/peers.capnp.h"
@@ -238,22 +236,13 @@
 
 auto decode_peer_words(std::string_view bytes) -> common::result<peer_words>
 {
-    const auto aligned = aligned_words(bytes);
-    if (aligned.empty()) {
-        return common::failure(common::result_code::malformed_request, "empty datagram");
-    }
-    std::optional<peer_words> words;
-    const auto problem = kj::runCatchingExceptions([&aligned, &words] {
-        capnp::ReaderOptions limits;
-        limits.traversalLimitInWords = traversal_words;
-        capnp::FlatArrayMessageReader reader(
-            kj::ArrayPtr<const capnp::word>(aligned.data(), aligned.size()), limits);
-        words = read_words(reader.getRoot<schema::Words>());
-    });
-    if (problem != nullptr || !words) {
+    peer_words words;
+    const bool is_read = read_flat<schema::Words>(
+        bytes, traversal_words, [&words](schema::Words::Reader root) { words = read_words(root); });
+    if (!is_read) {
         return common::failure(common::result_code::malformed_request, "no message of a peer");
     }
-    return std::move(*words);
+    return words;
 }
 
 } // namespace reedramp::router
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -84,6 +84,35 @@
   dataCentre @16 :UInt32;
 }
 
+# A request that ends the servers which run it: since it was barred, and since it came last.
+struct BarredRequest {
+  print @0 :UInt64;
+  ageMs @1 :UInt32;
+  unseenMs @2 :UInt32;
+}
+
+# A request that was lost with its server; of print 0, a server that refuses connections.
+struct LostRequest {
+  print @0 :UInt64;
+  server @1 :UInt64;
+  ageMs @2 :UInt32;
+}
+
+# A request that was lost with a server, and was served since.
+struct ServedRequest {
+  print @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
+# What the sender has seen of servers that end, as a datagram behind the bytes that codec
+# crash_news.cpp names.
+struct CrashNews {
+  host @0 :Text;
+  lost @1 :List(LostRequest);
+  served @2 :List(ServedRequest);
+  barred @3 :List(BarredRequest);
+}
+
 # A change of the servers' list, as the store gave it to an entry that read it.
 struct ServerChange {
   id @0 :Text;
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -176,16 +176,12 @@
     this->settle(of, end, outcome);
 }
 
-auto relay::print() const -> routing::request_print
+auto relay::print() -> routing::request_print
 {
-    const auto& asked = this->request.asked;
-    const auto* owner = this->request.rules->owner_of(this->request.caller.key);
-    return routing::print_of(
-        {owner == nullptr ? std::string_view{} : owner->name.value(),
-         asked.method,
-         http::find_header(asked.headers, "Host").value_or(""),
-         asked.target,
-         asked.body});
+    if (!this->known_print) {
+        this->known_print = this->core->print_of(this->request.asked, this->request.caller);
+    }
+    return *this->known_print;
 }
 
 auto relay::is_stream() const -> bool
@@ -215,6 +211,10 @@
     if (this->ended) {
         return;
     }
+    if (this->core->crashes.has_barred() && this->core->crashes.is_barred(this->print())) {
+        this->give_up(result_code::ends_servers);
+        return;
+    }
     if (this->may_send_again() && this->retries().take_retry()) {
         this->core->counters.resumed.add(this->is_streaming ? 1 : 0);
         this->send_next();
@@ -228,7 +228,13 @@
     if (this->ended) {
         return;
     }
-    if (this->ledger.is_not_run() && why != result_code::deadline_too_near) {
+    const bool is_not_run = this->ledger.is_not_run();
+    if (why == result_code::ends_servers && !is_not_run) {
+        // The refusal says that it has not run.
+        why = result_code::outcome_unknown;
+    }
+    else if (
+        is_not_run && why != result_code::deadline_too_near && why != result_code::ends_servers) {
         why = result_code::no_capacity;
     }
     if (this->is_streaming) {
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -148,7 +148,7 @@
     auto note_whole_time(attempt& of, routing::time_bound bound) const -> void;
     auto note_time(attempt& of, const routing::timed_answer& timed) const -> void;
     auto log_answer(const attempt& of, std::string_view what) const -> void;
-    auto log_lost(const attempt& of, const common::error& why) const -> void;
+    auto log_lost(const attempt& of, const common::error& why) -> void;
     auto on_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void;
 
     /// Ends the attempt's bookkeeping; once.
@@ -162,8 +162,8 @@
         routing::attempt_end end,
         routing::server_outcome outcome) -> void;
     [[nodiscard]] auto is_stream() const -> bool;
-    /// Of the content, so that a request that comes again is known under its next id.
-    [[nodiscard]] auto print() const -> routing::request_print;
+    /// As `router_core::print_of`; made once it is asked for.
+    auto print() -> routing::request_print;
     /// The caller has a part of the stream from a connection that was cut.
     [[nodiscard]] auto is_resumed() const -> bool;
     auto retries() -> placement::retry_budget&;
@@ -197,6 +197,7 @@
     std::size_t model_at = 0;
 
     std::uint64_t session_hash = 0;
+    std::optional<routing::request_print> known_print;
 
     std::shared_ptr<attempt> current;
     std::vector<routing::server_start> tried;
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -270,7 +270,7 @@
             " server=" + of.server.id.value() + " status=" + std::to_string(of.head.status));
 }
 
-auto relay::log_lost(const attempt& of, const common::error& why) const -> void
+auto relay::log_lost(const attempt& of, const common::error& why) -> void
 {
     common::log(
         common::log_part::place,
@@ -292,6 +292,12 @@
     of->was_lost = !unsent;
     this->settle(of, end, unsent ? server_outcome::unreachable : server_outcome::failed);
     this->log_lost(*of, why);
+    if (unsent) {
+        this->core->crashes.note_down(of->server, this->core->hooks.clock());
+    }
+    else {
+        this->core->crashes.note_lost(this->print(), of->server, this->core->hooks.clock());
+    }
     this->try_again(result_code::outcome_unknown);
 }
 
@@ -304,6 +310,9 @@
         return;
     }
     this->settle(of, attempt_end::ran, server_outcome::good);
+    if (this->core->crashes.has_suspects()) {
+        this->core->crashes.note_served(this->print(), of->server, this->core->hooks.clock());
+    }
     if (of->events && this->is_streaming) {
         this->out->finish();
     }
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -29,7 +29,8 @@
     : hooks(std::move(hooks_to_use)), options(std::move(options_to_use)),
       client(std::move(servers_client)),
       freshness(with_reader(this->options.freshness, this->hooks.random())),
-      health(this->options.health), rollouts(this->options.rollout), counters(this->series)
+      health(this->options.health), crashes(this->options.crashes), rollouts(this->options.rollout),
+      counters(this->series)
 {
 }
 
@@ -56,21 +57,58 @@
         this->refuse(found.error(), caller->attempt, *out);
         return;
     }
+    if (const auto barred = this->find_barred(asked, *caller)) {
+        this->refuse(
+            common::make_error(common::result_code::ends_servers),
+            caller->attempt,
+            *out,
+            " print=" + to_string(*barred));
+        return;
+    }
     relay::begin(
         this->shared_from_this(),
         {std::move(asked), std::move(*caller), this->rules_in_force, *found, received},
         std::move(out));
 }
 
-auto router_core::refuse(const common::error& why, const std::string& attempt, http::responder& out)
-    -> void
+auto router_core::print_of(const http::request& asked, const caller_request& caller) const
+    -> routing::request_print
+{
+    const auto* owner = this->rules_in_force->owner_of(caller.key);
+    return routing::print_of(
+        {owner == nullptr ? std::string_view{} : owner->name.value(),
+         asked.method,
+         http::find_header(asked.headers, "Host").value_or(""),
+         asked.target,
+         asked.body});
+}
+
+auto router_core::find_barred(const http::request& asked, const caller_request& caller)
+    -> std::optional<routing::request_print>
+{
+    if (!this->crashes.has_barred()) {
+        return std::nullopt;
+    }
+    const auto print = this->print_of(asked, caller);
+    if (!this->crashes.is_barred(print)) {
+        return std::nullopt;
+    }
+    this->crashes.note_refused(print, this->hooks.clock());
+    return print;
+}
+
+auto router_core::refuse(
+    const common::error& why,
+    const std::string& attempt,
+    http::responder& out,
+    const std::string& logged) -> void
 {
     const auto name = std::string{common::row_of(why.code).name};
     this->counters.count_end(name);
     common::log(
         common::log_part::entry,
         common::log_level::info,
-        "refused request=" + attempt + " why=" + name);
+        "refused request=" + attempt + " why=" + name + logged);
     out.send(own_answer(why, this->come_back_after(why.code)));
 }
 
@@ -146,6 +184,10 @@
     if (why == common::result_code::not_ready) {
         return this->options.come_back_when_ready;
     }
+    if (why == common::result_code::ends_servers) {
+        // Sooner it is refused again, and remembered for longer.
+        return this->options.crashes.remembered;
+    }
     const auto usual = this->options.come_back_after;
     if (why != common::result_code::shutting_down || !this->hooks.served_elsewhere_at) {
         return usual;
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -17,6 +18,7 @@
 #include "router/router_metrics.hpp"
 #include "router/shared_store.hpp"
 #include "routing/configuration.hpp"
+#include "routing/crash_book.hpp"
 #include "routing/list_freshness.hpp"
 #include "routing/load_book.hpp"
 #include "routing/model_choice.hpp"
@@ -48,6 +50,7 @@
     routing::choice_options choice;
     routing::freshness_options freshness;
     routing::health_options health;
+    routing::crash_options crashes;
     routing::rollout_options rollout;
     routing::model_options models;
     placement::retry_budget_settings retries;
@@ -165,6 +168,10 @@
     /// whose connection closed without one learns nothing, and loses the time until it tries again.
     auto end_all() -> void;
 
+    /// What tells the request from others, whatever its attempt id.
+    [[nodiscard]] auto print_of(const http::request& asked, const caller_request& caller) const
+        -> routing::request_print;
+
     /// The process will end before a larger model's answer would; the smallest one's has to do.
     [[nodiscard]] auto must_be_quick(const routing::route& on, const caller_request& caller) const
         -> bool
@@ -182,6 +189,7 @@
     /// By service: what a unit of work takes differs between services by far more than within one.
     std::map<common::service_name, routing::pace_book> paces;
     routing::server_health health;
+    routing::crash_book crashes;
     routing::rollout_guide rollouts;
     metrics::registry series;
     routing::wait_gauge waits;
@@ -203,7 +211,12 @@
     auto hold(http::request asked, std::shared_ptr<http::responder> out, time_point received)
         -> void;
     auto give_back(const std::shared_ptr<held_request>& one) -> void;
-    auto refuse(const common::error& why, const std::string& attempt, http::responder& out) -> void;
+    /// `logged` follows in the log's line.
+    auto refuse(
+        const common::error& why,
+        const std::string& attempt,
+        http::responder& out,
+        const std::string& logged = {}) -> void;
     /// Whether a request can end before the process does, if each of its tokens takes `token`.
     [[nodiscard]] auto may_finish(
         const routing::route& on,
@@ -213,6 +226,9 @@
     [[nodiscard]] auto should_go_elsewhere(const routing::route& on) const -> bool;
     /// When a caller that is refused for `why` should come back.
     [[nodiscard]] auto come_back_after(common::result_code why) const -> std::chrono::milliseconds;
+    /// The request's print if it ends the servers that run it.
+    auto find_barred(const http::request& asked, const caller_request& caller)
+        -> std::optional<routing::request_print>;
     auto check(const http::request& asked, const caller_request& caller) const
         -> common::result<const routing::route*>;
 
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -24,6 +24,9 @@
       answer_ms(registry.histogram_of(
           "router_answer_ms", "From a request to its end, in ms.", {}, milliseconds_range)),
       under_way(registry.gauge_of("router_under_way", "Requests without a final answer.")),
+      barred(registry.counter_of(
+          "router_barred_total",
+          "Requests found to end the servers that run them, and sent to none from then on.")),
       list_questions(registry.counter_of(
           "router_list_questions_total",
           "Questions to neighbours for missing changes of the servers' list.")),
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -19,6 +19,8 @@
     metrics::histogram& first_event_ms;
     metrics::histogram& answer_ms;
     metrics::gauge& under_way;
+    /// Requests that this entry has found to end servers.
+    metrics::counter& barred;
     /// Questions to neighbours for what is missing of the servers' list.
     metrics::counter& list_questions;
     /// News of the list from neighbours that were none, or lay ahead of the store.
--- /dev/null
+++ b/source/core/routing/crash_book.cpp
@@ -0,0 +1,294 @@
+#include "routing/crash_book.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace reedramp::routing {
+
+namespace {
+
+/// What is kept too long costs little.
+constexpr std::chrono::seconds between_sweeps{10};
+
+auto age_of(time_point at, time_point now) -> std::chrono::milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::max(at, now) - at);
+}
+
+} // namespace
+
+auto crash_book::note_lost(request_print print, const server_start& server, time_point now) -> void
+{
+    const auto hash = hash_of(server);
+    this->note(print, hash, {now, true});
+    this->untold_losses.push_back({{print, hash}, now});
+}
+
+auto crash_book::note_down(const server_start& server, time_point now) -> void
+{
+    const auto hash = hash_of(server);
+    const auto known = this->crashes.find(hash);
+    if (known != this->crashes.end() && known->second.is_down) {
+        return;
+    }
+    this->note(request_print{}, hash, {now, true});
+    this->untold_losses.push_back({{request_print{}, hash}, now});
+}
+
+auto crash_book::note(request_print print, std::uint64_t server, lost_request how) -> void
+{
+    const auto served_at = this->served.find(print);
+    if (served_at != this->served.end() && served_at->second >= how.at) {
+        return;
+    }
+    auto& one = this->crashes.try_emplace(server, crash{how.at, {}, false}).first->second;
+    one.at = std::min(one.at, how.at);
+    if (print == request_print{}) {
+        one.is_down = true;
+    }
+    else {
+        one.suspects.try_emplace(print, how);
+    }
+    this->is_to_judge = true;
+}
+
+auto crash_book::note_served(request_print print, const server_start& server, time_point now)
+    -> void
+{
+    const auto known = this->crashes.find(hash_of(server));
+    // What it answered before it ended may be read a little later.
+    if (known != this->crashes.end() && now - known->second.at > this->settings.together) {
+        this->crashes.erase(known);
+    }
+    const bool is_suspect = this->barred.contains(print) ||
+                            std::ranges::any_of(this->crashes, [print](const auto& item) {
+                                return item.second.suspects.contains(print);
+                            });
+    if (is_suspect) {
+        this->absolve(print, now);
+        this->untold_served.emplace_back(print, now);
+    }
+}
+
+auto crash_book::absolve(request_print print, time_point at) -> void
+{
+    auto& last = this->served.try_emplace(print, at).first->second;
+    last = std::max(last, at);
+    for (auto& [server, one] : this->crashes) {
+        const auto found = one.suspects.find(print);
+        if (found != one.suspects.end() && found->second.at <= at) {
+            one.suspects.erase(found);
+        }
+    }
+    const auto found = this->barred.find(print);
+    if (found != this->barred.end() && found->second.at <= at) {
+        this->barred.erase(found);
+    }
+    this->is_to_judge = true;
+}
+
+auto crash_book::is_crash(const crash& one) const -> bool
+{
+    if (one.suspects.empty()) {
+        return false;
+    }
+    if (one.is_down) {
+        return true;
+    }
+    std::vector<time_point> times;
+    for (const auto& [print, lost] : one.suspects) {
+        times.push_back(lost.at);
+    }
+    std::ranges::sort(times);
+    return std::ranges::adjacent_find(times, [this](time_point first, time_point second) {
+               return second - first <= this->settings.together;
+           }) != times.end();
+}
+
+auto crash_book::is_explained(const crash& one) const -> bool
+{
+    return std::ranges::any_of(
+        one.suspects, [this](const auto& item) { return this->barred.contains(item.first); });
+}
+
+auto crash_book::unexplained() const -> std::vector<const crash*>
+{
+    std::vector<const crash*> all;
+    for (const auto& [server, one] : this->crashes) {
+        if (this->is_crash(one) && !this->is_explained(one)) {
+            all.push_back(&one);
+        }
+    }
+    std::ranges::sort(all, {}, [](const crash* one) { return one->at; });
+    return all;
+}
+
+auto crash_book::count(const std::vector<const crash*>& all) -> crash_counts
+{
+    crash_counts counts;
+    for (const auto* one : all) {
+        for (const auto& [print, lost] : one->suspects) {
+            counts[print] += 1;
+        }
+    }
+    return counts;
+}
+
+auto crash_book::has_likelier(const crash& one, request_print than, const crash_counts& counts)
+    -> bool
+{
+    const auto own = counts.at(than);
+    return std::ranges::any_of(one.suspects, [&](const auto& item) {
+        return item.first != than && counts.at(item.first) >= own;
+    });
+}
+
+auto crash_book::weigh(
+    request_print print,
+    const std::vector<const crash*>& all,
+    const crash_counts& counts,
+    time_point now) const -> barred_request
+{
+    barred_request found{print};
+    time_point first = common::never;
+    time_point last_moment{};
+    for (const auto* one : all) {
+        const bool is_settled = now - one->at >= this->settings.settles_after;
+        const auto lost = one->suspects.find(print);
+        const bool is_there = lost != one->suspects.end();
+        if (!is_there || !is_settled || has_likelier(*one, print, counts)) {
+            continue;
+        }
+        found.is_own = found.is_own || lost->second.is_own;
+        first = std::min(first, one->at);
+        if (one->at - last_moment >= this->settings.one_moment) {
+            found.crashes += 1;
+            last_moment = one->at;
+        }
+    }
+    found.others = static_cast<std::size_t>(std::ranges::count_if(all, [&](const crash* one) {
+        const bool has_suspect = std::ranges::any_of(one->suspects, [&](const auto& item) {
+            return item.first == print || counts.at(item.first) >= this->settings.least_crashes;
+        });
+        return !has_suspect && one->at >= first;
+    }));
+    return found;
+}
+
+auto crash_book::judge(time_point now) -> std::vector<barred_request>
+{
+    if (now >= this->forgets_at) {
+        this->forget(now);
+    }
+    std::vector<barred_request> found;
+    if (!std::exchange(this->is_to_judge, false)) {
+        return found;
+    }
+    const auto all = this->unexplained();
+    const auto counts = count(all);
+    for (const auto& [print, crashes_of_it] : counts) {
+        if (crashes_of_it < this->settings.least_crashes) {
+            continue;
+        }
+        // The newest crashes have yet to settle.
+        this->is_to_judge = true;
+        const auto weighed = this->weigh(print, all, counts, now);
+        const auto needed = this->settings.least_crashes +
+                            std::min(weighed.others, this->settings.most_more_crashes);
+        if (weighed.crashes >= needed) {
+            found.push_back(weighed);
+        }
+    }
+    for (const auto& one : found) {
+        this->bar(one.print, now, now);
+    }
+    return found;
+}
+
+auto crash_book::note_refused(request_print print, time_point now) -> void
+{
+    const auto found = this->barred.find(print);
+    if (found != this->barred.end()) {
+        found->second.last_seen = now;
+    }
+}
+
+auto crash_book::hear_barred(const told_barred& told, time_point now) -> bool
+{
+    const auto since = now - told.age;
+    const auto served_at = this->served.find(told.print);
+    const bool was_served = served_at != this->served.end() && served_at->second >= since;
+    const bool is_old = told.unseen > this->settings.remembered;
+    return !was_served && !is_old && this->bar(told.print, since, now - told.unseen);
+}
+
+auto crash_book::bar(request_print print, time_point since, time_point last_seen) -> bool
+{
+    const auto [found, is_new] = this->barred.try_emplace(print, barred_since{since, last_seen});
+    found->second.last_seen = std::max(found->second.last_seen, last_seen);
+    return is_new;
+}
+
+auto crash_book::take_losses(time_point now) -> std::vector<told_loss>
+{
+    std::vector<told_loss> all;
+    for (auto& [loss, at] : std::exchange(this->untold_losses, {})) {
+        loss.age = age_of(at, now);
+        all.push_back(loss);
+    }
+    return all;
+}
+
+auto crash_book::take_served(time_point now) -> std::vector<told_served>
+{
+    std::vector<told_served> all;
+    for (const auto& [print, at] : std::exchange(this->untold_served, {})) {
+        all.push_back({print, age_of(at, now)});
+    }
+    return all;
+}
+
+auto crash_book::hear_losses(const std::vector<told_loss>& losses, time_point now) -> void
+{
+    for (const auto& loss : losses) {
+        this->note(loss.print, loss.server, {now - loss.age, false});
+    }
+}
+
+auto crash_book::hear_served(const std::vector<told_served>& told, time_point now) -> void
+{
+    for (const auto& one : told) {
+        this->absolve(one.print, now - one.age);
+    }
+}
+
+auto crash_book::tell_barred(std::size_t most, time_point now) const -> std::vector<told_barred>
+{
+    std::vector<told_barred> all;
+    for (const auto& [print, since] : this->barred) {
+        all.push_back({print, age_of(since.at, now), age_of(since.last_seen, now)});
+    }
+    std::ranges::sort(all, {}, &told_barred::unseen);
+    all.resize(std::min(all.size(), most));
+    return all;
+}
+
+auto crash_book::forget(time_point now) -> void
+{
+    this->forgets_at = now + between_sweeps;
+    const auto oldest = now - this->settings.remembered;
+    std::erase_if(
+        this->barred, [oldest](const auto& item) { return item.second.last_seen < oldest; });
+    std::erase_if(this->served, [oldest](const auto& item) { return item.second < oldest; });
+    std::erase_if(this->crashes, [oldest](const auto& item) { return item.second.at < oldest; });
+    const auto drop_oldest = [this](auto& items, auto time_of) {
+        while (items.size() > this->settings.most_kept) {
+            items.erase(std::ranges::min_element(items, {}, time_of));
+        }
+    };
+    drop_oldest(this->barred, [](const auto& item) { return item.second.last_seen; });
+    drop_oldest(this->served, [](const auto& item) { return item.second; });
+    drop_oldest(this->crashes, [](const auto& item) { return item.second.at; });
+}
+
+} // namespace reedramp::routing
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -345,6 +345,18 @@
     }
 }
 
+auto peer_group::everyone() const -> std::vector<http::endpoint>
+{
+    const auto now = this->core->hooks.clock();
+    std::vector<http::endpoint> all;
+    for (const auto& [where, known] : this->peers) {
+        if (now - known.heard < this->silence()) {
+            all.push_back(where);
+        }
+    }
+    return all;
+}
+
 auto peer_group::living() const -> std::vector<peer>
 {
     const auto now = this->core->hooks.clock();
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -60,6 +60,9 @@
         return this->recorded.contains(where);
     }
 
+    /// Where all peers are that may live.
+    [[nodiscard]] auto everyone() const -> std::vector<http::endpoint>;
+
     /// This entry's place among those that are heard, by name; 0 for the first.
     [[nodiscard]] auto rank() const -> std::size_t;
 
--- a/source/router/process_neighbours.cpp
+++ b/source/router/process_neighbours.cpp
@@ -69,6 +69,7 @@
     if (!this->core->is_ready() || !where || !this->may_help_another()) {
         return {status_not_ready, {}, ""};
     }
+    this->crashes->tell_barred(*where);
     const auto* has_record = this->peers->is_recorded(*where) ? "yes" : "no";
     return {
         status_ok, {{std::string{recorded_header}, has_record}}, this->peers->words_for_start()};
--- a/source/router/process_parts.hpp
+++ b/source/router/process_parts.hpp
@@ -16,6 +16,7 @@
 #include "http/client.hpp"
 #include "http/server.hpp"
 #include "peer_group.hpp"
+#include "router/crash_courier.hpp"
 #include "router/list_courier.hpp"
 #include "router/rollout_writer.hpp"
 #include "router/servers_follower.hpp"
@@ -97,6 +98,7 @@
     std::unique_ptr<peer_group> peers;
     std::shared_ptr<router::servers_list> list;
     std::shared_ptr<router::list_courier> courier;
+    std::unique_ptr<router::crash_courier> crashes;
     std::shared_ptr<router::rules_follower> rules;
     std::shared_ptr<router::servers_follower> servers;
     std::shared_ptr<router::rollout_writer> rollouts;
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -241,11 +241,26 @@
         [this](const http::endpoint& from) { this->fetch_rules(from); },
         [this](const http::endpoint& from) { this->courier->fetch_from(from); });
     this->open_list();
+    this->crashes = std::make_unique<router::crash_courier>(
+        this->core,
+        this->settings.host,
+        router::crash_courier_hooks{
+            .send =
+                [this](const http::endpoint& to, const std::string& bytes) {
+                    this->send_datagram(to, bytes);
+                },
+            .everyone =
+                [this] {
+                    return this->peers->everyone();
+                }});
     for (const auto& first : this->settings.first_peers) {
         this->peers->add(first);
     }
     this->receive();
-    this->every(this->settings.peer_period, [this] { this->peers->tell(); });
+    this->every(this->settings.peer_period, [this] {
+        this->crashes->tick();
+        this->peers->tell();
+    });
 }
 
 auto router_process::parts_of_process::receive() -> void
@@ -259,6 +274,9 @@
             if (router::is_list_news(bytes)) {
                 this->courier->hear(bytes);
             }
+            else if (router::is_crash_news(bytes)) {
+                this->crashes->hear(bytes);
+            }
             else if (!problem) {
                 this->peers->hear(bytes);
             }
--- a/source/unit_tests/router/entry_fleet.cpp
+++ b/source/unit_tests/router/entry_fleet.cpp
@@ -82,6 +82,18 @@
     };
     one.courier =
         std::make_shared<list_courier>(one.own.core, one.list, host, one.where, std::move(hooks));
+    one.crashes = std::make_unique<crash_courier>(
+        one.own.core,
+        host,
+        crash_courier_hooks{
+            .send =
+                [this, number](const http::endpoint& to, const std::string& bytes) {
+                    this->send(number, to, bytes);
+                },
+            .everyone =
+                [&one] {
+                    return one.peers->everyone();
+                }});
     one.follower = std::make_shared<servers_follower>(
         one.own.core,
         this->store_of(one),
@@ -210,6 +222,9 @@
     if (is_list_news(bytes)) {
         one.courier->hear(bytes);
     }
+    else if (is_crash_news(bytes)) {
+        one.crashes->hear(bytes);
+    }
     else {
         one.peers->hear(bytes);
     }
@@ -251,6 +266,7 @@
             std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch()).count();
         const auto phase = static_cast<std::int64_t>(i % 10) * step_time.count();
         if ((since_start + phase) % tell_period.count() == 0) {
+            one.crashes->tick();
             one.peers->tell();
         }
     }
--- a/source/unit_tests/router/entry_fleet.hpp
+++ b/source/unit_tests/router/entry_fleet.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "peer_group.hpp"
+#include "router/crash_courier.hpp"
 #include "router/list_courier.hpp"
 #include "router/servers_follower.hpp"
 #include "world.hpp"
@@ -40,6 +41,7 @@
         std::unique_ptr<router_program::peer_group> peers;
         std::shared_ptr<servers_list> list;
         std::shared_ptr<list_courier> courier;
+        std::unique_ptr<crash_courier> crashes;
         std::shared_ptr<servers_follower> follower;
         http::endpoint where;
         std::size_t data_centre = 0;
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -1,3 +1,4 @@
+#include "router/crash_news.hpp"
 #include "router/peer_message.hpp"
 
 #include <random>
@@ -112,6 +113,41 @@
     }
 }
 
+TEST_CASE("news of crashes are read as they were told, in pieces of a datagram", "[crash_news]")
+{
+    crash_news news;
+    news.host = common::host_id{"host-a"};
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+        news.lost.push_back({routing::request_print{i}, i * 3, std::chrono::milliseconds{i}});
+    }
+    news.served.push_back({routing::request_print{7}, std::chrono::milliseconds{70}});
+    news.barred.push_back(
+        {routing::request_print{8}, std::chrono::milliseconds{80}, std::chrono::milliseconds{9}});
+    crash_news read;
+    for (const auto& bytes : encode_datagrams(news)) {
+        CHECK(is_crash_news(bytes));
+        CHECK(bytes.size() <= 1400);
+        CHECK(!decode_peer_words(bytes));
+        const auto part = decode_crash_news(bytes);
+        REQUIRE(part);
+        CHECK(part->host == news.host);
+        read.lost.insert(read.lost.end(), part->lost.begin(), part->lost.end());
+        read.served.insert(read.served.end(), part->served.begin(), part->served.end());
+        read.barred.insert(read.barred.end(), part->barred.begin(), part->barred.end());
+        CHECK(!decode_crash_news(bytes.substr(0, bytes.size() / 2)));
+    }
+    REQUIRE(read.lost.size() == 100);
+    CHECK(read.lost.back().print == routing::request_print{100});
+    CHECK(read.lost.back().server == 300);
+    CHECK(read.lost.back().age == std::chrono::milliseconds{100});
+    REQUIRE(read.served.size() == 1);
+    CHECK(read.served.front().age == std::chrono::milliseconds{70});
+    REQUIRE(read.barred.size() == 1);
+    CHECK(read.barred.front().unseen == std::chrono::milliseconds{9});
+    CHECK(encode_datagrams({news.host, {}, {}, {}}).empty());
+    CHECK(!decode_crash_news("no message"));
+}
+
 TEST_CASE("words on servers that left and ended have a bounded size", "[peer_message]")
 {
     // All of a service's servers are replaced within seconds. What is told of that must not grow
