Keep requests that end servers in the store, for entries that all start anew

Cause: what ends servers was known to the entries' processes alone. Now one record a barred request stands among the entries' own records, which an entry that starts without a neighbour reads anyway: no call more at a start, one write a barred request, by the first entry by rank that is not told in time that another one has written it (router/barred_records). Such an entry serves once it has read them, 300 ms later at the most. A neighbour tells one that starts.

--- /dev/null
+++ b/source/core/router/barred_records.cpp
@@ -0,0 +1,99 @@
+#include "router/barred_records.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/log.hpp"
+
+namespace reedramp::router {
+
+namespace {
+
+/// Between the tries of two entries: a write, and the words that say it is done.
+constexpr std::chrono::milliseconds rank_delay{600};
+/// After a call that failed.
+constexpr std::chrono::milliseconds pause{500};
+
+auto log_record(const std::string& what, routing::request_print print, bool is_done) -> void
+{
+    common::log(
+        common::log_part::place,
+        is_done ? common::log_level::info : common::log_level::warning,
+        "barred record " + what + " print=" + to_string(print) + " ok=" + (is_done ? "yes" : "no"));
+}
+
+} // namespace
+
+barred_records::barred_records(
+    std::shared_ptr<router_core> core_to_ask,
+    shared_store store_to_write,
+    std::function<auto()->std::size_t> rank_of_this)
+    : core(std::move(core_to_ask)), store(std::move(store_to_write)), rank(std::move(rank_of_this))
+{
+}
+
+auto barred_records::unix_ms() const -> std::uint64_t
+{
+    return this->core->hooks.unix_ms ? this->core->hooks.unix_ms() : 0;
+}
+
+auto barred_records::tick() -> void
+{
+    const auto now = this->core->hooks.clock();
+    const auto due = this->core->crashes.unrecorded(now);
+    if (!due || this->is_busy || now < this->next_try) {
+        return;
+    }
+    if (due->age >= rank_delay * static_cast<int>(this->rank())) {
+        this->write(*due);
+    }
+}
+
+auto barred_records::write(const routing::told_barred& one) -> void
+{
+    this->is_busy = true;
+    const auto age = static_cast<std::uint64_t>(one.age.count());
+    const auto now = this->unix_ms();
+    this->store.write_barred(
+        {one.print, now - std::min(age, now)},
+        [self = this->shared_from_this(),
+         print = one.print](const common::result<stream_position>& written) {
+            self->is_busy = false;
+            log_record("written", print, written.has_value());
+            if (written) {
+                self->core->crashes.note_recorded(print);
+                return;
+            }
+            // Done or not: writing it twice changes nothing.
+            self->next_try = self->core->hooks.clock() + pause;
+        });
+}
+
+auto barred_records::take(const std::vector<barred_record>& all) -> void
+{
+    const auto now = this->core->hooks.clock();
+    const auto today = this->unix_ms();
+    for (const auto& one : all) {
+        const std::chrono::milliseconds age{
+            static_cast<std::int64_t>(today - std::min(one.unix_ms, today))};
+        const bool is_new = this->core->crashes.hear_barred({one.print, age, age, true}, now);
+        if (is_new) {
+            common::log(
+                common::log_part::place,
+                common::log_level::warning,
+                "request barred print=" + to_string(one.print) + " told_by=store");
+        }
+        else if (!this->core->crashes.is_barred(one.print) && this->rank() == 0) {
+            this->drop(one);
+        }
+    }
+}
+
+auto barred_records::drop(const barred_record& one) -> void
+{
+    this->store.drop_barred(one.print, [print = one.print](const auto& dropped) {
+        log_record("dropped", print, dropped.has_value());
+    });
+}
+
+} // namespace reedramp::router
--- a/source/core/router/counted_store.cpp
+++ b/source/core/router/counted_store.cpp
@@ -25,6 +25,8 @@
     store.write_outcome = counting(std::move(store.write_outcome), "write_rollout_state", counters);
     store.read_entries = counting(std::move(store.read_entries), "entries", counters);
     store.write_entry = counting(std::move(store.write_entry), "write_entry", counters);
+    store.write_barred = counting(std::move(store.write_barred), "write_barred", counters);
+    store.drop_barred = counting(std::move(store.drop_barred), "drop_barred", counters);
     return store;
 }
 
--- a/source/core/router/crash_news.cpp
+++ b/source/core/router/crash_news.cpp
@@ -56,6 +56,7 @@
         refused[i].setPrint(barred[i].print.value());
         refused[i].setAgeMs(told_ms(barred[i].age));
         refused[i].setUnseenMs(told_ms(barred[i].unseen));
+        refused[i].setIsRecorded(barred[i].is_recorded);
     }
     return std::string{mark} + flat_bytes(message);
 }
@@ -79,7 +80,8 @@
         news.barred.push_back(
             {routing::request_print{one.getPrint()},
              std::chrono::milliseconds{one.getAgeMs()},
-             std::chrono::milliseconds{one.getUnseenMs()}});
+             std::chrono::milliseconds{one.getUnseenMs()},
+             one.getIsRecorded()});
     }
     return news;
 }
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -89,6 +89,8 @@
   print @0 :UInt64;
   ageMs @1 :UInt32;
   unseenMs @2 :UInt32;
+  # The store has it.
+  isRecorded @3 :Bool;
 }
 
 # A request that was lost with its server; of print 0, a server that refuses connections.
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -151,6 +151,12 @@
     }
 }
 
+auto router_core::await_barred(bool should_wait) -> void
+{
+    this->awaits_barred = should_wait;
+    this->serve_held();
+}
+
 auto router_core::serve_held() -> void
 {
     if (!this->is_ready()) {
@@ -268,7 +274,7 @@
 
 auto router_core::is_ready() const -> bool
 {
-    return this->rules_in_force != nullptr && this->servers.size() > 0;
+    return this->rules_in_force != nullptr && this->servers.size() > 0 && !this->awaits_barred;
 }
 
 auto router_core::retries_of(const common::service_name& service) -> placement::retry_budget&
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -107,6 +107,9 @@
     /// Takes a caller's request and sees to its answer.
     auto handle(http::request asked, std::shared_ptr<http::responder> out) -> void;
 
+    /// Whether requests wait until it is known which of them end servers.
+    auto await_barred(bool should_wait) -> void;
+
     /// Rules or servers have come: takes the requests that waited for them.
     auto serve_held() -> void;
 
@@ -235,6 +238,7 @@
     std::vector<std::shared_ptr<held_request>> held;
     std::shared_ptr<const routing::route_table> rules_in_force;
     std::string text_in_force;
+    bool awaits_barred = false;
     time_point ends_at = common::never;
     time_point streams_until = common::never;
     std::map<common::service_name, placement::retry_budget> retries;
--- a/source/core/router/shared_store.hpp
+++ b/source/core/router/shared_store.hpp
@@ -11,6 +11,7 @@
 
 #include "common/result.hpp"
 #include "routing/configuration.hpp"
+#include "routing/request_print.hpp"
 #include "routing/rollout.hpp"
 #include "routing/server_table.hpp"
 
@@ -51,6 +52,18 @@
     auto operator==(const entry_record&) const -> bool = default;
 };
 
+/// A request that ends servers, in the store for entries that all start anew.
+struct barred_record {
+    routing::request_print print;
+    /// When it was barred, in milliseconds since 1970 by the writer's host.
+    std::uint64_t unix_ms = 0;
+
+    auto operator==(const barred_record&) const -> bool = default;
+};
+
+/// What entries write for each other; one stream, so that a start reads it with one call.
+using entry_document = std::variant<entry_record, barred_record>;
+
 /// The platform's store as the product sees it: what operators publish, the servers' list, and
 /// three small streams of the product's own. Hooks answer once, on the program's thread.
 ///
@@ -83,8 +96,12 @@
             ->void>
         write_outcome;
 
-    std::function<auto(answer_hook<stream_reading<entry_record>> done)->void> read_entries;
+    std::function<auto(answer_hook<stream_reading<entry_document>> done)->void> read_entries;
     std::function<auto(entry_record self, answer_hook<stream_position> done)->void> write_entry;
+    std::function<auto(barred_record one, answer_hook<stream_position> done)->void> write_barred;
+    /// Takes the record out.
+    std::function<auto(routing::request_print print, answer_hook<stream_position> done)->void>
+        drop_barred;
 
     /// Reads a configuration from the text that a peer handed on.
     std::function<auto(const std::string& text)->common::result<published_rules>> decode_rules;
--- a/source/core/routing/crash_book.cpp
+++ b/source/core/routing/crash_book.cpp
@@ -228,7 +228,7 @@
         }
     }
     for (const auto& one : found) {
-        this->bar(one.print, now, now);
+        this->bar(one.print, {now, now});
     }
     return found;
 }
@@ -247,16 +247,38 @@
     const auto served_at = this->served.find(told.print);
     const bool was_served = served_at != this->served.end() && served_at->second >= since;
     const bool is_old = told.unseen > this->settings.remembered;
-    return !was_served && !is_old && this->bar(told.print, since, now - told.unseen);
+    return !was_served && !is_old &&
+           this->bar(told.print, {since, now - told.unseen, told.is_recorded});
 }
 
-auto crash_book::bar(request_print print, time_point since, time_point last_seen) -> bool
+auto crash_book::bar(request_print print, const barred_since& how) -> bool
 {
-    const auto [found, is_new] = this->barred.try_emplace(print, barred_since{since, last_seen});
-    found->second.last_seen = std::max(found->second.last_seen, last_seen);
+    const auto [found, is_new] = this->barred.try_emplace(print, how);
+    auto& known = found->second;
+    known.last_seen = std::max(known.last_seen, how.last_seen);
+    known.is_recorded = known.is_recorded || how.is_recorded;
     return is_new;
 }
 
+auto crash_book::unrecorded(time_point now) const -> std::optional<told_barred>
+{
+    const auto found = std::ranges::find_if(
+        this->barred, [](const auto& item) { return !item.second.is_recorded; });
+    if (found == this->barred.end()) {
+        return std::nullopt;
+    }
+    const auto& [print, since] = *found;
+    return told_barred{print, age_of(since.at, now), age_of(since.last_seen, now)};
+}
+
+auto crash_book::note_recorded(request_print print) -> void
+{
+    const auto found = this->barred.find(print);
+    if (found != this->barred.end()) {
+        found->second.is_recorded = true;
+    }
+}
+
 auto crash_book::take_losses(time_point now) -> std::vector<told_loss>
 {
     std::vector<told_loss> all;
@@ -293,7 +315,8 @@
 {
     std::vector<told_barred> all;
     for (const auto& [print, since] : this->barred) {
-        all.push_back({print, age_of(since.at, now), age_of(since.last_seen, now)});
+        all.push_back(
+            {print, age_of(since.at, now), age_of(since.last_seen, now), since.is_recorded});
     }
     std::ranges::sort(all, {}, &told_barred::unseen);
     all.resize(std::min(all.size(), most));
--- a/source/core/routing/crash_book.hpp
+++ b/source/core/routing/crash_book.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -64,6 +65,8 @@
     /// Since it was barred, and since it came last.
     std::chrono::milliseconds age{0};
     std::chrono::milliseconds unseen{0};
+    /// The store has it.
+    bool is_recorded = false;
 };
 
 /// A request that is barred from now on, and why.
@@ -130,6 +133,10 @@
     /// Another entry, or the store, knows that the request ends servers. True if that is new.
     auto hear_barred(const told_barred& told, time_point now) -> bool;
 
+    /// A barred request that the store is not known to have; none as a rule.
+    [[nodiscard]] auto unrecorded(time_point now) const -> std::optional<told_barred>;
+    auto note_recorded(request_print print) -> void;
+
     /// What this entry has noted since the last call, for all peers.
     auto take_losses(time_point now) -> std::vector<told_loss>;
     auto take_served(time_point now) -> std::vector<told_served>;
@@ -164,6 +171,7 @@
     struct barred_since {
         time_point at;
         time_point last_seen;
+        bool is_recorded = false;
     };
 
     using crash_counts = std::unordered_map<request_print, std::size_t>;
@@ -183,7 +191,7 @@
         const std::vector<const crash*>& all,
         const crash_counts& counts,
         time_point now) const -> barred_request;
-    auto bar(request_print print, time_point since, time_point last_seen) -> bool;
+    auto bar(request_print print, const barred_since& how) -> bool;
     auto forget(time_point now) -> void;
 
     crash_options settings;
--- a/source/core/routing/request_print.cpp
+++ b/source/core/routing/request_print.cpp
@@ -1,6 +1,7 @@
 #include "routing/request_print.hpp"
 
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <cstring>
 
@@ -45,4 +46,17 @@
     return digits.data();
 }
 
+auto parse_request_print(std::string_view text) -> std::optional<request_print>
+{
+    constexpr std::size_t digits = 16;
+    constexpr int hexadecimal = 16;
+    std::uint64_t value = 0;
+    const auto* last = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), last, value, hexadecimal);
+    if (text.size() != digits || read.ec != std::errc{} || read.ptr != last || value == 0) {
+        return std::nullopt;
+    }
+    return request_print{value};
+}
+
 } // namespace reedramp::routing
--- a/source/core/routing/request_print.hpp
+++ b/source/core/routing/request_print.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,5 +29,6 @@
 
 /// 16 lower-case hexadecimal digits.
 auto to_string(request_print print) -> std::string;
+auto parse_request_print(std::string_view text) -> std::optional<request_print>;
 
 } // namespace reedramp::routing
--- a/source/router/process_neighbours.cpp
+++ b/source/router/process_neighbours.cpp
@@ -24,6 +24,10 @@
 /// the store is asked, which answers in 4 ms.
 constexpr milliseconds neighbours_time{150};
 
+/// An entry that starts from the store waits for the requests that end servers as it waits for
+/// rules and servers; for this long, since an answer may be lost, and callers wait.
+constexpr milliseconds barred_time{300};
+
 /// Entries that one helps to start in a second. All of hundreds that start at once look for the
 /// same three: at 66 KB for the list of 620 servers, these many take less than a second of a link
 /// of 20 Mbit/s, and the others read the store at once in place of waiting behind them.
@@ -187,10 +191,13 @@
 
 auto router_process::parts_of_process::start_followers() -> void
 {
+    if (!this->core->is_ready()) {
+        this->await_barred();
+        this->find_entries();
+    }
     this->rules->start();
     this->servers->start();
     if (!this->core->is_ready()) {
-        this->find_entries();
         return;
     }
     // The neighbour has named all entries. Others find this one by its record, if all that they
@@ -201,6 +208,13 @@
     this->find_entries_later(entries_check);
 }
 
+auto router_process::parts_of_process::await_barred() -> void
+{
+    this->core->await_barred(true);
+    this->timers->add(
+        daemon::boot_time() + barred_time, [this] { this->core->await_barred(false); });
+}
+
 auto router_process::parts_of_process::record_entry() -> void
 {
     this->store.write_entry(
@@ -211,10 +225,11 @@
 auto router_process::parts_of_process::find_entries() -> void
 {
     this->store.read_entries(
-        [this](const common::result<router::stream_reading<router::entry_record>>& reading) {
+        [this](const common::result<router::stream_reading<router::entry_document>>& reading) {
             if (reading) {
                 this->meet(*reading);
             }
+            this->core->await_barred(false);
             this->find_entries_later(reading ? entries_period : entries_check);
         });
 }
@@ -231,18 +246,27 @@
 }
 
 auto router_process::parts_of_process::meet(
-    const router::stream_reading<router::entry_record>& entries) -> void
+    const router::stream_reading<router::entry_document>& entries) -> void
 {
     this->core->counters.count_skipped("entries", entries.skipped);
     const router::entry_record self{this->settings.host, http::to_string(this->own_address())};
-    for (const auto& entry : entries.documents) {
+    std::vector<router::barred_record> ending;
+    bool has_self = false;
+    for (const auto& document : entries.documents) {
+        if (const auto* one = std::get_if<router::barred_record>(&document)) {
+            ending.push_back(*one);
+            continue;
+        }
+        const auto& entry = std::get<router::entry_record>(document);
+        has_self = has_self || entry == self;
         if (const auto where = http::parse_endpoint(entry.address)) {
             this->peers->add(*where);
             this->peers->note_recorded(*where);
         }
     }
+    this->barred->take(ending);
     // A process that starts again on its host finds its record there.
-    if (std::ranges::find(entries.documents, self) != entries.documents.end()) {
+    if (has_self) {
         this->is_recorded = true;
         return;
     }
--- a/source/router/process_parts.hpp
+++ b/source/router/process_parts.hpp
@@ -16,6 +16,7 @@
 #include "http/client.hpp"
 #include "http/server.hpp"
 #include "peer_group.hpp"
+#include "router/barred_records.hpp"
 #include "router/crash_courier.hpp"
 #include "router/list_courier.hpp"
 #include "router/rollout_writer.hpp"
@@ -82,10 +83,11 @@
     auto on_neighbour(const common::result<http::response>& answer) -> void;
     auto start_when_helped(common::time_point latest) -> void;
     auto start_followers() -> void;
+    auto await_barred() -> void;
     auto find_entries() -> void;
     auto find_entries_later(milliseconds wait) -> void;
     auto record_entry() -> void;
-    auto meet(const router::stream_reading<router::entry_record>& entries) -> void;
+    auto meet(const router::stream_reading<router::entry_document>& entries) -> void;
 
     router_settings settings;
     platform_parts platform;
@@ -103,6 +105,7 @@
     std::shared_ptr<router::rules_follower> rules;
     std::shared_ptr<router::servers_follower> servers;
     std::shared_ptr<router::rollout_writer> rollouts;
+    std::shared_ptr<router::barred_records> barred;
     std::unique_ptr<http::server> for_callers;
     std::unique_ptr<http::server> for_balancer;
     std::unique_ptr<http::server> for_peers;
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -323,8 +323,11 @@
                 }});
     this->rollouts = std::make_shared<router::rollout_writer>(
         this->core, this->store, [this] { return this->peers->rank(); });
+    this->barred = std::make_shared<router::barred_records>(
+        this->core, this->store, [this] { return this->peers->rank(); });
     this->every(this->settings.peer_period, [this] {
         this->rollouts->tick();
+        this->barred->tick();
         daemon::flush_line_log();
     });
     this->ask_neighbours();
