Weigh crashes only while something about them is new

Each tick weighed the losses of the last ten minutes for as long as one request was at three crashes. What has come is weighed until it has settled; an entry that was frozen still weighs it once it wakes.

--- a/source/core/routing/crash_book.cpp
+++ b/source/core/routing/crash_book.cpp
@@ -24,7 +24,7 @@
 {
     const auto hash = hash_of(server);
     const lost_request how{now, sent, true};
-    this->note(print, hash, how);
+    this->note(print, hash, how, now);
     this->doubtful.push_back(server);
     this->untold_losses.push_back({print, hash, how});
 }
@@ -37,7 +37,7 @@
         return;
     }
     const lost_request how{now, now, true};
-    this->note(request_print{}, hash, how);
+    this->note(request_print{}, hash, how, now);
     this->untold_losses.push_back({request_print{}, hash, how});
 }
 
@@ -59,7 +59,8 @@
     return servers;
 }
 
-auto crash_book::note(request_print print, std::uint64_t server, lost_request how) -> void
+auto crash_book::note(request_print print, std::uint64_t server, lost_request how, time_point now)
+    -> void
 {
     const auto served_at = this->served.find(print);
     if (served_at != this->served.end() && served_at->second >= how.at) {
@@ -73,7 +74,7 @@
     else {
         one.suspects.try_emplace(print, how);
     }
-    this->is_to_judge = true;
+    this->evidence_at = now;
 }
 
 auto crash_book::note_served(request_print print, const server_start& server, time_point now)
@@ -89,12 +90,12 @@
                                 return item.second.suspects.contains(print);
                             });
     if (is_suspect) {
-        this->absolve(print, now);
+        this->absolve(print, now, now);
         this->untold_served.emplace_back(print, now);
     }
 }
 
-auto crash_book::absolve(request_print print, time_point at) -> void
+auto crash_book::absolve(request_print print, time_point at, time_point now) -> void
 {
     auto& last = this->served.try_emplace(print, at).first->second;
     last = std::max(last, at);
@@ -108,7 +109,7 @@
     if (found != this->barred.end() && found->second.at <= at) {
         this->barred.erase(found);
     }
-    this->is_to_judge = true;
+    this->evidence_at = now;
 }
 
 auto crash_book::is_crash(const crash& one) const -> bool
@@ -209,17 +210,16 @@
         this->forget(now);
     }
     std::vector<barred_request> found;
-    if (!std::exchange(this->is_to_judge, false)) {
+    if (this->judged_at >= this->evidence_at + this->settings.settles_after) {
         return found;
     }
+    this->judged_at = now;
     const auto all = this->unexplained();
     const auto counts = count(all);
     for (const auto& [print, crashes_of_it] : counts) {
         if (crashes_of_it < this->settings.least_crashes) {
             continue;
         }
-        // The newest crashes have yet to settle.
-        this->is_to_judge = true;
         const auto weighed = this->weigh(print, all, counts, now);
         const auto needed = this->settings.least_crashes +
                             std::min(weighed.others, this->settings.most_more_crashes);
@@ -300,14 +300,14 @@
 auto crash_book::hear_losses(const std::vector<told_loss>& losses, time_point now) -> void
 {
     for (const auto& loss : losses) {
-        this->note(loss.print, loss.server, {now - loss.age, now - loss.sent_age, false});
+        this->note(loss.print, loss.server, {now - loss.age, now - loss.sent_age, false}, now);
     }
 }
 
 auto crash_book::hear_served(const std::vector<told_served>& told, time_point now) -> void
 {
     for (const auto& one : told) {
-        this->absolve(one.print, now - one.age);
+        this->absolve(one.print, now - one.age, now);
     }
 }
 
--- a/source/core/routing/crash_book.hpp
+++ b/source/core/routing/crash_book.hpp
@@ -176,11 +176,11 @@
 
     using crash_counts = std::unordered_map<request_print, std::size_t>;
 
-    auto note(request_print print, std::uint64_t server, lost_request how) -> void;
+    auto note(request_print print, std::uint64_t server, lost_request how, time_point now) -> void;
     /// Whether another suspect of the crash was in as many crashes as `than`, or more.
     [[nodiscard]] static auto
     has_likelier(const crash& one, request_print than, const crash_counts& counts) -> bool;
-    auto absolve(request_print print, time_point at) -> void;
+    auto absolve(request_print print, time_point at, time_point now) -> void;
     [[nodiscard]] auto is_crash(const crash& one) const -> bool;
     [[nodiscard]] auto is_explained(const crash& one) const -> bool;
     /// Crashes that no barred request explains, the oldest first.
@@ -210,8 +210,10 @@
 
     std::vector<untold_loss> untold_losses;
     std::vector<std::pair<request_print, time_point>> untold_served;
-    /// Something may be found that `judge` has not weighed.
-    bool is_to_judge = false;
+    /// What came until `evidence_at` has been weighed once it was settled: else each call would
+    /// weigh the losses of the last ten minutes.
+    time_point evidence_at{};
+    time_point judged_at{};
     time_point forgets_at{};
 };
 
