Tell the story of a refused request from its copies' lines; tests of each kind

Who was refused for a request that ends servers holds the id of an attempt that went nowhere; why stands in other entries' lines about other ids. explain finds them by the print that the refusal names.

--- a/source/core/operators/request_story.cpp
+++ b/source/core/operators/request_story.cpp
@@ -21,6 +21,8 @@
 /// Words before and after which nothing more is known of a request.
 constexpr std::string_view ended = "ended";
 constexpr std::string_view refused = "refused";
+constexpr std::string_view lost = "attempt lost";
+constexpr std::string_view barred = "request barred";
 constexpr std::string_view sent = "sent";
 
 /// Takes the text up to the next space off `rest`.
@@ -78,7 +80,7 @@
 auto trouble_of(const log_line& line) -> std::optional<std::string>
 {
     const auto server = line.field("server");
-    if (line.what == "attempt lost") {
+    if (line.what == lost) {
         return "server " + server + " was lost (" + line.field("detail") + ")";
     }
     if (line.what == "stalled") {
@@ -113,6 +115,19 @@
     return explanation_of(how) + last;
 }
 
+/// Where the request was lost, under whatever id; empty if nowhere.
+auto losses_of_copies(const std::vector<log_line>& lines) -> std::string
+{
+    std::string servers;
+    for (const auto& line : lines) {
+        if (line.what == lost) {
+            servers += (servers.empty() ? "" : ", ") + line.field("server");
+        }
+    }
+    return servers.empty() ? ""
+                           : " In these logs copies of it were lost with servers " + servers + ".";
+}
+
 auto find_end(request_story& story) -> void
 {
     const auto* end = newest(story.lines, [](const log_line& line) { return line.what == ended; });
@@ -124,7 +139,8 @@
     }
     else if (turned_away != nullptr) {
         story.end = turned_away->field("why");
-        story.cause = "refused before it was sent anywhere: " + explanation_of(story.end);
+        story.cause = "refused before it was sent anywhere: " + explanation_of(story.end) +
+                      losses_of_copies(story.lines);
     }
     else {
         story.end = "unknown";
@@ -132,6 +148,16 @@
     }
 }
 
+/// The print of a request that was refused since it ends servers. Why it was stands in lines about
+/// its copies, which bear other ids.
+auto barred_print(const std::string& request, const std::vector<log_line>& logs) -> std::string
+{
+    const auto* turned_away = newest(logs, [&request](const log_line& line) {
+        return line.what == refused && line.field("request") == request;
+    });
+    return turned_away == nullptr ? std::string{} : turned_away->field("print");
+}
+
 auto time_text(double time) -> std::string
 {
     std::array<char, 32> text{};
@@ -168,8 +194,11 @@
 {
     request_story story;
     story.request = request;
-    std::ranges::copy_if(logs, std::back_inserter(story.lines), [&request](const log_line& line) {
-        return line.field("request") == request;
+    const auto print = barred_print(request, logs);
+    std::ranges::copy_if(logs, std::back_inserter(story.lines), [&](const log_line& line) {
+        const bool is_of_copy = !print.empty() && line.field("print") == print &&
+                                (line.what == lost || line.what == barred);
+        return line.field("request") == request || is_of_copy;
     });
     if (story.lines.empty()) {
         return common::failure(
--- a/source/unit_tests/operators/request_story_test.cpp
+++ b/source/unit_tests/operators/request_story_test.cpp
@@ -103,6 +103,25 @@
     CHECK(tell_request("r9", logs_of({sent})).error().code == common::result_code::not_found);
 }
 
+TEST_CASE("the story of a request that ends servers tells of its copies", "[request_story]")
+{
+    // The caller holds the id of its last attempt, which was refused at once. What it is refused
+    // for stands in lines of other entries, about other attempts.
+    const auto lines = logs_of(
+        {"I 10.000 place: attempt lost request=r1 print=00ab server=a after_ms=60 detail=reset",
+         "I 11.000 place: attempt lost request=r2 print=00ab server=b after_ms=50 detail=reset",
+         "I 11.100 place: attempt lost request=r7 print=00cd server=b after_ms=50 detail=reset",
+         "W 12.500 place: request barred print=00ab crashes=3 others=0",
+         "W 12.510 place: request barred print=00cd told_by=h",
+         "I 13.000 entry: refused request=r3 why=ends_servers print=00ab"});
+    const auto story = tell_request("r3", lines);
+    REQUIRE(story);
+    CHECK(story->end == "ends_servers");
+    INFO(story->cause);
+    CHECK(story->cause.find("copies of it were lost with servers a, b") != std::string::npos);
+    CHECK(story->lines.size() == 4);
+}
+
 TEST_CASE("lines of several entries are put in order by their time", "[request_story]")
 {
     // A caller's entry was killed, and the request went on at another one.
--- a/source/unit_tests/router/crash_play.cpp
+++ b/source/unit_tests/router/crash_play.cpp
@@ -21,9 +21,9 @@
 
 } // namespace
 
-crash_play::crash_play(const crash_play_shape& shape)
-    : fleet({.entries = shape.entries, .loss = shape.loss, .seed = shape.seed}), random(shape.seed),
-      taken(shape.entries, 0)
+crash_play::crash_play(const crash_play_shape& wanted)
+    : fleet({.entries = wanted.entries, .loss = wanted.loss, .seed = wanted.seed}),
+      random(wanted.seed), shape(wanted), taken(wanted.entries, 0)
 {
     this->fleet.listens = [this](const common::server_id& server) {
         return this->alive.contains(server.value());
@@ -31,8 +31,9 @@
     for (const auto* server : {"a", "b", "c", "d"}) {
         this->fleet.remove(server);
     }
-    for (std::size_t i = 0; i < shape.servers; ++i) {
-        this->start_server();
+    for (std::size_t i = 0; i < wanted.servers; ++i) {
+        this->started += 1;
+        this->start_server("s-" + std::to_string(this->started));
     }
     this->fleet.run(entries_settle);
 }
@@ -47,36 +48,38 @@
     return this->fleet.now;
 }
 
-auto crash_play::start_server() -> void
+auto crash_play::start_server(const std::string& id) -> void
 {
-    this->started += 1;
-    const auto id = "s-" + std::to_string(this->started);
     this->alive.insert(id);
-    this->fleet.write(id);
+    const auto born = this->shape.returns_under_id ? this->now().time_since_epoch().count() : 0;
+    this->fleet.write(id, false, static_cast<std::uint64_t>(born));
 }
 
-auto crash_play::ask(std::size_t entry, const std::string& body, const std::string& key)
+auto crash_play::ask(std::size_t entry, const std::string& body, const asked_by& how)
     -> std::shared_ptr<caller>
 {
     this->attempts += 1;
-    auto out = this->fleet.entries[entry]->own.ask(
-        "/stream/1",
-        {{"Reedramp-Attempt-Id", "attempt-" + std::to_string(this->attempts)},
-         {"Reedramp-Model", "s"},
-         {"Reedramp-Key", key}},
-        body);
-    this->asked.push_back({entry, body, out});
+    const auto attempt = "attempt-" + std::to_string(this->attempts);
+    std::vector<http::header> headers{
+        {"Reedramp-Attempt-Id", attempt}, {"Reedramp-Model", "s"}, {"Reedramp-Key", how.key}};
+    for (const auto& item : how.headers) {
+        std::erase_if(headers, [&item](const auto& own) { return own.name == item.name; });
+        headers.push_back(item);
+    }
+    auto out = this->fleet.entries[entry]->own.ask(how.path, std::move(headers), body);
+    this->asked.push_back({entry, attempt, body, out});
     return out;
 }
 
-auto crash_play::ask_anywhere(const std::string& body) -> std::shared_ptr<caller>
+auto crash_play::ask_anywhere(const std::string& body, const asked_by& how)
+    -> std::shared_ptr<caller>
 {
     auto& entries = this->fleet.entries;
     auto entry = this->random() % entries.size();
     while (entries[entry]->is_dead || entries[entry]->is_frozen) {
         entry = this->random() % entries.size();
     }
-    return this->ask(entry, body);
+    return this->ask(entry, body, how);
 }
 
 auto crash_play::take_new_sends() -> void
@@ -86,7 +89,8 @@
         for (; this->taken[i] < sent.size(); ++this->taken[i]) {
             const auto call = sent[this->taken[i]];
             const auto server = call->header("Reedramp-Expect-Server");
-            this->sends.push_back({this->now(), i, server, call->asked.body});
+            this->sends.push_back(
+                {this->now(), i, server, call->header("Reedramp-Attempt-Id"), call->asked.body});
             const bool ends = call->asked.body.starts_with(ending_mark);
             const milliseconds more{static_cast<std::int64_t>(this->random() % longest_more_ms)};
             this->under_way.push_back(
@@ -103,7 +107,9 @@
     if (this->alive.erase(server) == 0) {
         return;
     }
-    this->to_remove.emplace(this->now() + registration_lapses, server);
+    if (!this->shape.returns_under_id) {
+        this->to_remove.emplace(this->now() + registration_lapses, server);
+    }
     this->to_start.emplace(this->now() + restarts_after, server);
     // Each loss may lead to another send, which is taken in the next step.
     for (const auto& one : std::exchange(this->under_way, {})) {
@@ -116,6 +122,12 @@
     }
 }
 
+auto crash_play::start_anew(std::size_t entry) -> void
+{
+    this->fleet.start_anew(entry);
+    this->taken[entry] = 0;
+}
+
 auto crash_play::crash(const std::string& server) -> void
 {
     this->end_server(server);
@@ -158,8 +170,11 @@
         this->to_remove.erase(this->to_remove.begin());
     }
     while (!this->to_start.empty() && this->to_start.begin()->first <= this->now()) {
-        this->start_server();
+        const auto ended = this->to_start.begin()->second;
         this->to_start.erase(this->to_start.begin());
+        this->started += 1;
+        this->start_server(
+            this->shape.returns_under_id ? ended : "s-" + std::to_string(this->started));
     }
 }
 
@@ -170,9 +185,29 @@
         this->take_new_sends();
         this->answer_due();
         this->replace_due();
+        this->note_known();
+    }
+}
+
+auto crash_play::note_known() -> void
+{
+    for (const auto& [body, ends] : this->ends_of) {
+        const bool is_known = std::ranges::all_of(this->fleet.entries, [&body](const auto& one) {
+            const auto print = routing::print_of({"org", "POST", "h", "/stream/1", body});
+            return one->is_dead || one->is_frozen || one->own.core->crashes.is_barred(print);
+        });
+        if (is_known) {
+            this->known_at.try_emplace(body, this->now());
+        }
     }
 }
 
+auto crash_play::known_to_all(const std::string& body) const -> common::time_point
+{
+    const auto found = this->known_at.find(body);
+    return found == this->known_at.end() ? common::never : found->second;
+}
+
 auto crash_play::third_end(const std::string& body) const -> common::time_point
 {
     constexpr std::size_t third = 2;
--- a/source/unit_tests/router/crash_play.hpp
+++ b/source/unit_tests/router/crash_play.hpp
@@ -20,11 +20,22 @@
     /// Part of the datagrams that are lost.
     double loss = 0.0;
     std::uint64_t seed = 1;
+    /// A server that ended starts again under its id, and says when it has; else another one
+    /// starts.
+    bool returns_under_id = false;
+};
+
+/// Who asks, and how.
+struct asked_by {
+    std::string path = "/stream/1";
+    std::string key = "key";
+    std::vector<http::header> headers = {};
 };
 
 /// A caller's request, and what became of it.
 struct played_request {
     std::size_t entry = 0;
+    std::string attempt;
     std::string body;
     std::shared_ptr<caller> out;
 };
@@ -34,6 +45,7 @@
     common::time_point at;
     std::size_t entry = 0;
     std::string server;
+    std::string attempt;
     std::string body;
 };
 
@@ -44,12 +56,19 @@
 public:
     explicit crash_play(const crash_play_shape& shape);
 
-    /// A request for the stream route at an entry, under a new attempt id.
-    auto ask(std::size_t entry, const std::string& body, const std::string& key = "key")
+    /// A request at an entry, under a new attempt id.
+    auto ask(std::size_t entry, const std::string& body, const asked_by& how = {})
         -> std::shared_ptr<caller>;
 
     /// The same at an entry drawn by chance, of those that live.
-    auto ask_anywhere(const std::string& body) -> std::shared_ptr<caller>;
+    auto ask_anywhere(const std::string& body, const asked_by& how = {}) -> std::shared_ptr<caller>;
+
+    /// When the last of the entries that live and are not frozen had the request barred; `never`
+    /// while one has not.
+    [[nodiscard]] auto known_to_all(const std::string& body) const -> common::time_point;
+
+    /// A new process on an entry's host.
+    auto start_anew(std::size_t entry) -> void;
 
     /// Ends a server for a reason of its own.
     auto crash(const std::string& server) -> void;
@@ -88,9 +107,12 @@
     auto answer_due() -> void;
     auto replace_due() -> void;
     auto end_server(const std::string& server) -> void;
-    auto start_server() -> void;
+    auto start_server(const std::string& id) -> void;
+    auto note_known() -> void;
 
+    crash_play_shape shape;
     std::vector<std::size_t> taken;
+    std::map<std::string, common::time_point> known_at;
     std::vector<begun> under_way;
     std::set<std::string> alive;
     /// When the registration of one that ended goes, and another one starts.
--- a/source/unit_tests/router/entry_fleet.cpp
+++ b/source/unit_tests/router/entry_fleet.cpp
@@ -21,6 +21,7 @@
         this->write(server);
     }
     for (std::size_t i = 0; i < this->shape.entries; ++i) {
+        this->entries.push_back(std::make_unique<entry>());
         this->make_entry(i);
     }
     for (auto& one : this->entries) {
@@ -35,8 +36,7 @@
 
 auto entry_fleet::make_entry(std::size_t number) -> void
 {
-    this->entries.push_back(std::make_unique<entry>());
-    auto& one = *this->entries.back();
+    auto& one = *this->entries[number];
     one.where = {"10.0." + std::to_string(number / 200) + "." + std::to_string(number % 200), 7000};
     one.data_centre = number % this->shape.data_centres;
     this->numbers[one.where] = number;
@@ -116,6 +116,24 @@
                                }});
 }
 
+auto entry_fleet::start_anew(std::size_t number) -> void
+{
+    // Answers under way and requests of the former process hold it; it is kept, dead.
+    this->entries[number]->is_dead = true;
+    this->ended.push_back(std::exchange(this->entries[number], std::make_unique<entry>()));
+    this->make_entry(number);
+    auto& one = *this->entries[number];
+    for (const auto& other : this->entries) {
+        one.peers->add(other->where);
+    }
+    // As the neighbour does that helps a process to start.
+    const auto helper = number == 0 ? 1 : 0;
+    if (this->entries.size() > 1) {
+        this->entries[helper]->crashes->tell_barred(one.where);
+    }
+    one.follower->start();
+}
+
 auto entry_fleet::store_of(entry& of) -> shared_store
 {
     shared_store store;
@@ -159,7 +177,7 @@
     return whole;
 }
 
-auto entry_fleet::write(const std::string& server, bool is_leaving) -> void
+auto entry_fleet::write(const std::string& server, bool is_leaving, std::uint64_t born) -> void
 {
     routing::registration one;
     one.id = common::server_id{server};
@@ -168,6 +186,7 @@
     one.data_centre = common::data_centre_id{"dc-0"};
     one.version = common::version_id{"v1"};
     one.is_leaving = is_leaving;
+    one.born = routing::start_time{born};
     this->log.push_back({one.id, one});
 }
 
--- a/source/unit_tests/router/entry_fleet.hpp
+++ b/source/unit_tests/router/entry_fleet.hpp
@@ -52,8 +52,11 @@
 
     auto run(milliseconds time) -> void;
 
+    /// A new process on an entry's host, which knows nothing of before.
+    auto start_anew(std::size_t number) -> void;
+
     /// A server registers, says that it leaves, or its registration ends.
-    auto write(const std::string& server, bool is_leaving = false) -> void;
+    auto write(const std::string& server, bool is_leaving = false, std::uint64_t born = 0) -> void;
     auto remove(const std::string& server) -> void;
 
     /// Entries that would send work to the server.
@@ -105,6 +108,7 @@
     [[nodiscard]] auto number_of(const http::endpoint& where) const -> std::optional<std::size_t>;
 
     fleet_shape shape;
+    std::vector<std::unique_ptr<entry>> ended;
     std::mt19937_64 random;
     std::vector<routing::registration_change> log;
     std::multimap<common::time_point, letter> letters;
