Follow the store on when it comes back from an older copy of itself

What callers and operators saw: after a drill no rules and no servers that were written at offsets given out again were ever seen; servers that the copy lacks were dropped, and what entries had written (their records, states of roll-outs, requests that end servers) stayed lost.

Cause: a position was a bare offset. Peers' words of an earlier era on the list, the store's contact and what is written change nothing.

--- a/source/core/router/crash_courier.cpp
+++ b/source/core/router/crash_courier.cpp
@@ -49,7 +49,11 @@
 auto crash_courier::tell(time_point now) -> void
 {
     crash_news news{
-        this->self, this->core->crashes.take_losses(now), this->core->crashes.take_served(now), {}};
+        this->self,
+        this->core->crashes.take_losses(now),
+        this->core->crashes.take_served(now),
+        {},
+        this->core->era()};
     const auto before = std::exchange(this->told_once, news);
     const auto ago = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->told_at);
     this->told_at = now;
@@ -72,7 +76,8 @@
 
 auto crash_courier::barred_news(time_point now) const -> crash_news
 {
-    return {this->self, {}, {}, this->core->crashes.tell_barred(most_barred, now)};
+    return {
+        this->self, {}, {}, this->core->crashes.tell_barred(most_barred, now), this->core->era()};
 }
 
 auto crash_courier::tell_barred(const http::endpoint& to) const -> void
@@ -144,7 +149,9 @@
     const auto now = this->core->hooks.clock();
     this->core->crashes.hear_losses(news->lost, now);
     this->core->crashes.hear_served(news->served, now);
-    for (const auto& one : news->barred) {
+    for (auto one : news->barred) {
+        // In an era that has ended it was recorded for nothing.
+        one.is_recorded = one.is_recorded && news->era == this->core->era();
         if (this->core->crashes.hear_barred(one, now)) {
             common::log(
                 common::log_part::place,
--- a/source/core/router/crash_news.cpp
+++ b/source/core/router/crash_news.cpp
@@ -36,6 +36,7 @@
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::CrashNews>();
     root.setHost(news.host.value());
+    root.setEra(news.era);
     const auto lost = part_of(news.lost, number);
     auto losses = root.initLost(static_cast<unsigned>(lost.size()));
     for (unsigned i = 0; i < lost.size(); ++i) {
@@ -65,6 +66,7 @@
 {
     crash_news news;
     news.host = common::host_id{text_of(from.getHost())};
+    news.era = from.getEra();
     for (const auto one : from.getLost()) {
         news.lost.push_back(
             {routing::request_print{one.getPrint()},
--- a/source/core/router/crash_news.hpp
+++ b/source/core/router/crash_news.hpp
@@ -16,6 +16,8 @@
     std::vector<routing::told_loss> lost;
     std::vector<routing::told_served> served;
     std::vector<routing::told_barred> barred;
+    /// Of the store, in which `barred` are recorded or not.
+    std::uint64_t era = 0;
 };
 
 /// As many datagrams as it takes, each to be read by itself.
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -114,6 +114,8 @@
   lost @1 :List(LostRequest);
   served @2 :List(ServedRequest);
   barred @3 :List(BarredRequest);
+  # Of the store, as the sender knows it.
+  era @4 :UInt64;
 }
 
 # A change of the servers' list, as the store gave it to an entry that read it.
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -84,7 +84,7 @@
     }
     if (of->said == verdict::not_executed && head.status == misdirected) {
         // Another server has the address: the one that was meant has ended.
-        this->core->servers.drop(of->server);
+        this->core->servers.drop(of->server, this->core->hooks.clock());
     }
     if (of->said == verdict::success && this->is_stream() && !this->ask_larger_model(of)) {
         of->events.emplace(this->last_event);
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -36,6 +36,9 @@
     common::random_hook random;
     /// New rules are in force. May be empty.
     std::function<auto(const routing::configuration& rules)->void> on_rules = {};
+    /// The store has come back from an older copy of itself: the entries' own records may be gone.
+    /// May be empty.
+    std::function<auto()->void> on_new_era = {};
     /// When another entry, or this one's next process, takes requests that this process can't
     /// finish any more. Empty: at once.
     std::function<auto(time_point now)->time_point> served_elsewhere_at = {};
@@ -128,6 +131,13 @@
     /// When the process ends at the latest; `never` while it stays.
     [[nodiscard]] auto leaves_at() const -> time_point { return this->ends_at; }
 
+    /// The store has answered, to this entry or to the one that tells of it, in the era of this
+    /// position. What an older one told changes nothing.
+    auto note_era(stream_position seen, const std::string& told_by) -> void;
+
+    /// 0 before any is known, and of a store that says none.
+    [[nodiscard]] auto era() const -> std::uint64_t { return this->known_era.value_or(0); }
+
     /// Puts rules in force unless newer ones are. True when they are new.
     auto adopt(published_rules rules) -> bool;
 
@@ -238,6 +248,7 @@
     std::vector<std::shared_ptr<held_request>> held;
     std::shared_ptr<const routing::route_table> rules_in_force;
     std::string text_in_force;
+    std::optional<std::uint64_t> known_era;
     bool awaits_barred = false;
     time_point ends_at = common::never;
     time_point streams_until = common::never;
--- a/source/core/router/rules_follower.cpp
+++ b/source/core/router/rules_follower.cpp
@@ -111,12 +111,18 @@
         common::log(log_part::config, log_level::info, "store regained");
     }
 
+    this->core->note_era(reading->end, "store");
+    const bool is_copy = reading->is_whole && this->era && *this->era != reading->end.era();
+    this->era = reading->end.era();
     for (auto& document : reading->documents) {
         if (auto* rules = std::get_if<published_rules>(&document)) {
             this->core->adopt(std::move(*rules));
         }
+        else if (const auto& order = std::get<routing::rollout_order>(document); is_copy) {
+            this->core->rollouts.order_in_copy(order, now);
+        }
         else {
-            this->core->rollouts.order(std::get<routing::rollout_order>(document), now);
+            this->core->rollouts.order(order, now);
         }
     }
     this->position = reading->end;
--- a/source/core/router/rules_follower.hpp
+++ b/source/core/router/rules_follower.hpp
@@ -65,6 +65,8 @@
     std::function<auto()->bool> reads;
     std::function<auto()->void> on_read;
     std::optional<stream_position> position;
+    /// Of the last reading.
+    std::optional<std::uint64_t> era;
 
     bool is_lost = false;
     /// Number of the newest reading; what older ones bring is read again by it.
--- a/source/core/router/servers_list.cpp
+++ b/source/core/router/servers_list.cpp
@@ -1,6 +1,7 @@
 #include "router/servers_list.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -43,6 +44,7 @@
 
 auto servers_list::take_reading(const reading& found, time_point asked_at) -> list_part
 {
+    this->core->note_era(found.end, "store");
     const auto now = this->core->hooks.clock();
     const auto end = found.end.value();
     if (this->position && end < *this->position) {
@@ -50,8 +52,13 @@
     }
     const auto before = this->position ? this->position : std::exchange(this->forgotten, {});
     const bool follows = before && *before <= end;
+    const bool is_copy = found.is_whole && this->era && *this->era != found.end.era();
+    this->era = found.end.era();
     list_part part{
-        follows ? before : std::nullopt, end, this->apply(found.documents, found.is_whole)};
+        follows ? before : std::nullopt,
+        end,
+        this->apply(
+            is_copy ? this->without_ended(found.documents) : found.documents, found.is_whole)};
     this->journal.note(part.from.value_or(end), end, part.changes);
     this->position = end;
     this->core->freshness.note_read(end, !part.changes.empty(), now, asked_at);
@@ -89,6 +96,8 @@
     if (!is_whole && (!this->position || *handed.from > *this->position)) {
         return list_step::gap;
     }
+    this->core->note_era(stream_position{handed.end}, "a neighbour");
+    this->era = stream_position{handed.end}.era();
     const auto now = this->core->hooks.clock();
     const auto told = this->apply(handed.changes, is_whole);
     this->journal.note(this->position.value_or(handed.end), handed.end, told);
@@ -144,6 +153,26 @@
     return for_neighbours;
 }
 
+auto servers_list::without_ended(const std::vector<registration_change>& changes) const
+    -> std::vector<registration_change>
+{
+    const auto& servers = this->core->servers;
+    std::vector<registration_change> others;
+    std::ranges::copy_if(changes, std::back_inserter(others), [&servers](const auto& change) {
+        const bool is_ended =
+            change.now && !servers.state_of(change.id) && servers.has_ended(change.now->start());
+        if (is_ended) {
+            common::log(
+                log_part::members,
+                log_level::info,
+                "server left out, it stands in an older copy server=" +
+                    to_string(change.now->start()));
+        }
+        return !is_ended;
+    });
+    return others;
+}
+
 auto servers_list::apply(const registration_change& change, time_point now) -> table_event
 {
     if (!change.now && change.problem.empty()) {
--- a/source/core/router/servers_list.hpp
+++ b/source/core/router/servers_list.hpp
@@ -67,6 +67,10 @@
     /// Takes the changes in; gives those that neighbours have to know of.
     auto apply(const std::vector<routing::registration_change>& changes, bool is_whole)
         -> std::vector<routing::registration_change>;
+    /// Without the servers that have ended: in an older copy of the store they stand as they did.
+    /// One that lives writes again.
+    [[nodiscard]] auto without_ended(const std::vector<routing::registration_change>& changes) const
+        -> std::vector<routing::registration_change>;
     auto apply(const routing::registration_change& change, time_point now) -> routing::table_event;
     auto lapse(const common::server_id& id, time_point now) -> routing::table_event;
     /// Sets what depends on the moment of the reading.
@@ -94,6 +98,8 @@
     std::optional<std::uint64_t> forgotten;
     /// When a neighbour last moved the position.
     time_point taken_over_at{};
+    /// Of the store, when it was last read as a whole, or on.
+    std::optional<std::uint64_t> era;
     routing::list_journal journal;
     bool checks_lapsed = false;
     time_point swept_at{};
--- a/source/core/router/shared_store.hpp
+++ b/source/core/router/shared_store.hpp
@@ -14,11 +14,11 @@
 #include "routing/request_print.hpp"
 #include "routing/rollout.hpp"
 #include "routing/server_table.hpp"
+#include "routing/stream_position.hpp"
 
 namespace reedramp::router {
 
-/// Position in one of the store's streams: the number of the first record not yet read.
-using stream_position = common::strong<struct stream_position_tag, std::uint64_t>;
+using routing::stream_position;
 
 /// A configuration and the text that it was read from, which peers hand on.
 struct published_rules {
--- a/source/core/routing/crash_book.cpp
+++ b/source/core/routing/crash_book.cpp
@@ -279,6 +279,13 @@
     }
 }
 
+auto crash_book::forget_recorded() -> void
+{
+    for (auto& [print, since] : this->barred) {
+        since.is_recorded = false;
+    }
+}
+
 auto crash_book::take_losses(time_point now) -> std::vector<told_loss>
 {
     std::vector<told_loss> all;
--- a/source/core/routing/crash_book.hpp
+++ b/source/core/routing/crash_book.hpp
@@ -136,6 +136,8 @@
     /// A barred request that the store is not known to have; none as a rule.
     [[nodiscard]] auto unrecorded(time_point now) const -> std::optional<told_barred>;
     auto note_recorded(request_print print) -> void;
+    /// The store may have lost them all.
+    auto forget_recorded() -> void;
 
     /// What this entry has noted since the last call, for all peers.
     auto take_losses(time_point now) -> std::vector<told_loss>;
--- a/source/core/routing/list_freshness.cpp
+++ b/source/core/routing/list_freshness.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "routing/stream_position.hpp"
+
 namespace reedramp::routing {
 
 auto list_freshness::note_read(
@@ -30,6 +32,13 @@
     this->has_read = true;
 }
 
+auto list_freshness::note_new_era(time_point now) -> void
+{
+    this->contact.note_return(now);
+    // Where the list ended before says nothing of where it ends now.
+    this->changed = 0;
+}
+
 auto list_freshness::is_news(const told_freshness& told) -> bool
 {
     if (told.reader == 0) {
@@ -51,6 +60,12 @@
 
 auto list_freshness::hear(const told_freshness& told, time_point now) -> bool
 {
+    const auto era_of = [](std::uint64_t at) {
+        return stream_position{at}.era();
+    };
+    if (this->has_read && era_of(told.changed) < era_of(this->position)) {
+        return false; // The sender has not heard yet that the store came back from an older copy.
+    }
     const auto read_at = now - std::max(told.age, std::chrono::milliseconds{0});
     const bool is_new = this->is_news(told);
     this->contact.hear(read_at - told.steady, read_at, now, is_new);
--- a/source/core/routing/list_freshness.hpp
+++ b/source/core/routing/list_freshness.hpp
@@ -77,6 +77,9 @@
     /// A neighbour has handed the list on up to `end`.
     auto note_told(std::uint64_t end) -> void;
 
+    /// The store has just come back from an older copy of itself, as after an outage.
+    auto note_new_era(time_point now) -> void;
+
     /// This entry's own reading, sent at `asked_at`, has failed.
     auto note_failure(time_point asked_at) -> void { this->contact.note_failure(asked_at); }
 
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -34,6 +34,7 @@
     this->losses.erase(wanted.service);
     if (found != this->rollouts.end()) {
         this->infer_end(found->second, now);
+        this->histories[wanted.service].note_replaced(found->second.order);
     }
     const auto usual = this->calm.extract(wanted.service);
     rollout fresh{
@@ -61,6 +62,37 @@
     this->rollouts.insert_or_assign(wanted.service, std::move(fresh));
 }
 
+auto rollout_guide::service_history::note_replaced(const rollout_order& one) -> void
+{
+    // More than the seconds of an older copy hold.
+    constexpr std::size_t most_replaced = 8;
+    this->replaced.push_back(one);
+    if (this->replaced.size() > most_replaced) {
+        this->replaced.pop_front();
+    }
+}
+
+auto rollout_guide::order_in_copy(const rollout_order& wanted, time_point now) -> void
+{
+    const auto& past = this->histories[wanted.service].replaced;
+    if (std::ranges::find(past, wanted) == past.end()) {
+        this->order(wanted, now);
+        return;
+    }
+    common::log(
+        common::log_part::rollout,
+        common::log_level::info,
+        "order left out, another one replaced it service=" + wanted.service.value() +
+            " target=" + wanted.target.value());
+}
+
+auto rollout_guide::forget_written() -> void
+{
+    for (auto& [service, one] : this->rollouts) {
+        one.written.reset();
+    }
+}
+
 auto rollout_guide::infer_end(const rollout& one, time_point now) -> void
 {
     // The store says how it ended, but maybe only after the next order. Where all sessions were on
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -92,6 +93,13 @@
 
     auto order(const rollout_order& wanted, time_point now) -> void;
 
+    /// The same from an older copy of the store: an order that another one has replaced is not the
+    /// operator's word of now.
+    auto order_in_copy(const rollout_order& wanted, time_point now) -> void;
+
+    /// The store may have lost the states that it held: they are due again.
+    auto forget_written() -> void;
+
     /// How many orders this entry has taken; grows with each one that is new to it.
     [[nodiscard]] auto orders_taken() const -> std::uint64_t { return this->orders; }
 
@@ -196,6 +204,10 @@
         /// The version that the newest complete roll-out brought in.
         std::optional<common::version_id> current;
         std::set<common::version_id> reverted;
+        /// Orders that another one took the place of, the newest last.
+        std::deque<rollout_order> replaced;
+
+        auto note_replaced(const rollout_order& one) -> void;
     };
 
     auto settle_losses(const common::service_name& service, time_point now) -> void;
--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -211,6 +211,7 @@
         this->forget_usable();
     }
     for (const auto& start : gone) {
+        this->remember_ended(start, now);
         this->newest_ended.push_back({{hash_of(start), read_to}, now});
     }
     while (this->newest_ended.size() > most_told) {
@@ -219,12 +220,28 @@
     return gone;
 }
 
-auto server_table::drop(const server_start& start) -> void
+auto server_table::remember_ended(const server_start& start, time_point now) -> void
+{
+    this->ended_starts.push_back({hash_of(start), now});
+    while (this->ended_starts.size() > most_left ||
+           now - this->ended_starts.front().at > left_kept_for) {
+        this->ended_starts.pop_front();
+    }
+}
+
+auto server_table::has_ended(const server_start& start) const -> bool
+{
+    return std::ranges::find(this->ended_starts, hash_of(start), &left_server::hash) !=
+           this->ended_starts.end();
+}
+
+auto server_table::drop(const server_start& start, time_point now) -> void
 {
     const auto found = this->servers.find(start.id);
     const bool is_meant = found != this->servers.end() && found->second.gets_work() &&
                           found->second.last.start() == start;
     if (is_meant) {
+        this->remember_ended(start, now);
         this->servers.erase(found);
         this->forget_usable();
     }
@@ -303,7 +320,8 @@
     return newest;
 }
 
-auto server_table::end_named(const std::vector<told_end>& ends, std::uint64_t read_to)
+auto server_table::end_named(
+    const std::vector<told_end>& ends, std::uint64_t read_to, time_point now)
     -> std::vector<server_start>
 {
     if (ends.empty()) {
@@ -322,6 +340,9 @@
         }
         return ends_here;
     });
+    for (const auto& start : gone) {
+        this->remember_ended(start, now);
+    }
     if (!gone.empty()) {
         this->forget_usable();
     }
--- a/source/core/routing/server_table.hpp
+++ b/source/core/routing/server_table.hpp
@@ -129,7 +129,7 @@
     auto end_lapsed(std::uint64_t read_to, time_point now) -> std::vector<server_start>;
 
     /// Another server answers at its address.
-    auto drop(const server_start& start) -> void;
+    auto drop(const server_start& start, time_point now = {}) -> void;
 
     /// Forgets servers that left long ago, and what peers need not be told any more.
     auto forget_left(time_point now) -> void;
@@ -147,9 +147,12 @@
     /// Registrations that ended in the last seconds, for the peers.
     [[nodiscard]] auto ended(time_point now) const -> std::vector<told_end>;
 
+    /// Whether this start ended in the last minutes, as far as this entry knows.
+    [[nodiscard]] auto has_ended(const server_start& start) const -> bool;
+
     /// A peer has read that these registrations ended. Those that this entry, which has read the
     /// list up to `read_to`, cannot know of yet are taken out; gives them. They may return.
-    auto end_named(const std::vector<told_end>& ends, std::uint64_t read_to)
+    auto end_named(const std::vector<told_end>& ends, std::uint64_t read_to, time_point now = {})
         -> std::vector<server_start>;
 
     /// All that may get work.
@@ -212,6 +215,7 @@
     };
 
     auto set_leaving(known_server& server, time_point now) -> table_event;
+    auto remember_ended(const server_start& start, time_point now) -> void;
     auto begin(const registration& read, time_point now) -> table_event;
     auto begin_unreadable(const common::server_id& id) -> table_event;
     [[nodiscard]] static auto
@@ -227,6 +231,9 @@
     std::deque<left_server> newest_leaving;
     /// The newest last.
     std::deque<ended_server> newest_ended;
+    /// Starts that have ended, the newest last: the store may come back from an older copy of
+    /// itself, in which they stand as ready.
+    std::deque<left_server> ended_starts;
 };
 
 } // namespace reedramp::routing
--- a/source/core/routing/store_contact.cpp
+++ b/source/core/routing/store_contact.cpp
@@ -42,6 +42,12 @@
     this->answers.reset();
 }
 
+auto store_contact::note_return(time_point now) -> void
+{
+    this->has_seen_outage = true;
+    this->answers = run{now, now};
+}
+
 auto store_contact::hear(time_point since, time_point answered_at, time_point now, bool is_news)
     -> void
 {
--- a/source/core/routing/store_contact.hpp
+++ b/source/core/routing/store_contact.hpp
@@ -25,6 +25,9 @@
     /// before says that the store is there.
     auto note_failure(time_point asked_at) -> void;
 
+    /// The store has come back, after an outage that may have been too short for anybody to see.
+    auto note_return(time_point now) -> void;
+
     /// Another entry was answered at `answered_at`, and knows of no gap since `since`. `is_news`
     /// unless that answer is known already; told again, it is no later one.
     auto hear(time_point since, time_point answered_at, time_point now, bool is_news) -> void;
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -195,7 +195,7 @@
 
 auto peer_group::hear(std::string_view bytes) -> void
 {
-    const auto words = router::decode_peer_words(bytes);
+    auto words = router::decode_peer_words(bytes);
     const auto from = words ? http::parse_endpoint(words->address) : std::nullopt;
     if (!from || *from == this->own_address) {
         return;
@@ -217,6 +217,14 @@
             this->add(*where);
         }
     }
+    const router::stream_position told_to{words->freshness.changed};
+    this->core->note_era(told_to, words->host.value());
+    if (told_to.era() < this->core->era()) {
+        // The store that held these states has come back without them, perhaps.
+        for (auto& told : words->rollouts) {
+            told.is_written = false;
+        }
+    }
     this->hear_of_servers(*words, now);
     const auto trusted_until = now + this->round() * trusted_rounds;
     this->core->loads.hear(words->host, words->loads, trusted_until);
@@ -340,7 +348,8 @@
     for (const auto& server : servers.retire_named(words.leaving, now)) {
         log("server leaving", server);
     }
-    for (const auto& server : servers.end_named(words.ended, this->core->freshness.read_to())) {
+    for (const auto& server :
+         servers.end_named(words.ended, this->core->freshness.read_to(), now)) {
         log("server gone", server);
     }
 }
@@ -357,6 +366,18 @@
     return all;
 }
 
+auto peer_group::records() const -> std::vector<router::entry_record>
+{
+    const auto now = this->core->hooks.clock();
+    std::vector<router::entry_record> all;
+    for (const auto& [where, known] : this->peers) {
+        if (now - known.heard < this->silence() && !known.host.value().empty()) {
+            all.push_back({known.host, http::to_string(where)});
+        }
+    }
+    return all;
+}
+
 auto peer_group::living() const -> std::vector<peer>
 {
     const auto now = this->core->hooks.clock();
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -12,6 +12,7 @@
 #include "router/peer_message.hpp"
 #include "router/router_core.hpp"
 #include "router/servers_follower.hpp"
+#include "router/shared_store.hpp"
 
 namespace reedramp::router_program {
 
@@ -60,6 +61,9 @@
         return this->recorded.contains(where);
     }
 
+    /// Records of the peers that live, as the store should have them.
+    [[nodiscard]] auto records() const -> std::vector<router::entry_record>;
+
     /// Where all peers are that may live.
     [[nodiscard]] auto everyone() const -> std::vector<http::endpoint>;
 
--- a/source/router/process_neighbours.cpp
+++ b/source/router/process_neighbours.cpp
@@ -215,6 +215,32 @@
         daemon::boot_time() + barred_time, [this] { this->core->await_barred(false); });
 }
 
+auto router_process::parts_of_process::on_new_era() -> void
+{
+    this->may_lack_records = true;
+    // As readers read for the others, so does the first of them write for them: of hundreds of
+    // entries each would otherwise read all records to find its own.
+    if (this->peers != nullptr && this->peers->rank() == 0) {
+        this->find_entries();
+    }
+}
+
+auto router_process::parts_of_process::record_again(const std::vector<router::entry_record>& known)
+    -> void
+{
+    std::size_t lacking = 0;
+    for (const auto& one : this->peers->records()) {
+        if (std::ranges::find(known, one) == known.end()) {
+            lacking += 1;
+            this->store.write_entry(one, [](const auto&) {});
+        }
+    }
+    common::log(
+        log_part::members,
+        log_level::info,
+        "entries recorded again count=" + std::to_string(lacking));
+}
+
 auto router_process::parts_of_process::record_entry() -> void
 {
     this->store.write_entry(
@@ -251,22 +277,25 @@
     this->core->counters.count_skipped("entries", entries.skipped);
     const router::entry_record self{this->settings.host, http::to_string(this->own_address())};
     std::vector<router::barred_record> ending;
-    bool has_self = false;
+    std::vector<router::entry_record> known;
     for (const auto& document : entries.documents) {
         if (const auto* one = std::get_if<router::barred_record>(&document)) {
             ending.push_back(*one);
             continue;
         }
         const auto& entry = std::get<router::entry_record>(document);
-        has_self = has_self || entry == self;
+        known.push_back(entry);
         if (const auto where = http::parse_endpoint(entry.address)) {
             this->peers->add(*where);
             this->peers->note_recorded(*where);
         }
     }
     this->barred->take(ending);
+    if (std::exchange(this->may_lack_records, false) && this->peers->rank() == 0) {
+        this->record_again(known);
+    }
     // A process that starts again on its host finds its record there.
-    if (has_self) {
+    if (std::ranges::find(known, self) != known.end()) {
         this->is_recorded = true;
         return;
     }
--- a/source/router/process_parts.hpp
+++ b/source/router/process_parts.hpp
@@ -84,6 +84,9 @@
     auto start_when_helped(common::time_point latest) -> void;
     auto start_followers() -> void;
     auto await_barred() -> void;
+    auto on_new_era() -> void;
+    /// Writes the records that the store lacks of entries that live.
+    auto record_again(const std::vector<router::entry_record>& known) -> void;
     auto find_entries() -> void;
     auto find_entries_later(milliseconds wait) -> void;
     auto record_entry() -> void;
@@ -114,6 +117,8 @@
     bool is_fetching_rules = false;
     /// The store has this entry's record.
     bool is_recorded = false;
+    /// The store may have lost entries' records since they were read last.
+    bool may_lack_records = false;
     /// Neighbours that have not answered yet, at the start.
     std::size_t neighbours_asked = 0;
     /// One of them has told what it knows.
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -98,6 +98,9 @@
         this->for_callers->change_limits(
             limits.header_bytes, limits.body_bytes, limits.idle + std::chrono::seconds{1});
     };
+    hooks.on_new_era = [this] {
+        this->on_new_era();
+    };
     hooks.served_elsewhere_at = [this](common::time_point now) {
         return this->peers->served_elsewhere_at(now);
     };
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -146,7 +146,7 @@
     CHECK(read.served.front().age == std::chrono::milliseconds{70});
     REQUIRE(read.barred.size() == 1);
     CHECK(read.barred.front().unseen == std::chrono::milliseconds{9});
-    CHECK(encode_datagrams({news.host, {}, {}, {}}).empty());
+    CHECK(encode_datagrams({news.host, {}, {}, {}, 0}).empty());
     CHECK(!decode_crash_news("no message"));
 }
 
