--- a/source/core/routing/crash_book.cpp
+++ b/source/core/routing/crash_book.cpp
@@ -25,7 +25,7 @@
     const auto hash = hash_of(server);
     const lost_request how{now, sent, true};
     this->note(print, hash, how, now);
-    this->doubtful.push_back(server);
+    this->doubtful.insert(server);
     this->untold_losses.push_back({print, hash, how});
 }
 
@@ -48,10 +48,8 @@
 
 auto crash_book::take_doubtful() -> std::vector<server_start>
 {
-    auto servers = std::exchange(this->doubtful, {});
-    std::ranges::sort(servers);
-    const auto repeated = std::ranges::unique(servers);
-    servers.erase(repeated.begin(), repeated.end());
+    const auto noted = std::exchange(this->doubtful, {});
+    std::vector<server_start> servers{noted.begin(), noted.end()};
     std::erase_if(servers, [this](const server_start& server) {
         const auto known = this->crashes.find(hash_of(server));
         return known == this->crashes.end() || this->is_crash(known->second);
--- a/source/core/routing/crash_book.hpp
+++ b/source/core/routing/crash_book.hpp
@@ -202,7 +202,7 @@
     std::map<request_print, barred_since> barred;
     /// When suspects were served.
     std::map<request_print, time_point> served;
-    std::vector<server_start> doubtful;
+    std::set<server_start> doubtful;
 
     struct untold_loss {
         request_print print;
