--- a/source/core/routing/crash_book.cpp
+++ b/source/core/routing/crash_book.cpp
@@ -10,6 +10,7 @@
 /// What is kept too long costs little.
 constexpr std::chrono::seconds between_sweeps{10};
 
+/// One moment alone never bars a request, and two of them do.
 constexpr std::size_t most_in_moment = 2;
 
 auto age_of(time_point at, time_point now) -> std::chrono::milliseconds
--- a/source/core/routing/crash_book.hpp
+++ b/source/core/routing/crash_book.hpp
@@ -176,6 +176,12 @@
         bool is_recorded = false;
     };
 
+    struct untold_loss {
+        request_print print;
+        std::uint64_t server = 0;
+        lost_request how;
+    };
+
     using crash_counts = std::unordered_map<request_print, std::size_t>;
 
     auto note(request_print print, std::uint64_t server, lost_request how, time_point now) -> void;
@@ -203,13 +209,6 @@
     /// When suspects were served.
     std::map<request_print, time_point> served;
     std::set<server_start> doubtful;
-
-    struct untold_loss {
-        request_print print;
-        std::uint64_t server = 0;
-        lost_request how;
-    };
-
     std::vector<untold_loss> untold_losses;
     std::vector<std::pair<request_print, time_point>> untold_served;
     /// What came until `evidence_at` has been weighed once it was settled: else each call would
