Read lost records beside the readings in turn, and say once what stood twice

At a new era of the store the first entry began `find_entries`, which reads again every 30 s for ever: each return added another row of readings. It reads once now, and again only if that fails. No test: the period is longer than any test of the whole path waits.

--- a/source/core/router/barred_records.cpp
+++ b/source/core/router/barred_records.cpp
@@ -71,19 +71,12 @@
 
 auto barred_records::take(const std::vector<barred_record>& all) -> void
 {
-    const auto now = this->core->hooks.clock();
     const auto today = this->unix_ms();
     for (const auto& one : all) {
         const std::chrono::milliseconds age{
             static_cast<std::int64_t>(today - std::min(one.unix_ms, today))};
-        const bool is_new = this->core->crashes.hear_barred({one.print, age, age, true}, now);
-        if (is_new) {
-            common::log(
-                common::log_part::place,
-                common::log_level::warning,
-                "request barred print=" + to_string(one.print) + " told_by=store");
-        }
-        else if (!this->core->crashes.is_barred(one.print) && this->rank() == 0) {
+        this->core->hear_barred({one.print, age, age, true}, "store");
+        if (!this->core->crashes.is_barred(one.print) && this->rank() == 0) {
             this->drop(one);
         }
     }
--- a/source/core/router/crash_courier.cpp
+++ b/source/core/router/crash_courier.cpp
@@ -152,12 +152,7 @@
     for (auto one : news->barred) {
         // In an era that has ended it was recorded for nothing.
         one.is_recorded = one.is_recorded && news->era == this->core->era();
-        if (this->core->crashes.hear_barred(one, now)) {
-            common::log(
-                common::log_part::place,
-                common::log_level::warning,
-                "request barred print=" + to_string(one.print) + " told_by=" + news->host.value());
-        }
+        this->core->hear_barred(one, news->host.value());
     }
 }
 
--- a/source/core/router/crash_news.cpp
+++ b/source/core/router/crash_news.cpp
@@ -20,9 +20,6 @@
 /// Of each kind in a datagram: at 16 and 24 bytes each, it crosses the network in one piece.
 constexpr std::size_t most_in_datagram = 32;
 
-/// Words of Cap'n Proto that a message may make the reader visit; a datagram has 8,192.
-constexpr std::uint64_t traversal_words = 64UL * 1024UL;
-
 /// The `number`th part of `all`, which may be empty.
 template <typename Item>
 auto part_of(const std::vector<Item>& all, std::size_t number) -> std::span<const Item>
@@ -111,7 +108,7 @@
     const bool is_read = is_crash_news(bytes) &&
                          read_flat<schema::CrashNews>(
                              bytes.substr(mark.size()),
-                             traversal_words,
+                             datagram_words,
                              [&news](schema::CrashNews::Reader root) { news = read_news(root); });
     if (!is_read) {
         return common::failure(common::result_code::malformed_request, "no news of crashes");
--- a/source/core/router/message_bytes.hpp
+++ b/source/core/router/message_bytes.hpp
@@ -14,6 +14,9 @@
 /// What the codecs of entries' messages share.
 namespace reedramp::router {
 
+/// Words of Cap'n Proto that a datagram may make the reader visit; it has 8,192.
+inline constexpr std::uint64_t datagram_words = 64UL * 1024UL;
+
 auto text_of(capnp::Text::Reader text) -> std::string;
 
 /// A time as messages hold it: whole milliseconds, none below 0, some weeks at the most.
--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-/// Words of Cap'n Proto that a message may make the reader visit; a datagram has 8,192.
-constexpr std::uint64_t traversal_words = 64UL * 1024UL;
-
 /// Pairs of mean and count, signals before timed parts.
 constexpr unsigned pair_size = 2;
 constexpr unsigned told_means =
@@ -238,7 +235,7 @@
 {
     peer_words words;
     const bool is_read = read_flat<schema::Words>(
-        bytes, traversal_words, [&words](schema::Words::Reader root) { words = read_words(root); });
+        bytes, datagram_words, [&words](schema::Words::Reader root) { words = read_words(root); });
     if (!is_read) {
         return common::failure(common::result_code::malformed_request, "no message of a peer");
     }
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -83,6 +83,16 @@
          asked.body});
 }
 
+auto router_core::hear_barred(const routing::told_barred& told, const std::string& told_by) -> void
+{
+    if (this->crashes.hear_barred(told, this->hooks.clock())) {
+        common::log(
+            common::log_part::place,
+            common::log_level::warning,
+            "request barred print=" + to_string(told.print) + " told_by=" + told_by);
+    }
+}
+
 auto router_core::find_barred(const http::request& asked, const caller_request& caller)
     -> std::optional<routing::request_print>
 {
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -181,6 +181,9 @@
     /// whose connection closed without one learns nothing, and loses the time until it tries again.
     auto end_all() -> void;
 
+    /// Another entry, or the store, knows that a request ends servers.
+    auto hear_barred(const routing::told_barred& told, const std::string& told_by) -> void;
+
     /// What tells the request from others, whatever its attempt id.
     [[nodiscard]] auto print_of(const http::request& asked, const caller_request& caller) const
         -> routing::request_print;
--- a/source/core/router/servers_list.cpp
+++ b/source/core/router/servers_list.cpp
@@ -52,8 +52,8 @@
     }
     const auto before = this->position ? this->position : std::exchange(this->forgotten, {});
     const bool follows = before && *before <= end;
-    const bool is_copy = found.is_whole && this->era && *this->era != found.end.era();
-    this->era = found.end.era();
+    const bool is_copy =
+        found.is_whole && before && stream_position{*before}.era() != found.end.era();
     list_part part{
         follows ? before : std::nullopt,
         end,
@@ -105,7 +105,6 @@
         return list_step::gap;
     }
     this->core->note_era(stream_position{handed.end}, "a neighbour");
-    this->era = stream_position{handed.end}.era();
     const auto now = this->core->hooks.clock();
     const auto told = this->apply(handed.changes, is_whole);
     this->journal.note(this->position.value_or(handed.end), handed.end, told);
--- a/source/core/router/servers_list.hpp
+++ b/source/core/router/servers_list.hpp
@@ -98,8 +98,6 @@
     std::optional<std::uint64_t> forgotten;
     /// When a neighbour last moved the position.
     time_point taken_over_at{};
-    /// Of the store, when it was last read as a whole, or on.
-    std::optional<std::uint64_t> era;
     routing::list_journal journal;
     bool checks_lapsed = false;
     time_point swept_at{};
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -89,6 +89,11 @@
     return std::max<common::duration>(least_silence, this->round() * missed_rounds);
 }
 
+auto peer_group::lives(const peer& known, common::time_point now) const -> bool
+{
+    return now - known.heard < this->silence();
+}
+
 auto peer_group::own_words(common::time_point now, std::size_t most_named) const
     -> router::peer_words
 {
@@ -140,7 +145,7 @@
     const auto skipped = this->core->hooks.random() % this->peers.size();
     auto next = std::next(this->peers.begin(), static_cast<std::ptrdiff_t>(skipped));
     for (std::size_t i = 0; i < this->peers.size() && names.size() < most; ++i) {
-        if (now - next->second.heard < this->silence()) {
+        if (this->lives(next->second, now)) {
             names.push_back(http::to_string(next->first));
         }
         ++next;
@@ -288,7 +293,7 @@
     for (const auto& [where, known] : this->peers) {
         // All that may live: a datagram to one that does not costs little, and one that is left out
         // learns of a leaving server later.
-        if (known.place == this->place && now - known.heard < this->silence()) {
+        if (known.place == this->place && this->lives(known, now)) {
             to.near.push_back(where);
         }
     }
@@ -359,7 +364,7 @@
     const auto now = this->core->hooks.clock();
     std::vector<http::endpoint> all;
     for (const auto& [where, known] : this->peers) {
-        if (now - known.heard < this->silence()) {
+        if (this->lives(known, now)) {
             all.push_back(where);
         }
     }
@@ -371,7 +376,7 @@
     const auto now = this->core->hooks.clock();
     std::vector<router::entry_record> all;
     for (const auto& [where, known] : this->peers) {
-        if (now - known.heard < this->silence() && !known.host.value().empty()) {
+        if (this->lives(known, now) && !known.host.value().empty()) {
             all.push_back({known.host, http::to_string(where)});
         }
     }
@@ -383,7 +388,7 @@
     const auto now = this->core->hooks.clock();
     std::vector<peer> alive;
     for (const auto& [where, known] : this->peers) {
-        if (now - known.heard < this->silence() && !known.host.value().empty()) {
+        if (this->lives(known, now) && !known.host.value().empty()) {
             alive.push_back(known);
         }
     }
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -126,6 +126,8 @@
         common::time_point ends_at = common::never;
     };
 
+    [[nodiscard]] auto lives(const peer& known, common::time_point now) const -> bool;
+
     /// One that may read the store for others: a peer, or this entry. Names what the group holds,
     /// as hundreds are looked at some twenty times a second.
     struct reader {
--- a/source/router/process_neighbours.cpp
+++ b/source/router/process_neighbours.cpp
@@ -221,10 +221,22 @@
     // As readers read for the others, so does the first of them write for them: of hundreds of
     // entries each would otherwise read all records to find its own.
     if (this->peers != nullptr && this->peers->rank() == 0) {
-        this->find_entries();
+        this->look_for_lost_records();
     }
 }
 
+auto router_process::parts_of_process::look_for_lost_records() -> void
+{
+    // Beside the readings in turn, which go on: begun by `find_entries`, another row of them would
+    // be added at each new era.
+    this->read_entries([this](bool is_read) {
+        if (!is_read) {
+            this->timers->add(
+                daemon::boot_time() + entries_check, [this] { this->look_for_lost_records(); });
+        }
+    });
+}
+
 auto router_process::parts_of_process::record_again(const std::vector<router::entry_record>& known)
     -> void
 {
@@ -248,18 +260,27 @@
         [this](const auto& written) { this->is_recorded = written.has_value(); });
 }
 
-auto router_process::parts_of_process::find_entries() -> void
+auto router_process::parts_of_process::read_entries(std::function<auto(bool is_read)->void> done)
+    -> void
 {
     this->store.read_entries(
-        [this](const common::result<router::stream_reading<router::entry_document>>& reading) {
+        [this, done = std::move(done)](
+            const common::result<router::stream_reading<router::entry_document>>& reading) {
             if (reading) {
                 this->meet(*reading);
             }
             this->core->await_barred(false);
-            this->find_entries_later(reading ? entries_period : entries_check);
+            done(reading.has_value());
         });
 }
 
+auto router_process::parts_of_process::find_entries() -> void
+{
+    this->read_entries([this](bool is_read) {
+        this->find_entries_later(is_read ? entries_period : entries_check);
+    });
+}
+
 auto router_process::parts_of_process::find_entries_later(milliseconds wait) -> void
 {
     this->timers->add(daemon::boot_time() + wait, [this] {
--- a/source/router/process_parts.hpp
+++ b/source/router/process_parts.hpp
@@ -87,6 +87,10 @@
     auto on_new_era() -> void;
     /// Writes the records that the store lacks of entries that live.
     auto record_again(const std::vector<router::entry_record>& known) -> void;
+    /// Reads the entries' records once.
+    auto read_entries(std::function<auto(bool is_read)->void> done) -> void;
+    auto look_for_lost_records() -> void;
+    /// Reads them now, and from then on in turn.
     auto find_entries() -> void;
     auto find_entries_later(milliseconds wait) -> void;
     auto record_entry() -> void;
