Send nothing to a data centre that the operators evacuate

The set of evacuated data centres follows from the stream up to a position alone, so entries tell each other the set and the position in their usual words, and the later position holds, whoever tells it and in whatever order: an entry that missed a removal hears of it without a word on the removal itself. A change is told at once, as orders are.

Found by the tests: where the store turns away both entries that read for the only data centre, nobody else read the operators' stream, for rules as little as for evacuations (5 s and more, the test's limit). Who has to read the servers' list, since nobody else does, follows the operators too.

The words grew past what 16 KB a second allows (416 bytes of 400 for a calm message). The peers that are named there, as texts half of it, are numbers now. Earlier releases still hear every entry that tells them anything, and no longer those that it names.

Tests fail without the change: nothing reads the record.

--- /dev/null
+++ b/source/core/router/evacuations.cpp
@@ -0,0 +1,44 @@
+#include "common/log.hpp"
+#include "router/router_core.hpp"
+
+/// What it means for an entry that operators evacuate a data centre, or take it back.
+namespace reedramp::router {
+
+auto router_core::learn_evacuations(
+    const routing::told_evacuations& known, const std::string& told_by) -> void
+{
+    const auto changed = this->evacuations.replace(known);
+    this->on_evacuations(changed, told_by);
+}
+
+auto router_core::follow_evacuations(
+    const std::vector<routing::evacuation_order>& orders, stream_position end) -> void
+{
+    this->on_evacuations(this->evacuations.follow(orders, end), "store");
+}
+
+auto router_core::on_evacuations(
+    const routing::evacuation_change& changed, const std::string& told_by) -> void
+{
+    if (changed.is_empty()) {
+        return;
+    }
+    this->evacuation_changes += 1;
+    this->servers.close(this->evacuations.evacuated());
+    const auto log = [&told_by](const char* what, const common::data_centre_id& data_centre) {
+        common::log(
+            common::log_part::config,
+            common::log_level::info,
+            std::string{"data centre "} + what + " data_centre=" + data_centre.value() +
+                " told_by=" + told_by);
+    };
+    for (const auto& data_centre : changed.evacuated) {
+        log("evacuated", data_centre);
+    }
+    for (const auto& data_centre : changed.taken_back) {
+        log("taken back", data_centre);
+    }
+    this->counters.evacuated.set(static_cast<std::int64_t>(this->evacuations.evacuated().size()));
+}
+
+} // namespace reedramp::router
--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -4,14 +4,18 @@
 #include <cmath>
 #include <optional>
 
+#include <boost/asio/ip/address_v4.hpp>
 #include <capnp/message.h>
 
+#include "http/message.hpp"
 #include "placement/affinity.hpp"
 #include "router/generated/peers.capnp.h"
 #include "router/message_bytes.hpp"
 
 namespace reedramp::router {
 
+using routing::stream_position;
+
 namespace {
 
 /// Pairs of mean and count, signals before timed parts.
@@ -124,6 +128,51 @@
     return told;
 }
 
+constexpr unsigned port_bits = 16;
+
+/// None for an address that is not of IPv4.
+auto number_of(const std::string& address) -> std::optional<std::uint64_t>
+{
+    const auto where = http::parse_endpoint(address);
+    if (!where) {
+        return std::nullopt;
+    }
+    boost::system::error_code other;
+    const auto host = boost::asio::ip::make_address_v4(where->address, other);
+    if (other) {
+        return std::nullopt;
+    }
+    return (std::uint64_t{host.to_uint()} << port_bits) | where->port;
+}
+
+auto address_of(std::uint64_t number) -> std::string
+{
+    const boost::asio::ip::address_v4 host{static_cast<std::uint32_t>(number >> port_bits)};
+    return http::to_string(http::endpoint{host.to_string(), static_cast<std::uint16_t>(number)});
+}
+
+auto fill_peers(schema::Words::Builder to, const std::vector<std::string>& from) -> void
+{
+    std::vector<std::uint64_t> numbers;
+    std::vector<std::string> texts;
+    for (const auto& address : from) {
+        if (const auto number = number_of(address)) {
+            numbers.push_back(*number);
+        }
+        else {
+            texts.push_back(address);
+        }
+    }
+    auto as_numbers = to.initPeersIpv4(static_cast<unsigned>(numbers.size()));
+    for (unsigned i = 0; i < numbers.size(); ++i) {
+        as_numbers.set(i, numbers[i]);
+    }
+    auto as_texts = to.initPeers(static_cast<unsigned>(texts.size()));
+    for (unsigned i = 0; i < texts.size(); ++i) {
+        as_texts.set(i, texts[i]);
+    }
+}
+
 auto read_words(schema::Words::Reader from) -> peer_words
 {
     peer_words words;
@@ -157,6 +206,9 @@
     for (const auto rollout : from.getRollouts()) {
         words.rollouts.push_back(read_rollout(rollout));
     }
+    for (const auto number : from.getPeersIpv4()) {
+        words.peers.push_back(address_of(number));
+    }
     for (const auto peer : from.getPeers()) {
         words.peers.push_back(text_of(peer));
     }
@@ -166,6 +218,10 @@
     for (const auto end : from.getEnded()) {
         words.ended.push_back({end.getServer(), end.getReadTo()});
     }
+    words.evacuations.known_to = stream_position{from.getOrdersKnownTo()};
+    for (const auto data_centre : from.getEvacuated()) {
+        words.evacuations.evacuated.emplace_back(text_of(data_centre));
+    }
     if (from.getEndsInMs() > 0) {
         words.ends_in = std::chrono::milliseconds{from.getEndsInMs()};
     }
@@ -210,10 +266,7 @@
     for (unsigned i = 0; i < words.rollouts.size(); ++i) {
         fill(rollouts[i], words.rollouts[i]);
     }
-    auto peers = root.initPeers(static_cast<unsigned>(words.peers.size()));
-    for (unsigned i = 0; i < words.peers.size(); ++i) {
-        peers.set(i, words.peers[i]);
-    }
+    fill_peers(root, words.peers);
     auto leaving = root.initLeaving(static_cast<unsigned>(words.leaving.size()));
     for (unsigned i = 0; i < words.leaving.size(); ++i) {
         leaving.set(i, words.leaving[i]);
@@ -223,6 +276,11 @@
         ended[i].setServer(words.ended[i].server);
         ended[i].setReadTo(words.ended[i].read_to);
     }
+    root.setOrdersKnownTo(words.evacuations.known_to.value());
+    auto evacuated = root.initEvacuated(static_cast<unsigned>(words.evacuations.evacuated.size()));
+    for (unsigned i = 0; i < words.evacuations.evacuated.size(); ++i) {
+        evacuated.set(i, words.evacuations.evacuated[i].value());
+    }
     if (words.ends_in) {
         // At least 1: 0 says that the sender stays.
         const auto left = std::max<std::int64_t>(words.ends_in->count(), 1);
--- a/source/core/router/peer_message.hpp
+++ b/source/core/router/peer_message.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "common/result.hpp"
+#include "routing/evacuation_book.hpp"
 #include "routing/list_freshness.hpp"
 #include "routing/load_book.hpp"
 #include "routing/rollout_guide.hpp"
@@ -40,6 +41,7 @@
     std::vector<std::uint64_t> leaving;
     /// Registrations that have lately ended, perhaps without a word that the server leaves.
     std::vector<routing::told_end> ended;
+    routing::told_evacuations evacuations;
     /// Until the sender's process ends at the latest; none while it stays.
     std::optional<std::chrono::milliseconds> ends_in;
 };
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -82,6 +82,13 @@
   # Hash of the sender's data centre; 0 from earlier releases. Its name would be 16 bytes more, ten
   # thousand times a second over all entries.
   dataCentre @16 :UInt32;
+  # Data centres that are evacuated, by the operators' stream up to ordersKnownTo; 0 if that is not
+  # known.
+  evacuated @17 :List(Text);
+  ordersKnownTo @18 :UInt64;
+  # Those of `peers` whose address is of IPv4, and which are left out there: the address in 32 bits,
+  # then the port in 16. As texts, the eight that are named were half of each message.
+  peersIpv4 @19 :List(UInt64);
 }
 
 # A request that ends the servers which run it: since it was barred, and since it came last.
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -244,7 +244,7 @@
         this->out->send(std::move(*this->failure_to_pass));
     }
     else {
-        this->out->send(own_answer(common::make_error(why), this->core->options.come_back_after));
+        this->out->send(own_answer(common::make_error(why), this->come_back_after()));
     }
     this->finish(common::row_of(why).name);
 }
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -112,6 +112,8 @@
     [[nodiscard]] auto
     choose_among(const std::vector<const routing::registration*>& allowed, time_point now) const
         -> const routing::registration*;
+    /// When a caller should come back that is refused since no server takes its request.
+    [[nodiscard]] auto come_back_after() const -> std::chrono::milliseconds;
     /// Whether the largest model's first event would come after the route's target.
     auto larger_would_be_late() -> bool;
     auto use_model(std::size_t at) -> void;
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -102,6 +102,13 @@
     return this->choose_among(rule.allows_all() ? usable : this->allowed_by(rule, usable), now);
 }
 
+auto relay::come_back_after() const -> std::chrono::milliseconds
+{
+    const auto& options = this->core->options;
+    return this->core->servers.usable(this->service).empty() ? options.come_back_when_ready
+                                                             : options.come_back_after;
+}
+
 auto relay::allowed_by(
     const routing::version_rule& rule, std::vector<const routing::registration*> usable) const
     -> std::vector<const routing::registration*>
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -19,6 +19,7 @@
 #include "router/shared_store.hpp"
 #include "routing/configuration.hpp"
 #include "routing/crash_book.hpp"
+#include "routing/evacuation_book.hpp"
 #include "routing/list_freshness.hpp"
 #include "routing/load_book.hpp"
 #include "routing/model_choice.hpp"
@@ -174,6 +175,21 @@
     /// The settings have changed.
     auto change_retries(placement::retry_budget_settings settings) -> void;
 
+    /// The data centres that are evacuated, as the store or another entry knows it.
+    auto learn_evacuations(const routing::told_evacuations& known, const std::string& told_by)
+        -> void;
+
+    /// The operators' orders that a reading gave behind this entry's last one.
+    auto
+    follow_evacuations(const std::vector<routing::evacuation_order>& orders, stream_position end)
+        -> void;
+
+    /// Grows with each change of who is evacuated.
+    [[nodiscard]] auto evacuations_changed() const -> std::uint64_t
+    {
+        return this->evacuation_changes;
+    }
+
     /// Requests that have no final answer yet.
     [[nodiscard]] auto under_way() const -> std::size_t { return this->open_requests.size(); }
 
@@ -205,6 +221,7 @@
     /// By service: what a unit of work takes differs between services by far more than within one.
     std::map<common::service_name, routing::pace_book> paces;
     routing::server_health health;
+    routing::evacuation_book evacuations;
     routing::crash_book crashes;
     routing::rollout_guide rollouts;
     metrics::registry series;
@@ -248,7 +265,11 @@
     auto check(const http::request& asked, const caller_request& caller) const
         -> common::result<const routing::route*>;
 
+    auto on_evacuations(const routing::evacuation_change& changed, const std::string& told_by)
+        -> void;
+
     std::vector<std::shared_ptr<held_request>> held;
+    std::uint64_t evacuation_changes = 0;
     std::shared_ptr<const routing::route_table> rules_in_force;
     std::string text_in_force;
     std::optional<std::uint64_t> known_era;
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -21,6 +21,8 @@
     metrics::gauge& under_way;
     /// Requests that this entry has found to end servers.
     metrics::counter& barred;
+    /// Data centres that are evacuated.
+    metrics::gauge& evacuated;
     /// Times that the store came back from an older copy of itself.
     metrics::counter& store_returns;
     /// Questions to neighbours for what is missing of the servers' list.
--- a/source/core/router/rules_follower.cpp
+++ b/source/core/router/rules_follower.cpp
@@ -114,10 +114,14 @@
     this->core->note_era(reading->end, "store");
     const bool is_copy = reading->is_whole && this->era && *this->era != reading->end.era();
     this->era = reading->end.era();
+    std::vector<routing::evacuation_order> evacuations;
     for (auto& document : reading->documents) {
         if (auto* rules = std::get_if<published_rules>(&document)) {
             this->core->adopt(std::move(*rules));
         }
+        else if (const auto* evacuation = std::get_if<routing::evacuation_order>(&document)) {
+            evacuations.push_back(*evacuation);
+        }
         else if (const auto& order = std::get<routing::rollout_order>(document); is_copy) {
             this->core->rollouts.order_in_copy(order, now);
         }
@@ -125,6 +129,7 @@
             this->core->rollouts.order(order, now);
         }
     }
+    this->take_evacuations(evacuations, reading->is_whole, reading->end);
     this->position = reading->end;
     if (this->on_read) {
         this->on_read();
@@ -132,6 +137,21 @@
     this->read_in_turn();
 }
 
+auto rules_follower::take_evacuations(
+    const std::vector<routing::evacuation_order>& orders, bool is_whole, stream_position end)
+    -> void
+{
+    if (!is_whole) {
+        this->core->follow_evacuations(orders, end);
+        return;
+    }
+    routing::told_evacuations known{end, {}};
+    for (const auto& order : orders) {
+        known.evacuated.push_back(order.data_centre);
+    }
+    this->core->learn_evacuations(known, "store");
+}
+
 auto rules_follower::read_on() -> void
 {
     if (this->newest == 0) {
--- a/source/core/router/rules_follower.hpp
+++ b/source/core/router/rules_follower.hpp
@@ -24,7 +24,7 @@
 auto pause_after_failure(const router_core& core, const follower_options& options)
     -> std::chrono::milliseconds;
 
-/// Keeps the rules and the orders of roll-outs up to date from the store.
+/// Keeps the rules, the orders of roll-outs and the evacuations up to date from the store.
 ///
 /// At an entry that `reads`, one reading is always waiting at the store, so that a change comes at
 /// once and a quiet day costs few calls. The others hear of a newer version, and of orders, from
@@ -57,6 +57,9 @@
     auto read_after_failure() -> void;
     /// Reads on at once, or as soon as this entry is one of those that do.
     auto read_in_turn() -> void;
+    auto take_evacuations(
+        const std::vector<routing::evacuation_order>& orders, bool is_whole, stream_position end)
+        -> void;
     auto on_reading(common::result<stream_reading<rules_document>> reading) -> void;
 
     std::shared_ptr<router_core> core;
--- a/source/core/router/shared_store.hpp
+++ b/source/core/router/shared_store.hpp
@@ -11,6 +11,7 @@
 
 #include "common/result.hpp"
 #include "routing/configuration.hpp"
+#include "routing/evacuation_book.hpp"
 #include "routing/request_print.hpp"
 #include "routing/rollout.hpp"
 #include "routing/server_table.hpp"
@@ -26,7 +27,8 @@
     std::string text;
 };
 
-using rules_document = std::variant<published_rules, routing::rollout_order>;
+using rules_document =
+    std::variant<published_rules, routing::rollout_order, routing::evacuation_order>;
 
 /// What a reading of a stream gives.
 template <typename Document>
@@ -71,7 +73,8 @@
 /// writes: `conflict` (another writer was first; read again), `log_unavailable` (not done),
 /// `append_unknown` (may have been done).
 struct shared_store {
-    /// Configurations and roll-outs after `from`, waiting up to `wait`; without `from` the newest.
+    /// Configurations, roll-outs and evacuations after `from`, waiting up to `wait`; without `from`
+    /// the newest.
     std::function<auto(
                       std::optional<stream_position> from,
                       std::chrono::milliseconds wait,
--- a/source/core/routing/list_freshness.cpp
+++ b/source/core/routing/list_freshness.cpp
@@ -19,6 +19,7 @@
         this->changed = end;
     }
     this->has_read = true;
+    this->own_read_at = now;
     this->current_at = std::max(asked_at.value_or(now), now - this->settings.longest_answer);
     this->own_readings += 1;
     this->current_reader = this->settings.reader;
--- a/source/core/routing/list_freshness.hpp
+++ b/source/core/routing/list_freshness.hpp
@@ -97,6 +97,9 @@
     /// Where this entry's own reading stands; 0 before the first.
     [[nodiscard]] auto read_to() const -> std::uint64_t { return this->position; }
 
+    /// When this entry itself read the list last.
+    [[nodiscard]] auto own_reading_at() const -> time_point { return this->own_read_at; }
+
     /// Whether to read now, when `rank` living entries go before this one. `is_reader` if it is one
     /// of those that read for their data centre.
     [[nodiscard]] auto is_due(std::size_t rank, time_point now, bool is_reader = true) const
@@ -114,6 +117,7 @@
 
     freshness_options settings;
     bool has_read = false;
+    time_point own_read_at{};
     /// Where this entry's own reading stands.
     std::uint64_t position = 0;
     /// The newest change that it knows of, read or told.
--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -118,6 +118,12 @@
     return had_work ? table_event::none : table_event::usable;
 }
 
+auto server_table::close(const std::set<common::data_centre_id>& evacuated) -> void
+{
+    this->closed = evacuated;
+    this->forget_usable();
+}
+
 auto server_table::begin(const registration& read, time_point now) -> table_event
 {
     auto& known = this->servers[read.id];
@@ -401,7 +407,8 @@
     const auto [found, is_new] = this->usable_by_service.try_emplace(service);
     if (is_new) {
         for (const auto& [id, known] : this->servers) {
-            if (known.gets_work() && known.last.service == service) {
+            const bool is_open = !this->closed.contains(known.last.data_centre);
+            if (is_open && known.gets_work() && known.last.service == service) {
                 found->second.push_back(&known.last);
             }
         }
--- a/source/core/routing/server_table.hpp
+++ b/source/core/routing/server_table.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -128,6 +129,9 @@
     /// `told_end`.
     auto end_lapsed(std::uint64_t read_to, time_point now) -> std::vector<server_start>;
 
+    /// These data centres get no work.
+    auto close(const std::set<common::data_centre_id>& evacuated) -> void;
+
     /// Another server answers at its address.
     auto drop(const server_start& start, time_point now = {}) -> void;
 
@@ -225,6 +229,8 @@
     auto forget_usable() -> void { this->usable_by_service.clear(); }
 
     std::map<common::server_id, known_server> servers;
+    /// Data centres that get no work.
+    std::set<common::data_centre_id> closed;
     /// What `usable` has found; each request asks.
     mutable std::map<common::service_name, std::vector<const registration*>> usable_by_service;
     /// The newest last.
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -32,6 +32,9 @@
 constexpr double far_reader_rounds = 1.25;
 /// An entry that has just started has not heard the others yet, and would read as if it were alone.
 constexpr common::duration finds_peers_within = std::chrono::seconds{1};
+/// An entry that others read for reads the list seldom; one that nobody reads for, each two seconds
+/// or sooner.
+constexpr common::duration reads_alone_for = std::chrono::seconds{3};
 /// A peer's load counts for this many rounds: it is gone soon after its entry.
 constexpr int trusted_rounds = 5;
 /// From the end of an entry's process until callers reach the next one: the platform's pause of
@@ -109,6 +112,7 @@
     words.outcomes = this->core->health.tell(now);
     words.leaving = this->core->servers.leaving();
     words.ended = this->core->servers.ended(now);
+    words.evacuations = this->core->evacuations.tell();
     if (this->core->leaves_at() != common::never) {
         words.ends_in =
             std::chrono::duration_cast<std::chrono::milliseconds>(this->core->leaves_at() - now);
@@ -166,7 +170,10 @@
 
 auto peer_group::newest_news() const -> urgent_news
 {
-    return {this->core->rules_version(), this->core->rollouts.orders_taken()};
+    return {
+        this->core->rules_version(),
+        this->core->rollouts.orders_taken(),
+        this->core->evacuations_changed()};
 }
 
 auto peer_group::spread_news() -> void
@@ -230,6 +237,7 @@
             told.is_written = false;
         }
     }
+    this->core->learn_evacuations(words->evacuations, words->host.value());
     this->hear_of_servers(*words, now);
     const auto trusted_until = now + this->round() * trusted_rounds;
     this->core->loads.hear(words->host, words->loads, trusted_until);
@@ -330,6 +338,13 @@
     return {before, own_place < readers_in_each && knows_peers};
 }
 
+auto peer_group::follows_operators() const -> bool
+{
+    const bool reads_list =
+        this->core->hooks.clock() - this->core->freshness.own_reading_at() < reads_alone_for;
+    return reads_list || this->turn().is_reader;
+}
+
 auto peer_group::readers() const -> std::vector<common::host_id>
 {
     const auto all = this->by_data_centre();
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -42,9 +42,9 @@
     auto tell() -> void;
 
     /// Where this entry is one of those that pass news on, tells its data centre, and those of the
-    /// other ones that do, of newer rules and of orders at once. Told in turn, an order reached the
-    /// last of a hundred entries half a second after the first, when that one already moved
-    /// sessions which the last one still served on the old version.
+    /// other ones that do, of newer rules, orders and evacuations at once. Told in turn, an order
+    /// reached the last of a hundred entries half a second after the first, when that one already
+    /// moved sessions which the last one still served on the old version.
     auto spread_news() -> void;
 
     /// Takes a datagram in.
@@ -83,6 +83,11 @@
     /// that both take themselves for the first cost a few calls, and no news.
     [[nodiscard]] auto turn() const -> router::reader_turn;
 
+    /// Whether this entry follows the operators' stream for the others. So does one that has to
+    /// read the servers' list, since nobody else does: where the store turns away all that read for
+    /// a data centre, the others would learn of no change.
+    [[nodiscard]] auto follows_operators() const -> bool;
+
     /// The hosts that read for this entry's data centre, as far as it knows.
     [[nodiscard]] auto readers() const -> std::vector<common::host_id>;
 
@@ -96,6 +101,7 @@
     struct urgent_news {
         std::uint64_t rules_version = 0;
         std::uint64_t orders = 0;
+        std::uint64_t evacuations = 0;
 
         auto operator==(const urgent_news&) const -> bool = default;
     };
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -310,7 +310,7 @@
         this->core,
         this->store,
         this->settings.follower,
-        [this] { return this->peers->turn().is_reader; },
+        [this] { return this->peers->follows_operators(); },
         [this] { this->peers->spread_news(); });
     this->servers = std::make_shared<router::servers_follower>(
         this->core,
--- a/source/router/state_page.cpp
+++ b/source/router/state_page.cpp
@@ -69,6 +69,10 @@
     const common::host_id& host) -> std::string
 {
     const auto now = core.hooks.clock();
+    json::array evacuated;
+    for (const auto& data_centre : core.evacuations.evacuated()) {
+        evacuated.emplace_back(data_centre.value());
+    }
     json::array servers;
     for (const auto& id : core.servers.ids()) {
         servers.push_back(server_row(core, *core.servers.find(id), now));
@@ -85,6 +89,7 @@
         {"wait_level", core.waits.level()},
         {"peers", peers.heard()},
         {"list", list_row(core, peers, courier, now)},
+        {"evacuated", std::move(evacuated)},
         {"servers", std::move(servers)},
         {"rollouts", std::move(rollouts)}});
 }
--- a/source/unit_tests/router/entry_fleet.cpp
+++ b/source/unit_tests/router/entry_fleet.cpp
@@ -31,6 +31,7 @@
             }
         }
         one->follower->start();
+        one->rules->start();
     }
 }
 
@@ -100,6 +101,7 @@
                         }
                     });
                 }});
+    this->make_rules(one);
     one.follower = std::make_shared<servers_follower>(
         one.own.core,
         this->store_of(one),
@@ -116,6 +118,127 @@
                                }});
 }
 
+auto entry_fleet::make_rules(entry& one) -> void
+{
+    shared_store store;
+    store.read_outcomes = [](const auto& done) {
+        done(stream_reading<routing::rollout_status>{});
+    };
+    store.read_rules = [this, &one](auto from, milliseconds wait, auto done) {
+        this->read_rules(
+            {&one, from.value_or(stream_position{}), this->now + wait, std::move(done)}, !from);
+    };
+    one.rules = std::make_shared<rules_follower>(
+        one.own.core,
+        std::move(store),
+        follower_options{},
+        [&one] { return one.peers->follows_operators(); },
+        [&one] { one.peers->spread_news(); });
+}
+
+auto entry_fleet::orders_from(const waiting_reader& asked, bool is_first) const
+    -> common::result<stream_reading<rules_document>>
+{
+    const auto end = stream_position::at(this->orders_era, this->orders.size());
+    if (asked.by->is_turned_away) {
+        return common::failure(common::result_code::log_unavailable);
+    }
+    stream_reading<rules_document> reading{{}, end, is_first};
+    if (is_first) {
+        routing::evacuation_book newest;
+        newest.follow(this->orders, end);
+        for (const auto& data_centre : newest.evacuated()) {
+            reading.documents.emplace_back(routing::evacuation_order{data_centre, true, {}});
+        }
+        return reading;
+    }
+    const bool is_gone = asked.from.era() != this->orders_era || asked.from > end ||
+                         asked.from.offset() < this->orders_trimmed_to;
+    if (is_gone) {
+        return common::failure(common::result_code::log_trimmed);
+    }
+    for (auto i = asked.from.offset(); i < end.offset(); ++i) {
+        reading.documents.emplace_back(this->orders[i]);
+    }
+    return reading;
+}
+
+auto entry_fleet::read_rules(waiting_reader asked, bool is_first) -> void
+{
+    auto reading = this->orders_from(asked, is_first);
+    const bool waits =
+        reading && !is_first && reading->documents.empty() && this->now < asked.until;
+    if (waits) {
+        this->waiting.push_back(std::move(asked));
+        return;
+    }
+    this->answers.emplace(
+        this->now + call_time,
+        [by = asked.by, reading = std::move(reading), done = std::move(asked.done)] {
+            if (!by->is_dead) {
+                done(reading);
+            }
+        });
+}
+
+auto entry_fleet::answer_waiting() -> void
+{
+    for (auto& one : std::exchange(this->waiting, {})) {
+        if (!one.by->is_dead) {
+            this->read_rules(std::move(one), false);
+        }
+    }
+}
+
+auto entry_fleet::evacuate(const std::string& data_centre) -> void
+{
+    this->orders.push_back(
+        {common::data_centre_id{data_centre},
+         true,
+         stream_position::at(this->orders_era, this->orders.size())});
+}
+
+auto entry_fleet::take_back(const std::string& data_centre) -> void
+{
+    this->evacuate(data_centre);
+    this->orders.back().is_evacuated = false;
+}
+
+auto entry_fleet::orders_come_back_older(std::size_t records) -> void
+{
+    this->orders_era += 1;
+    this->orders.resize(this->orders.size() - records);
+    for (std::size_t i = 0; i < this->orders.size(); ++i) {
+        this->orders[i].at = stream_position::at(this->orders_era, i);
+    }
+}
+
+auto entry_fleet::living() const -> std::size_t
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->entries, [](const auto& one) { return !one->is_dead && !one->is_frozen; }));
+}
+
+auto entry_fleet::sparing(const std::string& data_centre) const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->entries, [&data_centre](const auto& one) {
+            return !one->is_dead && !one->is_frozen &&
+                   one->own.core->evacuations.evacuated().contains(
+                       common::data_centre_id{data_centre});
+        }));
+}
+
+auto entry_fleet::time_until_sparing(const std::string& data_centre, bool all, milliseconds limit)
+    -> milliseconds
+{
+    const auto began = this->now;
+    while (this->sparing(data_centre) != (all ? this->living() : 0) && this->now - began < limit) {
+        this->step();
+    }
+    return std::chrono::duration_cast<milliseconds>(this->now - began);
+}
+
 auto entry_fleet::start_anew(std::size_t number) -> void
 {
     // Answers under way and requests of the former process hold it; it is kept, dead.
@@ -130,8 +253,10 @@
     const auto helper = number == 0 ? 1 : 0;
     if (this->entries.size() > 1) {
         this->entries[helper]->crashes->tell_barred(one.where);
+        one.peers->hear(this->entries[helper]->peers->words_for_start());
     }
     one.follower->start();
+    one.rules->start();
 }
 
 auto entry_fleet::store_of(entry& of) -> shared_store
@@ -302,6 +427,7 @@
             one.peers->tell();
         }
     }
+    this->answer_waiting();
     this->deliver_due();
 }
 
--- a/source/unit_tests/router/entry_fleet.hpp
+++ b/source/unit_tests/router/entry_fleet.hpp
@@ -43,6 +43,7 @@
         std::shared_ptr<list_courier> courier;
         std::shared_ptr<crash_courier> crashes;
         std::shared_ptr<servers_follower> follower;
+        std::shared_ptr<rules_follower> rules;
         http::endpoint where;
         std::size_t data_centre = 0;
         bool is_dead = false;
@@ -62,6 +63,23 @@
     /// The store comes back without its newest `records`, which are given out again.
     auto come_back_older(std::size_t records) -> void;
 
+    /// The operators evacuate a data centre, or take it back.
+    auto evacuate(const std::string& data_centre) -> void;
+    auto take_back(const std::string& data_centre) -> void;
+
+    /// The operators' stream comes back without its newest `records`.
+    auto orders_come_back_older(std::size_t records) -> void;
+
+    /// Living entries that would send nothing to the data centre.
+    [[nodiscard]] auto sparing(const std::string& data_centre) const -> std::size_t;
+
+    /// Living entries.
+    [[nodiscard]] auto living() const -> std::size_t;
+
+    /// Runs until all living entries spare the data centre, or none does; how long that took.
+    auto time_until_sparing(const std::string& data_centre, bool all, milliseconds limit)
+        -> milliseconds;
+
     /// Entries that would send work to the server.
     [[nodiscard]] auto using_server(const std::string& server) const -> std::size_t;
 
@@ -80,6 +98,8 @@
     std::size_t calls = 0;
     /// Records before this position are gone.
     std::uint64_t trimmed_to = 0;
+    /// Of the operators' stream.
+    std::uint64_t orders_trimmed_to = 0;
     /// Whether somebody listens at a server. Without, all servers live.
     std::function<auto(const common::server_id& server)->bool> listens;
     /// Whether nothing passes from one data centre to another.
@@ -95,7 +115,20 @@
         std::string bytes;
     };
 
+    /// A reading of the operators' stream that waits for news.
+    struct waiting_reader {
+        entry* by = nullptr;
+        stream_position from;
+        common::time_point until;
+        answer_hook<stream_reading<rules_document>> done;
+    };
+
     auto make_entry(std::size_t number) -> void;
+    auto make_rules(entry& one) -> void;
+    auto read_rules(waiting_reader asked, bool is_first) -> void;
+    [[nodiscard]] auto orders_from(const waiting_reader& asked, bool is_first) const
+        -> common::result<stream_reading<rules_document>>;
+    auto answer_waiting() -> void;
     auto store_of(entry& of) -> shared_store;
     auto read(entry& by, std::optional<stream_position> from)
         -> common::result<stream_reading<routing::registration_change>>;
@@ -115,6 +148,9 @@
     std::mt19937_64 random;
     std::vector<routing::registration_change> log;
     std::uint64_t era = 0;
+    std::vector<routing::evacuation_order> orders;
+    std::uint64_t orders_era = 0;
+    std::vector<waiting_reader> waiting;
     std::multimap<common::time_point, letter> letters;
     std::multimap<common::time_point, std::function<auto()->void>> answers;
     std::map<http::endpoint, std::size_t> numbers;
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -36,8 +36,11 @@
     words.freshness = {
         123456789012, std::chrono::milliseconds{250}, std::chrono::seconds{77}, 11, 12};
     words.outcomes = {{7, 1.5, 2.25}};
-    words.peers = {"10.0.0.2:7000"};
+    words.peers = {"10.0.0.2:7000", "255.254.0.9:65535", "[2001:db8::1]:7000"};
     words.leaving = {77};
+    words.evacuations = {
+        routing::stream_position{4321},
+        {common::data_centre_id{"dc-1"}, common::data_centre_id{"dc-2"}}};
     words.ends_in = std::chrono::milliseconds{4200};
     return words;
 }
@@ -56,6 +59,8 @@
     CHECK(read->loads[0].load.work == 300.0);
     CHECK(read->loads[0].load.reading == 120.0);
     REQUIRE(read->rollouts.size() == 1);
+    CHECK(read->evacuations.known_to == words.evacuations.known_to);
+    CHECK(read->evacuations.evacuated == words.evacuations.evacuated);
     CHECK(read->rollouts[0].elapsed == std::chrono::seconds{3});
     CHECK(read->rollouts[0].evidence == words.rollouts[0].evidence);
     CHECK(read->rollouts[0].share == 0.5);
--- a/source/unit_tests/routing/server_table_test.cpp
+++ b/source/unit_tests/routing/server_table_test.cpp
@@ -40,6 +40,22 @@
 
 } // namespace
 
+TEST_CASE("an evacuated data centre's servers are none to use, and stay listed", "[evacuation]")
+{
+    server_table table;
+    table.take(registered(a, 1), start);
+    auto read = registered(b, 1);
+    read.data_centre = common::data_centre_id{"dc-b"};
+    table.take(read, start);
+    const auto digest = table.digest();
+    table.close({read.data_centre});
+    CHECK(table.usable(engines).size() == 1);
+    CHECK(table.digest() == digest);
+    CHECK(table.size() == 2);
+    table.close({});
+    CHECK(table.usable(engines).size() == 2);
+}
+
 TEST_CASE("a server that starts again under its id begins from nothing", "[server_table]")
 {
     // It said that it leaves, failed often and was slow before it ended. Its next start has done
