Keep requests in the regions that their route or organisation names

Servers of other data centres are left out of the choice now, for second sends and resumed streams as well; both bind where both are given, and with none left a request is refused at once. The region of each data centre comes with the settings.

No installation at hand has two regions: shown on stand-ins alone.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -128,7 +128,7 @@
 
 auto relay::our_headers(const routing::registration& server) const -> forward_headers
 {
-    const auto* owner = this->request.rules->owner_of(this->request.caller.key);
+    const auto* owner = this->request.owner;
     return {
         milliseconds_between(this->core->hooks.clock(), this->give_up_at),
         server.id.value(),
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -23,6 +23,8 @@
     caller_request caller;
     std::shared_ptr<const routing::route_table> rules;
     const routing::route* route = nullptr;
+    /// Whose key the caller has; null without one.
+    const routing::organisation* owner = nullptr;
     /// Times count from here.
     time_point received;
 };
@@ -109,6 +111,10 @@
     [[nodiscard]] auto allowed_by(
         const routing::version_rule& rule, std::vector<const routing::registration*> usable) const
         -> std::vector<const routing::registration*>;
+    /// Servers of the request's service that the rules let it go to.
+    [[nodiscard]] auto open_servers() const -> std::vector<const routing::registration*>;
+    /// Whether its route or its organisation says in which regions it may run.
+    [[nodiscard]] auto has_homes() const -> bool;
     [[nodiscard]] auto
     choose_among(const std::vector<const routing::registration*>& allowed, time_point now) const
         -> const routing::registration*;
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -98,15 +98,33 @@
     const auto now = this->core->hooks.clock();
     // Anew for each send: a version that was fine for the first may have been found bad since.
     const auto rule = this->core->rollouts.rule_for(this->service, this->session_hash, now);
-    const auto& usable = this->core->servers.usable(this->service);
-    return this->choose_among(rule.allows_all() ? usable : this->allowed_by(rule, usable), now);
+    if (rule.allows_all() && !this->has_homes()) {
+        return this->choose_among(this->core->servers.usable(this->service), now);
+    }
+    return this->choose_among(this->allowed_by(rule, this->open_servers()), now);
+}
+
+auto relay::has_homes() const -> bool
+{
+    return !this->request.route->homes.empty() ||
+           (this->request.owner != nullptr && !this->request.owner->homes.empty());
+}
+
+auto relay::open_servers() const -> std::vector<const routing::registration*>
+{
+    auto open = this->core->servers.usable(this->service);
+    const auto& regions = this->core->options.regions;
+    routing::keep_at_home(open, this->request.route->homes, regions);
+    if (this->request.owner != nullptr) {
+        routing::keep_at_home(open, this->request.owner->homes, regions);
+    }
+    return open;
 }
 
 auto relay::come_back_after() const -> std::chrono::milliseconds
 {
     const auto& options = this->core->options;
-    return this->core->servers.usable(this->service).empty() ? options.come_back_when_ready
-                                                             : options.come_back_after;
+    return this->open_servers().empty() ? options.come_back_when_ready : options.come_back_after;
 }
 
 auto relay::allowed_by(
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -65,9 +65,10 @@
             " print=" + to_string(*barred));
         return;
     }
+    const auto* owner = this->rules_in_force->owner_of(caller->key);
     relay::begin(
         this->shared_from_this(),
-        {std::move(asked), std::move(*caller), this->rules_in_force, *found, received},
+        {std::move(asked), std::move(*caller), this->rules_in_force, *found, owner, received},
         std::move(out));
 }
 
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -20,6 +20,7 @@
 #include "routing/configuration.hpp"
 #include "routing/crash_book.hpp"
 #include "routing/evacuation_book.hpp"
+#include "routing/home_regions.hpp"
 #include "routing/list_freshness.hpp"
 #include "routing/load_book.hpp"
 #include "routing/model_choice.hpp"
@@ -51,6 +52,8 @@
 struct router_options {
     header_names names;
     common::data_centre_id data_centre;
+    /// The region of each data centre.
+    routing::region_map regions;
     routing::choice_options choice;
     routing::freshness_options freshness;
     routing::health_options health;
--- a/source/core/routing/configuration.hpp
+++ b/source/core/routing/configuration.hpp
@@ -55,6 +55,8 @@
     std::vector<weighted_service> targets;
     /// Models that may answer, smallest first; empty when the caller names the model.
     std::vector<common::model_id> models;
+    /// Regions in which its requests may run; empty: all.
+    std::vector<common::region_id> homes;
 };
 
 struct priced_model {
@@ -76,6 +78,8 @@
 struct organisation {
     common::organisation_id name;
     std::vector<std::string> keys;
+    /// As of a route; both bind.
+    std::vector<common::region_id> homes{};
 };
 
 /// What callers may send, and how long they may take.
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -79,6 +79,10 @@
          .fallback = 0.0,
          .lowest = 0.0,
          .highest = 1e6},
+        {.path = "regions",
+         .type = settings::value_type::text_map,
+         .doc = "Region of each data centre, for rules that name the regions of their requests.",
+         .fallback = settings::text_map{}},
         {.path = "retries.ratio",
          .type = settings::value_type::real,
          .doc = "Second sends allowed for each first one, over all entries.",
@@ -118,6 +122,9 @@
     constexpr std::chrono::milliseconds hand_on_time{300};
     read.router.freshness.hand_on_time = hand_on_time;
     read.router.data_centre = read.data_centre;
+    for (const auto& [data_centre, region] : values.map("regions")) {
+        read.router.regions[common::data_centre_id{data_centre}] = common::region_id{region};
+    }
     read.router.rollout.session_time = values.milliseconds("session_time");
     // In the first half, so that it takes up three fifths of what a bad version may get; the rest
     // is for what is under way, and sent, until it is found.
