Send a cold server no more than it bears, over all entries

Cause: a server that is back is the emptiest by all entries' books, the books are a second old, and all choose it at once.

Change: each entry has turns at a cold server, good for one request each, a quarter of what the server bears over the number of entries that it knows. Turns that are not used lapse; saved up, all callers who return at once would use them in the same moment. With no other server a request waits half a second for a turn, or is refused at once with the time at which one is warm. A server that turns cold in the middle of its work is news and handed on; before, only readers of the store knew. Servers of a data centre that is taken back count as cold until they have said otherwise.

--- a/source/core/router/evacuations.cpp
+++ b/source/core/router/evacuations.cpp
@@ -25,6 +25,7 @@
     }
     this->evacuation_changes += 1;
     this->servers.close(this->evacuations.evacuated());
+    const auto now = this->hooks.clock();
     const auto log = [&told_by](const char* what, const common::data_centre_id& data_centre) {
         common::log(
             common::log_part::config,
@@ -36,6 +37,9 @@
         log("evacuated", data_centre);
     }
     for (const auto& data_centre : changed.taken_back) {
+        // Its servers may have started anew while nothing was sent there, and their next word
+        // comes a second or two later.
+        this->servers.doubt_warmth(data_centre, now + this->options.warmth_unknown);
         log("taken back", data_centre);
     }
     this->counters.evacuated.set(static_cast<std::int64_t>(this->evacuations.evacuated().size()));
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -64,9 +64,12 @@
 {
     const auto* server = this->choose_server();
     if (server == nullptr) {
-        this->give_up(result_code::outcome_unknown);
+        if (!this->wait_for_turn()) {
+            this->give_up(result_code::outcome_unknown);
+        }
         return;
     }
+    this->turn_by = common::never;
     this->send_to(*server);
 }
 
@@ -122,6 +125,7 @@
     this->ledger.note_sent();
     this->core->counters.sends.add();
     this->core->loads.begin(next->server, next->work, next->prompt_work);
+    this->core->turns.note_sent(server, now);
     this->core->rollouts.note_sent(this->service, this->session_hash, server.version, now);
     return next;
 }
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -115,11 +115,18 @@
     [[nodiscard]] auto open_servers() const -> std::vector<const routing::registration*>;
     /// Whether its route or its organisation says in which regions it may run.
     [[nodiscard]] auto has_homes() const -> bool;
+    [[nodiscard]] auto books() const -> routing::server_books;
     [[nodiscard]] auto
     choose_among(const std::vector<const routing::registration*>& allowed, time_point now) const
         -> const routing::registration*;
+    /// Servers at which this entry has no turn yet, or which are cold in vain for it, will take the
+    /// request then; `never` if none will.
+    [[nodiscard]] auto next_turn() const -> time_point;
     /// When a caller should come back that is refused since no server takes its request.
     [[nodiscard]] auto come_back_after() const -> std::chrono::milliseconds;
+    auto log_no_server() const -> void;
+    /// Sends the request on when its turn at a cold server comes; false if that is too late.
+    auto wait_for_turn() -> bool;
     /// Whether the largest model's first event would come after the route's target.
     auto larger_would_be_late() -> bool;
     auto use_model(std::size_t at) -> void;
@@ -198,6 +205,8 @@
 
     time_point received;
     time_point give_up_at;
+    /// No longer for a turn at a cold server; `never` while it has not waited.
+    time_point turn_by = common::never;
     common::service_name service;
     /// Empty when the caller's choice stands.
     std::string model;
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "common/log.hpp"
 #include "placement/affinity.hpp"
 #include "router/relay.hpp"
 #include "routing/model_choice.hpp"
@@ -121,10 +122,77 @@
     return open;
 }
 
+auto relay::next_turn() const -> time_point
+{
+    const auto now = this->core->hooks.clock();
+    const auto known = this->books();
+    auto next = common::never;
+    for (const auto* server : this->open_servers()) {
+        const bool is_tried = std::ranges::find(this->tried, server->start()) != this->tried.end();
+        if (!is_tried && server->cold_until > now) {
+            next = std::min(next, known.turns->next_turn(*server, known.cold_per_second, now));
+        }
+    }
+    return next;
+}
+
+auto relay::wait_for_turn() -> bool
+{
+    // Another request may take the turn: looked for again then, and not at once.
+    constexpr std::chrono::milliseconds least_wait{10};
+    const auto now = this->core->hooks.clock();
+    if (this->turn_by == common::never) {
+        this->core->counters.turn_waits.add();
+        this->turn_by = std::min(now + this->core->options.turn_patience, this->give_up_at);
+    }
+    const auto turn = std::max<time_point>(this->next_turn(), now + least_wait);
+    if (turn > this->turn_by) {
+        this->log_no_server();
+        return false;
+    }
+    // Nothing else holds a request that is at no server.
+    this->core->hooks.timer(turn, [self = this->shared_from_this()] {
+        if (!self->ended) {
+            self->send_next();
+        }
+    });
+    return true;
+}
+
+auto relay::log_no_server() const -> void
+{
+    const auto open = this->open_servers();
+    const auto now = this->core->hooks.clock();
+    const auto cold =
+        std::ranges::count_if(open, [now](const auto* server) { return server->cold_until > now; });
+    common::log(
+        common::log_part::place,
+        common::log_level::info,
+        "no server request=" + this->request.caller.attempt + " service=" + this->service.value() +
+            " open=" + std::to_string(open.size()) + " cold=" + std::to_string(cold) +
+            " tried=" + std::to_string(this->tried.size()) +
+            " evacuated=" + std::to_string(this->core->evacuations.evacuated().size()));
+}
+
 auto relay::come_back_after() const -> std::chrono::milliseconds
 {
     const auto& options = this->core->options;
-    return this->open_servers().empty() ? options.come_back_when_ready : options.come_back_after;
+    const auto now = this->core->hooks.clock();
+    const auto open = this->open_servers();
+    if (open.empty()) {
+        return options.come_back_when_ready;
+    }
+    auto warm_at = common::never;
+    for (const auto* server : open) {
+        warm_at = std::min(warm_at, std::max(server->cold_until, now));
+    }
+    if (warm_at <= now) {
+        return options.come_back_after;
+    }
+    const auto spread = common::random_unit(this->core->hooks.random) *
+                        static_cast<double>(options.returns_spread.count());
+    return milliseconds_between(now, warm_at) +
+           std::chrono::milliseconds{static_cast<std::int64_t>(spread)};
 }
 
 auto relay::allowed_by(
@@ -144,15 +212,24 @@
     return usable;
 }
 
+auto relay::books() const -> routing::server_books
+{
+    const auto* known = this->request.rules->find_service(this->service);
+    return {
+        this->core->loads,
+        this->core->paces[this->service],
+        this->core->health,
+        &this->core->turns,
+        known == nullptr ? 0.0 : known->cold_per_second};
+}
+
 auto relay::choose_among(const std::vector<const routing::registration*>& allowed, time_point now)
     const -> const routing::registration*
 {
-    const routing::server_books books{
-        this->core->loads, this->core->paces[this->service], this->core->health};
     return routing::choose_server(
         allowed,
         this->placement_wish(),
-        books,
+        this->books(),
         this->core->options.choice,
         this->core->hooks.random(),
         now);
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -29,8 +29,9 @@
     : hooks(std::move(hooks_to_use)), options(std::move(options_to_use)),
       client(std::move(servers_client)),
       freshness(with_reader(this->options.freshness, this->hooks.random())),
-      health(this->options.health), crashes(this->options.crashes), rollouts(this->options.rollout),
-      counters(this->series)
+      health(this->options.health),
+      turns(this->options.cold, this->hooks.random(), this->hooks.entries),
+      crashes(this->options.crashes), rollouts(this->options.rollout), counters(this->series)
 {
 }
 
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -17,6 +17,7 @@
 #include "router/header_names.hpp"
 #include "router/router_metrics.hpp"
 #include "router/shared_store.hpp"
+#include "routing/cold_turns.hpp"
 #include "routing/configuration.hpp"
 #include "routing/crash_book.hpp"
 #include "routing/evacuation_book.hpp"
@@ -41,6 +42,8 @@
     /// The store has come back from an older copy of itself: the entries' own records may be gone.
     /// May be empty.
     std::function<auto()->void> on_new_era = {};
+    /// How many entries there are, this one included, as far as it knows. Empty: this one alone.
+    std::function<auto()->std::size_t> entries = {};
     /// When another entry, or this one's next process, takes requests that this process can't
     /// finish any more. Empty: at once.
     std::function<auto(time_point now)->time_point> served_elsewhere_at = {};
@@ -55,6 +58,7 @@
     /// The region of each data centre.
     routing::region_map regions;
     routing::choice_options choice;
+    routing::cold_options cold;
     routing::freshness_options freshness;
     routing::health_options health;
     routing::crash_options crashes;
@@ -89,6 +93,15 @@
     std::chrono::milliseconds start_hold{2000};
     /// More than come in that time; at some 12 KB each they take 6 MB.
     std::size_t most_held = 512;
+    /// Servers of a data centre that is taken back count as cold for so long: until they have said
+    /// how they are, which they do each 1.2 s, and it has been read, at the latest 2.4 s later.
+    std::chrono::milliseconds warmth_unknown{3500};
+    /// A request waits for so long for a turn at a cold server, where there are no others: longer
+    /// than most waits for one, and shorter than what callers take for silence.
+    std::chrono::milliseconds turn_patience{500};
+    /// Callers that were refused since all servers are cold return within this after the first of
+    /// these is warm; all at once they would fill it.
+    std::chrono::milliseconds returns_spread{1000};
     /// A stream that stays silent for this many of its longest good pauses goes on elsewhere.
     double stalled_after_pauses = 1.5;
     /// So does one that waits for its first event for this many times the route's mean, and for
@@ -224,6 +237,7 @@
     /// By service: what a unit of work takes differs between services by far more than within one.
     std::map<common::service_name, routing::pace_book> paces;
     routing::server_health health;
+    routing::cold_turns turns;
     routing::evacuation_book evacuations;
     routing::crash_book crashes;
     routing::rollout_guide rollouts;
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -21,6 +21,8 @@
     metrics::gauge& under_way;
     /// Requests that this entry has found to end servers.
     metrics::counter& barred;
+    /// Requests that waited for a turn at a cold server.
+    metrics::counter& turn_waits;
     /// Data centres that are evacuated.
     metrics::gauge& evacuated;
     /// Times that the store came back from an older copy of itself.
--- a/source/core/routing/server_choice.cpp
+++ b/source/core/routing/server_choice.cpp
@@ -23,25 +23,32 @@
 /// Which servers a request may go to.
 class eligibility {
 public:
-    eligibility(const placement_request& request, const server_health& known, time_point moment)
-        : asked(request), health(known), now(moment)
+    eligibility(const placement_request& request, const server_books& known, time_point moment)
+        : asked(request), books(known), now(moment)
     {
     }
 
-    [[nodiscard]] auto is_untried(const registration& server) const -> bool
+    /// Whether it may go there at all.
+    [[nodiscard]] auto is_open(const registration& server) const -> bool
     {
-        return this->asked.tried.empty() ||
-               std::ranges::find(this->asked.tried, server.start()) == this->asked.tried.end();
+        const bool is_untried =
+            this->asked.tried.empty() ||
+            std::ranges::find(this->asked.tried, server.start()) == this->asked.tried.end();
+        const bool has_turn =
+            this->books.turns == nullptr ||
+            this->books.turns->may_take(server, this->books.cold_per_second, this->now);
+        return is_untried && has_turn;
     }
 
+    /// Whether it should, while there are others.
     [[nodiscard]] auto holds(const registration& server) const -> bool
     {
-        return this->is_untried(server) && !this->health.is_resting(server.start(), this->now);
+        return this->is_open(server) && !this->books.health.is_resting(server.start(), this->now);
     }
 
 private:
     const placement_request& asked;
-    const server_health& health;
+    const server_books& books;
     time_point now;
 };
 
@@ -145,7 +152,7 @@
         found.all = all_that(usable, [&may_go](const auto& one) { return may_go.holds(one); });
     }
     if (found.all.empty()) {
-        found.all = all_that(usable, [&may_go](const auto& one) { return may_go.is_untried(one); });
+        found.all = all_that(usable, [&may_go](const auto& one) { return may_go.is_open(one); });
     }
     return found;
 }
@@ -158,8 +165,9 @@
     time_point now) -> double
 {
     const auto start = server.start();
-    const auto cost =
-        books.paces.slowness(start) * (books.loads.total(start, now).work + asked.work);
+    const auto slowness =
+        books.paces.slowness(start) * (server.cold_until > now ? options.cold_slowness : 1.0);
+    const auto cost = slowness * (books.loads.total(start, now).work + asked.work);
     const bool is_far = server.data_centre != asked.own_data_centre;
     return is_far ? cost + options.distance_work : cost;
 }
@@ -177,7 +185,7 @@
     if (usable.empty()) {
         return nullptr;
     }
-    const eligibility may_go(asked, books.health, now);
+    const eligibility may_go(asked, books, now);
     const auto found = find_candidates(usable, asked, options, may_go, chance);
     std::vector<double> costs;
     costs.reserve(found.all.size());
--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -27,6 +27,9 @@
 /// earlier moment arrive for some seconds, from a store whose list lags or a peer that stood still.
 constexpr std::chrono::minutes left_kept_for{5};
 
+/// What is read of a server may be a second old, and its cold time seems to end so much later.
+constexpr std::chrono::seconds warmth_read_late{1};
+
 /// So many are remembered at the most, 0.6 MB: in five minutes all of the 620 servers that the
 /// design is for may be replaced twice.
 constexpr std::size_t most_left = 2048;
@@ -63,6 +66,10 @@
         return "lapsed";
     case table_event::unreadable:
         return "unreadable";
+    case table_event::cold:
+        return "cold";
+    case table_event::warm:
+        return "warm";
     case table_event::late:
         return "late";
     }
@@ -112,10 +119,24 @@
         this->forget_usable();
     }
     const auto hash = known.last.id_hash;
+    const auto warmth = note_warmth(known, read, now);
+    const auto cold_until = std::max(read.cold_until, known.cold_at_least);
     known.last = read;
     known.last.id_hash = hash;
+    known.last.cold_until = cold_until;
     known.state = server_state::usable;
-    return had_work ? table_event::none : table_event::usable;
+    return had_work ? warmth : table_event::usable;
+}
+
+auto server_table::note_warmth(known_server& known, const registration& read, time_point now)
+    -> table_event
+{
+    const auto before = std::max(known.last.cold_until, now);
+    const auto after = std::max({read.cold_until, known.cold_at_least, now});
+    if (after > before + warmth_read_late) {
+        return table_event::cold;
+    }
+    return after + warmth_read_late < before ? table_event::warm : table_event::none;
 }
 
 auto server_table::close(const std::set<common::data_centre_id>& evacuated) -> void
@@ -124,6 +145,16 @@
     this->forget_usable();
 }
 
+auto server_table::doubt_warmth(const common::data_centre_id& data_centre, time_point until) -> void
+{
+    for (auto& [id, known] : this->servers) {
+        if (known.last.data_centre == data_centre) {
+            known.cold_at_least = until;
+            known.last.cold_until = std::max(known.last.cold_until, until);
+        }
+    }
+}
+
 auto server_table::begin(const registration& read, time_point now) -> table_event
 {
     auto& known = this->servers[read.id];
--- a/source/core/routing/server_table.hpp
+++ b/source/core/routing/server_table.hpp
@@ -80,6 +80,10 @@
     leaving,
     lapsed,
     unreadable,
+    /// It has turned cold, or stays so for longer than was known.
+    cold,
+    /// It is warm sooner than was known.
+    warm,
     /// The word was of an earlier start, and changed nothing.
     late,
 };
@@ -132,6 +136,10 @@
     /// These data centres get no work.
     auto close(const std::set<common::data_centre_id>& evacuated) -> void;
 
+    /// Servers of the data centre may be cold, and have not said so yet: they count as cold until
+    /// `until`, whatever is read of them.
+    auto doubt_warmth(const common::data_centre_id& data_centre, time_point until) -> void;
+
     /// Another server answers at its address.
     auto drop(const server_start& start, time_point now = {}) -> void;
 
@@ -201,6 +209,8 @@
         time_point left_at{};
         /// A word of an earlier start was read, and no other since.
         bool has_late_word = false;
+        /// Counts as cold until then, whatever it says.
+        time_point cold_at_least{};
 
         [[nodiscard]] auto gets_work() const -> bool
         {
@@ -219,6 +229,8 @@
     };
 
     auto set_leaving(known_server& server, time_point now) -> table_event;
+    static auto note_warmth(known_server& known, const registration& read, time_point now)
+        -> table_event;
     auto remember_ended(const server_start& start, time_point now) -> void;
     auto begin(const registration& read, time_point now) -> table_event;
     auto begin_unreadable(const common::server_id& id) -> table_event;
--- a/source/router/state_page.cpp
+++ b/source/router/state_page.cpp
@@ -26,7 +26,8 @@
         {"work", load.work},
         {"slowness", paces == core.paces.end() ? 1.0 : paces->second.slowness(start)},
         {"failures", core.health.failures(start)},
-        {"resting", core.health.is_resting(start, now)}};
+        {"resting", core.health.is_resting(start, now)},
+        {"cold", server.cold_until > now}};
 }
 
 auto rollout_row(const routing::rollout_progress& one) -> json::object
--- a/source/unit_tests/router/evacuation_test.cpp
+++ b/source/unit_tests/router/evacuation_test.cpp
@@ -190,4 +190,24 @@
     CHECK(retry_after(*out) >= 1.0);
 }
 
+TEST_CASE("servers of a data centre that is taken back count as cold", "[evacuation][cold]")
+{
+    three_places all;
+    evacuate(all, {"dc-a"}, 5);
+    evacuate(all, {}, 6);
+    const auto& servers = all.core->servers;
+    const auto is_cold = [&](const char* id) {
+        return servers.find(common::server_id{id})->cold_until > all.now;
+    };
+    CHECK(is_cold("a"));
+    CHECK_FALSE(is_cold("b"));
+    // A record that the server wrote before it was taken back says that it is warm.
+    auto read = *servers.find(common::server_id{"a"});
+    read.cold_until = {};
+    all.core->servers.take(read, all.now);
+    CHECK(is_cold("a"));
+    all.advance(milliseconds{3600});
+    CHECK_FALSE(is_cold("a"));
+}
+
 } // namespace reedramp::router::testing
--- /dev/null
+++ b/source/unit_tests/routing/cold_turns_test.cpp
@@ -0,0 +1,209 @@
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "routing/server_choice.hpp"
+
+namespace reedramp::routing {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double rate = 12.0;
+constexpr double excess = 1.5;
+constexpr double slack = 5.0;
+/// What a cold server bears in a second.
+constexpr std::size_t bound = 23;
+
+auto options() -> cold_options
+{
+    cold_options made;
+    made.excess = excess;
+    made.slack = slack;
+    return made;
+}
+
+auto cold_server(const std::string& name, time_point until) -> registration
+{
+    registration one;
+    one.id = common::server_id{name};
+    one.id_hash = hash_of(one.id);
+    one.cold_until = until;
+    return one;
+}
+
+/// The most sends in any second.
+auto most_in_a_second(std::vector<time_point> sends) -> std::size_t
+{
+    std::ranges::sort(sends);
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t i = 0; i < sends.size(); ++i) {
+        while (sends[i] - sends[first] >= seconds{1}) {
+            ++first;
+        }
+        most = std::max(most, i - first + 1);
+    }
+    return most;
+}
+
+struct crowd_shape {
+    std::size_t entries = 27;
+    std::size_t servers = 49;
+    /// How many entries one believes that there are, by its number.
+    std::function<auto(std::size_t entry)->std::size_t> believed{};
+    std::uint64_t seed = 1;
+};
+
+struct crowd_result {
+    std::size_t most = 0;
+    /// Sends a second and server, over all.
+    double mean = 0.0;
+};
+
+/// Every entry sends a request wherever it may, at each moment, while all servers are cold, as
+/// when all callers come back at once; half of the time it has none and its turns pass unused.
+auto press(const crowd_shape& shape) -> crowd_result
+{
+    constexpr milliseconds step{10};
+    constexpr seconds cold_time{3};
+    std::mt19937_64 random{shape.seed};
+    const time_point begin{seconds{500 + static_cast<int>(random() % 1000)}};
+    std::vector<cold_turns> entries;
+    for (std::size_t i = 0; i < shape.entries; ++i) {
+        entries.emplace_back(options(), random(), [&shape, i] {
+            return shape.believed ? shape.believed(i) : shape.entries;
+        });
+    }
+    crowd_result found;
+    std::size_t all = 0;
+    for (std::size_t s = 0; s < shape.servers; ++s) {
+        const auto server = cold_server("server-" + std::to_string(s), begin + cold_time);
+        std::vector<time_point> sends;
+        for (auto now = begin; now < begin + cold_time; now += step) {
+            // Nobody asks for half a second, then all do.
+            const bool is_pressed = ((now - begin) / milliseconds{500}) % 2 == 1;
+            for (auto& entry : entries) {
+                if (is_pressed && entry.may_take(server, rate, now)) {
+                    entry.note_sent(server, now);
+                    sends.push_back(now);
+                }
+            }
+        }
+        found.most = std::max(found.most, most_in_a_second(sends));
+        all += sends.size();
+    }
+    found.mean = static_cast<double>(all) / static_cast<double>(shape.servers) / cold_time.count();
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("a cold server gets less than it bears from all entries together", "[cold]")
+{
+    for (const std::size_t entries : {1, 4, 27, 103, 390}) {
+        for (const std::size_t servers : {12, 47, 360, 620}) {
+            if (entries * servers > 40'000) {
+                continue;
+            }
+            const auto found = press({.entries = entries, .servers = servers});
+            std::cout << "METRIC cold_most_in_a_second_" << entries << "x" << servers << " "
+                      << found.most << " requests\n";
+            INFO(entries << " entries, " << servers << " servers, mean " << found.mean);
+            CHECK(found.most <= bound);
+            CHECK(found.mean > 1.0);
+        }
+    }
+}
+
+TEST_CASE("two views of who lives, and one entry cut off, stay under what it bears", "[cold]")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        // Half of the entries have just started; the others have not heard of them yet. One knows
+        // of nobody.
+        const auto found = press(
+            {.entries = 54,
+             .servers = 49,
+             .believed =
+                 [](std::size_t entry) {
+                     return entry == 0 ? std::size_t{1} : std::size_t{entry < 27 ? 27U : 54U};
+                 },
+             .seed = seed});
+        INFO("seed " << seed);
+        CHECK(found.most <= bound);
+    }
+}
+
+TEST_CASE("turns that were not used do not add up", "[cold]")
+{
+    const time_point begin{seconds{700}};
+    cold_turns alone{options(), 7};
+    const auto server = cold_server("s", begin + seconds{60});
+    std::size_t sends = 0;
+    for (auto now = begin + seconds{30}; now < begin + seconds{31}; now += milliseconds{1}) {
+        if (alone.may_take(server, rate, now)) {
+            alone.note_sent(server, now);
+            sends += 1;
+        }
+    }
+    CHECK(sends <= 9);
+    CHECK(sends >= 6);
+}
+
+TEST_CASE("a warm server, and one of a service that says no rate, take all", "[cold]")
+{
+    const time_point now{seconds{700}};
+    cold_turns turns{options(), 7, [] {
+                         return std::size_t{390};
+                     }};
+    const auto warm = cold_server("w", now);
+    const auto cold = cold_server("c", now + seconds{3});
+    for (int i = 0; i < 100; ++i) {
+        CHECK(turns.may_take(warm, rate, now));
+        turns.note_sent(warm, now);
+        CHECK(turns.may_take(cold, 0.0, now));
+        CHECK(turns.next_turn(cold, 0.0, now) == now);
+    }
+    // The wait for a turn ends when the server is warm.
+    CHECK(turns.next_turn(cold, rate, now) <= cold.cold_until);
+}
+
+TEST_CASE("a choice leaves cold servers alone without a turn, and takes none if all are", "[cold]")
+{
+    const time_point now{seconds{700}};
+    std::vector<registration> all;
+    for (int i = 0; i < 20; ++i) {
+        all.push_back(cold_server("s" + std::to_string(i), now + seconds{3}));
+    }
+    std::vector<const registration*> usable;
+    for (const auto& one : all) {
+        usable.push_back(&one);
+    }
+    const load_book loads;
+    const pace_book paces;
+    const server_health health{health_options{}};
+    cold_turns turns{options(), 7, [] {
+                         return std::size_t{390};
+                     }};
+    for (const auto& one : all) {
+        turns.note_sent(one, now);
+    }
+    const server_books books{loads, paces, health, &turns, rate};
+    CHECK(choose_server(usable, {}, books, {}, 1, now) == nullptr);
+    all[7].cold_until = now;
+    for (std::uint64_t chance = 0; chance < 50; ++chance) {
+        CHECK(choose_server(usable, {}, books, {}, chance, now) == &all[7]);
+    }
+}
+
+} // namespace reedramp::routing
--- a/source/unit_tests/routing/server_table_test.cpp
+++ b/source/unit_tests/routing/server_table_test.cpp
@@ -40,6 +40,22 @@
 
 } // namespace
 
+TEST_CASE("a server that turns cold in the middle of its work is news, and so is its end", "[cold]")
+{
+    server_table table;
+    auto read = registered(a, 1);
+    table.take(read, start);
+    read.cold_until = start + seconds{3};
+    CHECK(table.take(read, start) == table_event::cold);
+    // The next record, read a little later after its writing than the one before.
+    read.cold_until += std::chrono::milliseconds{400};
+    CHECK(table.take(read, start + seconds{1}) == table_event::none);
+    read.cold_until = {};
+    CHECK(table.take(read, start + seconds{1}) == table_event::warm);
+    CHECK(table.find(a)->cold_until <= start + seconds{1});
+    CHECK(table.take(read, start + seconds{2}) == table_event::none);
+}
+
 TEST_CASE("an evacuated data centre's servers are none to use, and stay listed", "[evacuation]")
 {
     server_table table;
