--- a/source/unit_tests/routing/choice_test.cpp
+++ b/source/unit_tests/routing/choice_test.cpp
@@ -66,6 +66,44 @@
     CHECK(run_world(shape, {}, seconds{3}).p99 < long_work);
 }
 
+TEST_CASE("servers that come back empty and cold get no more than they bear", "[cold]")
+{
+    struct return_of {
+        std::size_t entries;
+        std::size_t servers;
+        std::size_t returning;
+    };
+
+    for (const auto& [entries, servers, returning] :
+         {return_of{4, 12, 1},
+          return_of{4, 12, 4},
+          return_of{27, 47, 1},
+          return_of{27, 47, 12},
+          return_of{27, 47, 16},
+          return_of{103, 360, 120}}) {
+        world_shape shape;
+        shape.entries = entries;
+        shape.servers = servers;
+        shape.returning = returning;
+        shape.data_centres = 3;
+        // Six requests a second for each server.
+        shape.work_part = 0.24;
+        const auto name = std::to_string(entries) + "x" + std::to_string(servers) + "_" +
+                          std::to_string(returning);
+        const auto found = run_world(shape, {}, seconds{6});
+        shape.takes_turns = false;
+        const auto before = run_world(shape, {}, seconds{6});
+        std::cout << "METRIC cold_return_most_" << name << " " << found.most_while_cold
+                  << " requests (" << before.most_while_cold << " without turns)\n"
+                  << "METRIC cold_return_carried_after_" << name << " "
+                  << found.carried_after.count() << " ms (" << before.carried_after.count()
+                  << ")\n";
+        INFO(name);
+        CHECK(found.most_while_cold <= cold_bound);
+        CHECK(found.carried_after <= milliseconds{4000});
+    }
+}
+
 TEST_CASE("with few servers a choice looks at all of them", "[server_choice]")
 {
     world_shape shape;
--- a/source/unit_tests/routing/choice_world.cpp
+++ b/source/unit_tests/routing/choice_world.cpp
@@ -32,19 +32,17 @@
 public:
     world(const world_shape& shape_to_use, const choice_options& options_to_use)
         : shape(shape_to_use), options(options_to_use), random(shape_to_use.seed),
-          books(shape_to_use.view_age.count() == 0 ? 1 : shape_to_use.entries),
-          free_at(shape_to_use.servers, start)
+          books(shape_to_use.view_age.count() == 0 ? 1 : shape_to_use.entries)
     {
-        for (std::size_t i = 0; i < this->shape.servers; ++i) {
-            registration server;
-            server.id = common::server_id{"server-" + std::to_string(i)};
-            server.service = engines;
-            server.data_centre = this->data_centre(i);
-            this->table.apply({server.id, server});
+        for (std::size_t i = this->shape.returning; i < this->shape.servers; ++i) {
+            this->add_server(i, {});
         }
-        for (const auto* server : this->table.usable(engines)) {
-            this->starts.push_back(server->start());
-            this->numbers[server] = this->starts.size() - 1;
+        this->free_at.resize(this->shape.servers, start);
+        cold_options cold;
+        cold.excess = cold_excess;
+        cold.slack = cold_slack;
+        for (std::size_t i = 0; i < this->shape.entries; ++i) {
+            this->turns.emplace_back(cold, this->random(), [this] { return this->shape.entries; });
         }
         for (std::size_t i = 0; i < this->books.size(); ++i) {
             this->hosts.emplace_back("entry-" + std::to_string(i));
@@ -54,12 +52,16 @@
     auto run(milliseconds time) -> world_result
     {
         const auto begin = start + time;
-        const auto mean_work = long_work * long_share + short_work * (1.0 - long_share);
+        const auto mean_work =
+            this->shape.work_part * (long_work * long_share + short_work * (1.0 - long_share));
         const auto rate =
             this->shape.load * server_pace * static_cast<double>(this->shape.servers) / mean_work;
         std::exponential_distribution<double> pause(rate);
         auto next = start;
         for (auto now = start; now < begin + time; now += tick) {
+            if (now == begin) {
+                this->bring_back(begin);
+            }
             while (next < now + tick) {
                 this->end_until(next);
                 this->ask(next, next >= begin);
@@ -72,6 +74,30 @@
     }
 
 private:
+    auto add_server(std::size_t number, time_point cold_until) -> void
+    {
+        registration server;
+        server.id = common::server_id{"server-" + std::to_string(number)};
+        server.service = engines;
+        server.data_centre = this->data_centre(number);
+        server.cold_until = cold_until;
+        this->table.apply({server.id, server});
+        const auto* known = this->table.find(server.id);
+        this->starts.resize(this->shape.servers);
+        this->starts[number] = known->start();
+        this->numbers[known] = number;
+    }
+
+    auto bring_back(time_point begin) -> void
+    {
+        constexpr std::chrono::seconds cold_time{3};
+        this->came_back = begin;
+        for (std::size_t i = 0; i < this->shape.returning; ++i) {
+            this->add_server(i, begin + cold_time);
+            this->free_at[i] = begin;
+        }
+    }
+
     [[nodiscard]] auto data_centre(std::size_t number) const -> common::data_centre_id
     {
         return common::data_centre_id{"dc-" + std::to_string(number % this->shape.data_centres)};
@@ -93,7 +119,7 @@
         const bool is_hot = this->chance() < this->shape.hot_share;
         const auto prompt = is_hot ? 0 : 1 + this->random() % other_prompts;
         placement_request asked;
-        asked.work = this->chance() < long_share ? long_work : short_work;
+        asked.work = this->shape.work_part * (this->chance() < long_share ? long_work : short_work);
         asked.own_data_centre = this->data_centre(entry);
         if (this->shape.hot_share > 0.0) {
             asked.affinity = (prompt + 1) * 0x9e3779b97f4a7c15ULL;
@@ -102,10 +128,15 @@
         const auto* chosen = choose_server(
             this->table.usable(engines),
             asked,
-            {this->book_of(entry), alike, healthy},
+            {this->book_of(entry),
+             alike,
+             healthy,
+             this->shape.takes_turns ? &this->turns[entry] : nullptr,
+             cold_rate},
             this->options,
             this->random(),
             now);
+        this->turns[entry].note_sent(*chosen, now);
         this->send(now, entry, this->numbers.at(chosen), asked.work, is_counted);
         this->note_prompt(prompt, this->numbers.at(chosen), is_counted);
     }
@@ -113,6 +144,10 @@
     auto send(time_point now, std::size_t entry, std::size_t server, double work, bool is_counted)
         -> void
     {
+        if (server < this->shape.returning) {
+            this->sends_back[server].push_back(now);
+        }
+        this->all_sends.push_back(now);
         auto& free = this->free_at[server];
         const auto begins = std::max(free, now);
         const auto found = std::chrono::duration<double>(begins - now).count() * server_pace;
@@ -168,6 +203,41 @@
         }
     }
 
+    auto measure_return(world_result& found) const -> void
+    {
+        constexpr std::chrono::seconds cold_time{3};
+        for (const auto& [server, sends] : this->sends_back) {
+            std::size_t first = 0;
+            for (std::size_t i = 0; i < sends.size(); ++i) {
+                while (sends[i] - sends[first] >= std::chrono::seconds{1}) {
+                    ++first;
+                }
+                const bool is_cold = sends[i] < this->came_back + cold_time;
+                found.most_while_cold =
+                    std::max(found.most_while_cold, is_cold ? i - first + 1 : 0);
+            }
+        }
+        const auto part =
+            static_cast<double>(this->shape.returning) / static_cast<double>(this->shape.servers);
+        constexpr milliseconds window{500};
+        const auto count_in = [window](const std::vector<time_point>& sends, time_point from) {
+            return static_cast<double>(
+                std::ranges::lower_bound(sends, from + window) -
+                std::ranges::lower_bound(sends, from));
+        };
+        for (found.carried_after = milliseconds{0}; found.carried_after < std::chrono::seconds{10};
+             found.carried_after += window) {
+            const auto from = this->came_back + found.carried_after;
+            double to_them = 0.0;
+            for (const auto& [server, sends] : this->sends_back) {
+                to_them += count_in(sends, from);
+            }
+            if (to_them >= part * count_in(this->all_sends, from)) {
+                return;
+            }
+        }
+    }
+
     auto result() -> world_result
     {
         std::ranges::sort(this->found_before);
@@ -175,7 +245,7 @@
             const auto count = static_cast<double>(this->found_before.size() - 1);
             return this->found_before[static_cast<std::size_t>(part * count)];
         };
-        world_result found{at(0.5), at(0.99), 0, 0.0};
+        world_result found{at(0.5), at(0.99), 0, 0.0, 0, milliseconds{0}};
         std::size_t all_hot = 0;
         for (const auto& [server, sends] : this->hot_sends) {
             all_hot += sends;
@@ -183,6 +253,7 @@
         for (const auto& [server, sends] : this->hot_sends) {
             found.hot_holders += sends * 100 >= all_hot ? 1 : 0;
         }
+        this->measure_return(found);
         const auto others = static_cast<double>(std::max<std::size_t>(this->other_sends, 1));
         found.kept = static_cast<double>(this->other_kept) / others;
         return found;
@@ -202,6 +273,11 @@
     std::vector<double> found_before;
     std::map<std::size_t, std::size_t> hot_sends;
     std::map<std::uint64_t, std::size_t> holder;
+    std::vector<cold_turns> turns;
+    time_point came_back = common::never;
+    /// By server that came back, and over all.
+    std::map<std::size_t, std::vector<time_point>> sends_back;
+    std::vector<time_point> all_sends;
     std::size_t other_sends = 0;
     std::size_t other_kept = 0;
 };
--- a/source/unit_tests/routing/choice_world.hpp
+++ b/source/unit_tests/routing/choice_world.hpp
@@ -24,6 +24,12 @@
     double load = 0.75;
     /// Part of the requests that share one prompt's beginning; the others have their own.
     double hot_share = 0.0;
+    /// Of each request, as a part of `short_work` and `long_work`.
+    double work_part = 1.0;
+    /// So many servers come back, empty and cold for three seconds, when the measurement begins.
+    std::size_t returning = 0;
+    /// Entries take turns at cold servers; without, cold servers are as others.
+    bool takes_turns = true;
     std::uint64_t seed = 1;
 };
 
@@ -35,8 +41,18 @@
     std::size_t hot_holders = 0;
     /// Part of the other prompts' requests that went to the server that had their beginning.
     double kept = 0.0;
+    /// Of the servers that came back: the most requests that one got in a second while it was cold,
+    /// and the time until all of them together got as many in half a second as their part is.
+    std::size_t most_while_cold = 0;
+    std::chrono::milliseconds carried_after{0};
 };
 
+/// What a cold server bears in a second, over all entries.
+constexpr double cold_rate = 12.0;
+constexpr double cold_excess = 1.5;
+constexpr double cold_slack = 5.0;
+constexpr std::size_t cold_bound = 23;
+
 /// Three parts of short, one of long prompts; half of the others' time is answers. Tokens as the
 /// load book counts them.
 constexpr double short_work = 2'600.0;
