Split the servers' table: registrations, and what is told and remembered of departures

A server whose record names another data centre leaves the kept lists of usable servers as one of another service does. No other change of behaviour; its tests are unchanged.

--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -7,33 +7,13 @@
 
 namespace {
 
-/// Servers that peers are told of, as leaving or as ended: more than leave within some seconds, in
-/// 128 and 256 bytes.
-constexpr std::size_t most_told = 16;
-
-/// Peers are told that a server leaves for so long. Told for ever, the newest sixteen would be a
-/// quarter of each message; a list that lags and a peer that stood still are seconds behind.
-constexpr std::chrono::seconds leaving_told_for{30};
-
-/// Peers are told of an end for so long: a hundred messages, or ten where there are hundreds of
-/// peers. Who hears none of them is cut off from all, and reads the list when it is back.
-constexpr std::chrono::seconds ends_told_for{10};
-
 /// A start that has not been heard of for so long is over: servers write each 1.2 s, lapse after
 /// three times that, and what they wrote may come some seconds late.
 constexpr std::chrono::seconds silent_after{10};
 
-/// A server that left is remembered for so long after the last word that it does. Words of an
-/// earlier moment arrive for some seconds, from a store whose list lags or a peer that stood still.
-constexpr std::chrono::minutes left_kept_for{5};
-
 /// What is read of a server may be a second old, and its cold time seems to end so much later.
 constexpr std::chrono::seconds warmth_read_late{1};
 
-/// So many are remembered at the most, 0.6 MB: in five minutes all of the 620 servers that the
-/// design is for may be replaced twice.
-constexpr std::size_t most_left = 2048;
-
 } // namespace
 
 auto to_string(server_state state) -> std::string_view
@@ -115,7 +95,9 @@
         return table_event::none;
     }
     const bool had_work = known.gets_work();
-    if (!had_work || known.last.service != read.service) {
+    const bool has_moved =
+        known.last.service != read.service || known.last.data_centre != read.data_centre;
+    if (!had_work || has_moved) {
         this->forget_usable();
     }
     const auto hash = known.last.id_hash;
@@ -173,10 +155,7 @@
     const bool had_work = server.gets_work();
     server.state = server_state::leaving;
     this->forget_usable();
-    this->newest_leaving.push_back({hash_of(server.last.start()), now});
-    if (this->newest_leaving.size() > most_told) {
-        this->newest_leaving.pop_front();
-    }
+    this->gone.note_leaving(server.last.start(), now);
     return had_work ? table_event::leaving : table_event::none;
 }
 
@@ -237,39 +216,20 @@
 
 auto server_table::end_lapsed(std::uint64_t read_to, time_point now) -> std::vector<server_start>
 {
-    std::vector<server_start> gone;
-    std::erase_if(this->servers, [&gone](const auto& item) {
+    std::vector<server_start> ended;
+    std::erase_if(this->servers, [&ended](const auto& item) {
         if (item.second.state == server_state::lapsed) {
-            gone.push_back(item.second.last.start());
+            ended.push_back(item.second.last.start());
         }
         return item.second.state == server_state::lapsed;
     });
-    if (!gone.empty()) {
+    if (!ended.empty()) {
         this->forget_usable();
     }
-    for (const auto& start : gone) {
-        this->remember_ended(start, now);
-        this->newest_ended.push_back({{hash_of(start), read_to}, now});
-    }
-    while (this->newest_ended.size() > most_told) {
-        this->newest_ended.pop_front();
-    }
-    return gone;
-}
-
-auto server_table::remember_ended(const server_start& start, time_point now) -> void
-{
-    this->ended_starts.push_back({hash_of(start), now});
-    while (this->ended_starts.size() > most_left ||
-           now - this->ended_starts.front().at > left_kept_for) {
-        this->ended_starts.pop_front();
+    for (const auto& start : ended) {
+        this->gone.note_end_read(start, read_to, now);
     }
-}
-
-auto server_table::has_ended(const server_start& start) const -> bool
-{
-    return std::ranges::find(this->ended_starts, hash_of(start), &left_server::hash) !=
-           this->ended_starts.end();
+    return ended;
 }
 
 auto server_table::drop(const server_start& start, time_point now) -> void
@@ -278,7 +238,7 @@
     const bool is_meant = found != this->servers.end() && found->second.gets_work() &&
                           found->second.last.start() == start;
     if (is_meant) {
-        this->remember_ended(start, now);
+        this->gone.note_ended(start, now);
         this->servers.erase(found);
         this->forget_usable();
     }
@@ -293,8 +253,7 @@
         }
     }
     std::ranges::sort(left);
-    std::erase_if(
-        this->newest_leaving, [now](const auto& one) { return now - one.at > leaving_told_for; });
+    this->gone.forget_told(now);
     const auto surplus = left.size() > most_left ? left.size() - most_left : 0;
     for (std::size_t i = 0; i < left.size(); ++i) {
         if (i < surplus || now - left[i].first > left_kept_for) {
@@ -317,15 +276,6 @@
     }
 }
 
-auto server_table::leaving() const -> std::vector<std::uint64_t>
-{
-    std::vector<std::uint64_t> hashes;
-    for (const auto& one : this->newest_leaving) {
-        hashes.push_back(one.hash);
-    }
-    return hashes;
-}
-
 auto server_table::retire_named(const std::vector<std::uint64_t>& hashes, time_point now)
     -> std::vector<server_start>
 {
@@ -346,17 +296,6 @@
     return named;
 }
 
-auto server_table::ended(time_point now) const -> std::vector<told_end>
-{
-    std::vector<told_end> newest;
-    for (const auto& one : this->newest_ended) {
-        if (now - one.at < ends_told_for) {
-            newest.push_back(one.word);
-        }
-    }
-    return newest;
-}
-
 auto server_table::end_named(
     const std::vector<told_end>& ends, std::uint64_t read_to, time_point now)
     -> std::vector<server_start>
@@ -364,7 +303,7 @@
     if (ends.empty()) {
         return {};
     }
-    std::vector<server_start> gone;
+    std::vector<server_start> ended;
     std::erase_if(this->servers, [&](const auto& item) {
         const auto start = item.second.last.start();
         const auto hash = hash_of(start);
@@ -373,17 +312,17 @@
         };
         const bool ends_here = item.second.gets_work() && std::ranges::any_of(ends, is_meant);
         if (ends_here) {
-            gone.push_back(start);
+            ended.push_back(start);
         }
         return ends_here;
     });
-    for (const auto& start : gone) {
-        this->remember_ended(start, now);
+    for (const auto& start : ended) {
+        this->gone.note_ended(start, now);
     }
-    if (!gone.empty()) {
+    if (!ended.empty()) {
         this->forget_usable();
     }
-    return gone;
+    return ended;
 }
 
 auto server_table::ids() const -> std::vector<common::server_id>
--- a/source/core/routing/server_table.hpp
+++ b/source/core/routing/server_table.hpp
@@ -1,57 +1,20 @@
 #pragma once
 
-#include <chrono>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
-#include <string>
 #include <string_view>
 #include <vector>
 
 #include "common/ids.hpp"
 #include "common/units.hpp"
+#include "routing/departures.hpp"
+#include "routing/registration.hpp"
 #include "routing/server_start.hpp"
 
 namespace reedramp::routing {
 
-using common::time_point;
-
-/// One start of a backend server, as it has registered itself.
-struct registration {
-    common::server_id id;
-    common::service_name service;
-    /// "IP:port".
-    std::string address;
-    common::data_centre_id data_centre;
-    /// Version of its software.
-    common::version_id version;
-    unsigned slots = 1;
-    bool is_leaving = false;
-    /// It has just started, and is slower than it will be for so long after this was written.
-    std::chrono::milliseconds cold_for{0};
-    /// The same as a deadline of this process; whoever reads the list sets it.
-    common::time_point cold_until{};
-    start_time born{0};
-    /// Its start lies ahead of this host's time of day by more than clocks differ; whoever reads
-    /// the list sets it.
-    bool is_born_ahead = false;
-    /// `hash_of` the id, so that ranking hundreds of servers hashes no text; the table sets it.
-    std::uint64_t id_hash = 0;
-
-    [[nodiscard]] auto start() const -> server_start { return {this->id, this->born}; }
-};
-
-/// A change of the servers' list: a registration, or the end of one.
-struct registration_change {
-    common::server_id id;
-    /// None when the registration is gone.
-    std::optional<registration> now;
-    /// Why the record under that id is no registration; empty if it is one, or is gone.
-    std::string problem{};
-};
-
 /// What is known of a server, and whether it gets work.
 enum class server_state : std::uint8_t {
     /// Registered: gets work.
@@ -90,14 +53,6 @@
 
 auto to_string(table_event event) -> std::string_view;
 
-/// The end of a registration, as an entry tells those that are cut off from the store.
-struct told_end {
-    /// `hash_of` the start.
-    std::uint64_t server = 0;
-    /// Position in the list's stream behind what was read.
-    std::uint64_t read_to = 0;
-};
-
 /// The backend servers, what state each is in, and so which may get work.
 ///
 ///     take, ready:    (none) | lapsed | unreadable -> usable;  a later start: any state -> usable
@@ -150,17 +105,26 @@
     auto apply(const registration_change& change) -> void;
 
     /// Hashes of the starts that have said that they leave, the newest ones, for the peers.
-    [[nodiscard]] auto leaving() const -> std::vector<std::uint64_t>;
+    [[nodiscard]] auto leaving() const -> std::vector<std::uint64_t>
+    {
+        return this->gone.leaving();
+    }
 
     /// A peer has read that these leave. Gives those that had work until now.
     auto retire_named(const std::vector<std::uint64_t>& hashes, time_point now = {})
         -> std::vector<server_start>;
 
     /// Registrations that ended in the last seconds, for the peers.
-    [[nodiscard]] auto ended(time_point now) const -> std::vector<told_end>;
+    [[nodiscard]] auto ended(time_point now) const -> std::vector<told_end>
+    {
+        return this->gone.ended(now);
+    }
 
     /// Whether this start ended in the last minutes, as far as this entry knows.
-    [[nodiscard]] auto has_ended(const server_start& start) const -> bool;
+    [[nodiscard]] auto has_ended(const server_start& start) const -> bool
+    {
+        return this->gone.has_ended(start);
+    }
 
     /// A peer has read that these registrations ended. Those that this entry, which has read the
     /// list up to `read_to`, cannot know of yet are taken out; gives them. They may return.
@@ -218,20 +182,9 @@
         }
     };
 
-    struct left_server {
-        std::uint64_t hash = 0;
-        time_point at;
-    };
-
-    struct ended_server {
-        told_end word;
-        time_point at;
-    };
-
     auto set_leaving(known_server& server, time_point now) -> table_event;
     static auto note_warmth(known_server& known, const registration& read, time_point now)
         -> table_event;
-    auto remember_ended(const server_start& start, time_point now) -> void;
     auto begin(const registration& read, time_point now) -> table_event;
     auto begin_unreadable(const common::server_id& id) -> table_event;
     [[nodiscard]] static auto
@@ -245,13 +198,7 @@
     std::set<common::data_centre_id> closed;
     /// What `usable` has found; each request asks.
     mutable std::map<common::service_name, std::vector<const registration*>> usable_by_service;
-    /// The newest last.
-    std::deque<left_server> newest_leaving;
-    /// The newest last.
-    std::deque<ended_server> newest_ended;
-    /// Starts that have ended, the newest last: the store may come back from an older copy of
-    /// itself, in which they stand as ready.
-    std::deque<left_server> ended_starts;
+    departures gone;
 };
 
 } // namespace reedramp::routing
