--- a/source/core/routing/list_freshness.hpp
+++ b/source/core/routing/list_freshness.hpp
@@ -33,8 +33,7 @@
     /// in which a server that leaves still takes work, less a slow reading.
     common::duration period = std::chrono::seconds{1};
     /// Who is not the first waits for this longer, so that one reads and the others hear of it:
-    /// until the first one looks again (100 ms), has read, and tells (100 ms). With 100 ms a second
-    /// entry read as well, and calls to the store were twice as many.
+    /// until the first one looks again (100 ms), has read, and tells (100 ms).
     common::duration lead = std::chrono::milliseconds{250};
     /// And by this more for each further entry that goes before.
     common::duration rank_step = std::chrono::milliseconds{50};
@@ -42,8 +41,7 @@
     std::size_t most_steps = 4;
     /// Who is none of its data centre's readers waits for this longer than the last of those: what
     /// they read is handed on within some 20 ms, and repaired by the next words of a peer, 100 ms
-    /// later. Hundreds of entries with 50 ms between them read the list ten times as often as it
-    /// takes; nobody's news within 1.6 s still leaves half of the time in which a server that
+    /// later. Nobody's news within 1.6 s still leaves half of the time in which a server that
     /// leaves takes work.
     common::duration others_wait = std::chrono::milliseconds{200};
     /// A change that an entry has heard of, and not got from its neighbours, is read from the store
@@ -58,10 +56,10 @@
 
 /// When this entry should read the servers' list itself.
 ///
-/// Each entry used to read it once a second, which with 26 entries was the larger part of all calls
-/// to the store. One reading tells whether the list has changed; the others only have to know that,
-/// and when. An entry that hears of nobody's reading, because it is cut off or those before it have
-/// died, reads as before, so that a server that leaves is known 1.7 s later at the latest.
+/// One reading tells whether the list has changed; the others only have to know that, and when, so
+/// that calls to the store do not grow with the entries. An entry that hears of nobody's reading,
+/// because it is cut off or those before it have died, reads as before, so that a server that
+/// leaves is known 1.7 s later at the latest.
 class list_freshness {
 public:
     explicit list_freshness(freshness_options options) : settings(options) {}
--- a/source/core/routing/model_choice.hpp
+++ b/source/core/routing/model_choice.hpp
@@ -12,8 +12,7 @@
 /// Which of a route's models answers, where the caller leaves it open.
 struct model_options {
     /// Least confidence, 0 to 100, with which the answer of a model that is not the largest is
-    /// passed on, on the most urgent routes. Below 65 more answers are poor than the larger model
-    /// costs, above it the other way round (docs/MEASUREMENTS.md).
+    /// passed on, on the most urgent routes.
     unsigned accepted_confidence = 65;
     /// Less is asked for by this for each rank of a route's priority: a larger model costs the same
     /// for a short tag as for a letter of that size, and there is less to lose.
@@ -27,8 +26,7 @@
     double short_from = 0.35;
     double short_to = 1.00;
     /// Waits count this much for the most urgent routes, and by `rank_pressure` more for each rank
-    /// below: the larger model gives way first where it earns least for its time. By the sites'
-    /// sheets a second of it earns 38 for short letters, 11 for long drafts, 5 for tags.
+    /// below: the larger model gives way first where there is least to lose.
     double urgent_pressure = 1.0;
     double rank_pressure = 0.7;
 };
@@ -51,9 +49,8 @@
 auto asked_confidence(
     const model_options& options, const route& on, double level, bool larger_is_late) -> double;
 
-/// The first model to ask: the smallest. Its prompt costs a fifteenth of the largest one's, takes a
-/// tenth of its time, and with the head of its answer says how sure it is, before the caller has
-/// any of it.
+/// The first model to ask: the smallest. It costs and takes a small part of what the largest does,
+/// and with the head of its answer says how sure it is, before the caller has any of it.
 auto first_model(const route& on) -> std::size_t;
 
 /// Whether the answer of `model` is passed on, or dropped for a larger model's.
@@ -65,8 +62,7 @@
 auto next_model(const route& on) -> std::size_t;
 
 /// How much more engine time a token of `model` takes than one of the service's largest model, by
-/// the prices, which follow the time closely: price ratios of 15 and 2 stand for times of 10 and
-/// 3.8. 1 where nothing is known.
+/// the prices, which follow the time closely. 1 where nothing is known.
 auto slowness(const service* of, const std::string& model) -> double;
 
 } // namespace reedramp::routing
--- a/source/core/routing/rollout_guide.cpp
+++ b/source/core/routing/rollout_guide.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Servers of the new version that get its part of the work, against that part. With as many as the
-/// part asks for, those that read all prompts anew were more than twice as slow as the old ones.
+/// Servers of the new version that get its part of the work, against that part: more than it asks
+/// for, since they read all prompts anew.
 constexpr double canary_room = 1.5;
 /// The part is taken to be at least this of the share.
 constexpr double least_canary_part = 0.4;
--- a/source/core/routing/rollout_guide.hpp
+++ b/source/core/routing/rollout_guide.hpp
@@ -24,8 +24,7 @@
 struct rollout_options {
     rollout_schedule schedule;
     /// Requests that a bad version may get beside its share of all. For a service with few they
-    /// are the larger part: at 13 requests a second and 20 s the share alone gave 26 answers in the
-    /// first half, too few to find a version that is three times as slow for half of its requests.
+    /// are the larger part; the share alone gives too few answers to find a slow version by.
     double exposure_slack = 0.0;
     /// What the first half may use of that; the rest is for requests that are under way when the
     /// version is found.
@@ -261,8 +260,8 @@
     std::map<common::service_name, rollout> rollouts;
     std::map<common::service_name, service_history> histories;
     /// What is usual of the version in use, gathered while no roll-out runs. A roll-out starts from
-    /// it: with the old version's answers since the order alone, the first half of a short one was
-    /// over before a service with few requests had enough to compare with.
+    /// it: since the order alone, a service with few requests has too few answers of the old
+    /// version to compare with before the first half of a short one is over.
     std::map<common::service_name, version_evidence> calm;
     /// States that were read before their order.
     std::map<common::service_name, rollout_status> early;
--- a/source/core/routing/server_choice.hpp
+++ b/source/core/routing/server_choice.hpp
@@ -59,10 +59,10 @@
 /// all rest.
 ///
 /// The few are the prompt's holders and some drawn by chance; all, where there are no more. Entries
-/// hear of each other's work late, and with the same late view all of them agreed on the same least
-/// loaded server until they heard of what they had sent it. Different requests look at different
-/// servers, so that a late view does less harm, and the cost of a choice does not grow with the
-/// servers. `chance` is a random number, a fresh one for each choice.
+/// hear of each other's work late: with the same view all would send to the same least loaded
+/// server until they hear of it. Different requests look at different servers, so that a late view
+/// does less harm, and the cost of a choice does not grow with the servers. `chance` is a random
+/// number, a fresh one for each choice.
 auto choose_server(
     const std::vector<const registration*>& usable,
     const placement_request& asked,
--- a/source/core/routing/version_evidence.hpp
+++ b/source/core/routing/version_evidence.hpp
@@ -67,10 +67,8 @@
     /// A first event is slow when it takes this many times the old version's mean.
     double slow_factor = 3.0;
     slowness_scale streams{1.5, 3.0};
-    /// Plain answers have no pace to go by, and their own times differ by half: at 1.5 times the
-    /// usual one in five is a good version's. From twice on few are, so that less slack is needed.
-    /// In 300 simulated roll-outs, half of whose new answers take three times as long, 26 answers
-    /// show it in 0.45 of them and 60 in 0.91, with the streams' scale and slack in 0.28 and 0.76.
+    /// Plain answers have no pace to go by, and their own times differ by half: many of a good
+    /// version take 1.5 times the usual one. From twice on few do, so that less slack is needed.
     slowness_scale plain{2.0, 3.0};
     double plain_pace_slack = 0.03;
 };
@@ -88,9 +86,8 @@
 /// Whether a new version is worse than the old one, by route and over all, from what all entries
 /// have seen.
 ///
-/// Entries add up their bets. They also pool what they know of the old version: with 26 entries
-/// each one alone sees a route's old version ten times only after several seconds, and bets on
-/// nothing before.
+/// Entries add up their bets. They also pool what they know of the old version: one of many entries
+/// sees a route's old version ten times only after several seconds, and bets on nothing before.
 class version_evidence {
 public:
     explicit version_evidence(evidence_options options) : settings(options) {}
