Count work at a cold server ten times, and only where its service says what one bears

Taken: ten times, since it leaves cold servers alone as warm first does, and does not send everything to the first one that is warm among many cold.

--- a/source/core/routing/server_choice.hpp
+++ b/source/core/routing/server_choice.hpp
@@ -38,8 +38,9 @@
     /// centre, as far as there are any.
     std::size_t drawn = 8;
     std::size_t drawn_near = 4;
-    /// Work takes a cold server so many times as long.
-    double cold_slowness = 3.0;
+    /// Work counts so many times at a cold server of a service that says what such a one bears: it
+    /// is for the moments in which the warm ones have too much.
+    double cold_slowness = 10.0;
 };
 
 /// What a choice asks about servers.
--- a/source/unit_tests/routing/cold_turns_test.cpp
+++ b/source/unit_tests/routing/cold_turns_test.cpp
@@ -178,6 +178,55 @@
     CHECK(turns.next_turn(cold, rate, now) <= cold.cold_until);
 }
 
+TEST_CASE("the first warm server among many cold ones does not get everything", "[cold]")
+{
+    const time_point now{seconds{700}};
+    std::vector<registration> all;
+    for (int i = 0; i < 12; ++i) {
+        all.push_back(cold_server("s" + std::to_string(i), now + seconds{3}));
+    }
+    all[0].cold_until = now;
+    std::vector<const registration*> usable;
+    for (const auto& one : all) {
+        usable.push_back(&one);
+    }
+    load_book loads;
+    const pace_book paces;
+    const server_health health{health_options{}};
+    // Alone, an entry always has a turn somewhere.
+    cold_turns turns{options(), 7};
+    placement_request asked;
+    asked.work = 1000.0;
+    std::size_t to_warm = 0;
+    constexpr std::size_t requests = 30;
+    for (std::size_t i = 0; i < requests; ++i) {
+        const server_books books{loads, paces, health, &turns, rate};
+        const auto* chosen = choose_server(usable, asked, books, {}, i, now);
+        REQUIRE(chosen != nullptr);
+        turns.note_sent(*chosen, now);
+        loads.begin(chosen->start(), asked.work);
+        to_warm += chosen == &all[0] ? 1 : 0;
+    }
+    CHECK(to_warm >= 9);
+    CHECK(to_warm < requests);
+}
+
+TEST_CASE("cold servers of a service that names no rate are chosen as warm ones", "[cold]")
+{
+    const time_point now{seconds{700}};
+    const std::vector<registration> all{
+        cold_server("cold", now + seconds{3}), cold_server("warm", now)};
+    load_book loads;
+    loads.begin(all[1].start(), 100.0);
+    const pace_book paces;
+    const server_health health{health_options{}};
+    const cold_turns turns{options(), 7};
+    placement_request asked;
+    asked.work = 1000.0;
+    const server_books books{loads, paces, health, &turns, 0.0};
+    CHECK(choose_server({&all[0], &all[1]}, asked, books, {}, 1, now) == &all[0]);
+}
+
 TEST_CASE("a choice leaves cold servers alone without a turn, and takes none if all are", "[cold]")
 {
     const time_point now{seconds{700}};
