--- a/source/unit_tests/routing/choice_test.cpp
+++ b/source/unit_tests/routing/choice_test.cpp
@@ -100,6 +100,8 @@
                   << ")\n";
         INFO(name);
         CHECK(found.most_while_cold <= cold_bound);
+        // What turns are for: many servers back at once, before many entries.
+        CHECK((before.most_while_cold > cold_bound) == (returning > 4));
         CHECK(found.carried_after <= milliseconds{4000});
     }
 }
--- a/source/unit_tests/routing/choice_world.cpp
+++ b/source/unit_tests/routing/choice_world.cpp
@@ -132,7 +132,7 @@
              alike,
              healthy,
              this->shape.takes_turns ? &this->turns[entry] : nullptr,
-             cold_rate},
+             this->shape.takes_turns ? cold_rate : 0.0},
             this->options,
             this->random(),
             now);
