Keep a small model's answer where no server would take the request again

What a caller would have got while all servers are cold: the small model's answer is there, unsure; it is dropped for a larger one's, no server has a turn, and the request ends as one that ran and is lost. The same where all data centres are evacuated between the two. Found by reading. Now an answer is dropped only if a server would take the request; the one that answered counts.

Also: waits for a turn are counted where a request waits, and not where it is refused at once; how long servers stay cold after a start was decoded and used by nothing.

--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -87,7 +87,7 @@
   evacuated @17 :List(Text);
   ordersKnownTo @18 :UInt64;
   # Those of `peers` whose address is of IPv4, and which are left out there: the address in 32 bits,
-  # then the port in 16. As texts, the eight that are named were half of each message.
+  # then the port in 16. As texts they would be half of each message.
   peersIpv4 @19 :List(UInt64);
 }
 
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -119,8 +119,9 @@
     [[nodiscard]] auto
     choose_among(const std::vector<const routing::registration*>& allowed, time_point now) const
         -> const routing::registration*;
-    /// Servers at which this entry has no turn yet, or which are cold in vain for it, will take the
-    /// request then; `never` if none will.
+    /// Whether a server would take the request now that may go to `first` again.
+    auto may_go_on_after(const routing::server_start& first) -> bool;
+    /// When this entry's next turn at a cold server comes; `never` without a cold one.
     [[nodiscard]] auto next_turn() const -> time_point;
     /// When a caller should come back that is refused since no server takes its request.
     [[nodiscard]] auto come_back_after() const -> std::chrono::milliseconds;
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -112,8 +112,12 @@
         "answer " + std::string{accepted ? "accepted" : "dropped"} +
             " request=" + this->request.caller.attempt + " model=" + this->model + " confidence=" +
             std::to_string(confidence) + " asked=" + std::to_string(static_cast<int>(asked)));
-    // A second model draws on the budget of second sends as any other send does.
-    if (accepted || !may_ask || !this->retries().take_retry(retries_for_lost)) {
+    // An answer that is there is not dropped where no server would take the request again: all may
+    // be cold, or evacuated by now. A second model draws on the budget of second sends as any other
+    // send does.
+    const bool is_dropped = !accepted && may_ask && this->may_go_on_after(of->server) &&
+                            this->retries().take_retry(retries_for_lost);
+    if (!is_dropped) {
         return false;
     }
     this->leave(of, attempt_end::ran, server_outcome::good);
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -122,6 +122,15 @@
     return open;
 }
 
+auto relay::may_go_on_after(const routing::server_start& first) -> bool
+{
+    const auto had = this->tried;
+    std::erase(this->tried, first);
+    const bool has_server = this->choose_server() != nullptr;
+    this->tried = had;
+    return has_server;
+}
+
 auto relay::next_turn() const -> time_point
 {
     const auto now = this->core->hooks.clock();
@@ -141,8 +150,8 @@
     // Another request may take the turn: looked for again then, and not at once.
     constexpr std::chrono::milliseconds least_wait{10};
     const auto now = this->core->hooks.clock();
-    if (this->turn_by == common::never) {
-        this->core->counters.turn_waits.add();
+    const bool is_first = this->turn_by == common::never;
+    if (is_first) {
         this->turn_by = std::min(now + this->core->options.turn_patience, this->give_up_at);
     }
     const auto turn = std::max<time_point>(this->next_turn(), now + least_wait);
@@ -150,6 +159,7 @@
         this->log_no_server();
         return false;
     }
+    this->core->counters.turn_waits.add(is_first ? 1 : 0);
     // Nothing else holds a request that is at no server.
     this->core->hooks.timer(turn, [self = this->shared_from_this()] {
         if (!self->ended) {
--- a/source/core/routing/configuration.hpp
+++ b/source/core/routing/configuration.hpp
@@ -75,8 +75,6 @@
     std::vector<priced_model> models;
     /// Requests a second that a server bears while it is cold; 0 if it bears all.
     double cold_per_second = 0.0;
-    /// How long a server is cold after it has started.
-    std::chrono::milliseconds cold_time{0};
 };
 
 struct organisation {
--- a/source/unit_tests/router/cold_test.cpp
+++ b/source/unit_tests/router/cold_test.cpp
@@ -78,6 +78,27 @@
     CHECK(out->status() == 503);
 }
 
+TEST_CASE("an answer is passed on, however unsure, when no server has a turn for another", "[cold]")
+{
+    cold_world all{1};
+    const auto out = all.ask("/stream/1");
+    while (all.sends() == 0) {
+        all.advance(milliseconds{10});
+    }
+    // All turns are used meanwhile.
+    for (int i = 0; i < 20; ++i) {
+        all.ask("/once/1");
+    }
+    auto& first = *all.client->sent.front();
+    const auto sends = all.sends();
+    first.head(200, {{"Reedramp-Confidence", "1"}});
+    first.chunk("id: 0\ndata: 0\n\n");
+    first.end();
+    CHECK(all.sends() == sends);
+    CHECK(out->is_finished);
+    CHECK(out->events == "id: 0\ndata: 0\n\n");
+}
+
 TEST_CASE("a caller that leaves while it waits for a turn reaches no server", "[cold]")
 {
     cold_world all{1};
