Forget turns at cold servers that have gone

Sends to cold servers were remembered for the life of the process, one entry of the map for each start: the function that forgets was there and nobody called it. They go with the other books of a server that has gone, each ten seconds. Found by reading; no test, since nothing shows that memory.

--- a/source/core/router/servers_list.cpp
+++ b/source/core/router/servers_list.cpp
@@ -283,6 +283,7 @@
         return known == nullptr || known->start() != server;
     };
     this->core->health.forget_if(is_gone);
+    this->core->turns.forget_if(is_gone);
     for (auto& [service, paces] : this->core->paces) {
         paces.forget_if(is_gone);
     }
