--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -117,7 +117,7 @@
     next->work = work.prompt + work.answer;
     next->prompt_work = work.prompt;
     next->work_ahead = this->core->loads.total(next->server, now).work + work.prompt;
-    next->is_cold = server.cold_until > now;
+    next->is_cold = server.is_cold(now);
     next->sent = now;
     next->last_progress = now;
     this->current = next;
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -111,6 +111,7 @@
     [[nodiscard]] auto allowed_by(
         const routing::version_rule& rule, std::vector<const routing::registration*> usable) const
         -> std::vector<const routing::registration*>;
+    [[nodiscard]] auto has_tried(const routing::registration& server) const -> bool;
     /// Servers of the request's service that the rules let it go to.
     [[nodiscard]] auto open_servers() const -> std::vector<const routing::registration*>;
     /// Whether its route or its organisation says in which regions it may run.
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -105,6 +105,11 @@
     return this->choose_among(this->allowed_by(rule, this->open_servers()), now);
 }
 
+auto relay::has_tried(const routing::registration& server) const -> bool
+{
+    return std::ranges::find(this->tried, server.start()) != this->tried.end();
+}
+
 auto relay::has_homes() const -> bool
 {
     return !this->request.route->homes.empty() ||
@@ -137,8 +142,7 @@
     const auto known = this->books();
     auto next = common::never;
     for (const auto* server : this->open_servers()) {
-        const bool is_tried = std::ranges::find(this->tried, server->start()) != this->tried.end();
-        if (!is_tried && server->cold_until > now) {
+        if (!this->has_tried(*server) && server->is_cold(now)) {
             next = std::min(next, known.turns->next_turn(*server, known.cold_per_second, now));
         }
     }
@@ -174,7 +178,7 @@
     const auto open = this->open_servers();
     const auto now = this->core->hooks.clock();
     const auto cold =
-        std::ranges::count_if(open, [now](const auto* server) { return server->cold_until > now; });
+        std::ranges::count_if(open, [now](const auto* server) { return server->is_cold(now); });
     common::log(
         common::log_part::place,
         common::log_level::info,
@@ -213,9 +217,7 @@
     routing::keep_allowed(usable, rule);
     if (rule.preferred && rule.spread < 1.0) {
         routing::keep_canaries(usable, rule.spread, [this, now](const auto& server) {
-            const bool is_tried =
-                std::ranges::find(this->tried, server.start()) != this->tried.end();
-            return is_tried || server.cold_until > now ||
+            return this->has_tried(server) || server.is_cold(now) ||
                    this->core->health.is_resting(server.start(), now);
         });
     }
--- a/source/core/routing/cold_turns.cpp
+++ b/source/core/routing/cold_turns.cpp
@@ -51,14 +51,13 @@
 auto cold_turns::may_take(const registration& server, double per_second, time_point now) const
     -> bool
 {
-    return per_second <= 0.0 || server.cold_until <= now ||
-           this->turn_at(server, per_second, now).is_open;
+    return !applies_to(server, per_second, now) || this->turn_at(server, per_second, now).is_open;
 }
 
 auto cold_turns::next_turn(const registration& server, double per_second, time_point now) const
     -> time_point
 {
-    if (per_second <= 0.0 || server.cold_until <= now) {
+    if (!applies_to(server, per_second, now)) {
         return now;
     }
     const auto current = this->turn_at(server, per_second, now);
@@ -68,7 +67,7 @@
 
 auto cold_turns::note_sent(const registration& server, time_point now) -> void
 {
-    if (server.cold_until > now) {
+    if (server.is_cold(now)) {
         this->last_sent[server.start()] = now;
     }
 }
--- a/source/core/routing/cold_turns.hpp
+++ b/source/core/routing/cold_turns.hpp
@@ -39,7 +39,15 @@
     cold_turns(
         cold_options options, std::uint64_t self, std::function<auto()->std::size_t> entries = {});
 
-    /// Whether a request may go to the server, which bears `per_second`; 0 if it bears all.
+    /// Whether the server takes requests in turns, where a cold one of its service bears
+    /// `per_second`; 0 if it bears all.
+    [[nodiscard]] static auto
+    applies_to(const registration& server, double per_second, time_point now) -> bool
+    {
+        return per_second > 0.0 && server.is_cold(now);
+    }
+
+    /// Whether a request may go to the server; `per_second` as above.
     [[nodiscard]] auto may_take(const registration& server, double per_second, time_point now) const
         -> bool;
 
--- a/source/core/routing/evacuation_book.hpp
+++ b/source/core/routing/evacuation_book.hpp
@@ -1,11 +1,9 @@
 #pragma once
 
-#include <optional>
 #include <set>
 #include <vector>
 
 #include "common/ids.hpp"
-#include "common/units.hpp"
 #include "routing/stream_position.hpp"
 
 namespace reedramp::routing {
--- a/source/core/routing/registration.hpp
+++ b/source/core/routing/registration.hpp
@@ -36,6 +36,8 @@
     std::uint64_t id_hash = 0;
 
     [[nodiscard]] auto start() const -> server_start { return {this->id, this->born}; }
+
+    [[nodiscard]] auto is_cold(time_point now) const -> bool { return this->cold_until > now; }
 };
 
 /// A change of the servers' list: a registration, or the end of one.
--- a/source/core/routing/server_choice.cpp
+++ b/source/core/routing/server_choice.cpp
@@ -165,9 +165,8 @@
     time_point now) -> double
 {
     const auto start = server.start();
-    const bool is_held_cold = books.cold_per_second > 0.0 && server.cold_until > now;
-    const auto slowness =
-        books.paces.slowness(start) * (is_held_cold ? options.cold_slowness : 1.0);
+    const bool takes_turns = cold_turns::applies_to(server, books.cold_per_second, now);
+    const auto slowness = books.paces.slowness(start) * (takes_turns ? options.cold_slowness : 1.0);
     const auto cost = slowness * (books.loads.total(start, now).work + asked.work);
     const bool is_far = server.data_centre != asked.own_data_centre;
     return is_far ? cost + options.distance_work : cost;
--- a/source/router/state_page.cpp
+++ b/source/router/state_page.cpp
@@ -27,7 +27,7 @@
         {"slowness", paces == core.paces.end() ? 1.0 : paces->second.slowness(start)},
         {"failures", core.health.failures(start)},
         {"resting", core.health.is_resting(start, now)},
-        {"cold", server.cold_until > now}};
+        {"cold", server.is_cold(now)}};
 }
 
 auto rollout_row(const routing::rollout_progress& one) -> json::object
--- a/source/unit_tests/router/cold_test.cpp
+++ b/source/unit_tests/router/cold_test.cpp
@@ -31,6 +31,16 @@
         }
     }
 
+    /// As many callers at once.
+    auto ask_often(int count) -> std::vector<std::shared_ptr<caller>>
+    {
+        std::vector<std::shared_ptr<caller>> callers;
+        for (int i = 0; i < count; ++i) {
+            callers.push_back(this->ask("/once/1"));
+        }
+        return callers;
+    }
+
     auto set_cold(const char* id, common::duration time) -> void
     {
         auto server = *this->core->servers.find(common::server_id{id});
@@ -44,10 +54,7 @@
 TEST_CASE("with all servers cold a request waits for a turn, and not for long", "[cold]")
 {
     cold_world all{1};
-    std::vector<std::shared_ptr<caller>> callers;
-    for (int i = 0; i < 20; ++i) {
-        callers.push_back(all.ask("/once/1"));
-    }
+    const auto callers = all.ask_often(20);
     const auto at_once = all.sends();
     all.advance(milliseconds{500});
     // Of 12 requests a second, a quarter, at each of three servers.
@@ -86,9 +93,7 @@
         all.advance(milliseconds{10});
     }
     // All turns are used meanwhile.
-    for (int i = 0; i < 20; ++i) {
-        all.ask("/once/1");
-    }
+    all.ask_often(20);
     auto& first = *all.client->sent.front();
     const auto sends = all.sends();
     first.head(200, {{"Reedramp-Confidence", "1"}});
@@ -102,10 +107,7 @@
 TEST_CASE("a caller that leaves while it waits for a turn reaches no server", "[cold]")
 {
     cold_world all{1};
-    std::vector<std::shared_ptr<caller>> callers;
-    for (int i = 0; i < 20; ++i) {
-        callers.push_back(all.ask("/once/1"));
-    }
+    const auto callers = all.ask_often(20);
     const auto before = all.sends();
     for (const auto& one : callers) {
         one->leave_action();
@@ -119,9 +121,7 @@
     cold_world all{390};
     auto rules = rules_of(3);
     all.core->adopt(std::move(rules));
-    for (int i = 0; i < 20; ++i) {
-        all.ask("/once/1");
-    }
+    all.ask_often(20);
     CHECK(all.sends() == 20);
 }
 
--- a/source/unit_tests/routing/choice_world.cpp
+++ b/source/unit_tests/routing/choice_world.cpp
@@ -207,15 +207,9 @@
     {
         constexpr std::chrono::seconds cold_time{3};
         for (const auto& [server, sends] : this->sends_back) {
-            std::size_t first = 0;
-            for (std::size_t i = 0; i < sends.size(); ++i) {
-                while (sends[i] - sends[first] >= std::chrono::seconds{1}) {
-                    ++first;
-                }
-                const bool is_cold = sends[i] < this->came_back + cold_time;
-                found.most_while_cold =
-                    std::max(found.most_while_cold, is_cold ? i - first + 1 : 0);
-            }
+            const auto warm = std::ranges::lower_bound(sends, this->came_back + cold_time);
+            found.most_while_cold =
+                std::max(found.most_while_cold, most_in_a_second({sends.begin(), warm}));
         }
         const auto part =
             static_cast<double>(this->shape.returning) / static_cast<double>(this->shape.servers);
@@ -284,6 +278,19 @@
 
 } // namespace
 
+auto most_in_a_second(const std::vector<time_point>& sends) -> std::size_t
+{
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t i = 0; i < sends.size(); ++i) {
+        while (sends[i] - sends[first] >= std::chrono::seconds{1}) {
+            ++first;
+        }
+        most = std::max(most, i - first + 1);
+    }
+    return most;
+}
+
 auto run_world(const world_shape& shape, const choice_options& options, std::chrono::seconds time)
     -> world_result
 {
--- a/source/unit_tests/routing/choice_world.hpp
+++ b/source/unit_tests/routing/choice_world.hpp
@@ -65,6 +65,9 @@
 constexpr double shared_work = 1'500.0;
 constexpr std::size_t other_prompts = 400;
 
+/// The most sends in any second; `sends` in their order.
+auto most_in_a_second(const std::vector<time_point>& sends) -> std::size_t;
+
 /// Runs the world for `time` after as long a start that is not measured.
 auto run_world(const world_shape& shape, const choice_options& options, std::chrono::seconds time)
     -> world_result;
--- a/source/unit_tests/routing/cold_turns_test.cpp
+++ b/source/unit_tests/routing/cold_turns_test.cpp
@@ -10,6 +10,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "choice_world.hpp"
 #include "routing/server_choice.hpp"
 
 namespace reedramp::routing {
@@ -19,17 +20,15 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr double rate = 12.0;
-constexpr double excess = 1.5;
-constexpr double slack = 5.0;
-/// What a cold server bears in a second.
-constexpr std::size_t bound = 23;
+using testing::cold_bound;
+using testing::cold_rate;
+using testing::most_in_a_second;
 
 auto options() -> cold_options
 {
     cold_options made;
-    made.excess = excess;
-    made.slack = slack;
+    made.excess = testing::cold_excess;
+    made.slack = testing::cold_slack;
     return made;
 }
 
@@ -42,21 +41,6 @@
     return one;
 }
 
-/// The most sends in any second.
-auto most_in_a_second(std::vector<time_point> sends) -> std::size_t
-{
-    std::ranges::sort(sends);
-    std::size_t most = 0;
-    std::size_t first = 0;
-    for (std::size_t i = 0; i < sends.size(); ++i) {
-        while (sends[i] - sends[first] >= seconds{1}) {
-            ++first;
-        }
-        most = std::max(most, i - first + 1);
-    }
-    return most;
-}
-
 struct crowd_shape {
     std::size_t entries = 27;
     std::size_t servers = 49;
@@ -94,7 +78,7 @@
             // Nobody asks for half a second, then all do.
             const bool is_pressed = ((now - begin) / milliseconds{500}) % 2 == 1;
             for (auto& entry : entries) {
-                if (is_pressed && entry.may_take(server, rate, now)) {
+                if (is_pressed && entry.may_take(server, cold_rate, now)) {
                     entry.note_sent(server, now);
                     sends.push_back(now);
                 }
@@ -120,7 +104,7 @@
             std::cout << "METRIC cold_most_in_a_second_" << entries << "x" << servers << " "
                       << found.most << " requests\n";
             INFO(entries << " entries, " << servers << " servers, mean " << found.mean);
-            CHECK(found.most <= bound);
+            CHECK(found.most <= cold_bound);
             CHECK(found.mean > 1.0);
         }
     }
@@ -140,7 +124,7 @@
                  },
              .seed = seed});
         INFO("seed " << seed);
-        CHECK(found.most <= bound);
+        CHECK(found.most <= cold_bound);
     }
 }
 
@@ -151,7 +135,7 @@
     const auto server = cold_server("s", begin + seconds{60});
     std::size_t sends = 0;
     for (auto now = begin + seconds{30}; now < begin + seconds{31}; now += milliseconds{1}) {
-        if (alone.may_take(server, rate, now)) {
+        if (alone.may_take(server, cold_rate, now)) {
             alone.note_sent(server, now);
             sends += 1;
         }
@@ -160,7 +144,7 @@
     CHECK(sends >= 6);
 }
 
-TEST_CASE("a warm server, and one of a service that says no rate, take all", "[cold]")
+TEST_CASE("a warm server, and one of a service that says no cold_rate, take all", "[cold]")
 {
     const time_point now{seconds{700}};
     cold_turns turns{options(), 7, [] {
@@ -169,13 +153,13 @@
     const auto warm = cold_server("w", now);
     const auto cold = cold_server("c", now + seconds{3});
     for (int i = 0; i < 100; ++i) {
-        CHECK(turns.may_take(warm, rate, now));
+        CHECK(turns.may_take(warm, cold_rate, now));
         turns.note_sent(warm, now);
         CHECK(turns.may_take(cold, 0.0, now));
         CHECK(turns.next_turn(cold, 0.0, now) == now);
     }
     // The wait for a turn ends when the server is warm.
-    CHECK(turns.next_turn(cold, rate, now) <= cold.cold_until);
+    CHECK(turns.next_turn(cold, cold_rate, now) <= cold.cold_until);
 }
 
 TEST_CASE("the first warm server among many cold ones does not get everything", "[cold]")
@@ -200,7 +184,7 @@
     std::size_t to_warm = 0;
     constexpr std::size_t requests = 30;
     for (std::size_t i = 0; i < requests; ++i) {
-        const server_books books{loads, paces, health, &turns, rate};
+        const server_books books{loads, paces, health, &turns, cold_rate};
         const auto* chosen = choose_server(usable, asked, books, {}, i, now);
         REQUIRE(chosen != nullptr);
         turns.note_sent(*chosen, now);
@@ -247,7 +231,7 @@
     for (const auto& one : all) {
         turns.note_sent(one, now);
     }
-    const server_books books{loads, paces, health, &turns, rate};
+    const server_books books{loads, paces, health, &turns, cold_rate};
     CHECK(choose_server(usable, {}, books, {}, 1, now) == nullptr);
     all[7].cold_until = now;
     for (std::uint64_t chance = 0; chance < 50; ++chance) {
