Log what a server says that it takes, and keep it

Each change of a server's limit is one line and one count now (members: server takes), an odd value one warning a server. What is known is kept by server and start (routing/server_limits), the newest answer counting, and taken into no decision yet.

--- a/source/core/router/header_names.hpp
+++ b/source/core/router/header_names.hpp
@@ -25,6 +25,9 @@
     std::string signature = "Reedramp-Signature";
     /// In an answer: requests running, requests waiting, slots.
     std::string load = "Reedramp-Load";
+    /// In an answer: requests a second that the server takes from all entries together, for as long
+    /// as its answers say so.
+    std::string limit = "Reedramp-Server-Limit";
     std::string model = "Reedramp-Model";
     /// Tokens of the prompt, most tokens of the answer.
     std::string token_counts = "Reedramp-Tokens";
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -150,6 +150,8 @@
     [[nodiscard]] auto urgency() const -> int;
 
     auto on_head(const std::shared_ptr<attempt>& of, const http::response& head) -> void;
+    /// Takes in what the server says of itself.
+    auto hear_server(const attempt& of, const http::response& head) const -> void;
     auto on_bytes(const std::shared_ptr<attempt>& of, std::string bytes) -> void;
     auto on_events(const std::shared_ptr<attempt>& of, const std::string& bytes) -> void;
     auto on_done(const std::shared_ptr<attempt>& of, const common::result<http::response>& answer)
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -69,6 +69,7 @@
         const auto took = milliseconds_between(of->sent, this->core->hooks.clock());
         this->core->paces[this->service].note(of->server, took, of->work_ahead);
     }
+    this->hear_server(*of, head);
     of->head = make_passed_on(head);
     of->last_progress = this->core->hooks.clock();
     if (of->said == verdict::untrusted) {
@@ -91,6 +92,19 @@
     }
 }
 
+auto relay::hear_server(const attempt& of, const http::response& head) const -> void
+{
+    // What can't be believed, or comes from another server at that address, says nothing of it.
+    if (of.said == verdict::untrusted || head.status == misdirected) {
+        return;
+    }
+    const auto words = read_server_words(head, this->core->options.names);
+    // A refusal may come from in front of the server, and takes nothing back by its silence.
+    if (of.said != verdict::not_executed || words.limit || words.has_odd_limit) {
+        this->core->hear_server(of.server, words, this->request.caller.attempt);
+    }
+}
+
 auto relay::ask_larger_model(const std::shared_ptr<attempt>& of) -> bool
 {
     const auto& route = *this->request.route;
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -95,6 +95,36 @@
     }
 }
 
+auto router_core::hear_server(
+    const routing::server_start& server, const server_words& said, const std::string& attempt)
+    -> void
+{
+    if (said.has_odd_limit && this->limits.note_odd(server)) {
+        this->counters.count_server_word("limit_unreadable");
+        common::log(
+            common::log_part::members,
+            common::log_level::warning,
+            "server's limit not readable server=" + to_string(server) + " request=" + attempt);
+    }
+    if (!said.limit && said.has_odd_limit) {
+        return;
+    }
+    const auto before = this->limits.per_second(server);
+    const auto change = this->limits.note(server, said.limit, this->hooks.clock());
+    if (change == routing::limit_change::none) {
+        return;
+    }
+    const auto number = [](std::optional<double> limit) {
+        return limit ? std::to_string(*limit) : std::string{"any"};
+    };
+    this->counters.count_server_word(said.limit ? "limit" : "no_limit");
+    common::log(
+        common::log_part::members,
+        common::log_level::info,
+        "server takes server=" + to_string(server) + " per_second=" + number(said.limit) +
+            " before=" + number(before) + " request=" + attempt);
+}
+
 auto router_core::find_barred(const http::request& asked, const caller_request& caller)
     -> std::optional<routing::request_print>
 {
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -16,6 +16,7 @@
 #include "router/caller_request.hpp"
 #include "router/header_names.hpp"
 #include "router/router_metrics.hpp"
+#include "router/server_words.hpp"
 #include "router/shared_store.hpp"
 #include "routing/cold_turns.hpp"
 #include "routing/configuration.hpp"
@@ -28,6 +29,7 @@
 #include "routing/rollout_guide.hpp"
 #include "routing/server_choice.hpp"
 #include "routing/server_health.hpp"
+#include "routing/server_limits.hpp"
 #include "routing/server_table.hpp"
 
 namespace reedramp::router {
@@ -216,6 +218,11 @@
     /// Another entry, or the store, knows that a request ends servers.
     auto hear_barred(const routing::told_barred& told, const std::string& told_by) -> void;
 
+    /// A server has said this of itself in its answer to the attempt.
+    auto hear_server(
+        const routing::server_start& server, const server_words& said, const std::string& attempt)
+        -> void;
+
     /// What tells the request from others, whatever its attempt id.
     [[nodiscard]] auto print_of(const http::request& asked, const caller_request& caller) const
         -> routing::request_print;
@@ -237,6 +244,7 @@
     /// By service: what a unit of work takes differs between services by far more than within one.
     std::map<common::service_name, routing::pace_book> paces;
     routing::server_health health;
+    routing::server_limits limits;
     routing::cold_turns turns;
     routing::evacuation_book evacuations;
     routing::crash_book crashes;
--- /dev/null
+++ b/source/core/router/server_words.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <optional>
+
+#include "http/message.hpp"
+#include "router/header_names.hpp"
+
+namespace reedramp::router {
+
+/// What a server says of itself in the head of an answer.
+struct server_words {
+    /// Requests a second that it takes from all entries together; none: any number.
+    std::optional<double> limit;
+    /// A header is there whose value can't be read: it says nothing, and takes nothing back.
+    bool has_odd_limit = false;
+};
+
+auto read_server_words(const http::response& head, const header_names& names) -> server_words;
+
+} // namespace reedramp::router
