--- /dev/null
+++ b/source/unit_tests/router/stated_limits_test.cpp
@@ -0,0 +1,117 @@
+#include <iostream>
+#include <map>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "answer_play.hpp"
+
+namespace reedramp::router::testing {
+
+namespace {
+
+/// From the first answer that names a limit until it has to be kept.
+constexpr seconds contact{3};
+/// Answers so young bind nobody yet.
+constexpr milliseconds on_the_way{500};
+constexpr milliseconds window{4000};
+
+/// Requests that a server with this limit bears in some four seconds.
+auto borne(double per_second) -> std::size_t
+{
+    constexpr double excess = 1.5;
+    constexpr double slack = 5.0;
+    return static_cast<std::size_t>(excess * per_second * 4.0 + slack);
+}
+
+/// Servers of a play that name limits in all answers.
+using limits_by_name = std::map<std::string, double>;
+
+auto name_limits(answer_play& play, const limits_by_name& limits) -> void
+{
+    play.answer = [limits](const arrival& one) {
+        server_answer said;
+        if (const auto found = limits.find(one.server); found != limits.end()) {
+            said.headers = {{"Reedramp-Server-Limit", std::to_string(found->second)}};
+        }
+        return said;
+    };
+}
+
+/// The most requests in four seconds from entries that had read the limit in an answer.
+auto most_of_told(const answer_play& play, const std::string& server, common::time_point named)
+    -> std::size_t
+{
+    return play.most_within(server, window, named + contact, [&](const arrival& one) {
+        return play.was_answered(one.entry, server, one.at - on_the_way);
+    });
+}
+
+} // namespace
+
+TEST_CASE("a server that names its limit gets no more from all entries together", "[limits]")
+{
+    // Guards against requests beyond what a server in need has said that it takes.
+    for (const std::size_t entries : {1, 3, 27, 103}) {
+        answer_play play{{.entries = entries, .loss = 0.02}};
+        play.run(seconds{2});
+        const limits_by_name limits{{"s-0", 1.0}, {"s-1", 2.7}, {"s-2", 0.0}};
+        name_limits(play, limits);
+        const auto named = play.now();
+        play.run(seconds{20});
+        for (const auto& [server, limit] : limits) {
+            const auto most = play.most_within(server, window, named + contact);
+            std::cout << "METRIC limit_most_in_4s_" << entries << "_at_" << limit << " " << most
+                      << " requests\n";
+            INFO(entries << " entries, " << limit << " a second");
+            CHECK(most_of_told(play, server, named) <= borne(limit));
+            CHECK(most <= borne(limit));
+        }
+        CHECK(play.with_status(503) == 0);
+    }
+}
+
+TEST_CASE("with limits at all servers each gets nearly what it takes, and no more", "[limits]")
+{
+    // Guards against limits that are passed, or left unused, while all callers press.
+    for (const std::size_t entries : {1, 3, 27}) {
+        answer_play play{{.entries = entries, .servers = 6, .per_second = 100, .loss = 0.02}};
+        limits_by_name limits;
+        for (std::size_t i = 0; i < 6; ++i) {
+            limits[play.name_of(i)] = i < 3 ? 2.0 : 5.0;
+        }
+        name_limits(play, limits);
+        play.run(seconds{2});
+        const auto named = play.now();
+        constexpr seconds time{20};
+        play.run(contact + time);
+        double used = 0.0;
+        for (const auto& [server, limit] : limits) {
+            INFO(entries << " entries, " << server << ", " << limit << " a second");
+            CHECK(play.most_within(server, window, named + contact) <= borne(limit));
+            used += static_cast<double>(play.arrivals_at(server, named + contact));
+        }
+        constexpr double taken_together = 21.0;
+        const double part = used / (taken_together * static_cast<double>(time.count()));
+        std::cout << "METRIC limit_used_" << entries << " " << part << " parts\n";
+        CHECK(part >= 0.6);
+        // The others are told so, and when to come back.
+        CHECK(play.with_status(503) > 0);
+    }
+}
+
+TEST_CASE("a limit ends at all entries with the first answer without it", "[limits]")
+{
+    // Guards against a server that is left alone long after it has said that it takes all again.
+    answer_play play{{.entries = 27, .servers = 4, .per_second = 200}};
+    name_limits(play, {{"s-0", 2.0}});
+    play.run(seconds{6});
+    CHECK(play.most_within("s-0", window, play.now() - seconds{4}) <= borne(2.0));
+    play.answer = {};
+    play.run(seconds{4});
+    const auto lifted = play.now();
+    play.run(seconds{4});
+    CHECK(play.arrivals_at("s-0", lifted) >= 100);
+}
+
+} // namespace reedramp::router::testing
