Turns of entries follow each other evenly; one book of what servers take

An entry's turn at a cold server came at a moment drawn by chance, so that among 27 entries thirteen turns fell into one second where six were aimed at. That is why a quarter was all that could be aimed at, and it would not do for a bound that is close to the rate, as a limit is that a server names.

Turns go by the entry's place among all that it knows (by address) and the time of day now, and last until the next entry's begins, 250 ms at the least. Where places or clocks differ the mean stays, and no entry sends sooner than its period allows. routing/intake_book is asked by the choice of a server, by requests that wait, and by the time to come back; entry_turns holds the arithmetic (cold_turns before).

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -125,7 +125,7 @@
     this->ledger.note_sent();
     this->core->counters.sends.add();
     this->core->loads.begin(next->server, next->work, next->prompt_work);
-    this->core->turns.note_sent(server, now);
+    this->core->intake.note_sent(server, this->cold_per_second(), now);
     this->core->rollouts.note_sent(this->service, this->session_hash, server.version, now);
     return next;
 }
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -116,18 +116,21 @@
     [[nodiscard]] auto open_servers() const -> std::vector<const routing::registration*>;
     /// Whether its route or its organisation says in which regions it may run.
     [[nodiscard]] auto has_homes() const -> bool;
+    /// What a cold server of the request's service bears; 0 if it bears all.
+    [[nodiscard]] auto cold_per_second() const -> double;
     [[nodiscard]] auto books() const -> routing::server_books;
     [[nodiscard]] auto
     choose_among(const std::vector<const routing::registration*>& allowed, time_point now) const
         -> const routing::registration*;
     /// Whether a server would take the request now that may go to `first` again.
     auto may_go_on_after(const routing::server_start& first) -> bool;
-    /// When this entry's next turn at a cold server comes; `never` without a cold one.
+    /// When this entry's next turn comes at a server that takes requests in turns; `never` without
+    /// such a one.
     [[nodiscard]] auto next_turn() const -> time_point;
     /// When a caller should come back that is refused since no server takes its request.
     [[nodiscard]] auto come_back_after() const -> std::chrono::milliseconds;
     auto log_no_server() const -> void;
-    /// Sends the request on when its turn at a cold server comes; false if that is too late.
+    /// Sends the request on when its turn at a server comes; false if that is too late.
     auto wait_for_turn() -> bool;
     /// Whether the largest model's first event would come after the route's target.
     auto larger_would_be_late() -> bool;
@@ -209,7 +212,7 @@
 
     time_point received;
     time_point give_up_at;
-    /// No longer for a turn at a cold server; `never` while it has not waited.
+    /// No longer for a turn at a server; `never` while it has not waited.
     time_point turn_by = common::never;
     common::service_name service;
     /// Empty when the caller's choice stands.
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -142,8 +142,9 @@
     const auto known = this->books();
     auto next = common::never;
     for (const auto* server : this->open_servers()) {
-        if (!this->has_tried(*server) && server->is_cold(now)) {
-            next = std::min(next, known.turns->next_turn(*server, known.cold_per_second, now));
+        const bool takes_turns = known.intake->has_turns(*server, known.cold_per_second, now);
+        if (!this->has_tried(*server) && takes_turns) {
+            next = std::min(next, known.intake->next_turn(*server, known.cold_per_second, now));
         }
     }
     return next;
@@ -224,15 +225,20 @@
     return usable;
 }
 
-auto relay::books() const -> routing::server_books
+auto relay::cold_per_second() const -> double
 {
     const auto* known = this->request.rules->find_service(this->service);
+    return known == nullptr ? 0.0 : known->cold_per_second;
+}
+
+auto relay::books() const -> routing::server_books
+{
     return {
         this->core->loads,
         this->core->paces[this->service],
         this->core->health,
-        &this->core->turns,
-        known == nullptr ? 0.0 : known->cold_per_second};
+        &this->core->intake,
+        this->cold_per_second()};
 }
 
 auto relay::choose_among(const std::vector<const routing::registration*>& allowed, time_point now)
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -30,7 +30,7 @@
       client(std::move(servers_client)),
       freshness(with_reader(this->options.freshness, this->hooks.random())),
       health(this->options.health),
-      turns(this->options.cold, this->hooks.random(), this->hooks.entries),
+      intake(this->options.intake, {this->hooks.place, this->hooks.unix_ms}),
       crashes(this->options.crashes), rollouts(this->options.rollout), counters(this->series)
 {
 }
@@ -99,7 +99,7 @@
     const routing::server_start& server, const server_words& said, const std::string& attempt)
     -> void
 {
-    if (said.has_odd_limit && this->limits.note_odd(server)) {
+    if (said.has_odd_limit && this->intake.limits().note_odd(server)) {
         this->counters.count_server_word("limit_unreadable");
         common::log(
             common::log_part::members,
@@ -109,8 +109,8 @@
     if (!said.limit && said.has_odd_limit) {
         return;
     }
-    const auto before = this->limits.per_second(server);
-    const auto change = this->limits.note(server, said.limit, this->hooks.clock());
+    const auto before = this->intake.limits().per_second(server);
+    const auto change = this->intake.limits().note(server, said.limit, this->hooks.clock());
     if (change == routing::limit_change::none) {
         return;
     }
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -18,18 +18,17 @@
 #include "router/router_metrics.hpp"
 #include "router/server_words.hpp"
 #include "router/shared_store.hpp"
-#include "routing/cold_turns.hpp"
 #include "routing/configuration.hpp"
 #include "routing/crash_book.hpp"
 #include "routing/evacuation_book.hpp"
 #include "routing/home_regions.hpp"
+#include "routing/intake_book.hpp"
 #include "routing/list_freshness.hpp"
 #include "routing/load_book.hpp"
 #include "routing/model_choice.hpp"
 #include "routing/rollout_guide.hpp"
 #include "routing/server_choice.hpp"
 #include "routing/server_health.hpp"
-#include "routing/server_limits.hpp"
 #include "routing/server_table.hpp"
 
 namespace reedramp::router {
@@ -44,8 +43,8 @@
     /// The store has come back from an older copy of itself: the entries' own records may be gone.
     /// May be empty.
     std::function<auto()->void> on_new_era = {};
-    /// How many entries there are, this one included, as far as it knows. Empty: this one alone.
-    std::function<auto()->std::size_t> entries = {};
+    /// This entry's place among all, as far as it knows of them. Empty: it is alone.
+    std::function<auto()->routing::entry_place> place = {};
     /// When another entry, or this one's next process, takes requests that this process can't
     /// finish any more. Empty: at once.
     std::function<auto(time_point now)->time_point> served_elsewhere_at = {};
@@ -60,7 +59,7 @@
     /// The region of each data centre.
     routing::region_map regions;
     routing::choice_options choice;
-    routing::cold_options cold;
+    routing::intake_options intake;
     routing::freshness_options freshness;
     routing::health_options health;
     routing::crash_options crashes;
@@ -244,8 +243,7 @@
     /// By service: what a unit of work takes differs between services by far more than within one.
     std::map<common::service_name, routing::pace_book> paces;
     routing::server_health health;
-    routing::server_limits limits;
-    routing::cold_turns turns;
+    routing::intake_book intake;
     routing::evacuation_book evacuations;
     routing::crash_book crashes;
     routing::rollout_guide rollouts;
--- a/source/core/router/servers_list.cpp
+++ b/source/core/router/servers_list.cpp
@@ -278,13 +278,12 @@
     this->swept_at = now;
     auto& servers = this->core->servers;
     servers.forget_left(now);
-    this->core->limits.forget_old(now);
     const auto is_gone = [&servers](const routing::server_start& server) {
         const auto* known = servers.find(server.id);
         return known == nullptr || known->start() != server;
     };
     this->core->health.forget_if(is_gone);
-    this->core->turns.forget_if(is_gone);
+    this->core->intake.forget_if(is_gone, now);
     for (auto& [service, paces] : this->core->paces) {
         paces.forget_if(is_gone);
     }
--- /dev/null
+++ b/source/core/routing/intake_book.cpp
@@ -0,0 +1,57 @@
+#include "routing/intake_book.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace reedramp::routing {
+
+intake_book::intake_book(intake_options options, turn_hooks hooks)
+    : settings(options), turns(std::move(hooks))
+{
+}
+
+auto intake_book::aimed_per_second(
+    const registration& server, double cold_per_second, time_point now) const
+    -> std::optional<double>
+{
+    if (!is_spared(server, cold_per_second, now)) {
+        return std::nullopt;
+    }
+    const auto borne = cold_per_second * this->settings.cold_excess + this->settings.cold_slack;
+    return borne * this->settings.cold_part;
+}
+
+auto intake_book::may_take(const registration& server, double cold_per_second, time_point now) const
+    -> bool
+{
+    const auto aimed = this->aimed_per_second(server, cold_per_second, now);
+    return !aimed || this->turns.may_take(server, *aimed, now);
+}
+
+auto intake_book::next_turn(
+    const registration& server, double cold_per_second, time_point now) const -> time_point
+{
+    const auto aimed = this->aimed_per_second(server, cold_per_second, now);
+    if (!aimed) {
+        return now;
+    }
+    // It takes all once it is warm.
+    return std::min(this->turns.next_turn(server, *aimed, now), server.cold_until);
+}
+
+auto intake_book::note_sent(const registration& server, double cold_per_second, time_point now)
+    -> void
+{
+    if (this->has_turns(server, cold_per_second, now)) {
+        this->turns.note_sent(server.start(), now);
+    }
+}
+
+auto intake_book::forget_if(
+    const std::function<auto(const server_start& server)->bool>& is_gone, time_point now) -> void
+{
+    this->turns.forget_if(is_gone);
+    this->named.forget_old(now);
+}
+
+} // namespace reedramp::routing
--- /dev/null
+++ b/source/core/routing/intake_book.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+
+#include "routing/entry_turns.hpp"
+#include "routing/server_limits.hpp"
+
+namespace reedramp::routing {
+
+struct intake_options {
+    /// A cold server bears this many times its service's rate, and this many requests more, in a
+    /// second; above that it fails.
+    double cold_excess = 1.0;
+    double cold_slack = 0.0;
+    /// The part of that which all entries together aim at. Views of how many entries there are may
+    /// differ by half, and a turn that opened late in one second may be used early in the next.
+    double cold_part = 0.25;
+    /// The part of a limit that a server has named: half of the entries may take themselves for
+    /// all, when the others have just started.
+    double limit_part = 0.8;
+    /// A server is asked so many times a second at the least, whatever limit it has named: no
+    /// answer could take the limit back else.
+    double least_per_second = 0.1;
+};
+
+/// What servers take: how many requests a second from all entries together, and this entry's part
+/// of that. A server that is cold, or that has named a limit, takes them in turns; any other one
+/// takes all.
+class intake_book {
+public:
+    intake_book(intake_options options, turn_hooks hooks);
+
+    /// What servers have named in their answers.
+    [[nodiscard]] auto limits() -> server_limits& { return this->named; }
+
+    [[nodiscard]] auto limits() const -> const server_limits& { return this->named; }
+
+    /// Whether the server is cold, where a cold one of its service bears `cold_per_second`; 0 if it
+    /// bears all.
+    [[nodiscard]] static auto
+    is_spared(const registration& server, double cold_per_second, time_point now) -> bool
+    {
+        return cold_per_second > 0.0 && server.is_cold(now);
+    }
+
+    /// Whether the server takes requests in turns; `cold_per_second` as above, here and below.
+    [[nodiscard]] auto
+    has_turns(const registration& server, double cold_per_second, time_point now) const -> bool
+    {
+        return this->aimed_per_second(server, cold_per_second, now).has_value();
+    }
+
+    /// Whether a request may go to the server now.
+    [[nodiscard]] auto
+    may_take(const registration& server, double cold_per_second, time_point now) const -> bool;
+
+    /// When a request may go to the server next: `now` where it may.
+    [[nodiscard]] auto
+    next_turn(const registration& server, double cold_per_second, time_point now) const
+        -> time_point;
+
+    /// A request goes to the server.
+    auto note_sent(const registration& server, double cold_per_second, time_point now) -> void;
+
+    /// Forgets servers that `is_gone`, and words of long ago.
+    auto
+    forget_if(const std::function<auto(const server_start& server)->bool>& is_gone, time_point now)
+        -> void;
+
+private:
+    /// Requests a second that all entries aim at; none: any number.
+    [[nodiscard]] auto
+    aimed_per_second(const registration& server, double cold_per_second, time_point now) const
+        -> std::optional<double>;
+
+    intake_options settings;
+    server_limits named;
+    entry_turns turns;
+};
+
+} // namespace reedramp::routing
--- a/source/core/routing/server_choice.cpp
+++ b/source/core/routing/server_choice.cpp
@@ -35,8 +35,8 @@
             this->asked.tried.empty() ||
             std::ranges::find(this->asked.tried, server.start()) == this->asked.tried.end();
         const bool has_turn =
-            this->books.turns == nullptr ||
-            this->books.turns->may_take(server, this->books.cold_per_second, this->now);
+            this->books.intake == nullptr ||
+            this->books.intake->may_take(server, this->books.cold_per_second, this->now);
         return is_untried && has_turn;
     }
 
@@ -165,8 +165,8 @@
     time_point now) -> double
 {
     const auto start = server.start();
-    const bool takes_turns = cold_turns::applies_to(server, books.cold_per_second, now);
-    const auto slowness = books.paces.slowness(start) * (takes_turns ? options.cold_slowness : 1.0);
+    const bool is_spared = intake_book::is_spared(server, books.cold_per_second, now);
+    const auto slowness = books.paces.slowness(start) * (is_spared ? options.cold_slowness : 1.0);
     const auto cost = slowness * (books.loads.total(start, now).work + asked.work);
     const bool is_far = server.data_centre != asked.own_data_centre;
     return is_far ? cost + options.distance_work : cost;
--- a/source/core/routing/server_choice.hpp
+++ b/source/core/routing/server_choice.hpp
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "routing/cold_turns.hpp"
+#include "routing/intake_book.hpp"
 #include "routing/load_book.hpp"
 #include "routing/pace_book.hpp"
 #include "routing/server_health.hpp"
@@ -48,16 +48,16 @@
     const load_book& loads;
     const pace_book& paces;
     const server_health& health;
-    /// Null: cold servers are taken as others.
-    const cold_turns* turns = nullptr;
+    /// Null: all servers take any number of requests.
+    const intake_book* intake = nullptr;
     /// Requests a second that a cold server of the service bears; 0 if it bears all.
     double cold_per_second = 0.0;
 };
 
 /// Takes a server for a request: of a few, the one that is through first with its work over all
 /// entries and this request's, less what a prompt that is already there saves. Null when no server
-/// is left, or only cold ones at which this entry has no turn. Resting servers are taken only when
-/// all rest.
+/// is left, or only such as take requests in turns, and it is not this entry's. Resting servers are
+/// taken only when all rest.
 ///
 /// The few are the prompt's holders and some drawn by chance; all, where there are no more. Entries
 /// hear of each other's work late: with the same view all would send to the same least loaded
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -429,6 +429,13 @@
     return first_end == common::never ? now : first_end + restart_time;
 }
 
+auto peer_group::place_among_all() const -> routing::entry_place
+{
+    const auto before =
+        std::distance(this->peers.begin(), this->peers.lower_bound(this->own_address));
+    return {static_cast<std::size_t>(before), this->peers.size() + 1};
+}
+
 auto peer_group::heard() const -> std::size_t
 {
     return this->living().size();
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -72,9 +72,9 @@
 
     [[nodiscard]] auto heard() const -> std::size_t;
 
-    /// How many entries there are, this one included: those that it knows of, also where they have
-    /// just fallen silent. An entry that is cut off is not alone.
-    [[nodiscard]] auto known() const -> std::size_t { return this->peers.size() + 1; }
+    /// This entry's place, by address, among those that it knows of, also where they have just
+    /// fallen silent. An entry that is cut off is not alone.
+    [[nodiscard]] auto place_among_all() const -> routing::entry_place;
 
     /// News of the servers' list came from a peer: it lives.
     auto note_news(const router::list_news& news, const http::endpoint& from) -> void;
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -101,8 +101,8 @@
     hooks.on_new_era = [this] {
         this->on_new_era();
     };
-    hooks.entries = [this] {
-        return this->peers->known();
+    hooks.place = [this] {
+        return this->peers->place_among_all();
     };
     hooks.served_elsewhere_at = [this](common::time_point now) {
         return this->peers->served_elsewhere_at(now);
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -87,13 +87,13 @@
          .type = settings::value_type::real,
          .doc = "What a cold server bears in a second, over all entries, in multiples of its "
                 "service's rate.",
-         .fallback = routing::cold_options{}.excess,
+         .fallback = routing::intake_options{}.cold_excess,
          .lowest = 0.01,
          .highest = 100.0},
         {.path = "cold.slack",
          .type = settings::value_type::real,
          .doc = "Requests that it bears in a second beside that.",
-         .fallback = routing::cold_options{}.slack,
+         .fallback = routing::intake_options{}.cold_slack,
          .lowest = 0.0,
          .highest = 1e6},
         {.path = "retries.ratio",
@@ -138,8 +138,8 @@
     for (const auto& [data_centre, region] : values.map("regions")) {
         read.router.regions[common::data_centre_id{data_centre}] = common::region_id{region};
     }
-    read.router.cold.excess = values.real("cold.excess");
-    read.router.cold.slack = values.real("cold.slack");
+    read.router.intake.cold_excess = values.real("cold.excess");
+    read.router.intake.cold_slack = values.real("cold.slack");
     read.router.rollout.session_time = values.milliseconds("session_time");
     // In the first half, so that it takes up three fifths of what a bad version may get; the rest
     // is for what is under way, and sent, until it is found.
--- a/source/unit_tests/router/entry_fleet.cpp
+++ b/source/unit_tests/router/entry_fleet.cpp
@@ -67,6 +67,7 @@
                 one.courier->fetch_from(from);
             }
         });
+    this->take_turns(one);
     one.list = std::make_shared<servers_list>(one.own.core, follower_options{});
     courier_hooks hooks;
     hooks.send = [this, number](const http::endpoint& to, const std::string& bytes) {
@@ -118,6 +119,22 @@
                                }});
 }
 
+auto entry_fleet::take_turns(entry& one) -> void
+{
+    // Hosts' times of day differ by so much at the most.
+    constexpr std::uint64_t clocks_differ_ms = 100;
+    const auto ahead = milliseconds{this->random() % clocks_differ_ms};
+    routing::turn_hooks hooks;
+    hooks.place = [&one] {
+        return one.peers->place_among_all();
+    };
+    hooks.unix_ms = [&one, ahead] {
+        const auto time = one.own.now.time_since_epoch() + ahead;
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(time).count());
+    };
+    one.own.core->intake = routing::intake_book{one.own.core->options.intake, std::move(hooks)};
+}
+
 auto entry_fleet::make_rules(entry& one) -> void
 {
     shared_store store;
--- a/source/unit_tests/router/entry_fleet.hpp
+++ b/source/unit_tests/router/entry_fleet.hpp
@@ -125,6 +125,8 @@
 
     auto make_entry(std::size_t number) -> void;
     auto make_rules(entry& one) -> void;
+    /// Gives it its place among all, and a time of day of its own.
+    auto take_turns(entry& one) -> void;
     auto read_rules(waiting_reader asked, bool is_first) -> void;
     [[nodiscard]] auto orders_from(const waiting_reader& asked, bool is_first) const
         -> common::result<stream_reading<rules_document>>;
--- a/source/unit_tests/routing/choice_world.cpp
+++ b/source/unit_tests/routing/choice_world.cpp
@@ -38,11 +38,13 @@
             this->add_server(i, {});
         }
         this->free_at.resize(this->shape.servers, start);
-        cold_options cold;
-        cold.excess = cold_excess;
-        cold.slack = cold_slack;
+        intake_options options_of_intake;
+        options_of_intake.cold_excess = cold_excess;
+        options_of_intake.cold_slack = cold_slack;
         for (std::size_t i = 0; i < this->shape.entries; ++i) {
-            this->turns.emplace_back(cold, this->random(), [this] { return this->shape.entries; });
+            this->intakes.emplace_back(options_of_intake, turn_hooks{[this, i] {
+                                           return entry_place{i, this->shape.entries};
+                                       }});
         }
         for (std::size_t i = 0; i < this->books.size(); ++i) {
             this->hosts.emplace_back("entry-" + std::to_string(i));
@@ -131,12 +133,12 @@
             {this->book_of(entry),
              alike,
              healthy,
-             this->shape.takes_turns ? &this->turns[entry] : nullptr,
+             this->shape.takes_turns ? &this->intakes[entry] : nullptr,
              this->shape.takes_turns ? cold_rate : 0.0},
             this->options,
             this->random(),
             now);
-        this->turns[entry].note_sent(*chosen, now);
+        this->intakes[entry].note_sent(*chosen, cold_rate, now);
         this->send(now, entry, this->numbers.at(chosen), asked.work, is_counted);
         this->note_prompt(prompt, this->numbers.at(chosen), is_counted);
     }
@@ -267,7 +269,7 @@
     std::vector<double> found_before;
     std::map<std::size_t, std::size_t> hot_sends;
     std::map<std::uint64_t, std::size_t> holder;
-    std::vector<cold_turns> turns;
+    std::vector<intake_book> intakes;
     time_point came_back = common::never;
     /// By server that came back, and over all.
     std::map<std::size_t, std::vector<time_point>> sends_back;
--- a/source/unit_tests/routing/cold_turns_test.cpp
+++ b/source/unit_tests/routing/intake_test.cpp
@@ -24,14 +24,22 @@
 using testing::cold_rate;
 using testing::most_in_a_second;
 
-auto options() -> cold_options
+auto options() -> intake_options
 {
-    cold_options made;
-    made.excess = testing::cold_excess;
-    made.slack = testing::cold_slack;
+    intake_options made;
+    made.cold_excess = testing::cold_excess;
+    made.cold_slack = testing::cold_slack;
     return made;
 }
 
+/// The book of one entry, of so many.
+auto book_of(std::size_t number, std::size_t of) -> intake_book
+{
+    return {options(), {[number, of] {
+                return entry_place{number, of};
+            }}};
+}
+
 auto cold_server(const std::string& name, time_point until) -> registration
 {
     registration one;
@@ -47,6 +55,8 @@
     /// How many entries one believes that there are, by its number.
     std::function<auto(std::size_t entry)->std::size_t> believed{};
     std::uint64_t seed = 1;
+    /// Entries' times of day differ by so much at the most.
+    milliseconds clocks_differ{100};
 };
 
 struct crowd_result {
@@ -63,23 +73,33 @@
     constexpr seconds cold_time{3};
     std::mt19937_64 random{shape.seed};
     const time_point begin{seconds{500 + static_cast<int>(random() % 1000)}};
-    std::vector<cold_turns> entries;
+    auto now = begin;
+    std::vector<intake_book> entries;
     for (std::size_t i = 0; i < shape.entries; ++i) {
-        entries.emplace_back(options(), random(), [&shape, i] {
-            return shape.believed ? shape.believed(i) : shape.entries;
-        });
+        const auto believed = shape.believed ? shape.believed(i) : shape.entries;
+        const milliseconds ahead{
+            random() % static_cast<std::uint64_t>(shape.clocks_differ.count())};
+        turn_hooks hooks;
+        hooks.place = [i, believed] {
+            return entry_place{i % believed, believed};
+        };
+        hooks.unix_ms = [&now, ahead] {
+            const auto time = std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+            return static_cast<std::uint64_t>((time + ahead).count());
+        };
+        entries.emplace_back(options(), std::move(hooks));
     }
     crowd_result found;
     std::size_t all = 0;
     for (std::size_t s = 0; s < shape.servers; ++s) {
         const auto server = cold_server("server-" + std::to_string(s), begin + cold_time);
         std::vector<time_point> sends;
-        for (auto now = begin; now < begin + cold_time; now += step) {
+        for (now = begin; now < begin + cold_time; now += step) {
             // Nobody asks for half a second, then all do.
             const bool is_pressed = ((now - begin) / milliseconds{500}) % 2 == 1;
             for (auto& entry : entries) {
                 if (is_pressed && entry.may_take(server, cold_rate, now)) {
-                    entry.note_sent(server, now);
+                    entry.note_sent(server, cold_rate, now);
                     sends.push_back(now);
                 }
             }
@@ -128,15 +148,24 @@
     }
 }
 
+TEST_CASE("times of day that differ by minutes do not bring turns together", "[cold]")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        const auto found = press({.seed = seed, .clocks_differ = seconds{600}});
+        INFO("seed " << seed);
+        CHECK(found.most <= cold_bound);
+    }
+}
+
 TEST_CASE("turns that were not used do not add up", "[cold]")
 {
     const time_point begin{seconds{700}};
-    cold_turns alone{options(), 7};
+    auto alone = book_of(0, 1);
     const auto server = cold_server("s", begin + seconds{60});
     std::size_t sends = 0;
     for (auto now = begin + seconds{30}; now < begin + seconds{31}; now += milliseconds{1}) {
         if (alone.may_take(server, cold_rate, now)) {
-            alone.note_sent(server, now);
+            alone.note_sent(server, cold_rate, now);
             sends += 1;
         }
     }
@@ -147,14 +176,12 @@
 TEST_CASE("a warm server, and one of a service that says no cold_rate, take all", "[cold]")
 {
     const time_point now{seconds{700}};
-    cold_turns turns{options(), 7, [] {
-                         return std::size_t{390};
-                     }};
+    auto turns = book_of(7, 390);
     const auto warm = cold_server("w", now);
     const auto cold = cold_server("c", now + seconds{3});
     for (int i = 0; i < 100; ++i) {
         CHECK(turns.may_take(warm, cold_rate, now));
-        turns.note_sent(warm, now);
+        turns.note_sent(warm, cold_rate, now);
         CHECK(turns.may_take(cold, 0.0, now));
         CHECK(turns.next_turn(cold, 0.0, now) == now);
     }
@@ -178,7 +205,7 @@
     const pace_book paces;
     const server_health health{health_options{}};
     // Alone, an entry always has a turn somewhere.
-    cold_turns turns{options(), 7};
+    auto turns = book_of(0, 1);
     placement_request asked;
     asked.work = 1000.0;
     std::size_t to_warm = 0;
@@ -187,7 +214,7 @@
         const server_books books{loads, paces, health, &turns, cold_rate};
         const auto* chosen = choose_server(usable, asked, books, {}, i, now);
         REQUIRE(chosen != nullptr);
-        turns.note_sent(*chosen, now);
+        turns.note_sent(*chosen, cold_rate, now);
         loads.begin(chosen->start(), asked.work);
         to_warm += chosen == &all[0] ? 1 : 0;
     }
@@ -204,7 +231,7 @@
     loads.begin(all[1].start(), 100.0);
     const pace_book paces;
     const server_health health{health_options{}};
-    const cold_turns turns{options(), 7};
+    const auto turns = book_of(0, 1);
     placement_request asked;
     asked.work = 1000.0;
     const server_books books{loads, paces, health, &turns, 0.0};
@@ -225,11 +252,9 @@
     const load_book loads;
     const pace_book paces;
     const server_health health{health_options{}};
-    cold_turns turns{options(), 7, [] {
-                         return std::size_t{390};
-                     }};
+    auto turns = book_of(7, 390);
     for (const auto& one : all) {
-        turns.note_sent(one, now);
+        turns.note_sent(one, cold_rate, now);
     }
     const server_books books{loads, paces, health, &turns, cold_rate};
     CHECK(choose_server(usable, {}, books, {}, 1, now) == nullptr);
