Keep to what servers name that they take, over all entries together

What was seen: two engines that named 1 and 2.1 requests a second got 27 and 28 in four seconds, where 11 and 18 were allowed. Cause: nothing read what a server says that it takes, so that its load and pace alone decided, at each entry for itself. Ruled out: each entry keeping the limit by itself (three entries would make 12), and second sends alone (they were a third). Class: a word by which a server says how much it wants is passed through, and belongs to no decision.

Change: the book of what servers take (intake_book) knows the limits that answers name, the newest answer counting, and gives a limited server's requests out in turns, as a cold one's: eight tenths of what it named, at least one request in ten seconds, so that an answer can take the limit back. All sends ask the one choice of a server: first and second ones, larger models', resumed streams. An entry that reads a limit, or an answer without it, tells all others within half a second, and in each message for 30 s; limits that were heard are not passed on. Where all servers are limited requests wait half a second for a turn, and are then refused, to come back at the next turn, spread over a second.

Why it holds: turns follow each other evenly over all entries, eight tenths of the rate leaves room for half of the entries not knowing the other half, and an entry that has heard nothing yet reads the limit in its first answer.

--- a/source/core/router/peer_message.cpp
+++ b/source/core/router/peer_message.cpp
@@ -173,6 +173,35 @@
     }
 }
 
+/// Stands for a server that takes any number of requests.
+constexpr float no_limit = -1.0F;
+
+auto fill_limits(schema::Words::Builder to, const std::vector<routing::told_limit>& from) -> void
+{
+    auto limits = to.initLimits(static_cast<unsigned>(from.size()));
+    for (unsigned i = 0; i < from.size(); ++i) {
+        const auto& one = from[i];
+        limits[i].setServer(one.server);
+        limits[i].setPerSecond(one.per_second ? static_cast<float>(*one.per_second) : no_limit);
+        limits[i].setAgeMs(told_ms(one.age));
+    }
+}
+
+auto read_limits(schema::Words::Reader from) -> std::vector<routing::told_limit>
+{
+    std::vector<routing::told_limit> limits;
+    for (const auto one : from.getLimits()) {
+        const double per_second = one.getPerSecond();
+        if (std::isfinite(per_second)) {
+            limits.push_back(
+                {one.getServer(),
+                 per_second < 0.0 ? std::nullopt : std::optional{per_second},
+                 std::chrono::milliseconds{one.getAgeMs()}});
+        }
+    }
+    return limits;
+}
+
 auto read_words(schema::Words::Reader from) -> peer_words
 {
     peer_words words;
@@ -222,6 +251,7 @@
     for (const auto data_centre : from.getEvacuated()) {
         words.evacuations.evacuated.emplace_back(text_of(data_centre));
     }
+    words.limits = read_limits(from);
     if (from.getEndsInMs() > 0) {
         words.ends_in = std::chrono::milliseconds{from.getEndsInMs()};
     }
@@ -281,6 +311,7 @@
     for (unsigned i = 0; i < words.evacuations.evacuated.size(); ++i) {
         evacuated.set(i, words.evacuations.evacuated[i].value());
     }
+    fill_limits(root, words.limits);
     if (words.ends_in) {
         // At least 1: 0 says that the sender stays.
         const auto left = std::max<std::int64_t>(words.ends_in->count(), 1);
--- a/source/core/router/peer_message.hpp
+++ b/source/core/router/peer_message.hpp
@@ -12,6 +12,7 @@
 #include "routing/load_book.hpp"
 #include "routing/rollout_guide.hpp"
 #include "routing/server_health.hpp"
+#include "routing/server_limits.hpp"
 #include "routing/server_table.hpp"
 
 namespace reedramp::router {
@@ -42,6 +43,8 @@
     /// Registrations that have lately ended, perhaps without a word that the server leaves.
     std::vector<routing::told_end> ended;
     routing::told_evacuations evacuations;
+    /// What servers have named in answers that the sender got.
+    std::vector<routing::told_limit> limits;
     /// Until the sender's process ends at the latest; none while it stays.
     std::optional<std::chrono::milliseconds> ends_in;
 };
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -25,6 +25,14 @@
   readTo @1 :UInt64;
 }
 
+# What a server named in an answer that the sender got: requests a second from all entries together;
+# less than 0 where it takes any number.
+struct Limit {
+  server @0 :UInt64;
+  perSecond @1 :Float32;
+  ageMs @2 :UInt32;
+}
+
 struct RouteEvidence {
   route @0 :Text;
   wealth @1 :List(Float32);
@@ -89,6 +97,7 @@
   # Those of `peers` whose address is of IPv4, and which are left out there: the address in 32 bits,
   # then the port in 16. As texts they would be half of each message.
   peersIpv4 @19 :List(UInt64);
+  limits @20 :List(Limit);
 }
 
 # A request that ends the servers which run it: since it was barred, and since it came last.
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -180,12 +180,15 @@
     const auto now = this->core->hooks.clock();
     const auto cold =
         std::ranges::count_if(open, [now](const auto* server) { return server->is_cold(now); });
+    const auto limited = std::ranges::count_if(open, [this](const auto* server) {
+        return this->core->intake.limits().per_second(server->start()).has_value();
+    });
     common::log(
         common::log_part::place,
         common::log_level::info,
         "no server request=" + this->request.caller.attempt + " service=" + this->service.value() +
             " open=" + std::to_string(open.size()) + " cold=" + std::to_string(cold) +
-            " tried=" + std::to_string(this->tried.size()) +
+            " limited=" + std::to_string(limited) + " tried=" + std::to_string(this->tried.size()) +
             " evacuated=" + std::to_string(this->core->evacuations.evacuated().size()));
 }
 
@@ -197,16 +200,21 @@
     if (open.empty()) {
         return options.come_back_when_ready;
     }
-    auto warm_at = common::never;
+    const auto known = this->books();
+    auto next = common::never;
     for (const auto* server : open) {
-        warm_at = std::min(warm_at, std::max(server->cold_until, now));
+        const bool is_limited = this->core->intake.limits().per_second(server->start()).has_value();
+        next = std::min(
+            next,
+            is_limited ? known.intake->next_turn(*server, known.cold_per_second, now)
+                       : std::max(server->cold_until, now));
     }
-    if (warm_at <= now) {
+    if (next <= now) {
         return options.come_back_after;
     }
     const auto spread = common::random_unit(this->core->hooks.random) *
                         static_cast<double>(options.returns_spread.count());
-    return milliseconds_between(now, warm_at) +
+    return milliseconds_between(now, next) +
            std::chrono::milliseconds{static_cast<std::int64_t>(spread)};
 }
 
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -109,20 +109,45 @@
     if (!said.limit && said.has_odd_limit) {
         return;
     }
-    const auto before = this->intake.limits().per_second(server);
-    const auto change = this->intake.limits().note(server, said.limit, this->hooks.clock());
+    const auto now = this->hooks.clock();
+    const auto change = this->intake.limits().note(server, said.limit, now);
+    this->log_limit(change, to_string(server), said.limit, " request=" + attempt);
+    const bool concerns_all =
+        change == routing::limit_change::named || change == routing::limit_change::lifted;
+    if (concerns_all && now - this->limit_news_at >= this->options.limit_news_period) {
+        this->limit_news += 1;
+        this->limit_news_at = now;
+    }
+}
+
+auto router_core::hear_limits(
+    const std::vector<routing::told_limit>& told, const std::string& told_by) -> void
+{
+    for (const auto& one : told) {
+        const auto change = this->intake.limits().hear(one, this->hooks.clock());
+        if (change != routing::limit_change::none) {
+            const auto server = this->servers.find_named(one.server);
+            const auto name = server ? to_string(*server) : "unknown";
+            this->log_limit(change, name, one.per_second, " told_by=" + told_by);
+        }
+    }
+}
+
+auto router_core::log_limit(
+    routing::limit_change change,
+    const std::string& server,
+    std::optional<double> per_second,
+    const std::string& source) const -> void
+{
     if (change == routing::limit_change::none) {
         return;
     }
-    const auto number = [](std::optional<double> limit) {
-        return limit ? std::to_string(*limit) : std::string{"any"};
-    };
-    this->counters.count_server_word(said.limit ? "limit" : "no_limit");
+    this->counters.count_server_word(per_second ? "limit" : "no_limit");
     common::log(
         common::log_part::members,
         common::log_level::info,
-        "server takes server=" + to_string(server) + " per_second=" + number(said.limit) +
-            " before=" + number(before) + " request=" + attempt);
+        "server takes server=" + server +
+            " per_second=" + (per_second ? std::to_string(*per_second) : "any") + source);
 }
 
 auto router_core::find_barred(const http::request& asked, const caller_request& caller)
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -103,6 +103,9 @@
     /// Callers that were refused since all servers are cold return within this after the first of
     /// these is warm; all at once they would fill it.
     std::chrono::milliseconds returns_spread{1000};
+    /// What servers name in their answers is told to all entries at once so often at the most. A
+    /// server whose answers name a limit by turns must not keep all entries talking.
+    std::chrono::milliseconds limit_news_period{2000};
     /// A stream that stays silent for this many of its longest good pauses goes on elsewhere.
     double stalled_after_pauses = 1.5;
     /// So does one that waits for its first event for this many times the route's mean, and for
@@ -222,6 +225,14 @@
         const routing::server_start& server, const server_words& said, const std::string& attempt)
         -> void;
 
+    /// A peer has read this in servers' answers.
+    auto hear_limits(const std::vector<routing::told_limit>& told, const std::string& told_by)
+        -> void;
+
+    /// Grows when an answer to this entry names a server's limit or takes one back, at most once in
+    /// `limit_news_period`.
+    [[nodiscard]] auto limits_found() const -> std::uint64_t { return this->limit_news; }
+
     /// What tells the request from others, whatever its attempt id.
     [[nodiscard]] auto print_of(const http::request& asked, const caller_request& caller) const
         -> routing::request_print;
@@ -288,11 +299,18 @@
     auto check(const http::request& asked, const caller_request& caller) const
         -> common::result<const routing::route*>;
 
+    auto log_limit(
+        routing::limit_change change,
+        const std::string& server,
+        std::optional<double> per_second,
+        const std::string& source) const -> void;
     auto on_evacuations(const routing::evacuation_change& changed, const std::string& told_by)
         -> void;
 
     std::vector<std::shared_ptr<held_request>> held;
     std::uint64_t evacuation_changes = 0;
+    std::uint64_t limit_news = 0;
+    time_point limit_news_at{};
     std::shared_ptr<const routing::route_table> rules_in_force;
     std::string text_in_force;
     std::optional<std::uint64_t> known_era;
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -28,7 +28,8 @@
           "router_barred_total",
           "Requests found to end the servers that run them, and sent to none from then on.")),
       turn_waits(registry.counter_of(
-          "router_turn_waits_total", "Requests that waited for a turn at a cold server.")),
+          "router_turn_waits_total",
+          "Requests that waited for a turn at a server that is cold or has named a limit.")),
       evacuated(
           registry.gauge_of("router_evacuated_data_centres", "Data centres that are evacuated.")),
       store_returns(registry.counter_of(
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -21,7 +21,7 @@
     metrics::gauge& under_way;
     /// Requests that this entry has found to end servers.
     metrics::counter& barred;
-    /// Requests that waited for a turn at a cold server.
+    /// Requests that waited for a turn at a server that is cold or has named a limit.
     metrics::counter& turn_waits;
     /// Data centres that are evacuated.
     metrics::gauge& evacuated;
--- a/source/core/routing/entry_turns.cpp
+++ b/source/core/routing/entry_turns.cpp
@@ -11,6 +11,10 @@
 /// up would all be used in the moment in which callers return.
 constexpr double least_turn_s = 0.25;
 
+/// A turn's beginning follows from a time of day in whole milliseconds, and is found a little
+/// earlier or later each time; a send at its very beginning must count as one of it.
+constexpr std::chrono::milliseconds begin_varies{2};
+
 /// A part of a round of turns, so that an entry's turns at different servers do not come together.
 auto phase_of(const registration& server) -> double
 {
@@ -60,8 +64,8 @@
     // The number of entries changes, and the time of day may jump, and all turns with them: never
     // sooner than a period allows.
     const bool is_used =
-        sent != this->last_sent.end() &&
-        (sent->second >= found.begins || now - sent->second < as_duration(period - lasts));
+        sent != this->last_sent.end() && (sent->second >= found.begins - begin_varies ||
+                                          now - sent->second < as_duration(period - lasts));
     found.is_open = !is_used && since_begin < lasts;
     return found;
 }
--- a/source/core/routing/intake_book.cpp
+++ b/source/core/routing/intake_book.cpp
@@ -14,11 +14,16 @@
     const registration& server, double cold_per_second, time_point now) const
     -> std::optional<double>
 {
+    auto limit = this->named.per_second(server.start());
+    if (limit) {
+        limit = std::max(*limit * this->settings.limit_part, this->settings.least_per_second);
+    }
     if (!is_spared(server, cold_per_second, now)) {
-        return std::nullopt;
+        return limit;
     }
     const auto borne = cold_per_second * this->settings.cold_excess + this->settings.cold_slack;
-    return borne * this->settings.cold_part;
+    const auto cold = borne * this->settings.cold_part;
+    return std::min(limit.value_or(cold), cold);
 }
 
 auto intake_book::may_take(const registration& server, double cold_per_second, time_point now) const
@@ -35,8 +40,9 @@
     if (!aimed) {
         return now;
     }
-    // It takes all once it is warm.
-    return std::min(this->turns.next_turn(server, *aimed, now), server.cold_until);
+    const auto next = this->turns.next_turn(server, *aimed, now);
+    // It takes all once it is warm, unless it has named a limit.
+    return this->named.per_second(server.start()) ? next : std::min(next, server.cold_until);
 }
 
 auto intake_book::note_sent(const registration& server, double cold_per_second, time_point now)
--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -393,6 +393,16 @@
     return gets_work ? &found->second.last : nullptr;
 }
 
+auto server_table::find_named(std::uint64_t hash) const -> std::optional<server_start>
+{
+    for (const auto& [id, known] : this->servers) {
+        if (known.gets_work() && hash_of(known.last.start()) == hash) {
+            return known.last.start();
+        }
+    }
+    return std::nullopt;
+}
+
 auto server_table::state_of(const common::server_id& id) const -> std::optional<server_state>
 {
     const auto found = this->servers.find(id);
--- a/source/core/routing/server_table.hpp
+++ b/source/core/routing/server_table.hpp
@@ -148,6 +148,9 @@
     /// Null unless it may get work.
     [[nodiscard]] auto find(const common::server_id& id) const -> const registration*;
 
+    /// The start with this hash, if it may get work; looks at all.
+    [[nodiscard]] auto find_named(std::uint64_t hash) const -> std::optional<server_start>;
+
     [[nodiscard]] auto state_of(const common::server_id& id) const -> std::optional<server_state>;
 
     [[nodiscard]] auto is_retired(const common::server_id& id) const -> bool
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -20,7 +20,8 @@
 constexpr common::duration least_silence = std::chrono::seconds{2};
 constexpr int missed_rounds = 3;
 /// After an order, all peers are told in this time which sessions are on an old version, and not in
-/// turn: the first ones are moved 0.6 s after it, and a round of a hundred entries takes 2.6 s.
+/// turn: the first ones are moved 0.6 s after it, and a round of a hundred entries takes 2.6 s. So
+/// they are of a server that has named a limit, or taken it back.
 constexpr common::duration hurried_round = std::chrono::milliseconds{500};
 /// Entries of a data centre that read the store for all of it, and pass news on in it: with one,
 /// its death costs all of them the time until that shows.
@@ -113,6 +114,7 @@
     words.leaving = this->core->servers.leaving();
     words.ended = this->core->servers.ended(now);
     words.evacuations = this->core->evacuations.tell();
+    words.limits = this->core->intake.limits().tell(now);
     if (this->core->leaves_at() != common::never) {
         words.ends_in =
             std::chrono::duration_cast<std::chrono::milliseconds>(this->core->leaves_at() - now);
@@ -123,6 +125,7 @@
 
 auto peer_group::tell() -> void
 {
+    this->spread_news();
     const auto now = this->core->hooks.clock();
     std::erase_if(
         this->peers, [now](const auto& item) { return now - item.second.heard > forgotten_after; });
@@ -173,7 +176,8 @@
     return {
         this->core->rules_version(),
         this->core->rollouts.orders_taken(),
-        this->core->evacuations_changed()};
+        this->core->evacuations_changed(),
+        this->core->limits_found()};
 }
 
 auto peer_group::spread_news() -> void
@@ -183,7 +187,9 @@
         return;
     }
     const auto now = this->core->hooks.clock();
-    if (newest.orders != this->spread.orders) {
+    const bool concerns_all =
+        newest.orders != this->spread.orders || newest.limits != this->spread.limits;
+    if (concerns_all) {
         this->hurries_until = now + hurried_round;
     }
     this->spread = newest;
@@ -239,6 +245,7 @@
     }
     this->core->learn_evacuations(words->evacuations, words->host.value());
     this->hear_of_servers(*words, now);
+    this->core->hear_limits(words->limits, words->host.value());
     const auto trusted_until = now + this->round() * trusted_rounds;
     this->core->loads.hear(words->host, words->loads, trusted_until);
     this->core->freshness.hear(words->freshness, now);
--- a/source/router/state_page.cpp
+++ b/source/router/state_page.cpp
@@ -15,6 +15,7 @@
     const auto start = server.start();
     const auto load = core.loads.total(start, now);
     const auto paces = core.paces.find(server.service);
+    const auto limit = core.intake.limits().per_second(start);
     return {
         {"id", server.id.value()},
         {"started_unix_ms", server.born.value()},
@@ -27,7 +28,8 @@
         {"slowness", paces == core.paces.end() ? 1.0 : paces->second.slowness(start)},
         {"failures", core.health.failures(start)},
         {"resting", core.health.is_resting(start, now)},
-        {"cold", server.is_cold(now)}};
+        {"cold", server.is_cold(now)},
+        {"takes_per_second", limit ? json::value(*limit) : json::value(nullptr)}};
 }
 
 auto rollout_row(const routing::rollout_progress& one) -> json::object
--- a/source/unit_tests/router/peer_message_test.cpp
+++ b/source/unit_tests/router/peer_message_test.cpp
@@ -38,6 +38,8 @@
     words.outcomes = {{7, 1.5, 2.25}};
     words.peers = {"10.0.0.2:7000", "255.254.0.9:65535", "[2001:db8::1]:7000"};
     words.leaving = {77};
+    words.limits = {
+        {19, 2.5, std::chrono::milliseconds{40}}, {20, std::nullopt, std::chrono::milliseconds{0}}};
     words.evacuations = {
         routing::stream_position{4321},
         {common::data_centre_id{"dc-1"}, common::data_centre_id{"dc-2"}}};
@@ -70,6 +72,11 @@
     CHECK(read->rollouts[0].state == routing::rollout_state::reverted);
     CHECK(read->rollouts[0].is_written);
     CHECK(read->process == words.process);
+    REQUIRE(read->limits.size() == 2);
+    CHECK(read->limits[0].server == 19);
+    CHECK(read->limits[0].per_second == 2.5);
+    CHECK(read->limits[0].age == std::chrono::milliseconds{40});
+    CHECK_FALSE(read->limits[1].per_second);
     REQUIRE(read->ended.size() == 2);
     CHECK(read->ended[0].server == 17);
     CHECK(read->ended[0].read_to == 123456789000);
