Log for how long a server that turns a request away wants rest

It says rest_ms=N now, or rest=unreadable. Nothing is decided by it yet. What servers say of themselves is read in one place for every answer that is not another request's.

--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -85,6 +85,8 @@
         time_point last_progress;
         verdict said = verdict::none;
         http::response head;
+        /// Of the server, in that head.
+        server_words words;
         std::string body;
         std::shared_ptr<http::call> call;
         std::optional<routing::event_splitter> events;
@@ -154,7 +156,9 @@
 
     auto on_head(const std::shared_ptr<attempt>& of, const http::response& head) -> void;
     /// Takes in what the server says of itself.
-    auto hear_server(const attempt& of, const http::response& head) const -> void;
+    auto hear_server(const attempt& of) const -> void;
+    /// Whether the answer names another request: the connection held one too many.
+    [[nodiscard]] auto is_for_another(const http::response& head) const -> bool;
     auto on_bytes(const std::shared_ptr<attempt>& of, std::string bytes) -> void;
     auto on_events(const std::shared_ptr<attempt>& of, const std::string& bytes) -> void;
     auto on_done(const std::shared_ptr<attempt>& of, const common::result<http::response>& answer)
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -41,8 +41,7 @@
 {
     const auto& names = this->core->options.names;
     const auto echoed = http::find_header(head.headers, names.attempt);
-    // An answer that came for another request: the connection held one too many.
-    if (echoed && *echoed != this->request.caller.attempt) {
+    if (this->is_for_another(head)) {
         return verdict::untrusted;
     }
     const bool not_run = http::find_header(head.headers, names.not_executed).has_value();
@@ -59,6 +58,12 @@
     return is_signed ? verdict::server_failure : verdict::untrusted;
 }
 
+auto relay::is_for_another(const http::response& head) const -> bool
+{
+    const auto echoed = http::find_header(head.headers, this->core->options.names.attempt);
+    return echoed && *echoed != this->request.caller.attempt;
+}
+
 auto relay::on_head(const std::shared_ptr<attempt>& of, const http::response& head) -> void
 {
     if (of->ended) {
@@ -69,7 +74,10 @@
         const auto took = milliseconds_between(of->sent, this->core->hooks.clock());
         this->core->paces[this->service].note(of->server, took, of->work_ahead);
     }
-    this->hear_server(*of, head);
+    if (!this->is_for_another(head) && head.status != misdirected) {
+        of->words = read_server_words(head, this->core->options.names);
+        this->hear_server(*of);
+    }
     of->head = make_passed_on(head);
     of->last_progress = this->core->hooks.clock();
     if (of->said == verdict::untrusted) {
@@ -92,13 +100,12 @@
     }
 }
 
-auto relay::hear_server(const attempt& of, const http::response& head) const -> void
+auto relay::hear_server(const attempt& of) const -> void
 {
-    // What can't be believed, or comes from another server at that address, says nothing of it.
-    if (of.said == verdict::untrusted || head.status == misdirected) {
+    const auto& words = of.words;
+    if (of.said == verdict::untrusted) {
         return;
     }
-    const auto words = read_server_words(head, this->core->options.names);
     // A refusal may come from in front of the server, and takes nothing back by its silence.
     if (of.said != verdict::not_executed || words.limit || words.has_odd_limit) {
         this->core->hear_server(of.server, words, this->request.caller.attempt);
@@ -285,7 +292,9 @@
         common::log_part::place,
         common::log_level::info,
         std::string{what} + " request=" + this->request.caller.attempt +
-            " server=" + of.server.id.value() + " status=" + std::to_string(of.head.status));
+            " server=" + of.server.id.value() + " status=" + std::to_string(of.head.status) +
+            (of.words.rest ? " rest_ms=" + std::to_string(of.words.rest->count()) : "") +
+            (of.words.has_odd_rest ? " rest=unreadable" : ""));
 }
 
 auto relay::log_lost(const attempt& of, const common::error& why) -> void
--- a/source/core/router/server_words.hpp
+++ b/source/core/router/server_words.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <optional>
 
 #include "http/message.hpp"
@@ -13,6 +14,9 @@
     std::optional<double> limit;
     /// A header is there whose value can't be read: it says nothing, and takes nothing back.
     bool has_odd_limit = false;
+    /// It turns the request away, and wants none from this entry for so long.
+    std::optional<std::chrono::milliseconds> rest;
+    bool has_odd_rest = false;
 };
 
 auto read_server_words(const http::response& head, const header_names& names) -> server_words;
--- a/source/unit_tests/router/server_words_test.cpp
+++ b/source/unit_tests/router/server_words_test.cpp
@@ -41,6 +41,31 @@
     CHECK(words_of({"many", "3"}).limit == 3.0);
 }
 
+TEST_CASE("rest is asked for by a refusal, in seconds", "[words]")
+{
+    const auto rest_of = [](std::uint16_t status, std::vector<std::string> values) {
+        http::response head;
+        head.status = status;
+        for (auto& one : values) {
+            head.headers.push_back({"retry-after", std::move(one)});
+        }
+        return read_server_words(head, header_names{});
+    };
+    CHECK(rest_of(503, {"3"}).rest == std::chrono::seconds{3});
+    CHECK(rest_of(429, {"0.25"}).rest == std::chrono::milliseconds{250});
+    CHECK(rest_of(503, {"0"}).rest == std::chrono::milliseconds{0});
+    CHECK(rest_of(503, {"2", "5", "1"}).rest == std::chrono::seconds{5});
+    CHECK(rest_of(503, {"1e300"}).rest == std::chrono::hours{1});
+    CHECK_FALSE(rest_of(503, {}).rest);
+    CHECK_FALSE(rest_of(200, {"3"}).rest);
+    CHECK_FALSE(rest_of(500, {"3"}).rest);
+    for (const auto* odd : {"", "-1", "soon", "Thu, 03 Dec 2026 10:00:00 GMT", "3 s"}) {
+        INFO(odd);
+        CHECK_FALSE(rest_of(503, {odd}).rest);
+        CHECK(rest_of(503, {odd}).has_odd_rest);
+    }
+}
+
 TEST_CASE("any bytes are a limit or none", "[words]")
 {
     std::mt19937_64 random{1};
