--- a/source/unit_tests/router/answer_play.cpp
+++ b/source/unit_tests/router/answer_play.cpp
@@ -76,7 +76,7 @@
             continue; // Its caller has left it.
         }
         const auto said = this->answer ? this->answer(one.came) : server_answer{};
-        this->given.push_back({this->now(), one.came.entry, one.came.server});
+        this->given.push_back({this->now(), one.came.entry, one.came.server, said.status});
         one.call->answer(said.status, "whole", said.headers);
     }
 }
--- a/source/unit_tests/router/answer_play.hpp
+++ b/source/unit_tests/router/answer_play.hpp
@@ -29,6 +29,14 @@
     std::string server;
 };
 
+/// One answer that has come to an entry.
+struct given_answer {
+    common::time_point at;
+    std::size_t entry = 0;
+    std::string server;
+    std::uint16_t status = 0;
+};
+
 /// What a server answers to it.
 struct server_answer {
     std::uint16_t status = 200;
@@ -74,6 +82,7 @@
     /// Without, all requests are served.
     std::function<auto(const arrival& one)->server_answer> answer;
     std::vector<arrival> arrivals;
+    std::vector<given_answer> given;
     std::vector<std::shared_ptr<caller>> callers;
 
 private:
@@ -83,12 +92,6 @@
         common::time_point ends_at;
     };
 
-    struct given_answer {
-        common::time_point at;
-        std::size_t entry = 0;
-        std::string server;
-    };
-
     auto ask() -> void;
     auto take_new_sends() -> void;
     auto answer_due() -> void;
@@ -96,7 +99,6 @@
     answer_play_shape shape;
     std::vector<std::size_t> taken;
     std::vector<begun> under_way;
-    std::vector<given_answer> given;
     common::time_point next_request;
 };
 
