Give a server the rest that it asks this entry for

What callers saw: requests went round among engines that turned everything away, and over a tenth of one kind was refused at the worst. An engine that asks an entry for three seconds of rest got some 30 requests from it in them. Cause: a refusal changed nothing in what is believed of a server, and one that turns all away has nothing under way, so that it looks the emptiest and draws every next request. Ruled out: second sends alone (first ones go there as well), and a rest that is lost again (nothing kept it). Class: the same as with limits, a word by which a server says how much it wants belongs to no decision.

Change: the book of what servers take knows until when a server wants nothing from this entry. Such a server is out of every choice, of first and second sends, larger models' and resumed streams alike, also where all rest: then callers are refused at once, and told when the first is back. All entries that were asked return spread over a second, or the rest's own length. A refusal that asks for rest does not use up one of the four sends of a request, up to four times, since five such servers in twelve look the emptiest to every request. Requests that wait now look only at servers of versions to which their session may go.

Why it holds: an entry that has read the refusal sends nothing until the end that it read, which lies later than the server's own by the way of the answer; what is under way then is a request or two.

--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -116,6 +116,8 @@
     [[nodiscard]] auto has_tried(const routing::registration& server) const -> bool;
     /// Servers of the request's service that the rules let it go to.
     [[nodiscard]] auto open_servers() const -> std::vector<const routing::registration*>;
+    /// Those of them whose version its session may go to now.
+    [[nodiscard]] auto allowed_servers() const -> std::vector<const routing::registration*>;
     /// Whether its route or its organisation says in which regions it may run.
     [[nodiscard]] auto has_homes() const -> bool;
     /// What a cold server of the request's service bears; 0 if it bears all.
@@ -126,8 +128,7 @@
         -> const routing::registration*;
     /// Whether a server would take the request now that may go to `first` again.
     auto may_go_on_after(const routing::server_start& first) -> bool;
-    /// When this entry's next turn comes at a server that takes requests in turns; `never` without
-    /// such a one.
+    /// When a server that it may go to takes a request of this entry next; `never` without one.
     [[nodiscard]] auto next_turn() const -> time_point;
     /// When a caller should come back that is refused since no server takes its request.
     [[nodiscard]] auto come_back_after() const -> std::chrono::milliseconds;
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -103,6 +103,9 @@
 auto relay::hear_server(const attempt& of) const -> void
 {
     const auto& words = of.words;
+    if (words.rest) {
+        this->core->give_rest(of.server, *words.rest);
+    }
     if (of.said == verdict::untrusted) {
         return;
     }
@@ -269,6 +272,9 @@
     case verdict::not_executed:
         this->log_answer(*of, "server refused");
         this->settle(of, attempt_end::not_executed, server_outcome::refused);
+        if (of->words.rest) {
+            this->ledger.note_rest_asked();
+        }
         this->try_again(result_code::no_capacity);
         return;
     case verdict::server_failure:
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -97,12 +97,19 @@
 auto relay::choose_server() const -> const routing::registration*
 {
     const auto now = this->core->hooks.clock();
-    // Anew for each send: a version that was fine for the first may have been found bad since.
     const auto rule = this->core->rollouts.rule_for(this->service, this->session_hash, now);
     if (rule.allows_all() && !this->has_homes()) {
         return this->choose_among(this->core->servers.usable(this->service), now);
     }
-    return this->choose_among(this->allowed_by(rule, this->open_servers()), now);
+    return this->choose_among(this->allowed_servers(), now);
+}
+
+auto relay::allowed_servers() const -> std::vector<const routing::registration*>
+{
+    // Anew for each send: a version that was fine for the first may have been found bad since.
+    const auto rule =
+        this->core->rollouts.rule_for(this->service, this->session_hash, this->core->hooks.clock());
+    return this->allowed_by(rule, this->open_servers());
 }
 
 auto relay::has_tried(const routing::registration& server) const -> bool
@@ -141,9 +148,8 @@
     const auto now = this->core->hooks.clock();
     const auto known = this->books();
     auto next = common::never;
-    for (const auto* server : this->open_servers()) {
-        const bool takes_turns = known.intake->has_turns(*server, known.cold_per_second, now);
-        if (!this->has_tried(*server) && takes_turns) {
+    for (const auto* server : this->allowed_servers()) {
+        if (!this->has_tried(*server)) {
             next = std::min(next, known.intake->next_turn(*server, known.cold_per_second, now));
         }
     }
@@ -180,6 +186,9 @@
     const auto now = this->core->hooks.clock();
     const auto cold =
         std::ranges::count_if(open, [now](const auto* server) { return server->is_cold(now); });
+    const auto resting = std::ranges::count_if(open, [this, now](const auto* server) {
+        return this->core->intake.rests_until(server->start()) > now;
+    });
     const auto limited = std::ranges::count_if(open, [this](const auto* server) {
         return this->core->intake.limits().per_second(server->start()).has_value();
     });
@@ -188,7 +197,8 @@
         common::log_level::info,
         "no server request=" + this->request.caller.attempt + " service=" + this->service.value() +
             " open=" + std::to_string(open.size()) + " cold=" + std::to_string(cold) +
-            " limited=" + std::to_string(limited) + " tried=" + std::to_string(this->tried.size()) +
+            " limited=" + std::to_string(limited) + " resting=" + std::to_string(resting) +
+            " tried=" + std::to_string(this->tried.size()) +
             " evacuated=" + std::to_string(this->core->evacuations.evacuated().size()));
 }
 
@@ -203,11 +213,12 @@
     const auto known = this->books();
     auto next = common::never;
     for (const auto* server : open) {
-        const bool is_limited = this->core->intake.limits().per_second(server->start()).has_value();
-        next = std::min(
-            next,
+        const auto start = server->start();
+        const bool is_limited = this->core->intake.limits().per_second(start).has_value();
+        const auto takes_at =
             is_limited ? known.intake->next_turn(*server, known.cold_per_second, now)
-                       : std::max(server->cold_until, now));
+                       : std::max({server->cold_until, known.intake->rests_until(start), now});
+        next = std::min(next, takes_at);
     }
     if (next <= now) {
         return options.come_back_after;
@@ -226,8 +237,10 @@
     routing::keep_allowed(usable, rule);
     if (rule.preferred && rule.spread < 1.0) {
         routing::keep_canaries(usable, rule.spread, [this, now](const auto& server) {
-            const bool takes_few =
-                server.is_cold(now) || this->core->intake.limits().per_second(server.start());
+            const auto& intake = this->core->intake;
+            const bool takes_few = server.is_cold(now) ||
+                                   intake.limits().per_second(server.start()) ||
+                                   intake.rests_until(server.start()) > now;
             return this->has_tried(server) || takes_few ||
                    this->core->health.is_resting(server.start(), now);
         });
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -120,6 +120,17 @@
     }
 }
 
+auto router_core::give_rest(const routing::server_start& server, std::chrono::milliseconds rest)
+    -> void
+{
+    // All entries are turned away in one moment; they do not come back in one.
+    const auto more =
+        std::min(rest, this->options.returns_spread) * common::random_unit(this->hooks.random);
+    this->intake.note_rest(
+        server, this->hooks.clock() + rest + std::chrono::duration_cast<common::duration>(more));
+    this->counters.rests.add();
+}
+
 auto router_core::hear_limits(
     const std::vector<routing::told_limit>& told, const std::string& told_by) -> void
 {
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -100,8 +100,9 @@
     /// A request waits for so long for a turn at a cold server, where there are no others: longer
     /// than most waits for one, and shorter than what callers take for silence.
     std::chrono::milliseconds turn_patience{500};
-    /// Callers that were refused since all servers are cold return within this after the first of
-    /// these is warm; all at once they would fill it.
+    /// Callers that were refused since no server takes requests return within this after the first
+    /// one does again, and so do entries that a server asked for rest; all at once they would fill
+    /// it.
     std::chrono::milliseconds returns_spread{1000};
     /// What servers name in their answers is told to all entries at once so often at the most. A
     /// server whose answers name a limit by turns must not keep all entries talking.
@@ -225,6 +226,9 @@
         const routing::server_start& server, const server_words& said, const std::string& attempt)
         -> void;
 
+    /// A server wants nothing from this entry for so long.
+    auto give_rest(const routing::server_start& server, std::chrono::milliseconds rest) -> void;
+
     /// A peer has read this in servers' answers.
     auto hear_limits(const std::vector<routing::told_limit>& told, const std::string& told_by)
         -> void;
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -30,6 +30,8 @@
       turn_waits(registry.counter_of(
           "router_turn_waits_total",
           "Requests that waited for a turn at a server that is cold or has named a limit.")),
+      rests(registry.counter_of(
+          "router_rests_total", "Refusals with which a server asked this entry for rest.")),
       evacuated(
           registry.gauge_of("router_evacuated_data_centres", "Data centres that are evacuated.")),
       store_returns(registry.counter_of(
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -23,6 +23,8 @@
     metrics::counter& barred;
     /// Requests that waited for a turn at a server that is cold or has named a limit.
     metrics::counter& turn_waits;
+    /// Refusals with which a server asked this entry for rest.
+    metrics::counter& rests;
     /// Data centres that are evacuated.
     metrics::gauge& evacuated;
     /// Times that the store came back from an older copy of itself.
--- a/source/core/routing/attempt_ledger.cpp
+++ b/source/core/routing/attempt_ledger.cpp
@@ -1,5 +1,7 @@
 #include "routing/attempt_ledger.hpp"
 
+#include <algorithm>
+
 namespace reedramp::routing {
 
 namespace {
@@ -32,7 +34,10 @@
 auto attempt_ledger::leaves_room(
     const route& on, unsigned most_sends, unsigned more_runs, unsigned more_sends) const -> bool
 {
-    return this->runs + more_runs <= on.most_attempts && this->sent + more_sends <= most_sends;
+    // Some servers that turn all away look the emptiest, and are met first by each request.
+    const auto excused = std::min(this->rests, most_sends);
+    return this->runs + more_runs <= on.most_attempts &&
+           this->sent - excused + more_sends <= most_sends;
 }
 
 auto attempt_ledger::may_send_again(const route& on, unsigned most_sends) const -> bool
--- a/source/core/routing/attempt_ledger.hpp
+++ b/source/core/routing/attempt_ledger.hpp
@@ -32,6 +32,10 @@
 
     auto note_end(attempt_end how) -> void;
 
+    /// A server has turned the request away and asked for rest: it can't be met again so soon. Not
+    /// a send that brings the request nearer to its last one, up to as many as it may have.
+    auto note_rest_asked() -> void { this->rests += 1; }
+
     /// No server has worked on the request, for certain.
     [[nodiscard]] auto is_not_run() const -> bool { return !this->may_have_run; }
 
@@ -53,6 +57,8 @@
         -> bool;
 
     unsigned sent = 0;
+    /// Of them, refused by servers that asked for rest.
+    unsigned rests = 0;
     /// Sends that ran, as far as is known; they count against the route's bound.
     unsigned runs = 0;
     bool may_have_run = false;
--- a/source/core/routing/intake_book.cpp
+++ b/source/core/routing/intake_book.cpp
@@ -26,9 +26,24 @@
     return std::min(limit.value_or(cold), cold);
 }
 
+auto intake_book::note_rest(const server_start& server, time_point until) -> void
+{
+    auto& known = this->rests[server];
+    known = std::max(known, until);
+}
+
+auto intake_book::rests_until(const server_start& server) const -> time_point
+{
+    const auto found = this->rests.find(server);
+    return found == this->rests.end() ? time_point{} : found->second;
+}
+
 auto intake_book::may_take(const registration& server, double cold_per_second, time_point now) const
     -> bool
 {
+    if (this->rests_until(server.start()) > now) {
+        return false;
+    }
     const auto aimed = this->aimed_per_second(server, cold_per_second, now);
     return !aimed || this->turns.may_take(server, *aimed, now);
 }
@@ -36,9 +51,10 @@
 auto intake_book::next_turn(
     const registration& server, double cold_per_second, time_point now) const -> time_point
 {
+    const auto rested = std::max(this->rests_until(server.start()), now);
     const auto aimed = this->aimed_per_second(server, cold_per_second, now);
-    if (!aimed) {
-        return now;
+    if (!aimed || rested > now) {
+        return rested;
     }
     const auto next = this->turns.next_turn(server, *aimed, now);
     // It takes all once it is warm, unless it has named a limit.
@@ -57,6 +73,7 @@
     const std::function<auto(const server_start& server)->bool>& is_gone, time_point now) -> void
 {
     this->turns.forget_if(is_gone);
+    std::erase_if(this->rests, [now](const auto& item) { return item.second <= now; });
     this->named.forget_old(now);
 }
 
--- a/source/core/routing/intake_book.hpp
+++ b/source/core/routing/intake_book.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <optional>
+#include <unordered_map>
 
 #include "routing/entry_turns.hpp"
 #include "routing/server_limits.hpp"
@@ -24,9 +25,9 @@
     double least_per_second = 0.1;
 };
 
-/// What servers take: how many requests a second from all entries together, and this entry's part
-/// of that. A server that is cold, or that has named a limit, takes them in turns; any other one
-/// takes all.
+/// What servers take: how many requests a second from all entries together, with this entry's part
+/// of that, and none for a time from an entry that a server asks for rest. A server that is cold,
+/// or that has named a limit, takes requests in turns; any other one takes all.
 class intake_book {
 public:
     intake_book(intake_options options, turn_hooks hooks);
@@ -51,6 +52,12 @@
         return this->aimed_per_second(server, cold_per_second, now).has_value();
     }
 
+    /// The server wants nothing from this entry before `until`. Of two rests the later end counts.
+    auto note_rest(const server_start& server, time_point until) -> void;
+
+    /// Until when it wants nothing; a moment that has passed if it takes requests.
+    [[nodiscard]] auto rests_until(const server_start& server) const -> time_point;
+
     /// Whether a request may go to the server now.
     [[nodiscard]] auto
     may_take(const registration& server, double cold_per_second, time_point now) const -> bool;
@@ -77,6 +84,7 @@
     intake_options settings;
     server_limits named;
     entry_turns turns;
+    std::unordered_map<server_start, time_point> rests;
 };
 
 } // namespace reedramp::routing
--- a/source/router/state_page.cpp
+++ b/source/router/state_page.cpp
@@ -1,5 +1,7 @@
 #include "state_page.hpp"
 
+#include <algorithm>
+
 #include <boost/json.hpp>
 
 namespace reedramp::router_program {
@@ -16,6 +18,7 @@
     const auto load = core.loads.total(start, now);
     const auto paces = core.paces.find(server.service);
     const auto limit = core.intake.limits().per_second(start);
+    const auto rest = std::max<common::duration>(core.intake.rests_until(start) - now, {});
     return {
         {"id", server.id.value()},
         {"started_unix_ms", server.born.value()},
@@ -29,6 +32,7 @@
         {"failures", core.health.failures(start)},
         {"resting", core.health.is_resting(start, now)},
         {"cold", server.is_cold(now)},
+        {"asks_rest_ms", std::chrono::duration_cast<std::chrono::milliseconds>(rest).count()},
         {"takes_per_second", limit ? json::value(*limit) : json::value(nullptr)}};
 }
 
--- a/source/unit_tests/router/rest_test.cpp
+++ b/source/unit_tests/router/rest_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <functional>
+#include <iostream>
 #include <set>
 #include <string>
 #include <vector>
@@ -68,6 +69,37 @@
     }
 }
 
+TEST_CASE("ways to take a rest that another entry was asked for", "[.rest_ways]")
+{
+    // For trials: what callers and servers see, and what one entry's rest costs the others.
+    for (const std::size_t entries : {3, 27, 103}) {
+        std::size_t refused = 0;
+        std::size_t sent_in_vain = 0;
+        std::size_t to_server_of_one = 0;
+        constexpr std::uint64_t seeds = 10;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            answer_play play{{.entries = entries, .loss = 0.02, .seed = seed}};
+            play.run(seconds{2});
+            turn_away_at(play, {"s-0", "s-1", "s-2", "s-3", "s-4"});
+            play.run(seconds{12});
+            refused += play.with_status(503);
+            sent_in_vain += static_cast<std::size_t>(
+                std::ranges::count(play.given, std::uint16_t{503}, &given_answer::status));
+            // One server turns a third of the entries away, and no others.
+            answer_play one{{.entries = entries, .loss = 0.02, .seed = seed}};
+            one.answer = [](const arrival& came) {
+                return came.server == "s-0" && came.entry % 3 == 0 ? turned_away()
+                                                                   : server_answer{};
+            };
+            const auto begin = one.now();
+            one.run(seconds{12});
+            to_server_of_one += one.arrivals_at("s-0", begin);
+        }
+        std::cout << "METRIC rest_ways_" << entries << " refused " << refused << " in vain "
+                  << sent_in_vain << " to one that turns a third away " << to_server_of_one << "\n";
+    }
+}
+
 TEST_CASE("while all servers rest callers are refused at once, and told when one is back", "[rest]")
 {
     // Guards against requests that go round among servers which all want none.
--- a/source/unit_tests/routing/attempt_ledger_test.cpp
+++ b/source/unit_tests/routing/attempt_ledger_test.cpp
@@ -85,4 +85,25 @@
         ledger.may_be_dropped(route_of(request_kind::non_idempotent, false, 3), most_sends));
 }
 
+TEST_CASE("refusals that ask for rest leave a request its other sends, and are bounded", "[rest]")
+{
+    route on;
+    on.kind = request_kind::non_idempotent;
+    on.most_attempts = 1;
+    constexpr unsigned most_sends = 4;
+    attempt_ledger ledger;
+    const auto refuse = [&ledger] {
+        ledger.note_sent();
+        ledger.note_end(attempt_end::not_executed);
+        ledger.note_rest_asked();
+    };
+    for (unsigned i = 0; i < 2 * most_sends - 1; ++i) {
+        refuse();
+        CHECK(ledger.may_send_again(on, most_sends));
+    }
+    refuse();
+    CHECK_FALSE(ledger.may_send_again(on, most_sends));
+    CHECK(ledger.is_not_run());
+}
+
 } // namespace reedramp::routing
