Send nothing more to a server that says in an answer that it leaves

What callers saw: nothing yet; a server that leaves says so in all its answers now, and some never say it in their record. Cause: the same as of limits and rest, the word was read nowhere. Change: such an answer retires the start of the server that gave it, as its record or a peer's word does, also where it is a failure or a refusal; all peers are told within half a second. One place, one state: leaving is final for a start.

Values other than "1" are no such word.

--- a/source/core/router/header_names.hpp
+++ b/source/core/router/header_names.hpp
@@ -28,6 +28,8 @@
     /// In an answer: requests a second that the server takes from all entries together, for as long
     /// as its answers say so.
     std::string limit = "Reedramp-Server-Limit";
+    /// In an answer: "1" where the server leaves.
+    std::string leaving = "Reedramp-Server-Leaving";
     std::string model = "Reedramp-Model";
     /// Tokens of the prompt, most tokens of the answer.
     std::string token_counts = "Reedramp-Tokens";
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -103,6 +103,9 @@
 auto relay::hear_server(const attempt& of) const -> void
 {
     const auto& words = of.words;
+    if (words.is_leaving) {
+        this->core->hear_leaving(of.server, this->request.caller.attempt);
+    }
     if (words.rest) {
         this->core->give_rest(of.server, *words.rest);
     }
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -115,11 +115,27 @@
     const bool concerns_all =
         change == routing::limit_change::named || change == routing::limit_change::lifted;
     if (concerns_all && now - this->limit_news_at >= this->options.limit_news_period) {
-        this->limit_news += 1;
+        this->server_news += 1;
         this->limit_news_at = now;
     }
 }
 
+auto router_core::hear_leaving(const routing::server_start& server, const std::string& attempt)
+    -> void
+{
+    const auto* known = this->servers.find(server.id);
+    if (known == nullptr || known->start() != server) {
+        return;
+    }
+    this->servers.retire(server, this->hooks.clock());
+    this->server_news += 1;
+    this->counters.count_server_word("leaving");
+    common::log(
+        common::log_part::members,
+        common::log_level::info,
+        "server leaving server=" + to_string(server) + " request=" + attempt);
+}
+
 auto router_core::give_rest(const routing::server_start& server, std::chrono::milliseconds rest)
     -> void
 {
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -226,6 +226,9 @@
         const routing::server_start& server, const server_words& said, const std::string& attempt)
         -> void;
 
+    /// A server has said in its answer to the attempt that it leaves.
+    auto hear_leaving(const routing::server_start& server, const std::string& attempt) -> void;
+
     /// A server wants nothing from this entry for so long.
     auto give_rest(const routing::server_start& server, std::chrono::milliseconds rest) -> void;
 
@@ -233,9 +236,9 @@
     auto hear_limits(const std::vector<routing::told_limit>& told, const std::string& told_by)
         -> void;
 
-    /// Grows when an answer to this entry names a server's limit or takes one back, at most once in
-    /// `limit_news_period`.
-    [[nodiscard]] auto limits_found() const -> std::uint64_t { return this->limit_news; }
+    /// Grows when a server says in an answer to this entry what all have to know at once: that it
+    /// leaves, or names a limit or takes it back, of these at most once in `limit_news_period`.
+    [[nodiscard]] auto words_of_servers() const -> std::uint64_t { return this->server_news; }
 
     /// What tells the request from others, whatever its attempt id.
     [[nodiscard]] auto print_of(const http::request& asked, const caller_request& caller) const
@@ -313,7 +316,7 @@
 
     std::vector<std::shared_ptr<held_request>> held;
     std::uint64_t evacuation_changes = 0;
-    std::uint64_t limit_news = 0;
+    std::uint64_t server_news = 0;
     time_point limit_news_at{};
     std::shared_ptr<const routing::route_table> rules_in_force;
     std::string text_in_force;
--- a/source/core/router/server_words.cpp
+++ b/source/core/router/server_words.cpp
@@ -71,6 +71,9 @@
         else if (turns_away(head.status) && http::same_name(one.name, "Retry-After")) {
             take_rest(words, one.value);
         }
+        else if (http::same_name(one.name, names.leaving)) {
+            words.is_leaving = words.is_leaving || one.value == "1";
+        }
     }
     return words;
 }
--- a/source/core/router/server_words.hpp
+++ b/source/core/router/server_words.hpp
@@ -17,6 +17,8 @@
     /// It turns the request away, and wants none from this entry for so long.
     std::optional<std::chrono::milliseconds> rest;
     bool has_odd_rest = false;
+    /// It leaves: no new work for this start of it.
+    bool is_leaving = false;
 };
 
 auto read_server_words(const http::response& head, const header_names& names) -> server_words;
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -21,7 +21,7 @@
 constexpr int missed_rounds = 3;
 /// After an order, all peers are told in this time which sessions are on an old version, and not in
 /// turn: the first ones are moved 0.6 s after it, and a round of a hundred entries takes 2.6 s. So
-/// they are of a server that has named a limit, or taken it back.
+/// they are of a server that says in an answer that it leaves, or what it takes.
 constexpr common::duration hurried_round = std::chrono::milliseconds{500};
 /// Entries of a data centre that read the store for all of it, and pass news on in it: with one,
 /// its death costs all of them the time until that shows.
@@ -177,7 +177,7 @@
         this->core->rules_version(),
         this->core->rollouts.orders_taken(),
         this->core->evacuations_changed(),
-        this->core->limits_found()};
+        this->core->words_of_servers()};
 }
 
 auto peer_group::spread_news() -> void
@@ -188,7 +188,7 @@
     }
     const auto now = this->core->hooks.clock();
     const bool concerns_all =
-        newest.orders != this->spread.orders || newest.limits != this->spread.limits;
+        newest.orders != this->spread.orders || newest.servers != this->spread.servers;
     if (concerns_all) {
         this->hurries_until = now + hurried_round;
     }
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -106,8 +106,8 @@
         std::uint64_t rules_version = 0;
         std::uint64_t orders = 0;
         std::uint64_t evacuations = 0;
-        /// Limits that servers named in answers to this entry.
-        std::uint64_t limits = 0;
+        /// What servers said in answers to this entry.
+        std::uint64_t servers = 0;
 
         auto operator==(const urgent_news&) const -> bool = default;
     };
