--- a/source/unit_tests/router/answer_play.cpp
+++ b/source/unit_tests/router/answer_play.cpp
@@ -17,7 +17,7 @@
 
 answer_play::answer_play(const answer_play_shape& wanted)
     : fleet({.entries = wanted.entries, .loss = wanted.loss, .seed = wanted.seed}),
-      random(wanted.seed), shape(wanted), taken(wanted.entries, 0)
+      random(wanted.seed), shape(wanted), taken(wanted.entries, 0), processes(wanted.entries, 0)
 {
     for (const auto* server : {"a", "b", "c", "d"}) {
         this->fleet.remove(server);
@@ -49,6 +49,7 @@
 {
     this->fleet.start_anew(entry);
     this->taken[entry] = 0;
+    this->processes[entry] += 1;
 }
 
 auto answer_play::take_new_sends() -> void
@@ -57,7 +58,8 @@
         const auto& sent = this->fleet.entries[i]->own.client->sent;
         for (; this->taken[i] < sent.size(); ++this->taken[i]) {
             const auto call = sent[this->taken[i]];
-            const arrival came{this->now(), i, call->header("Reedramp-Expect-Server")};
+            const arrival came{
+                this->now(), i, call->header("Reedramp-Expect-Server"), this->processes[i]};
             this->arrivals.push_back(came);
             this->under_way.push_back({call, came, this->now() + answers_after});
         }
@@ -76,7 +78,7 @@
             continue; // Its caller has left it.
         }
         const auto said = this->answer ? this->answer(one.came) : server_answer{};
-        this->given.push_back({this->now(), one.came.entry, one.came.server, said.status});
+        this->given.push_back({this->now(), one.came, said.status});
         one.call->answer(said.status, "whole", said.headers);
     }
 }
@@ -95,11 +97,11 @@
     }
 }
 
-auto answer_play::was_answered(
-    std::size_t entry, const std::string& server, common::time_point time) const -> bool
+auto answer_play::had_answer(const arrival& one, common::time_point time) const -> bool
 {
-    return std::ranges::any_of(this->given, [&](const given_answer& one) {
-        return one.at <= time && one.entry == entry && one.server == server;
+    return std::ranges::any_of(this->given, [&](const given_answer& told) {
+        return told.at <= time && told.of.entry == one.entry && told.of.server == one.server &&
+               told.of.process == one.process;
     });
 }
 
--- a/source/unit_tests/router/answer_play.hpp
+++ b/source/unit_tests/router/answer_play.hpp
@@ -27,13 +27,14 @@
     common::time_point at;
     std::size_t entry = 0;
     std::string server;
+    /// How often the entry had been started anew.
+    std::size_t process = 0;
 };
 
 /// One answer that has come to an entry.
 struct given_answer {
     common::time_point at;
-    std::size_t entry = 0;
-    std::string server;
+    arrival of;
     std::uint16_t status = 0;
 };
 
@@ -57,10 +58,8 @@
 
     [[nodiscard]] auto name_of(std::size_t server) const -> std::string;
 
-    /// Whether an entry has had an answer of the server at `time` or before.
-    [[nodiscard]] auto
-    was_answered(std::size_t entry, const std::string& server, common::time_point time) const
-        -> bool;
+    /// Whether the process that sent this request had read an answer of its server by `time`.
+    [[nodiscard]] auto had_answer(const arrival& one, common::time_point time) const -> bool;
 
     /// The most requests in any `window` that came to the server after `from`, of those that
     /// `counts`.
@@ -98,6 +97,7 @@
 
     answer_play_shape shape;
     std::vector<std::size_t> taken;
+    std::vector<std::size_t> processes;
     std::vector<begun> under_way;
     common::time_point next_request;
 };
