Say truly for how long an ended registration is kept

What operators saw: "server lapsed ... kept_ms=", 292 years, of a server that is let go at once. Nothing is decided by that difference, the end itself compares moments. Change: the later of the two moments is taken before the difference. The test fails on the code before.

--- a/source/core/router/servers_list.cpp
+++ b/source/core/router/servers_list.cpp
@@ -232,9 +232,9 @@
 auto servers_list::lapse(const common::server_id& id, time_point now) -> table_event
 {
     const auto event = this->core->servers.lapse(id);
-    const auto until = this->kept_until(now);
-    const auto kept = std::chrono::duration_cast<std::chrono::milliseconds>(
-        std::max(until - now, common::duration{0}));
+    // Without an outage ever, its end lies so far back that a difference to it has no value.
+    const auto until = std::max(this->kept_until(now), now);
+    const auto kept = std::chrono::duration_cast<std::chrono::milliseconds>(until - now);
     this->tell(event, {id, std::nullopt}, " kept_ms=" + std::to_string(kept.count()));
     return event;
 }
--- a/source/unit_tests/router/followers_test.cpp
+++ b/source/unit_tests/router/followers_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "common/log.hpp"
 #include "held_store.hpp"
 #include "router/counted_store.hpp"
 
@@ -403,4 +404,27 @@
     CHECK(store.outcomes.size() == 1);
 }
 
+TEST_CASE("an end of a registration that is kept for no time says so", "[followers]")
+{
+    // Guards against a time that is none: with no outage ever, the end of the last one lies before
+    // all others, and what is left of it ran over to 292 years.
+    std::string lines;
+    common::set_log_sink(
+        [&lines](common::log_level, std::string_view line) { lines += std::string{line} + "\n"; });
+    {
+        world all;
+        held_store store;
+        follow_servers(all, store, {"a", "b"});
+        all.advance(seconds{1});
+        held_store::take(store.servers)
+            .second(reading<routing::registration_change>(
+                {{common::server_id{"b"}, std::nullopt}}, 3, false));
+        CHECK(all.core->servers.find(common::server_id{"b"}) == nullptr);
+    }
+    common::set_log_sink({});
+    CHECK(lines.find("server lapsed server=b") != std::string::npos);
+    INFO(lines);
+    CHECK(lines.find(" kept_ms=0") != std::string::npos);
+}
+
 } // namespace reedramp::router::testing
