Ask the book of what servers take in one place, and look nothing up while nobody asks for anything

Read again: whether a server is limited, rests or is cold was put together in three places of relay_target, each with its own copy of the server's start; intake_book answers it now (is_limited, takes_few, takes_callers_at), and has_turns, which one line used, is gone. A choice asks it of a dozen servers, and made two copies of each one's id for look-ups in empty books; it looks at whether the books are empty first.

--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -187,11 +187,10 @@
     const auto cold =
         std::ranges::count_if(open, [now](const auto* server) { return server->is_cold(now); });
     const auto resting = std::ranges::count_if(open, [this, now](const auto* server) {
-        return this->core->intake.rests_until(server->start()) > now;
-    });
-    const auto limited = std::ranges::count_if(open, [this](const auto* server) {
-        return this->core->intake.limits().per_second(server->start()).has_value();
+        return this->core->intake.rests_until(*server) > now;
     });
+    const auto limited = std::ranges::count_if(
+        open, [this](const auto* server) { return this->core->intake.is_limited(*server); });
     common::log(
         common::log_part::place,
         common::log_level::info,
@@ -213,12 +212,7 @@
     const auto known = this->books();
     auto next = common::never;
     for (const auto* server : open) {
-        const auto start = server->start();
-        const bool is_limited = this->core->intake.limits().per_second(start).has_value();
-        const auto takes_at =
-            is_limited ? known.intake->next_turn(*server, known.cold_per_second, now)
-                       : std::max({server->cold_until, known.intake->rests_until(start), now});
-        next = std::min(next, takes_at);
+        next = std::min(next, known.intake->takes_callers_at(*server, known.cold_per_second, now));
     }
     if (next <= now) {
         return options.come_back_after;
@@ -237,11 +231,7 @@
     routing::keep_allowed(usable, rule);
     if (rule.preferred && rule.spread < 1.0) {
         routing::keep_canaries(usable, rule.spread, [this, now](const auto& server) {
-            const auto& intake = this->core->intake;
-            const bool takes_few = server.is_cold(now) ||
-                                   intake.limits().per_second(server.start()) ||
-                                   intake.rests_until(server.start()) > now;
-            return this->has_tried(server) || takes_few ||
+            return this->has_tried(server) || this->core->intake.takes_few(server, now) ||
                    this->core->health.is_resting(server.start(), now);
         });
     }
--- a/source/core/routing/intake_book.cpp
+++ b/source/core/routing/intake_book.cpp
@@ -14,7 +14,7 @@
     const registration& server, double cold_per_second, time_point now) const
     -> std::optional<double>
 {
-    auto limit = this->named.per_second(server.start());
+    auto limit = this->limit_of(server);
     if (limit) {
         limit = std::max(*limit * this->settings.limit_part, this->settings.least_per_second);
     }
@@ -32,16 +32,24 @@
     known = std::max(known, until);
 }
 
-auto intake_book::rests_until(const server_start& server) const -> time_point
+auto intake_book::rests_until(const registration& server) const -> time_point
 {
-    const auto found = this->rests.find(server);
+    if (this->rests.empty()) {
+        return {};
+    }
+    const auto found = this->rests.find(server.start());
     return found == this->rests.end() ? time_point{} : found->second;
 }
 
+auto intake_book::takes_few(const registration& server, time_point now) const -> bool
+{
+    return server.is_cold(now) || this->is_limited(server) || this->rests_until(server) > now;
+}
+
 auto intake_book::may_take(const registration& server, double cold_per_second, time_point now) const
     -> bool
 {
-    if (this->rests_until(server.start()) > now) {
+    if (this->rests_until(server) > now) {
         return false;
     }
     const auto aimed = this->aimed_per_second(server, cold_per_second, now);
@@ -51,20 +59,27 @@
 auto intake_book::next_turn(
     const registration& server, double cold_per_second, time_point now) const -> time_point
 {
-    const auto rested = std::max(this->rests_until(server.start()), now);
+    const auto rested = std::max(this->rests_until(server), now);
     const auto aimed = this->aimed_per_second(server, cold_per_second, now);
     if (!aimed || rested > now) {
         return rested;
     }
     const auto next = this->turns.next_turn(server, *aimed, now);
     // It takes all once it is warm, unless it has named a limit.
-    return this->named.per_second(server.start()) ? next : std::min(next, server.cold_until);
+    return this->is_limited(server) ? next : std::min(next, server.cold_until);
+}
+
+auto intake_book::takes_callers_at(
+    const registration& server, double cold_per_second, time_point now) const -> time_point
+{
+    return this->is_limited(server) ? this->next_turn(server, cold_per_second, now)
+                                    : std::max({server.cold_until, this->rests_until(server), now});
 }
 
 auto intake_book::note_sent(const registration& server, double cold_per_second, time_point now)
     -> void
 {
-    if (this->has_turns(server, cold_per_second, now)) {
+    if (this->aimed_per_second(server, cold_per_second, now)) {
         this->turns.note_sent(server.start(), now);
     }
 }
--- a/source/core/routing/intake_book.hpp
+++ b/source/core/routing/intake_book.hpp
@@ -45,20 +45,22 @@
         return cold_per_second > 0.0 && server.is_cold(now);
     }
 
-    /// Whether the server takes requests in turns; `cold_per_second` as above, here and below.
-    [[nodiscard]] auto
-    has_turns(const registration& server, double cold_per_second, time_point now) const -> bool
+    /// Whether the server has named a limit.
+    [[nodiscard]] auto is_limited(const registration& server) const -> bool
     {
-        return this->aimed_per_second(server, cold_per_second, now).has_value();
+        return this->limit_of(server).has_value();
     }
 
+    /// Whether it takes fewer requests than others: it is cold, limited, or rests.
+    [[nodiscard]] auto takes_few(const registration& server, time_point now) const -> bool;
+
     /// The server wants nothing from this entry before `until`. Of two rests the later end counts.
     auto note_rest(const server_start& server, time_point until) -> void;
 
     /// Until when it wants nothing; a moment that has passed if it takes requests.
-    [[nodiscard]] auto rests_until(const server_start& server) const -> time_point;
+    [[nodiscard]] auto rests_until(const registration& server) const -> time_point;
 
-    /// Whether a request may go to the server now.
+    /// Whether a request may go to the server now; `cold_per_second` as above, here and below.
     [[nodiscard]] auto
     may_take(const registration& server, double cold_per_second, time_point now) const -> bool;
 
@@ -67,6 +69,12 @@
     next_turn(const registration& server, double cold_per_second, time_point now) const
         -> time_point;
 
+    /// When a caller should come back for the server that finds none now: at the next turn while it
+    /// has a limit, which may last; else when it takes all again.
+    [[nodiscard]] auto
+    takes_callers_at(const registration& server, double cold_per_second, time_point now) const
+        -> time_point;
+
     /// A request goes to the server.
     auto note_sent(const registration& server, double cold_per_second, time_point now) -> void;
 
@@ -76,6 +84,13 @@
         -> void;
 
 private:
+    // Most of the time no server has asked for anything, and a choice looks at a dozen: nothing is
+    // looked up then.
+    [[nodiscard]] auto limit_of(const registration& server) const -> std::optional<double>
+    {
+        return this->named.has_any() ? this->named.per_second(server.start()) : std::nullopt;
+    }
+
     /// Requests a second that all entries aim at; none: any number.
     [[nodiscard]] auto
     aimed_per_second(const registration& server, double cold_per_second, time_point now) const
--- a/source/core/routing/server_limits.cpp
+++ b/source/core/routing/server_limits.cpp
@@ -93,7 +93,7 @@
 
 auto server_limits::per_second(const server_start& server) const -> std::optional<double>
 {
-    if (this->limited == 0) {
+    if (!this->has_any()) {
         return std::nullopt;
     }
     const auto found = this->words.find(hash_of(server));
--- a/source/core/routing/server_limits.hpp
+++ b/source/core/routing/server_limits.hpp
@@ -57,6 +57,9 @@
     /// For the peers, the newest words first.
     [[nodiscard]] auto tell(time_point now) const -> std::vector<told_limit>;
 
+    /// Whether any server has a limit.
+    [[nodiscard]] auto has_any() const -> bool { return this->limited > 0; }
+
     /// Requests a second from all entries together; none: it takes any number.
     [[nodiscard]] auto per_second(const server_start& server) const -> std::optional<double>;
 
--- a/source/router/state_page.cpp
+++ b/source/router/state_page.cpp
@@ -18,7 +18,7 @@
     const auto load = core.loads.total(start, now);
     const auto paces = core.paces.find(server.service);
     const auto limit = core.intake.limits().per_second(start);
-    const auto rest = std::max<common::duration>(core.intake.rests_until(start) - now, {});
+    const auto rest = std::max<common::duration>(core.intake.rests_until(server) - now, {});
     return {
         {"id", server.id.value()},
         {"started_unix_ms", server.born.value()},
--- a/source/unit_tests/routing/choice_test.cpp
+++ b/source/unit_tests/routing/choice_test.cpp
@@ -182,6 +182,7 @@
     load_book loads;
     const server_health health{health_options{}};
     const pace_book paces;
+    const intake_book intake{intake_options{}, turn_hooks{}};
     const common::service_name engines{"engines"};
     const time_point now{seconds{100}};
     std::vector<told_load> words;
@@ -206,7 +207,7 @@
     for (int i = 0; i < choices; ++i) {
         asked.affinity = static_cast<std::uint64_t>(i) * 0x9e3779b97f4a7c15ULL;
         const auto* chosen = choose_server(
-            table.usable(engines), asked, {loads, paces, health}, {}, asked.affinity, now);
+            table.usable(engines), asked, {loads, paces, health, &intake}, {}, asked.affinity, now);
         length += chosen->id.value().size();
     }
     const auto took = std::chrono::steady_clock::now() - began;
