Ask once a choice to which versions a session may go

Read again: while a roll-out or homes restrict a request, the choice of its server asked for the rule, and the list of allowed servers asked for it again.

--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -116,8 +116,9 @@
     [[nodiscard]] auto has_tried(const routing::registration& server) const -> bool;
     /// Servers of the request's service that the rules let it go to.
     [[nodiscard]] auto open_servers() const -> std::vector<const routing::registration*>;
-    /// Those of them whose version its session may go to now.
-    [[nodiscard]] auto allowed_servers() const -> std::vector<const routing::registration*>;
+    /// To which versions its session may go. Anew for each send: a version that was fine for the
+    /// first may have been found bad since.
+    [[nodiscard]] auto version_rule(time_point now) const -> routing::version_rule;
     /// Whether its route or its organisation says in which regions it may run.
     [[nodiscard]] auto has_homes() const -> bool;
     /// What a cold server of the request's service bears; 0 if it bears all.
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -97,19 +97,16 @@
 auto relay::choose_server() const -> const routing::registration*
 {
     const auto now = this->core->hooks.clock();
-    const auto rule = this->core->rollouts.rule_for(this->service, this->session_hash, now);
+    const auto rule = this->version_rule(now);
     if (rule.allows_all() && !this->has_homes()) {
         return this->choose_among(this->core->servers.usable(this->service), now);
     }
-    return this->choose_among(this->allowed_servers(), now);
+    return this->choose_among(this->allowed_by(rule, this->open_servers()), now);
 }
 
-auto relay::allowed_servers() const -> std::vector<const routing::registration*>
+auto relay::version_rule(time_point now) const -> routing::version_rule
 {
-    // Anew for each send: a version that was fine for the first may have been found bad since.
-    const auto rule =
-        this->core->rollouts.rule_for(this->service, this->session_hash, this->core->hooks.clock());
-    return this->allowed_by(rule, this->open_servers());
+    return this->core->rollouts.rule_for(this->service, this->session_hash, now);
 }
 
 auto relay::has_tried(const routing::registration& server) const -> bool
@@ -148,7 +145,7 @@
     const auto now = this->core->hooks.clock();
     const auto known = this->books();
     auto next = common::never;
-    for (const auto* server : this->allowed_servers()) {
+    for (const auto* server : this->allowed_by(this->version_rule(now), this->open_servers())) {
         if (!this->has_tried(*server)) {
             next = std::min(next, known.intake->next_turn(*server, known.cold_per_second, now));
         }
