Find out once whether an answer is another request's; name what hears a limit after it

Read again: each answer's head was searched for the attempt's id three times. It is looked at before the head is judged, and the id is asked for again only of a success, which has to bear it. The core's hear_server took a limit alone, beside a relay's hear_server that hands out all words; it is hear_limit now.

--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -168,6 +168,7 @@
     auto on_success(const std::shared_ptr<attempt>& of) -> void;
     /// True when the answer was dropped for a larger model's.
     auto ask_larger_model(const std::shared_ptr<attempt>& of) -> bool;
+    /// Of a head that is not another request's.
     [[nodiscard]] auto judge(const http::response& head) const -> verdict;
 
     /// Hands the pace of the answer to the guard of roll-outs, once an attempt.
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -40,10 +40,6 @@
 auto relay::judge(const http::response& head) const -> verdict
 {
     const auto& names = this->core->options.names;
-    const auto echoed = http::find_header(head.headers, names.attempt);
-    if (this->is_for_another(head)) {
-        return verdict::untrusted;
-    }
     const bool not_run = http::find_header(head.headers, names.not_executed).has_value();
     if (not_run || head.status == misdirected) {
         return verdict::not_executed;
@@ -53,6 +49,7 @@
     }
     const bool is_signed = http::find_header(head.headers, names.signature).has_value();
     if (is_success(head.status)) {
+        const bool echoed = http::find_header(head.headers, names.attempt).has_value();
         return is_signed && echoed ? verdict::success : verdict::untrusted;
     }
     return is_signed ? verdict::server_failure : verdict::untrusted;
@@ -69,12 +66,13 @@
     if (of->ended) {
         return;
     }
-    of->said = this->judge(head);
+    const bool is_own = !this->is_for_another(head);
+    of->said = is_own ? this->judge(head) : verdict::untrusted;
     if (of->said == verdict::success) {
         const auto took = milliseconds_between(of->sent, this->core->hooks.clock());
         this->core->paces[this->service].note(of->server, took, of->work_ahead);
     }
-    if (!this->is_for_another(head) && head.status != misdirected) {
+    if (is_own && head.status != misdirected) {
         of->words = read_server_words(head, this->core->options.names);
         this->hear_server(*of);
     }
@@ -114,7 +112,7 @@
     }
     // A refusal may come from in front of the server, and takes nothing back by its silence.
     if (of.said != verdict::not_executed || words.limit || words.has_odd_limit) {
-        this->core->hear_server(of.server, words, this->request.caller.attempt);
+        this->core->hear_limit(of.server, words, this->request.caller.attempt);
     }
 }
 
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -95,7 +95,7 @@
     }
 }
 
-auto router_core::hear_server(
+auto router_core::hear_limit(
     const routing::server_start& server, const server_words& said, const std::string& attempt)
     -> void
 {
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -221,8 +221,8 @@
     /// Another entry, or the store, knows that a request ends servers.
     auto hear_barred(const routing::told_barred& told, const std::string& told_by) -> void;
 
-    /// A server has said this of itself in its answer to the attempt.
-    auto hear_server(
+    /// A server names its limit in its answer to the attempt, or names none any more.
+    auto hear_limit(
         const routing::server_start& server, const server_words& said, const std::string& attempt)
         -> void;
 
--- a/source/unit_tests/router/stated_limits_test.cpp
+++ b/source/unit_tests/router/stated_limits_test.cpp
@@ -116,7 +116,7 @@
         };
         server_words said;
         said.limit = 2.0;
-        fleet.entries.front()->own.core->hear_server(server, said, "attempt");
+        fleet.entries.front()->own.core->hear_limit(server, said, "attempt");
         const auto read = fleet.now;
         while (fleet.now - read < contact && !std::ranges::all_of(fleet.entries, knows)) {
             fleet.run(milliseconds{10});
