overload: library with the pressure of a service, and the switch that puts overload control in force

Nothing uses the pressure yet. Messages between entries carry the memory that requests hold (in the padding of Load, no additional bytes) and an optional OverloadReport (8 bytes more while it is absent) for the parts that follow.

--- a/source/core/router/peer_report.cpp
+++ b/source/core/router/peer_report.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <optional>
 
 #include <boost/asio/ip/address_v4.hpp>
@@ -207,6 +208,57 @@
     return limits;
 }
 
+auto fill_overload(schema::Words::Builder to, const peer_report& from) -> void
+{
+    if (from.slowdowns.empty() && from.speeds.empty() && from.usage.empty()) {
+        return;
+    }
+    auto all = to.initOverload();
+    auto slowdowns = all.initSlowdowns(static_cast<unsigned>(from.slowdowns.size()));
+    for (unsigned i = 0; i < from.slowdowns.size(); ++i) {
+        constexpr std::uint32_t max_age = std::numeric_limits<std::uint16_t>::max();
+        slowdowns[i].setServer(from.slowdowns[i].server);
+        slowdowns[i].setFactor(static_cast<float>(from.slowdowns[i].factor));
+        slowdowns[i].setAgeMs(static_cast<std::uint16_t>(
+            std::min(milliseconds_field(from.slowdowns[i].age), max_age)));
+    }
+    auto speeds = all.initSpeeds(static_cast<unsigned>(from.speeds.size()));
+    for (unsigned i = 0; i < from.speeds.size(); ++i) {
+        speeds[i].setServer(from.speeds[i].server);
+        speeds[i].setSlowness(static_cast<float>(from.speeds[i].slowness));
+        speeds[i].setSamples(from.speeds[i].samples);
+    }
+    auto usage = all.initUsage(static_cast<unsigned>(from.usage.size()));
+    for (unsigned i = 0; i < from.usage.size(); ++i) {
+        usage[i].setOrganisation(from.usage[i].organisation);
+        usage[i].setRate(static_cast<float>(from.usage[i].rate));
+    }
+}
+
+/// Values that are not finite, or not possible, are left out.
+auto read_overload(schema::OverloadReport::Reader from, peer_report& to) -> void
+{
+    for (const auto one : from.getSlowdowns()) {
+        const double factor = one.getFactor();
+        if (std::isfinite(factor) && factor > 0.0) {
+            to.slowdowns.push_back(
+                {one.getServer(), factor, std::chrono::milliseconds{one.getAgeMs()}});
+        }
+    }
+    for (const auto one : from.getSpeeds()) {
+        const double slowness = one.getSlowness();
+        if (std::isfinite(slowness) && slowness > 0.0) {
+            to.speeds.push_back({one.getServer(), slowness, one.getSamples()});
+        }
+    }
+    for (const auto one : from.getUsage()) {
+        const double rate = one.getRate();
+        if (std::isfinite(rate) && rate >= 0.0) {
+            to.usage.push_back({one.getOrganisation(), rate});
+        }
+    }
+}
+
 auto read_report(schema::Words::Reader from) -> peer_report
 {
     peer_report report;
@@ -217,11 +269,12 @@
     report.rules_version = from.getRulesVersion();
     for (const auto load : from.getLoads()) {
         const bool is_valid = std::isfinite(load.getRequests()) && std::isfinite(load.getWork()) &&
-                              std::isfinite(load.getReading());
+                              std::isfinite(load.getReading()) && std::isfinite(load.getMemory());
         // A value that is not finite would corrupt every sum.
         if (is_valid) {
             report.loads.push_back(
-                {load.getServer(), {load.getRequests(), load.getWork(), load.getReading()}});
+                {load.getServer(),
+                 {load.getRequests(), load.getWork(), load.getReading(), load.getMemory()}});
         }
     }
     report.freshness = {
@@ -257,6 +310,9 @@
         report.evacuations.evacuated.emplace_back(text_of(data_centre));
     }
     report.limits = read_limits(from);
+    if (from.hasOverload()) {
+        read_overload(from.getOverload(), report);
+    }
     if (from.getEndsInMs() > 0) {
         report.ends_in = std::chrono::milliseconds{from.getEndsInMs()};
     }
@@ -285,6 +341,7 @@
         loads[i].setRequests(static_cast<float>(report.loads[i].load.requests));
         loads[i].setWork(static_cast<float>(report.loads[i].load.work));
         loads[i].setReading(static_cast<float>(report.loads[i].load.reading));
+        loads[i].setMemory(static_cast<float>(report.loads[i].load.memory));
     }
     root.setListChanged(report.freshness.changed);
     root.setListAgeMs(milliseconds_field(report.freshness.age));
@@ -317,6 +374,7 @@
         evacuated.set(i, report.evacuations.evacuated[i].value());
     }
     fill_limits(root, report.limits);
+    fill_overload(root, report);
     if (report.ends_in) {
         // At least 1, since 0 means that the sender stays.
         const auto left = std::max<std::int64_t>(report.ends_in->count(), 1);
--- a/source/core/router/peer_report.hpp
+++ b/source/core/router/peer_report.hpp
@@ -7,12 +7,15 @@
 #include <vector>
 
 #include "common/result.hpp"
+#include "overload/organisation_shares.hpp"
 #include "routing/evacuation_registry.hpp"
 #include "routing/list_freshness.hpp"
 #include "routing/load_tracker.hpp"
 #include "routing/rollout_manager.hpp"
 #include "routing/server_health.hpp"
 #include "routing/server_limits.hpp"
+#include "routing/server_load_tracker.hpp"
+#include "routing/server_speed_tracker.hpp"
 #include "routing/server_table.hpp"
 
 namespace reedramp::router {
@@ -46,6 +49,13 @@
     routing::evacuation_report evacuations;
     /// Rate limits that servers stated in responses to the sender.
     std::vector<routing::limit_report> limits;
+    /// Servers whose hosts are slower or faster than usual at present, as they stated to the
+    /// sender.
+    std::vector<routing::slowdown_report> slowdowns;
+    /// Speeds of some servers, from the sender's own samples.
+    std::vector<routing::speed_report> speeds;
+    /// Organisations that get the most work through the sender.
+    std::vector<overload::usage_report> usage;
     /// Time until the sender's process ends at the latest; none if it stays.
     std::optional<std::chrono::milliseconds> ends_in;
 };
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -10,6 +10,28 @@
   requests @1 :Float32;
   work @2 :Float32;
   reading @3 :Float32;
+  # Tokens that the requests hold in the server's memory.
+  memory @4 :Float32;
+}
+
+# How much slower than usual a server's host is at present, as the server stated it.
+struct Slowdown {
+  server @0 :UInt64;
+  factor @1 :Float32;
+  ageMs @2 :UInt16;
+}
+
+# How slow a server is relative to the others of its service, from samples of the sender.
+struct ServerSpeed {
+  server @0 :UInt64;
+  slowness @1 :Float32;
+  samples @2 :UInt32;
+}
+
+# Work per second that an organisation gets through the sender. The organisation is a hash.
+struct OrganisationUsage {
+  organisation @0 :UInt32;
+  rate @1 :Float32;
 }
 
 # Recent outcomes at the sender of a server that has failed.
@@ -64,6 +86,12 @@
   rate @11 :Float32;
 }
 
+struct OverloadReport {
+  slowdowns @0 :List(Slowdown);
+  speeds @1 :List(ServerSpeed);
+  usage @2 :List(OrganisationUsage);
+}
+
 struct Words {
   host @0 :Text;
   address @1 :Text;
@@ -98,6 +126,8 @@
   # 16. As texts they would take half of each message.
   peersIpv4 @19 :List(UInt64);
   limits @20 :List(Limit);
+  # Absent unless overload control is in force at the sender and it has something to report.
+  overload @21 :OverloadReport;
 }
 
 # A barred request, which crashes the servers that run it, with the time since it was barred and
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -117,6 +117,7 @@
     next->version = server.version;
     next->work = work.prompt + work.answer;
     next->prompt_work = work.prompt;
+    next->memory = work.memory;
     next->work_ahead = this->core->loads.total(next->server, now).work + work.prompt;
     next->is_cold = server.is_cold(now);
     next->sent = now;
@@ -125,7 +126,7 @@
     this->tried.push_back(next->server);
     this->ledger.note_sent();
     this->core->counters.sends.add();
-    this->core->loads.begin(next->server, next->work, next->prompt_work);
+    this->core->loads.begin(next->server, next->work, next->prompt_work, next->memory);
     this->core->limiter.note_sent(server, this->cold_per_second(), now);
     this->core->rollouts.note_sent(this->service, this->session_hash, server.version, now);
     return next;
@@ -159,7 +160,7 @@
             *of, is_whole ? routing::time_bound::seen : routing::time_bound::at_least);
     }
     const auto now = this->core->hooks.clock();
-    this->core->loads.end(of->server, of->work, of->has_events ? 0.0 : of->prompt_work);
+    this->core->loads.end(of->server, of->work, of->has_events ? 0.0 : of->prompt_work, of->memory);
     this->core->rollouts.note_ended(this->service, this->session_hash, of->version, now);
     this->core->health.note(of->server, outcome, now);
     if (outcome == server_outcome::failed && of->was_lost) {
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -79,6 +79,8 @@
         /// Work still in flight; `prompt_work` of it ends with the first event.
         double work = 0.0;
         double prompt_work = 0.0;
+        /// Tokens that it holds in the server's memory.
+        double memory = 0.0;
         /// Work that the server had to do before this attempt's first event, including its own
         /// prompt.
         double work_ahead = 0.0;
@@ -154,6 +156,8 @@
     struct request_work {
         double prompt = 0.0;
         double answer = 0.0;
+        /// Tokens that the request holds in the server's memory, whatever the model.
+        double memory = 0.0;
     };
 
     [[nodiscard]] auto model_slowness() const -> double;
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -49,7 +49,7 @@
 {
     const auto& caller = this->request.caller;
     if (caller.prompt_tokens == 0) {
-        return {0.0, plain_work};
+        return {0.0, plain_work, 0.0};
     }
     const auto answer = caller.expected_answer_tokens > 0
                             ? std::min(caller.expected_answer_tokens, caller.max_answer_tokens)
@@ -57,7 +57,8 @@
     const auto slowness = this->model_slowness();
     return {
         slowness * static_cast<double>(caller.prompt_tokens),
-        slowness * prompt_tokens_per_answer_token * static_cast<double>(answer)};
+        slowness * prompt_tokens_per_answer_token * static_cast<double>(answer),
+        static_cast<double>(caller.prompt_tokens + answer)};
 }
 
 /// Maps the route's priority around the middle value. A request that is sent again has waited
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -29,7 +29,7 @@
     : hooks(std::move(hooks_to_use)), options(std::move(options_to_use)),
       client(std::move(servers_client)),
       freshness(with_reader(this->options.freshness, this->hooks.random())),
-      health(this->options.health),
+      health(this->options.health), overload_control(this->options.overload),
       limiter(this->options.limiter, {this->hooks.rank, this->hooks.unix_ms}),
       crashes(this->options.crashes), rollouts(this->options.rollout), counters(this->series)
 {
@@ -373,6 +373,17 @@
     return this->rules_in_force != nullptr && this->servers.size() > 0 && !this->is_awaiting_barred;
 }
 
+auto router_core::pressure(const common::service_name& service) -> double
+{
+    if (this->rules_in_force == nullptr) {
+        return 0.0;
+    }
+    return this->overload_control.pressure(
+        service,
+        {*this->rules_in_force, this->servers, this->loads, this->speeds[service]},
+        this->hooks.clock());
+}
+
 auto router_core::retries_of(const common::service_name& service) -> placement::retry_budget&
 {
     return this->retries.try_emplace(service, this->options.retries).first->second;
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -15,6 +15,7 @@
 #include "placement/retry_budget.hpp"
 #include "router/caller_request.hpp"
 #include "router/header_names.hpp"
+#include "router/overload_state.hpp"
 #include "router/router_metrics.hpp"
 #include "router/server_directives.hpp"
 #include "router/shared_store.hpp"
@@ -66,6 +67,7 @@
     routing::rollout_options rollout;
     routing::model_options models;
     placement::retry_budget_settings retries;
+    overload_options overload;
     /// Maximum sends of one request, refused ones included. A refusal costs a round trip, and a
     /// service whose servers all refuse is full.
     unsigned max_sends = 4;
@@ -213,6 +215,16 @@
         return this->evacuation_change_count;
     }
 
+    /// Whether decisions for times of overload are in force.
+    [[nodiscard]] auto is_overload_controlled() const -> bool
+    {
+        return this->overload_control.is_in_force();
+    }
+
+    /// How scarce the service's capacity is, as `overload::pressure_of`; 0 while overload control
+    /// is not in force.
+    auto pressure(const common::service_name& service) -> double;
+
     /// Number of requests without a final response.
     [[nodiscard]] auto in_flight() const -> std::size_t { return this->open_requests.size(); }
 
@@ -274,6 +286,7 @@
     /// one.
     std::map<common::service_name, routing::server_speed_tracker> speeds;
     routing::server_health health;
+    overload_state overload_control;
     routing::server_limiter limiter;
     routing::evacuation_registry evacuations;
     routing::crash_tracker crashes;
--- a/source/core/routing/load_tracker.cpp
+++ b/source/core/routing/load_tracker.cpp
@@ -4,15 +4,18 @@
 
 namespace reedramp::routing {
 
-auto load_tracker::begin(const server_instance& server, double work, double reading) -> void
+auto load_tracker::begin(const server_instance& server, double work, double reading, double memory)
+    -> void
 {
     auto& load = this->ours[server];
     load.requests += 1.0;
     load.work += work;
     load.reading += reading;
+    load.memory += memory;
 }
 
-auto load_tracker::end(const server_instance& server, double work, double reading) -> void
+auto load_tracker::end(const server_instance& server, double work, double reading, double memory)
+    -> void
 {
     const auto found = this->ours.find(server);
     if (found == this->ours.end()) {
@@ -21,6 +24,7 @@
     found->second.requests -= 1.0;
     found->second.work -= work;
     found->second.reading -= reading;
+    found->second.memory -= memory;
     constexpr double none = 0.5; // Half a request: sums of fractions never reach exactly zero.
     if (found->second.requests < none) {
         this->ours.erase(found);
@@ -44,6 +48,7 @@
         sum.load.requests += one.load.requests;
         sum.load.work += one.load.work;
         sum.load.reading += one.load.reading;
+        sum.load.memory += one.load.memory;
     }
 }
 
@@ -63,6 +68,7 @@
         sum.load.requests -= one.load.requests;
         sum.load.work -= one.load.work;
         sum.load.reading -= one.load.reading;
+        sum.load.memory -= one.load.memory;
     }
 }
 
@@ -104,6 +110,7 @@
         load.requests += found->second.load.requests;
         load.work += found->second.load.work;
         load.reading += found->second.load.reading;
+        load.memory += found->second.load.memory;
     }
     return load;
 }
--- a/source/core/routing/load_tracker.hpp
+++ b/source/core/routing/load_tracker.hpp
@@ -20,6 +20,8 @@
     double work = 0.0;
     /// The part of `work` that is prompt tokens not read yet, as far as known.
     double reading = 0.0;
+    /// Tokens that the requests hold in the server's memory: their prompts and expected answers.
+    double memory = 0.0;
 };
 
 /// The work in flight from one entry at one server, as sent to peers. `server` is a hash of the
@@ -40,10 +42,14 @@
 /// lookups with 103 entries.
 class load_tracker {
 public:
-    /// Adds a request. `reading` is the part of `work` that is the prompt.
-    auto begin(const server_instance& server, double work, double reading = 0.0) -> void;
-    /// Removes a request with what remains of its work and of its prompt.
-    auto end(const server_instance& server, double work, double reading = 0.0) -> void;
+    /// Adds a request. `reading` is the part of `work` that is the prompt, `memory` the tokens that
+    /// it holds.
+    auto
+    begin(const server_instance& server, double work, double reading = 0.0, double memory = 0.0)
+        -> void;
+    /// Removes a request with what remains of its work and of its prompt, and its memory.
+    auto end(const server_instance& server, double work, double reading = 0.0, double memory = 0.0)
+        -> void;
 
     /// Removes the work of a prompt that has been read.
     auto reduce_work(const server_instance& server, double work) -> void;
--- a/source/core/routing/server_speed_tracker.cpp
+++ b/source/core/routing/server_speed_tracker.cpp
@@ -53,6 +53,12 @@
         static_cast<std::int64_t>(time_per_work * (work + fixed_work))};
 }
 
+auto server_speed_tracker::expected_queueing(double queued) const -> std::chrono::milliseconds
+{
+    const auto time_per_work = this->work_sum > 0.0 ? this->time_sum / this->work_sum : 0.0;
+    return std::chrono::milliseconds{static_cast<std::int64_t>(time_per_work * queued)};
+}
+
 auto server_speed_tracker::slowness(const server_instance& server) const -> double
 {
     const auto found = this->servers.find(server);
--- a/source/core/routing/server_speed_tracker.hpp
+++ b/source/core/routing/server_speed_tracker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <unordered_map>
 
@@ -8,6 +9,14 @@
 
 namespace reedramp::routing {
 
+/// How slow a server is relative to the median server of its service, from the sender's own
+/// samples, as sent to peers. `server` is a hash of the server instance.
+struct speed_report {
+    std::uint64_t server = 0;
+    double slowness = 1.0;
+    std::uint32_t samples = 0;
+};
+
 /// Estimates how slow each server is relative to the others, from the time that work takes there.
 ///
 /// Servers of one service differ by a third, and a server that degrades slowly takes several times
@@ -26,6 +35,10 @@
     /// before the first sample.
     [[nodiscard]] auto expected(double work) const -> std::chrono::milliseconds;
 
+    /// Returns the time that `queued` work takes before a request behind it begins, at a server of
+    /// mean speed. Unlike `expected`, without the fixed time of the request itself.
+    [[nodiscard]] auto expected_queueing(double queued) const -> std::chrono::milliseconds;
+
     /// Removes the servers for which `is_gone` returns true.
     auto forget_if(const std::function<auto(const server_instance& server)->bool>& is_gone) -> void;
 
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -1,5 +1,6 @@
 #include "router_process.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -83,6 +84,9 @@
           http::client::create(this->context, store_client_options(quick_silence))}
 {
     this->settings.router.names = this->platform.names;
+    this->settings.router.overload.is_declared =
+        std::ranges::find(this->settings.features, this->platform.competing_callers_feature) !=
+        this->settings.features.end();
     router::router_hooks hooks;
     hooks.clock = daemon::boot_time;
     hooks.random = daemon::random_bits;
--- a/source/router/router_process.hpp
+++ b/source/router/router_process.hpp
@@ -28,6 +28,8 @@
         open_store;
     /// Path of the balancer's readiness check.
     std::string ready_path = "/ready";
+    /// The feature of a deployment whose callers compete for capacity. Empty: none says so.
+    std::string competing_callers_feature = {};
 };
 
 /// Reads the settings file again.
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -9,6 +9,41 @@
 using settings::text_key;
 using settings::time_key;
 
+namespace {
+
+auto overload_keys() -> settings::schema
+{
+    return {
+        {.path = "overload.control",
+         .type = settings::value_type::text,
+         .doc = "Decisions for times when callers compete for too little capacity: off, on, or "
+                "automatic (where the deployment's features say so, or servers state their present "
+                "speed).",
+         .fallback = std::string{"automatic"}},
+        {.path = "deployment.features",
+         .type = settings::value_type::text_list,
+         .doc = "Words with which the platform describes the deployment.",
+         .fallback = settings::text_list{}},
+        settings::number_key(
+            "host.memory_mb", "Memory of this process, in MB; 0 if unlimited.", 0, 0, 1e9),
+    };
+}
+
+auto read_overload(const settings::values& values, router_settings& read) -> common::result<void>
+{
+    const auto mode = overload::parse_control_mode(values.text("overload.control"));
+    if (!mode) {
+        return common::failure(
+            common::result_code::invalid_settings, "overload.control is not off, on or automatic");
+    }
+    read.router.overload.mode = *mode;
+    read.features = values.texts("deployment.features");
+    read.memory_mb = static_cast<std::uint64_t>(values.integer("host.memory_mb"));
+    return {};
+}
+
+} // namespace
+
 auto settings_schema() -> settings::schema
 {
     settings::schema keys{
@@ -107,6 +142,9 @@
          .lowest = 0.0,
          .highest = 10.0},
     };
+    for (auto& key : overload_keys()) {
+        keys.push_back(std::move(key));
+    }
     for (auto& key : daemon::logging_keys()) {
         keys.push_back(std::move(key));
     }
@@ -163,7 +201,9 @@
         return common::failure(
             common::result_code::invalid_settings, "models.short_to is not above short_from");
     }
-
+    if (const auto problem = read_overload(values, read); !problem) {
+        return tl::unexpected(problem.error());
+    }
     return read;
 }
 
--- a/source/router/settings.hpp
+++ b/source/router/settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,6 +27,10 @@
     std::chrono::milliseconds grace{};
     std::chrono::milliseconds balancer_time{};
     std::chrono::milliseconds peer_period{};
+    /// Words with which the platform describes the deployment.
+    std::vector<std::string> features;
+    /// 0 if unlimited.
+    std::uint64_t memory_mb = 0;
     router::follower_options follower;
     router::router_options router;
 };
