--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -25,7 +25,7 @@
          .doc = "Words with which the platform describes the deployment.",
          .fallback = settings::text_list{}},
         settings::number_key(
-            "host.memory_mb", "Memory of this process, in MB; 0 if unlimited.", 0, 0, 1e9),
+            "process.memory_mb", "Memory of this process, in MB; 0 if unlimited.", 0, 0, 1e9),
     };
 }
 
@@ -38,7 +38,7 @@
     }
     read.router.overload.mode = *mode;
     read.features = values.texts("deployment.features");
-    read.memory_mb = static_cast<std::uint64_t>(values.integer("host.memory_mb"));
+    read.memory_mb = static_cast<std::uint64_t>(values.integer("process.memory_mb"));
     return {};
 }
 
