router: models and moves for long prompts and scarce engines under overload control

The largest model reads one for 2 to 7 s; its own first event is late, requests behind it wait, and the streams of that server pause for 1.2 to 1.6 s where 1.2 s count. In scarcity second sends took more engine time than first ones.

Cause: the wait expected of the larger model is a mean over all requests and predicts less than half of a long prompt's. The pressure of the service had no reader. A stream left a blocked server after its target only.

Change, under overload control alone: waits are learned by prompt size; the model asked next is the largest that reads the prompt within the target; required confidence falls with the larger of pressure and waits; a stream leaves a server after half of its target while there is room elsewhere. Slots count as pressure from 0.85 on: at 0.7 nothing waited.

Why it holds: a prompt that no larger model reads in time gains nothing from one, and what it would delay is many times its own worth.

--- a/source/core/overload/service_pressure.cpp
+++ b/source/core/overload/service_pressure.cpp
@@ -9,9 +9,9 @@
 
 /// Use of slots or memory from which it counts as pressure. Below it, a request finds a free slot
 /// at nearly every server, even if the load is uneven.
-constexpr double unnoticed_use = 0.5;
+constexpr double unnoticed_use = 0.85;
 
-/// 0 up to `unnoticed_use`, 1 if all is in use.
+/// 0 up to `unnoticed_use`, 1 if all is in use, and more if more requests are in flight.
 auto pressure_of_use(double used) -> double
 {
     return std::max(0.0, (used - unnoticed_use) / (1.0 - unnoticed_use));
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -256,6 +256,28 @@
     this->finish(common::row_of(why).name);
 }
 
+auto relay::first_event_limit(const attempt& of) -> common::duration
+{
+    const auto& route = *this->request.route;
+    const auto& options = this->core->options;
+    const auto usual = this->core->speeds[this->service].expected(of.work_ahead);
+    const auto standing = std::max<common::duration>(
+        std::chrono::duration_cast<common::duration>(
+            route.longest_pause * options.stall_pause_factor),
+        this->core->first_event_limit(route.name, usual));
+    const bool has_room_elsewhere = this->core->is_overload_controlled() &&
+                                    this->core->pressure(this->service) < options.moves_below;
+    const auto own_wait = this->core->first_events[this->service].expected(of.prompt_work);
+    if (!has_room_elsewhere || of.is_cold || own_wait.count() == 0) {
+        return standing;
+    }
+    const auto of_target = std::chrono::duration_cast<common::duration>(
+        route.target * options.first_event_target_part);
+    const auto of_prompt =
+        std::chrono::duration_cast<common::duration>(own_wait * options.first_event_work_factor);
+    return std::min(standing, std::max(of_target, of_prompt));
+}
+
 auto relay::watch_for_stall(const std::shared_ptr<attempt>& of) -> void
 {
     const auto pause = this->request.route->longest_pause;
@@ -264,12 +286,7 @@
     }
     const auto patience = std::chrono::duration_cast<common::duration>(
         pause * this->core->options.stall_pause_factor);
-    const auto usual = this->core->speeds[this->service].expected(of->work_ahead);
-    const auto limit =
-        of->has_events
-            ? patience
-            : std::max<common::duration>(
-                  patience, this->core->first_event_limit(this->request.route->name, usual));
+    const auto limit = of->has_events ? patience : this->first_event_limit(*of);
     const auto now = this->core->hooks.clock();
     // An overdue stream that may not be sent again is checked again after a full limit.
     const bool is_overdue = now - of->last_progress >= limit;
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -141,8 +141,13 @@
     auto log_no_server() const -> void;
     /// Sends the request at its next send slot; false if that is too late.
     auto wait_for_send_slot() -> bool;
-    /// Whether the larger model's first event would come after the route's target.
-    auto larger_would_be_late() -> bool;
+    /// Index of the model to ask if the present one's answer is discarded; none if each larger one
+    /// is too slow.
+    [[nodiscard]] auto larger_model() -> std::optional<std::size_t>;
+    /// When the larger model's first event would come if it were asked now.
+    auto expect_larger_model(std::optional<std::size_t> larger) -> routing::larger_model_timing;
+    /// Confidence required for passing on the present model's answer.
+    auto required_confidence(std::optional<std::size_t> larger) -> double;
     auto use_model(std::size_t at) -> void;
     auto send_next() -> void;
     auto send_to(const routing::registration& server) -> void;
@@ -213,6 +218,8 @@
     auto give_up(common::result_code why) -> void;
 
     auto watch_for_stall(const std::shared_ptr<attempt>& of) -> void;
+    /// How long the attempt may wait for its first event before the request is sent elsewhere.
+    [[nodiscard]] auto first_event_limit(const attempt& of) -> common::duration;
     auto on_time_up() -> void;
     /// Ends the attempt in flight and gives the caller a final response with one of two results.
     auto stop(
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -72,6 +72,9 @@
     if (of->head_verdict == verdict::success) {
         const auto took = milliseconds_between(of->sent, this->core->hooks.clock());
         this->core->speeds[this->service].note(of->server, took, of->work_ahead);
+        if (!of->is_cold && of->prompt_work > 0.0) {
+            this->core->first_events[this->service].note(of->prompt_work, took);
+        }
     }
     if (is_own && head.status != misdirected) {
         of->directives = read_server_directives(head, this->core->options.names);
@@ -125,13 +128,8 @@
                          this->ledger.may_discard_answer(route, this->core->options.max_sends);
     const auto stated = http::find_header(of->head.headers, this->core->options.names.confidence);
     const auto confidence = stated ? parse_confidence(*stated) : -1;
-    const bool must_be_quick = this->core->must_be_quick(route, this->request.caller);
-    const auto required = must_be_quick ? 0.0
-                                        : routing::required_confidence(
-                                              this->core->options.models,
-                                              route,
-                                              this->core->waits.level(),
-                                              this->larger_would_be_late());
+    const auto larger = this->larger_model();
+    const auto required = this->required_confidence(larger);
     const auto accepted = routing::is_accepted(route, this->model_index, confidence, required);
     common::log(
         common::log_part::policy,
@@ -147,7 +145,7 @@
         return false;
     }
     this->abandon(of, attempt_end::ran, server_outcome::good);
-    this->use_model(routing::next_model(route));
+    this->use_model(larger.value_or(routing::next_model(route)));
     // The server did nothing wrong, and may have cached the prompt's shared parts.
     std::erase(this->tried, of->server);
     this->core->counters.larger_models.add();
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -266,18 +266,56 @@
         now);
 }
 
-auto relay::larger_would_be_late() -> bool
+auto relay::larger_model() -> std::optional<std::size_t>
 {
+    const auto& route = *this->request.route;
+    if (!this->core->is_overload_controlled() || this->model.empty()) {
+        return routing::next_model(route);
+    }
+    const auto* known = this->request.rules->find_service(this->service);
+    const auto prompt = static_cast<double>(this->request.caller.prompt_tokens);
+    const auto& waits = this->core->first_events[this->service];
+    return routing::next_model_in_time(route, this->model_index, [&](std::size_t index) {
+        return waits.expected(prompt * routing::slowness(known, route.models[index].value()));
+    });
+}
+
+auto relay::expect_larger_model(std::optional<std::size_t> larger) -> routing::larger_model_timing
+{
+    if (!larger) {
+        return routing::larger_model_timing::too_slow;
+    }
     const auto now = this->core->hooks.clock();
     const auto used = this->model_index;
-    this->use_model(routing::next_model(*this->request.route));
+    this->use_model(*larger);
     const auto* server = this->choose_server();
     const auto ahead =
         server == nullptr ? 0.0 : this->core->loads.total(server->instance(), now).work;
-    const auto first_event =
-        this->core->speeds[this->service].expected(ahead + this->work().prompt);
+    const auto prompt = this->work().prompt;
     this->use_model(used);
-    return now + first_event > this->received + this->request.route->target;
+    auto first_event = this->core->speeds[this->service].expected(ahead + prompt);
+    if (this->core->is_overload_controlled()) {
+        first_event =
+            std::max(first_event, this->core->first_events[this->service].expected(prompt));
+    }
+    return now + first_event > this->received + this->request.route->target
+               ? routing::larger_model_timing::late
+               : routing::larger_model_timing::in_time;
+}
+
+auto relay::required_confidence(std::optional<std::size_t> larger) -> double
+{
+    const auto& route = *this->request.route;
+    if (this->core->must_be_quick(route, this->request.caller)) {
+        return 0.0;
+    }
+    auto options = this->core->options.models;
+    auto level = this->core->waits.level();
+    if (this->core->is_overload_controlled()) {
+        options.late_value = options.contended_late_value;
+        level = std::max(level, this->core->pressure(this->service));
+    }
+    return routing::required_confidence(options, route, level, this->expect_larger_model(larger));
 }
 
 } // namespace reedramp::router
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -22,6 +22,7 @@
 #include "routing/configuration.hpp"
 #include "routing/crash_tracker.hpp"
 #include "routing/evacuation_registry.hpp"
+#include "routing/first_event_estimator.hpp"
 #include "routing/home_regions.hpp"
 #include "routing/list_freshness.hpp"
 #include "routing/load_tracker.hpp"
@@ -121,6 +122,11 @@
     /// the largest model seconds to process; with the limit of short ones, each was started at
     /// three servers and finished at none.
     double first_event_work_factor = 3.0;
+    /// Where overload control is in force and the service's pressure is below `moves_below`, a
+    /// stream is also sent to another server once it has waited for its first event for this part
+    /// of its route's target. A long prompt blocks a server for seconds while most others are idle.
+    double first_event_target_part = 0.5;
+    double moves_below = 0.5;
 };
 
 class relay;
@@ -285,6 +291,8 @@
     /// By service, since the time per unit of work differs far more between services than within
     /// one.
     std::map<common::service_name, routing::server_speed_tracker> speeds;
+    /// By service.
+    std::map<common::service_name, routing::first_event_estimator> first_events;
     routing::server_health health;
     overload_state overload_control;
     routing::server_limiter limiter;
--- a/source/core/routing/model_choice.hpp
+++ b/source/core/routing/model_choice.hpp
@@ -2,6 +2,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +23,8 @@
     /// Value of a correct answer that is late, relative to one on time. A larger model's answer
     /// that would be late has to be correct that much more often than the small model's.
     double late_value = 0.5;
+    /// The same where overload control is in force.
+    double contended_late_value = 0.3;
     /// Callers' mean wait for the first event, as a fraction of its target, from which the required
     /// confidence falls, and at which it is zero. A larger model takes ten times the engine time;
     /// when that is scarce, one doubtful answer is better than two late ones.
@@ -44,10 +49,21 @@
     double mean = 0.0;
 };
 
-/// Returns the confidence required on a route at a level of the gauge, given whether the larger
-/// model's answer would be late.
+/// When the larger model's first event is expected.
+enum class larger_model_timing : std::uint8_t {
+    in_time,
+    /// After the route's target, since the servers are busy or the request has waited already.
+    late,
+    /// Never: every larger model takes longer than the target to read the prompt, and meanwhile
+    /// delays all other streams of its server.
+    too_slow,
+};
+
+/// Returns the confidence required on a route at a level of the gauge, or of the service's pressure
+/// where overload control is in force.
 auto required_confidence(
-    const model_options& options, const route& on, double level, bool larger_is_late) -> double;
+    const model_options& options, const route& on, double level, larger_model_timing larger)
+    -> double;
 
 /// Returns the index of the first model to ask: the smallest. It costs and takes a small fraction
 /// of what the largest does, and the head of its response states its confidence before the caller
@@ -62,6 +78,15 @@
 /// in between are little better than the smallest, and each attempt takes time.
 auto next_model(const route& on) -> std::size_t;
 
+/// Returns the index of the largest model after `model` that reads the prompt within the route's
+/// target; none if each takes longer. `reading_time` returns how long a request waits for its first
+/// event at the model with that index.
+auto next_model_in_time(
+    const route& on,
+    std::size_t model,
+    const std::function<auto(std::size_t model)->std::chrono::milliseconds>& reading_time)
+    -> std::optional<std::size_t>;
+
 /// Returns the engine time per token of `model` relative to the service's largest model, estimated
 /// from the prices, which follow the time closely. 1 if unknown.
 auto slowness(const service* of, const std::string& model) -> double;
