Log lines of decisions state the organisation and the rank; explain shows them

Cause: the decision lines of the router did not name the organisation or the rank of a request, so the log did not show who got scarce capacity. Change: 'sent', 'answer accepted|dropped', 'refused' and 'ended' get organisation= and rank= where they are known (router/log_fields); the accepted and dropped lines get pressure=. reedramp-ctl explain states both, and why a small model's answer was passed on. Decisions do not change.

--- a/source/core/operators/request_trace.cpp
+++ b/source/core/operators/request_trace.cpp
@@ -25,6 +25,7 @@
 constexpr std::string_view lost = "attempt lost";
 constexpr std::string_view barred = "request barred";
 constexpr std::string_view sent = "sent";
+constexpr std::string_view accepted = "answer accepted";
 
 /// Removes the first word and the space after it from `rest`, and returns the word.
 auto take_next_word(std::string_view& rest) -> std::string_view
@@ -101,6 +102,21 @@
     return std::nullopt;
 }
 
+/// Why the answer of this model was passed on, with the inputs of that decision; empty if no model
+/// was chosen.
+auto describe_accepted_model(const std::vector<log_line>& lines) -> std::string
+{
+    const auto* line =
+        find_newest(lines, [](const log_line& one) { return one.message == accepted; });
+    if (line == nullptr) {
+        return "";
+    }
+    const auto pressure = line->field("pressure");
+    return ". The answer of model " + line->field("model") + " was passed on: its confidence was " +
+           line->field("confidence") + ", " + line->field("asked") + " was required" +
+           (pressure.empty() ? "" : " at a pressure of " + pressure);
+}
+
 auto describe_cause(const std::vector<log_line>& lines, const log_line& end) -> std::string
 {
     const auto how = end.field("how");
@@ -108,7 +124,8 @@
         find_newest(lines, [](const log_line& line) { return line.message == sent; });
     if (how == "served" && last_send != nullptr) {
         return "server " + last_send->field("server") + " of version " +
-               last_send->field("version") + " answered on send " + last_send->field("send");
+               last_send->field("version") + " answered on send " + last_send->field("send") +
+               describe_accepted_model(lines);
     }
     if (how == "caller_left") {
         return "the caller closed the connection";
@@ -137,6 +154,15 @@
                      servers + ".";
 }
 
+/// Value of the field in the newest of the request's own lines that has it.
+auto newest_value(const request_trace& trace, const std::string& name) -> std::string
+{
+    const auto* line = find_newest(trace.lines, [&](const log_line& one) {
+        return one.field("request") == trace.request && !one.field(name).empty();
+    });
+    return line == nullptr ? std::string{} : line->field(name);
+}
+
 auto set_end_and_cause(request_trace& trace) -> void
 {
     const auto* end =
@@ -219,6 +245,8 @@
     // A stable sort keeps the order of lines that one entry wrote within the same millisecond.
     std::ranges::stable_sort(trace.lines, {}, &log_line::time);
     set_end_and_cause(trace);
+    trace.organisation = newest_value(trace, "organisation");
+    trace.rank = newest_value(trace, "rank");
     return trace;
 }
 
@@ -231,6 +259,12 @@
         }
     };
     add({"request ", trace.request, ": ", trace.end, "\n", trace.cause, "\n"});
+    if (!trace.organisation.empty()) {
+        add({"organisation ", trace.organisation, "\n"});
+    }
+    if (!trace.rank.empty()) {
+        add({"rank ", trace.rank, "\n"});
+    }
     for (const auto& line : trace.lines) {
         add(
             {"  ",
@@ -271,6 +305,8 @@
         {"request", trace.request},
         {"end", trace.end},
         {"cause", trace.cause},
+        {"organisation", trace.organisation},
+        {"rank", trace.rank},
         {"lines", std::move(lines)}});
 }
 
--- a/source/core/operators/request_trace.hpp
+++ b/source/core/operators/request_trace.hpp
@@ -39,6 +39,10 @@
     std::string end;
     /// Reason for the result, in a sentence.
     std::string cause;
+    /// The caller's organisation and the request's rank (0 is the highest); empty if no line states
+    /// them, as in logs of older releases.
+    std::string organisation;
+    std::string rank;
 };
 
 /// Collects the lines of `request` from logs of any number of entries, in any order, and derives
--- /dev/null
+++ b/source/core/router/log_fields.cpp
@@ -0,0 +1,32 @@
+#include "router/log_fields.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace reedramp::router {
+
+auto owner_fields(const routing::organisation* owner, std::optional<unsigned> rank) -> std::string
+{
+    std::string fields;
+    if (owner != nullptr) {
+        auto name = owner->name.value();
+        constexpr unsigned char space = 0x20;
+        std::ranges::replace_if(
+            name, [](unsigned char letter) { return letter <= space; }, '_');
+        fields += " organisation=" + name;
+    }
+    if (rank) {
+        fields += " rank=" + std::to_string(*rank);
+    }
+    return fields;
+}
+
+auto pressure_field(double pressure) -> std::string
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), " pressure=%.2f", pressure);
+    return text.data();
+}
+
+} // namespace reedramp::router
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "router/log_fields.hpp"
 
 namespace reedramp::router {
 
@@ -84,8 +85,8 @@
     common::log(
         common::log_part::place,
         common::log_level::info,
-        "sent request=" + this->request.caller.attempt +
-            " route=" + this->request.route->name.value() +
+        "sent request=" + this->request.caller.attempt + " route=" +
+            this->request.route->name.value() + owner_fields(this->request.owner, this->rank()) +
             " session=" + this->request.caller.session + " server=" + server.id.value() +
             " version=" + server.version.value() + " model=" + this->model +
             " work=" + std::to_string(static_cast<std::int64_t>(next->work)) + " ahead=" +
@@ -349,6 +350,7 @@
         common::log_part::entry,
         common::log_level::info,
         "ended request=" + this->request.caller.attempt + " how=" + std::string{how} +
+            owner_fields(this->request.owner, this->rank()) +
             " sends=" + std::to_string(this->ledger.sends()) +
             " first_event_ms=" + std::to_string(this->first_event_wait.count()) + " last_event=" +
             std::to_string(this->last_event) + " ms=" + std::to_string(took.count()));
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -162,6 +162,8 @@
 
     [[nodiscard]] auto model_slowness() const -> double;
     [[nodiscard]] auto work() const -> request_work;
+    /// Rank that counts in decisions; 0 is the highest.
+    [[nodiscard]] auto rank() const -> unsigned;
     [[nodiscard]] auto urgency() const -> int;
 
     auto on_head(const std::shared_ptr<attempt>& of, const http::response& head) -> void;
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "router/log_fields.hpp"
 #include "router/relay.hpp"
 #include "routing/model_choice.hpp"
 
@@ -136,9 +137,11 @@
     common::log(
         common::log_part::policy,
         common::log_level::info,
-        "answer " + std::string{accepted ? "accepted" : "dropped"} +
-            " request=" + this->request.caller.attempt + " model=" + this->model + " confidence=" +
-            std::to_string(confidence) + " asked=" + std::to_string(static_cast<int>(required)));
+        "answer " + std::string{accepted ? "accepted" : "dropped"} + " request=" +
+            this->request.caller.attempt + owner_fields(this->request.owner, this->rank()) +
+            " model=" + this->model + " confidence=" + std::to_string(confidence) +
+            " asked=" + std::to_string(static_cast<int>(required)) +
+            pressure_field(this->core->pressure(this->service)));
     // An answer is not dropped if no server would accept the request again: all may be cold or
     // evacuated by now. Asking a second model uses the retry budget like any other further send.
     const bool is_dropped = !accepted && may_ask && this->could_send_after(of->server) &&
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -61,7 +61,12 @@
         static_cast<double>(caller.prompt_tokens + answer)};
 }
 
-/// Maps the route's priority around the middle value. A request that is sent again has waited
+auto relay::rank() const -> unsigned
+{
+    return this->core->rank_of(*this->request.route, this->request.owner);
+}
+
+/// Maps the request's rank around the middle value. A request that is sent again has waited
 /// already and goes ahead, and so does a resumed stream, whose caller has a part of it and notices
 /// the pause.
 auto relay::urgency() const -> int
@@ -69,7 +74,7 @@
     constexpr int middle = 4;
     constexpr int ahead = 3;
     constexpr int last = 9;
-    const auto rank = middle + static_cast<int>(this->request.route->priority);
+    const auto rank = middle + static_cast<int>(this->rank());
     const bool has_waited = this->ledger.sends() > 1 || this->is_resumed();
     return std::clamp(has_waited ? rank - ahead : rank, 0, last);
 }
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -7,6 +7,7 @@
 
 #include "common/log.hpp"
 #include "http/codec.hpp"
+#include "router/log_fields.hpp"
 #include "router/relay.hpp"
 
 namespace reedramp::router {
@@ -53,9 +54,13 @@
         this->refuse(caller.error(), "-", *out);
         return;
     }
+    const auto* owner = this->rules_in_force->owner_of(caller->key);
     const auto found = this->check(request, *caller);
     if (!found) {
-        this->refuse(found.error(), caller->attempt, *out);
+        const auto* on = this->rules_in_force->find(
+            http::find_header(request.headers, "Host").value_or(""), request.target);
+        const auto rank = on == nullptr ? std::nullopt : std::optional{this->rank_of(*on, owner)};
+        this->refuse(found.error(), caller->attempt, *out, owner_fields(owner, rank));
         return;
     }
     if (const auto barred = this->find_barred(request, *caller)) {
@@ -63,10 +68,9 @@
             common::make_error(common::result_code::ends_servers),
             caller->attempt,
             *out,
-            " print=" + to_string(*barred));
+            owner_fields(owner, this->rank_of(**found, owner)) + " print=" + to_string(*barred));
         return;
     }
-    const auto* owner = this->rules_in_force->owner_of(caller->key);
     relay::begin(
         this->shared_from_this(),
         {std::move(request), std::move(*caller), this->rules_in_force, *found, owner, received},
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -221,6 +221,14 @@
         return this->overload_control.is_in_force();
     }
 
+    /// Rank that counts in decisions on a request of the route and the organisation, which may be
+    /// null; 0 is the highest.
+    [[nodiscard]] auto
+    rank_of(const routing::route& route, const routing::organisation* /*owner*/) const -> unsigned
+    {
+        return route.priority;
+    }
+
     /// How scarce the service's capacity is, as `overload::pressure_of`; 0 while overload control
     /// is not in force.
     auto pressure(const common::service_name& service) -> double;
--- a/source/unit_tests/operators/request_trace_test.cpp
+++ b/source/unit_tests/operators/request_trace_test.cpp
@@ -125,6 +125,32 @@
     CHECK(trace->lines.size() == 4);
 }
 
+TEST_CASE(
+    "the trace states the organisation, the rank and why a small model answered", "[request_story]")
+{
+    // Without them, an operator can't see from the trace who gave way to whom under overload.
+    const auto lines = logs_of(
+        {"I 10.000 place: sent request=r1 organisation=north rank=2 server=a version=v1 send=1",
+         "I 10.400 policy: answer accepted request=r1 organisation=north rank=2 model=s "
+         "confidence=40 asked=30 pressure=1.20",
+         "I 11.000 entry: ended request=r1 how=served organisation=north rank=2 sends=1"});
+    const auto trace = build_request_trace("r1", lines);
+    REQUIRE(trace);
+    CHECK(trace->organisation == "north");
+    CHECK(trace->rank == "2");
+    CHECK(
+        trace->cause.find("model s was passed on: its confidence was 40, 30 was required at a "
+                          "pressure of 1.20") != std::string::npos);
+    CHECK(trace_text(*trace).find("organisation north\nrank 2\n") != std::string::npos);
+    const auto refusal = build_request_trace(
+        "r2",
+        logs_of(
+            {"I 10.000 entry: refused request=r2 why=shutting_down organisation=north rank=0"}));
+    REQUIRE(refusal);
+    CHECK(refusal->organisation == "north");
+    CHECK(refusal->rank == "0");
+}
+
 TEST_CASE("lines of several entries are ordered by time", "[request_story]")
 {
     // The entry of the request was killed, and another entry continued the request.
--- /dev/null
+++ b/source/unit_tests/router/organisations_test.cpp
@@ -0,0 +1,75 @@
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "common/log.hpp"
+#include "router_fixture.hpp"
+
+namespace reedramp::router::testing {
+
+namespace {
+
+/// Collects log lines while it exists.
+struct log_capture {
+    log_capture()
+    {
+        common::set_log_sink([this](common::log_level /*level*/, std::string_view line) {
+            this->lines.emplace_back(line);
+        });
+    }
+
+    ~log_capture() { common::set_log_sink({}); }
+
+    log_capture(const log_capture&) = delete;
+    log_capture(log_capture&&) = delete;
+    auto operator=(const log_capture&) -> log_capture& = delete;
+    auto operator=(log_capture&&) -> log_capture& = delete;
+
+    /// The newest line that contains `text`; empty if there is none.
+    [[nodiscard]] auto find(const std::string& text) const -> std::string
+    {
+        std::string newest;
+        for (const auto& line : this->lines) {
+            newest = line.find(text) == std::string::npos ? newest : line;
+        }
+        return newest;
+    }
+
+    std::vector<std::string> lines;
+};
+
+auto contains(const std::string& line, const std::string& part) -> bool
+{
+    return line.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("log lines of decisions state the organisation and the rank", "[organisations]")
+{
+    // Without them, the log does not show who got the capacity under overload.
+    const log_capture log;
+    router_fixture fixture;
+    const auto asked = fixture.ask("/stream/x");
+    fixture.last().head(200, {{"Reedramp-Confidence", "10"}});
+    fixture.last().head(200, {{"Reedramp-Confidence", "90"}});
+    fixture.last().chunk("id: 0\ndata: x\n\n");
+    fixture.last().end();
+    CHECK(contains(log.find("sent request="), " organisation=org rank=0 "));
+    CHECK(contains(log.find("answer dropped"), " organisation=org rank=0 "));
+    CHECK(contains(log.find("answer accepted"), " organisation=org rank=0 "));
+    CHECK(contains(log.find("answer accepted"), " pressure=0.00"));
+    CHECK(contains(log.find("ended request="), " how=served organisation=org rank=0 "));
+    fixture.core->announce_end(fixture.now);
+    fixture.ask("/stream/x");
+    CHECK(contains(log.find("refused request="), " why=shutting_down organisation=org rank=0"));
+    fixture.ask("/stream/x", {{"Reedramp-Key", "unknown"}});
+    CHECK(contains(log.find("why=unauthenticated"), " rank=0"));
+    CHECK_FALSE(contains(log.find("why=unauthenticated"), "organisation="));
+    fixture.ask("/nowhere/");
+    CHECK(contains(log.find("why=unknown_path"), " organisation=org"));
+    CHECK_FALSE(contains(log.find("why=unknown_path"), "rank="));
+}
+
+} // namespace reedramp::router::testing
