--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -224,9 +224,10 @@
     /// Rank that counts in decisions on a request of the route and the organisation, which may be
     /// null; 0 is the highest.
     [[nodiscard]] auto
-    rank_of(const routing::route& route, const routing::organisation* /*owner*/) const -> unsigned
+    rank_of(const routing::route& route, const routing::organisation* owner) const -> unsigned
     {
-        return route.priority;
+        return this->is_overload_controlled() ? routing::effective_priority(route, owner)
+                                              : route.priority;
     }
 
     /// How scarce the service's capacity is, as `overload::pressure_of`; 0 while overload control
--- a/source/core/routing/configuration.hpp
+++ b/source/core/routing/configuration.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -84,8 +85,16 @@
     std::vector<std::string> keys;
     /// As for a route. Both restrictions apply.
     std::vector<common::region_id> homes{};
+    /// Takes precedence over that of the route. Empty if the operators set none.
+    std::optional<unsigned> priority{};
 };
 
+/// Priority of the route's requests of `owner`, which may be null; 0 is the highest.
+inline auto effective_priority(const route& on, const organisation* owner) -> unsigned
+{
+    return owner == nullptr ? on.priority : owner->priority.value_or(on.priority);
+}
+
 /// Limits on callers' requests and connections.
 struct caller_limits {
     std::size_t header_bytes = 16384;
--- a/source/unit_tests/router/organisations_test.cpp
+++ b/source/unit_tests/router/organisations_test.cpp
@@ -1,3 +1,4 @@
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,19 @@
     std::vector<std::string> lines;
 };
 
+/// The fixture's rules, with a priority of the organisation "org" and one of all routes.
+auto rules_with_priority(
+    std::uint64_t version, std::optional<unsigned> of_organisation, unsigned of_routes)
+    -> published_rules
+{
+    auto rules = rules_of(version);
+    rules.rules.organisations.front().priority = of_organisation;
+    for (auto& route : rules.rules.routes) {
+        route.priority = of_routes;
+    }
+    return rules;
+}
+
 auto contains(const std::string& line, const std::string& part) -> bool
 {
     return line.find(part) != std::string::npos;
@@ -72,4 +86,22 @@
     CHECK_FALSE(contains(log.find("why=unknown_path"), "rank="));
 }
 
+TEST_CASE(
+    "an organisation's priority counts only while overload control is in force", "[organisations]")
+{
+    // A deployment that does not call for overload control must behave as before.
+    const log_capture log;
+    router_fixture fixture;
+    fixture.core->apply_rules(rules_with_priority(2, 0U, 3));
+    const auto before = fixture.ask("/once/x");
+    CHECK(fixture.last().header("Reedramp-Urgency") == "7");
+    CHECK(contains(log.find("sent request="), " rank=3 "));
+    fixture.core->overload_control.note_stated_speed();
+    const auto after = fixture.ask("/once/x");
+    CHECK(fixture.last().header("Reedramp-Urgency") == "4");
+    CHECK(contains(log.find("sent request="), " rank=0 "));
+    const auto of_other = fixture.ask("/once/x", {{"Reedramp-Key", "key-of-other"}});
+    CHECK(fixture.last().header("Reedramp-Urgency") == "7");
+}
+
 } // namespace reedramp::router::testing
--- a/source/unit_tests/routing/configuration_test.cpp
+++ b/source/unit_tests/routing/configuration_test.cpp
@@ -52,6 +52,19 @@
     CHECK(table.owner_of("") == nullptr);
 }
 
+TEST_CASE("an organisation's priority takes precedence over its route's", "[configuration]")
+{
+    auto on = route_of("r", "h", "/");
+    on.priority = 2;
+    organisation owner;
+    CHECK(effective_priority(on, nullptr) == 2);
+    CHECK(effective_priority(on, &owner) == 2);
+    owner.priority = 0;
+    CHECK(effective_priority(on, &owner) == 0);
+    owner.priority = 5;
+    CHECK(effective_priority(on, &owner) == 5);
+}
+
 TEST_CASE("weights split a route's requests", "[configuration]")
 {
     const auto from = route_of("r", "h", "/");
