router: organisations' shares take effect, with metrics

Cause: shares were not fed and nothing followed from them. Change: each send is noted in the organisation's usage. Peers' reports carry the usage while control is in force and the pressure of any service is above 0.5; it expires after 2 s or three rounds. An organisation with an excess above 1 is one step less urgent at engines, at any rank, and its 'sent' line has excess=, which reedramp-ctl explain reads. relay::organisation_pressure() is pressure x excess, for the choice of models and admission. Metrics: router_organisations_beyond_share, router_beyond_share_requests_total (no labels). While control is not in force, urgency, reports and metrics stay as they were (tests in organisations_test.cpp and peer_group_test.cpp).

--- a/source/core/operators/request_trace.cpp
+++ b/source/core/operators/request_trace.cpp
@@ -117,6 +117,15 @@
            (pressure.empty() ? "" : " at a pressure of " + pressure);
 }
 
+/// Why the request was sent less urgent than its rank says; empty if it was not.
+auto describe_excess(const log_line& last_send) -> std::string
+{
+    const auto excess = last_send.field("excess");
+    return excess.empty() ? ""
+                          : ". Its organisation used " + excess +
+                                " times its fair share, so it was sent one step less urgent";
+}
+
 auto describe_cause(const std::vector<log_line>& lines, const log_line& end) -> std::string
 {
     const auto how = end.field("how");
@@ -125,7 +134,7 @@
     if (how == "served" && last_send != nullptr) {
         return "server " + last_send->field("server") + " of version " +
                last_send->field("version") + " answered on send " + last_send->field("send") +
-               describe_accepted_model(lines);
+               describe_accepted_model(lines) + describe_excess(*last_send);
     }
     if (how == "caller_left") {
         return "the caller closed the connection";
--- a/source/core/overload/organisation_shares.cpp
+++ b/source/core/overload/organisation_shares.cpp
@@ -207,6 +207,7 @@
     }
     const auto sum = this->peer_sums.find(key);
     const auto named = sum == this->peer_sums.end() ? 0 : sum->second.truncated;
+    // The rates left out lie between 0 and the least reported one.
     const auto mean_least =
         this->truncated.least_rates / static_cast<double>(this->truncated.reports);
     return static_cast<double>(this->truncated.reports - named) *
--- a/source/core/router/log_fields.cpp
+++ b/source/core/router/log_fields.cpp
@@ -6,6 +6,17 @@
 
 namespace reedramp::router {
 
+namespace {
+
+auto two_decimals(double value) -> std::string
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", value);
+    return text.data();
+}
+
+} // namespace
+
 auto owner_fields(const routing::organisation* owner, std::optional<unsigned> rank) -> std::string
 {
     std::string fields;
@@ -24,9 +35,12 @@
 
 auto pressure_field(double pressure) -> std::string
 {
-    std::array<char, 32> text{};
-    std::snprintf(text.data(), text.size(), " pressure=%.2f", pressure);
-    return text.data();
+    return " pressure=" + two_decimals(pressure);
+}
+
+auto excess_field(double excess) -> std::string
+{
+    return excess > 1.0 ? " excess=" + two_decimals(excess) : std::string{};
 }
 
 } // namespace reedramp::router
--- a/source/core/router/log_fields.hpp
+++ b/source/core/router/log_fields.hpp
@@ -14,4 +14,7 @@
 /// Field ` pressure=` with two decimals.
 auto pressure_field(double pressure) -> std::string;
 
+/// Field ` excess=` with two decimals; empty if the organisation is within its share.
+auto excess_field(double excess) -> std::string;
+
 } // namespace reedramp::router
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -92,7 +92,7 @@
             " work=" + std::to_string(static_cast<std::int64_t>(next->work)) + " ahead=" +
             std::to_string(static_cast<std::int64_t>(next->work_ahead - next->prompt_work)) +
             " send=" + std::to_string(this->ledger.sends()) +
-            " after_event=" + std::to_string(this->last_event));
+            " after_event=" + std::to_string(this->last_event) + excess_field(this->excess()));
     const auto keep = this->shared_from_this();
     next->call = this->core->client->send(
         *where,
@@ -127,6 +127,7 @@
     this->tried.push_back(next->server);
     this->ledger.note_sent();
     this->core->counters.sends.add();
+    this->note_usage(next->work);
     this->core->loads.begin(next->server, next->work, next->prompt_work, next->memory);
     this->core->limiter.note_sent(server, this->cold_per_second(), now);
     this->core->rollouts.note_sent(this->service, this->session_hash, server.version, now);
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -164,6 +164,15 @@
     [[nodiscard]] auto work() const -> request_work;
     /// Rank that counts in decisions; 0 is the highest.
     [[nodiscard]] auto rank() const -> unsigned;
+    /// Owner of the caller's key; empty without one.
+    [[nodiscard]] auto organisation() const -> common::organisation_id;
+    /// How many times its fair share of the service the organisation uses; 1 if it stays within it.
+    [[nodiscard]] auto excess() const -> double;
+    /// Pressure of the service times the organisation's excess; 0 while overload control is not in
+    /// force.
+    [[nodiscard]] auto organisation_pressure() const -> double;
+    /// Notes the work of a send in the organisation's usage.
+    auto note_usage(double work) const -> void;
     [[nodiscard]] auto urgency() const -> int;
 
     auto on_head(const std::shared_ptr<attempt>& of, const http::response& head) -> void;
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -74,7 +74,8 @@
     constexpr int middle = 4;
     constexpr int ahead = 3;
     constexpr int last = 9;
-    const auto rank = middle + static_cast<int>(this->rank());
+    // An organisation beyond its share gives way by one step.
+    const auto rank = middle + static_cast<int>(this->rank()) + (this->excess() > 1.0 ? 1 : 0);
     const bool has_waited = this->ledger.sends() > 1 || this->is_resumed();
     return std::clamp(has_waited ? rank - ahead : rank, 0, last);
 }
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -365,6 +365,7 @@
             " routes=" + std::to_string(rules.rules.routes.size()));
     this->rules_in_force = std::make_shared<const routing::route_table>(std::move(rules.rules));
     this->text_in_force = std::move(rules.text);
+    this->shares.set_rules(this->rules_in_force->rules());
     if (this->hooks.on_rules) {
         this->hooks.on_rules(this->rules_in_force->rules());
     }
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -12,6 +12,7 @@
 #include "common/hooks.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
+#include "overload/organisation_shares.hpp"
 #include "placement/retry_budget.hpp"
 #include "router/caller_request.hpp"
 #include "router/header_names.hpp"
@@ -234,6 +235,10 @@
     /// is not in force.
     auto pressure(const common::service_name& service) -> double;
 
+    /// Organisations' usage to report to peers; empty unless the pressure of a service calls for
+    /// it.
+    auto make_usage_reports() -> std::vector<overload::usage_report>;
+
     /// Number of requests without a final response.
     [[nodiscard]] auto in_flight() const -> std::size_t { return this->open_requests.size(); }
 
@@ -296,6 +301,7 @@
     std::map<common::service_name, routing::server_speed_tracker> speeds;
     routing::server_health health;
     overload_state overload_control;
+    overload::organisation_shares shares;
     routing::server_limiter limiter;
     routing::evacuation_registry evacuations;
     routing::crash_tracker crashes;
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -45,7 +45,13 @@
           "router_list_questions_total",
           "Queries to neighbours for missing changes of the server list.")),
       list_rejected(registry.counter_of(
-          "router_list_rejected_total", "Server list updates that were rejected."))
+          "router_list_rejected_total", "Server list updates that were rejected.")),
+      beyond_share(registry.gauge_of(
+          "router_organisations_beyond_share",
+          "Organisations that use more than their fair share, summed over services.")),
+      beyond_share_requests(registry.counter_of(
+          "router_beyond_share_requests_total",
+          "Requests that were sent for organisations beyond their fair share."))
 {
 }
 
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -34,6 +34,11 @@
     /// Updates of the server list from neighbours that were malformed, or ahead of the store.
     metrics::counter& list_rejected;
 
+    /// Organisations beyond their fair share, summed over services.
+    metrics::gauge& beyond_share;
+    /// Requests of organisations that were beyond their fair share at the first send.
+    metrics::counter& beyond_share_requests;
+
     /// Counts the end of a request by result: "served", the name of a result code, or
     /// "caller_left".
     auto count_end(const std::string& result) const -> void;
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -123,6 +123,7 @@
     report.ended = this->core->servers.ended(now);
     report.evacuations = this->core->evacuations.make_report();
     report.limits = this->core->limiter.limits().make_reports(now);
+    report.usage = this->core->make_usage_reports();
     if (this->core->process_ends_at() != common::never) {
         report.ends_in = std::chrono::duration_cast<std::chrono::milliseconds>(
             this->core->process_ends_at() - now);
@@ -258,6 +259,7 @@
     this->core->apply_limit_reports(report->limits, report->host.value());
     const auto trusted_until = now + this->round() * load_report_rounds;
     this->core->loads.apply_reports(report->host, report->loads, trusted_until);
+    this->core->shares.apply_reports(report->host, report->usage, now + this->silence());
     this->core->freshness.apply_report(report->freshness, now);
     this->core->health.apply_reports(report->host, report->outcomes, trusted_until, now);
     this->core->rollouts.apply_reports(evidence_source(*report), report->rollouts, now);
--- a/source/unit_tests/operators/request_trace_test.cpp
+++ b/source/unit_tests/operators/request_trace_test.cpp
@@ -130,7 +130,8 @@
 {
     // Without them, an operator can't see from the trace who gave way to whom under overload.
     const auto lines = logs_of(
-        {"I 10.000 place: sent request=r1 organisation=north rank=2 server=a version=v1 send=1",
+        {"I 10.000 place: sent request=r1 organisation=north rank=2 server=a version=v1 send=1 "
+         "excess=1.80",
          "I 10.400 policy: answer accepted request=r1 organisation=north rank=2 model=s "
          "confidence=40 asked=30 pressure=1.20",
          "I 11.000 entry: ended request=r1 how=served organisation=north rank=2 sends=1"});
@@ -141,6 +142,7 @@
     CHECK(
         trace->cause.find("model s was passed on: its confidence was 40, 30 was required at a "
                           "pressure of 1.20") != std::string::npos);
+    CHECK(trace->cause.find("used 1.80 times its fair share") != std::string::npos);
     CHECK(trace_text(*trace).find("organisation north\nrank 2\n") != std::string::npos);
     const auto refusal = build_request_trace(
         "r2",
--- a/source/unit_tests/overload/share_simulation_test.cpp
+++ b/source/unit_tests/overload/share_simulation_test.cpp
@@ -1,5 +1,6 @@
 #include "share_simulation.hpp"
 
+#include <chrono>
 #include <iostream>
 #include <string>
 
@@ -79,4 +80,36 @@
     }
 }
 
+TEST_CASE("an excess costs little with the reports of 390 entries and 60 organisations", "[shares]")
+{
+    // Entries have as little as 0.068 cores.
+    using clock = std::chrono::steady_clock;
+    const common::service_name service{"engines"};
+    organisation_shares shares;
+    shares.set_rules(testing::rules_of(service, 60));
+    common::time_point now{std::chrono::seconds{1000}};
+    for (std::size_t i = 0; i < 60; ++i) {
+        shares.note_sent(service, testing::name_of(i), 1000.0, true, now);
+    }
+    for (int peer = 0; peer < 390; ++peer) {
+        shares.apply_reports(
+            common::host_id{"h" + std::to_string(peer)},
+            shares.make_reports(now),
+            now + std::chrono::minutes{1});
+    }
+    constexpr int rounds = 200;
+    const auto measure = [&](common::duration step) {
+        const auto start = clock::now();
+        double sum = 0.0;
+        for (int i = 0; i < rounds; ++i, now += step) {
+            sum += shares.excess(service, testing::name_of(1), 2.0, now);
+        }
+        CHECK(sum >= rounds);
+        return std::chrono::duration<double, std::micro>(clock::now() - start).count() / rounds;
+    };
+    std::cout << "METRIC share_excess_with_new_sums " << measure(std::chrono::milliseconds{100})
+              << " us\n"
+              << "METRIC share_excess " << measure(common::duration{0}) << " us\n";
+}
+
 } // namespace reedramp::overload
--- a/source/unit_tests/router/organisations_test.cpp
+++ b/source/unit_tests/router/organisations_test.cpp
@@ -1,3 +1,4 @@
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -104,4 +105,58 @@
     CHECK(fixture.last().header("Reedramp-Urgency") == "7");
 }
 
+namespace {
+
+/// Fills the servers with requests of "org", which asks for far more than its share.
+auto overload(router_fixture& fixture) -> std::vector<std::shared_ptr<caller>>
+{
+    std::vector<std::shared_ptr<caller>> callers;
+    callers.push_back(fixture.ask("/once/x", {{"Reedramp-Key", "key-of-other"}}));
+    for (int i = 0; i < 30; ++i) {
+        callers.push_back(fixture.ask("/once/x"));
+    }
+    fixture.core->shares.note_refused(
+        common::service_name{"engines"}, common::organisation_id{"org"}, 1e6, fixture.now);
+    fixture.advance(milliseconds{100});
+    return callers;
+}
+
+} // namespace
+
+TEST_CASE(
+    "an organisation beyond its share is one step less urgent, at any rank", "[organisations]")
+{
+    // An organisation of the highest rank that overloads a service must not take it from all.
+    const log_capture log;
+    router_fixture fixture;
+    fixture.core->apply_rules(rules_with_priority(2, 0U, 0));
+    fixture.core->overload_control.note_stated_speed();
+    const auto held = overload(fixture);
+    CHECK(fixture.core->pressure(common::service_name{"engines"}) >= 1.0);
+    const auto before = fixture.core->counters.beyond_share_requests.value();
+    const auto beyond = fixture.ask("/once/x");
+    CHECK(fixture.last().header("Reedramp-Urgency") == "5");
+    CHECK(contains(log.find("sent request="), " excess="));
+    CHECK(fixture.core->counters.beyond_share_requests.value() == before + 1);
+    const auto within = fixture.ask("/once/x", {{"Reedramp-Key", "key-of-other"}});
+    CHECK(fixture.last().header("Reedramp-Urgency") == "4");
+    CHECK_FALSE(contains(log.find("sent request="), " excess="));
+    CHECK(fixture.core->counters.beyond_share_requests.value() == before + 1);
+    CHECK_FALSE(fixture.core->make_usage_reports().empty());
+    CHECK(fixture.core->counters.beyond_share.value() == 1);
+}
+
+TEST_CASE("without overload control, no organisation gives way", "[organisations]")
+{
+    // A deployment that does not call for overload control must behave as before.
+    const log_capture log;
+    router_fixture fixture;
+    const auto held = overload(fixture);
+    const auto beyond = fixture.ask("/once/x");
+    CHECK(fixture.last().header("Reedramp-Urgency") == "4");
+    CHECK(log.find(" excess=").empty());
+    CHECK(fixture.core->counters.beyond_share_requests.value() == 0);
+    CHECK(fixture.core->make_usage_reports().empty());
+}
+
 } // namespace reedramp::router::testing
--- a/source/unit_tests/router/peer_group_test.cpp
+++ b/source/unit_tests/router/peer_group_test.cpp
@@ -1,5 +1,7 @@
 #include "peer_group.hpp"
 
+#include <iostream>
+#include <memory>
 #include <set>
 
 #include <catch2/catch.hpp>
@@ -238,4 +240,39 @@
     CHECK(one.group.live_count() == 0);
 }
 
+TEST_CASE("organisations' usage reaches peers only under pressure, and expires", "[peer_group]")
+{
+    // Usage at one entry says nothing about the others', so without reports an organisation that
+    // spreads its overload over all entries stays within its share at each.
+    const common::service_name engines{"engines"};
+    const common::organisation_id org{"org"};
+    router_fixture here;
+    router_fixture there;
+    recording_entry one{here, 1};
+    recording_entry two{there, 2};
+    two.group.add(address_of(1));
+    std::vector<std::shared_ptr<caller>> held;
+    for (int i = 0; i < 30; ++i) {
+        held.push_back(there.ask("/once/x"));
+    }
+    held.push_back(there.ask("/once/x", {{"Reedramp-Key", "key-of-other"}}));
+    there.core->shares.note_refused(engines, org, 1e6, there.now);
+    const auto usage_reported = [&] {
+        two.sent.clear();
+        two.group.send_reports();
+        return decode_peer_report(two.sent.front().second)->usage.size();
+    };
+    CHECK(usage_reported() == 0);
+    const auto calm_bytes = two.sent.front().second.size();
+    there.core->overload_control.note_stated_speed();
+    // Two organisations, and two totals of the service.
+    CHECK(usage_reported() == 4);
+    std::cout << "METRIC peer_message_usage_of_2_organisations "
+              << two.sent.front().second.size() - calm_bytes << " bytes\n";
+    one.group.receive(two.sent.front().second);
+    CHECK(here.core->shares.excess(engines, org, 1.0, here.now) > 1.0);
+    here.now += milliseconds{2100};
+    CHECK(here.core->shares.excess(engines, org, 1.0, here.now) == 1.0);
+}
+
 } // namespace reedramp::router::testing
