--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "router/log_fields.hpp"
 
 namespace reedramp::router {
 
@@ -84,14 +85,14 @@
     common::log(
         common::log_part::place,
         common::log_level::info,
-        "sent request=" + this->request.caller.attempt +
-            " route=" + this->request.route->name.value() +
+        "sent request=" + this->request.caller.attempt + " route=" +
+            this->request.route->name.value() + owner_fields(this->request.owner, this->rank()) +
             " session=" + this->request.caller.session + " server=" + server.id.value() +
             " version=" + server.version.value() + " model=" + this->model +
             " work=" + std::to_string(static_cast<std::int64_t>(next->work)) + " ahead=" +
             std::to_string(static_cast<std::int64_t>(next->work_ahead - next->prompt_work)) +
             " send=" + std::to_string(this->ledger.sends()) +
-            " after_event=" + std::to_string(this->last_event));
+            " after_event=" + std::to_string(this->last_event) + excess_field(this->excess()));
     const auto keep = this->shared_from_this();
     next->call = this->core->client->send(
         *where,
@@ -126,6 +127,7 @@
     this->tried.push_back(next->server);
     this->ledger.note_sent();
     this->core->counters.sends.add();
+    this->note_usage(next->work);
     this->core->loads.begin(next->server, next->work, next->prompt_work, next->memory);
     this->core->limiter.note_sent(server, this->cold_per_second(), now);
     this->core->rollouts.note_sent(this->service, this->session_hash, server.version, now);
@@ -366,6 +368,7 @@
         common::log_part::entry,
         common::log_level::info,
         "ended request=" + this->request.caller.attempt + " how=" + std::string{how} +
+            owner_fields(this->request.owner, this->rank()) +
             " sends=" + std::to_string(this->ledger.sends()) +
             " first_event_ms=" + std::to_string(this->first_event_wait.count()) + " last_event=" +
             std::to_string(this->last_event) + " ms=" + std::to_string(took.count()));
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -12,6 +12,7 @@
 #include "common/hooks.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
+#include "overload/organisation_shares.hpp"
 #include "placement/retry_budget.hpp"
 #include "router/caller_request.hpp"
 #include "router/header_names.hpp"
@@ -227,10 +228,23 @@
         return this->overload_control.is_in_force();
     }
 
+    /// Rank that counts in decisions on a request of the route and the organisation, which may be
+    /// null; 0 is the highest.
+    [[nodiscard]] auto
+    rank_of(const routing::route& route, const routing::organisation* owner) const -> unsigned
+    {
+        return this->is_overload_controlled() ? routing::effective_priority(route, owner)
+                                              : route.priority;
+    }
+
     /// How scarce the service's capacity is, as `overload::pressure_of`; 0 while overload control
     /// is not in force.
     auto pressure(const common::service_name& service) -> double;
 
+    /// Organisations' usage to report to peers; empty unless the pressure of a service calls for
+    /// it.
+    auto make_usage_reports() -> std::vector<overload::usage_report>;
+
     /// Number of requests without a final response.
     [[nodiscard]] auto in_flight() const -> std::size_t { return this->open_requests.size(); }
 
@@ -295,6 +309,7 @@
     std::map<common::service_name, routing::first_event_estimator> first_events;
     routing::server_health health;
     overload_state overload_control;
+    overload::organisation_shares shares;
     routing::server_limiter limiter;
     routing::evacuation_registry evacuations;
     routing::crash_tracker crashes;
