--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -321,7 +321,8 @@
         options.late_value = options.contended_late_value;
         level = std::max(level, this->core->pressure(this->service));
     }
-    return routing::required_confidence(options, route, level, this->expect_larger_model(larger));
+    return routing::required_confidence(
+        options, this->rank(), level, this->expect_larger_model(larger));
 }
 
 } // namespace reedramp::router
--- a/source/core/routing/model_choice.cpp
+++ b/source/core/routing/model_choice.cpp
@@ -24,15 +24,14 @@
 }
 
 auto required_confidence(
-    const model_options& options, const route& on, double level, larger_model_timing larger)
-    -> double
+    const model_options& options, unsigned rank, double level, larger_model_timing larger) -> double
 {
     if (larger == larger_model_timing::too_slow) {
         return 0.0;
     }
-    const auto rank_part = static_cast<double>(options.rank_step) * on.priority;
+    const auto rank_part = static_cast<double>(options.rank_step) * rank;
     const auto most = std::max(0.0, static_cast<double>(options.accepted_confidence) - rank_part);
-    const auto pressure = level * (options.urgent_pressure + options.rank_pressure * on.priority);
+    const auto pressure = level * (options.urgent_pressure + options.rank_pressure * rank);
     const auto left =
         (options.scarcity_to - pressure) / (options.scarcity_to - options.scarcity_from);
     return most * std::clamp(left, 0.0, 1.0) *
--- a/source/core/routing/model_choice.hpp
+++ b/source/core/routing/model_choice.hpp
@@ -59,10 +59,10 @@
     too_slow,
 };
 
-/// Returns the confidence required on a route at a level of the gauge, or of the service's pressure
-/// where overload control is in force.
+/// Returns the confidence required of a request of priority `rank` at a level of the gauge, or of
+/// the service's pressure where overload control is in force.
 auto required_confidence(
-    const model_options& options, const route& on, double level, larger_model_timing larger)
+    const model_options& options, unsigned rank, double level, larger_model_timing larger)
     -> double;
 
 /// Returns the index of the first model to ask: the smallest. It costs and takes a small fraction
--- a/source/unit_tests/routing/model_choice_test.cpp
+++ b/source/unit_tests/routing/model_choice_test.cpp
@@ -38,26 +38,32 @@
     const model_options options;
     auto on = three_models();
     on.priority = 1;
-    const auto calm = required_confidence(options, on, 0.0, larger_model_timing::in_time);
+    const auto calm = required_confidence(options, on.priority, 0.0, larger_model_timing::in_time);
     wait_gauge gauge;
     for (int i = 0; i < 100; ++i) {
         gauge.note(milliseconds{100}, milliseconds{1000});
     }
-    CHECK(required_confidence(options, on, gauge.level(), larger_model_timing::in_time) == calm);
+    CHECK(
+        required_confidence(options, on.priority, gauge.level(), larger_model_timing::in_time) ==
+        calm);
     for (int i = 0; i < 15; ++i) {
         gauge.note(milliseconds{1500}, milliseconds{1000});
     }
     const auto under_pressure =
-        required_confidence(options, on, gauge.level(), larger_model_timing::in_time);
+        required_confidence(options, on.priority, gauge.level(), larger_model_timing::in_time);
     CHECK(under_pressure < calm);
     for (int i = 0; i < 100; ++i) {
         gauge.note(milliseconds{5000}, milliseconds{1000});
     }
-    CHECK(required_confidence(options, on, gauge.level(), larger_model_timing::in_time) == 0.0);
+    CHECK(
+        required_confidence(options, on.priority, gauge.level(), larger_model_timing::in_time) ==
+        0.0);
     for (int i = 0; i < 100; ++i) {
         gauge.note(milliseconds{100}, milliseconds{1000});
     }
-    CHECK(required_confidence(options, on, gauge.level(), larger_model_timing::in_time) == calm);
+    CHECK(
+        required_confidence(options, on.priority, gauge.level(), larger_model_timing::in_time) ==
+        calm);
 }
 
 TEST_CASE("the larger model is given up first on routes of low priority", "[model]")
@@ -70,11 +76,11 @@
     auto tags = three_models();
     tags.priority = 2;
     CHECK(
-        required_confidence(options, letters, third, larger_model_timing::in_time) ==
-        required_confidence(options, letters, 0.0, larger_model_timing::in_time));
+        required_confidence(options, letters.priority, third, larger_model_timing::in_time) ==
+        required_confidence(options, letters.priority, 0.0, larger_model_timing::in_time));
     CHECK(
-        required_confidence(options, tags, third, larger_model_timing::in_time) <
-        required_confidence(options, tags, 0.0, larger_model_timing::in_time) / 2.0);
+        required_confidence(options, tags.priority, third, larger_model_timing::in_time) <
+        required_confidence(options, tags.priority, 0.0, larger_model_timing::in_time) / 2.0);
 }
 
 TEST_CASE("less confidence is required where a wrong answer costs less", "[model]")
@@ -85,11 +91,12 @@
     auto urgent = three_models();
     auto tags = three_models();
     tags.priority = 2;
-    const auto asked = required_confidence(options, urgent, 0.0, larger_model_timing::in_time);
+    const auto asked =
+        required_confidence(options, urgent.priority, 0.0, larger_model_timing::in_time);
     CHECK(asked == options.accepted_confidence);
-    CHECK(required_confidence(options, tags, 0.0, larger_model_timing::in_time) < asked);
+    CHECK(required_confidence(options, tags.priority, 0.0, larger_model_timing::in_time) < asked);
     CHECK(
-        required_confidence(options, urgent, 0.0, larger_model_timing::late) ==
+        required_confidence(options, urgent.priority, 0.0, larger_model_timing::late) ==
         asked * options.late_value);
 }
 
@@ -106,7 +113,9 @@
     CHECK(at({milliseconds{400}, milliseconds{1200}, milliseconds{5000}}) == 1);
     CHECK_FALSE(at({milliseconds{900}, milliseconds{2500}, milliseconds{9000}}).has_value());
     CHECK_FALSE(next_model_in_time(on, 2, [](std::size_t) { return milliseconds{0}; }).has_value());
-    CHECK(required_confidence(model_options{}, on, 0.0, larger_model_timing::too_slow) == 0.0);
+    CHECK(
+        required_confidence(model_options{}, on.priority, 0.0, larger_model_timing::too_slow) ==
+        0.0);
 }
 
 TEST_CASE("waits for first events are learned by size, and extrapolated upwards only", "[model]")
