Server speeds from the pauses between events of streams

An entry judges a server by its waits for first answers, which contain the queueing time, and needs four of them: twenty seconds at one stream in five seconds.

The tracker now also keeps each server's mean pause by model. The ratio to the mean over all servers, in logarithms, is the server's pace, shrunk towards 1 by a prior of three samples. A stream is one sample: at its seventh event, or at its end with two events or more. Events of the first packet are not counted as pauses, and cold servers give no sample.

Nothing reads the pace yet. A test compares the estimates from waits with and without pauses; they are the same numbers. routing_test passes; router_test passes.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -159,6 +159,8 @@
         this->note_total_time(
             *of, is_whole ? routing::time_bound::seen : routing::time_bound::at_least);
     }
+    constexpr std::int64_t least_events = 2;
+    this->note_speed(*of, least_events);
     const auto now = this->core->hooks.clock();
     this->core->loads.end(of->server, of->work, of->has_events ? 0.0 : of->prompt_work, of->memory);
     this->core->rollouts.note_ended(this->service, this->session_hash, of->version, now);
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -100,6 +100,10 @@
         time_point first_event;
         /// Events received in this attempt.
         std::int64_t events_seen = 0;
+        /// Events that came with the first packet; no pause lies between them.
+        std::int64_t first_events = 0;
+        /// Its pauses are a sample of the server's speed already.
+        bool is_speed_sampled = false;
         /// Prompts being read by the server, summed over `load_samples` samples taken during the
         /// stream.
         double reading_sum = 0.0;
@@ -182,6 +186,9 @@
 
     /// Reports the mean pause between events to the roll-out guide, once per attempt.
     auto note_event_pause(attempt& of) const -> void;
+    /// Takes the mean pause between events as a sample of the server's speed, once per attempt that
+    /// has had at least `enough_events`.
+    auto note_speed(attempt& of, std::int64_t enough_events) const -> void;
     /// Reports the total time of an attempt that ended, or its lower bound if it was given up.
     auto note_total_time(attempt& of, routing::time_bound bound) const -> void;
     auto note_time(attempt& of, const routing::timed_answer& timed) const -> void;
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -35,6 +35,9 @@
     return value;
 }
 
+/// Enough pauses that one prompt processed at the same time matters little.
+constexpr std::int64_t enough_events = 7;
+
 } // namespace
 
 auto relay::classify_head(const http::response& head) const -> verdict
@@ -172,6 +175,21 @@
     }
 }
 
+auto relay::note_speed(attempt& of, std::int64_t enough_events) const -> void
+{
+    const auto pauses = of.events_seen - of.first_events;
+    const bool is_enough = of.events_seen >= enough_events && pauses > 0;
+    // A cold server's pace says nothing about its later speed.
+    if (of.is_speed_sampled || of.is_cold || !is_enough) {
+        return;
+    }
+    of.is_speed_sampled = true;
+    const auto took = std::chrono::duration<double, std::milli>(of.last_progress - of.first_event);
+    const auto& used = this->model.empty() ? this->request.caller.model : this->model;
+    this->core->speeds[this->service].note_pause(
+        of.server, used, took.count() / static_cast<double>(pauses));
+}
+
 auto relay::note_event_pause(attempt& of) const -> void
 {
     if (of.is_timed) {
@@ -179,8 +197,6 @@
     }
     of.reading_sum += this->core->loads.total(of.server, of.last_progress).reading;
     of.load_samples += 1;
-    // Enough pauses that one prompt processed at the same time matters little.
-    constexpr std::int64_t enough_events = 7;
     if (of.events_seen < enough_events) {
         return;
     }
@@ -246,8 +262,11 @@
             this->out->start(of->head);
         }
         // Events of one network packet arrive together; the time of the last one counts.
-        of->events_seen += of->events->last_id() - this->last_event;
+        const auto arrived = of->events->last_id() - this->last_event;
+        of->first_events = of->events_seen == 0 ? arrived : of->first_events;
+        of->events_seen += arrived;
         this->note_event_pause(*of);
+        this->note_speed(*of, enough_events);
         this->last_event = of->events->last_id();
         this->out->write(std::move(whole));
     }
--- a/source/core/routing/server_speed_tracker.cpp
+++ b/source/core/routing/server_speed_tracker.cpp
@@ -1,6 +1,7 @@
 #include "routing/server_speed_tracker.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <vector>
 
@@ -24,6 +25,13 @@
 /// attracted them.
 constexpr double min_slowness = 0.7;
 constexpr double max_slowness = 10.0;
+/// Weight of a server's newest pause: a mean over about `max_pace_samples` streams. An older mean
+/// would count for no more samples, and notice a change of speed later.
+constexpr double pause_memory = 0.2;
+/// Samples of the usual speed that each server starts with.
+constexpr double prior_samples = 3.0;
+/// Shorter pauses are events of one packet.
+constexpr double min_pause_ms = 0.01;
 
 } // namespace
 
@@ -46,6 +54,68 @@
     this->work_sum = this->work_sum * kept + work + fixed_work;
 }
 
+auto server_speed_tracker::index_of(std::string_view model) -> std::size_t
+{
+    const auto found = std::ranges::find(this->models, model, &model_pauses::model);
+    if (found == this->models.end() && this->models.size() < max_models) {
+        this->models.push_back({.model = std::string{model}});
+        return this->models.size() - 1;
+    }
+    return found == this->models.end() ? max_models
+                                       : static_cast<std::size_t>(found - this->models.begin());
+}
+
+auto server_speed_tracker::note_pause(
+    const server_instance& server, std::string_view model, double pause_ms) -> void
+{
+    const auto index = this->index_of(model);
+    if (index == max_models || !std::isfinite(pause_ms)) {
+        return;
+    }
+    auto& means = this->servers[server].pauses;
+    means.resize(std::max(means.size(), index + 1));
+    auto& mean = means[index];
+    auto& all = this->models[index];
+    all.servers += mean.samples == 0 ? 1 : 0;
+    all.log_ms_sum -= mean.log_ms;
+    mean.samples += 1;
+    const auto weight = std::max(pause_memory, 1.0 / static_cast<double>(mean.samples));
+    mean.log_ms += weight * (std::log(std::max(pause_ms, min_pause_ms)) - mean.log_ms);
+    all.log_ms_sum += mean.log_ms;
+}
+
+auto server_speed_tracker::own_pace(const server_instance& server) const -> pace
+{
+    const auto found = this->servers.find(server);
+    if (found == this->servers.end()) {
+        return {};
+    }
+    pace sum;
+    const auto& means = found->second.pauses;
+    for (std::size_t i = 0; i < means.size(); ++i) {
+        if (means[i].samples > 0) {
+            const auto& all = this->models[i];
+            const auto samples = std::min(static_cast<double>(means[i].samples), max_pace_samples);
+            sum.log_ratio += samples * (means[i].log_ms - all.log_ms_sum / all.servers);
+            sum.samples += samples;
+        }
+    }
+    if (sum.samples > 0.0) {
+        sum.log_ratio /= sum.samples;
+    }
+    return {sum.log_ratio, std::min(sum.samples, max_pace_samples)};
+}
+
+auto server_speed_tracker::slowness_by_pace(const server_instance& server) const -> double
+{
+    const auto own = this->own_pace(server);
+    if (own.samples == 0.0) {
+        return this->slowness(server);
+    }
+    const auto log_ratio = own.samples * own.log_ratio / (own.samples + prior_samples);
+    return std::clamp(std::exp(log_ratio), min_slowness, max_slowness);
+}
+
 auto server_speed_tracker::expected(double work) const -> std::chrono::milliseconds
 {
     const auto time_per_work = this->work_sum > 0.0 ? this->time_sum / this->work_sum : 0.0;
@@ -89,7 +159,17 @@
 auto server_speed_tracker::forget_if(
     const std::function<auto(const server_instance& server)->bool>& is_gone) -> void
 {
-    std::erase_if(this->servers, [&is_gone](const auto& item) { return is_gone(item.first); });
+    std::erase_if(this->servers, [this, &is_gone](const auto& item) {
+        if (!is_gone(item.first)) {
+            return false;
+        }
+        const auto& means = item.second.pauses;
+        for (std::size_t i = 0; i < means.size(); ++i) {
+            this->models[i].log_ms_sum -= means[i].log_ms;
+            this->models[i].servers -= means[i].samples > 0 ? 1 : 0;
+        }
+        return true;
+    });
 }
 
 } // namespace reedramp::routing
--- a/source/unit_tests/router/relay_test.cpp
+++ b/source/unit_tests/router/relay_test.cpp
@@ -349,6 +349,33 @@
     CHECK(sends_in_two_seconds("90000,10") == 1);
 }
 
+TEST_CASE("a stream is one sample of its server's speed, whatever its length", "[relay]")
+{
+    // A sample for each event would let one long stream outweigh all others; without one for short
+    // streams, services that answer with a few events would never know their servers' speeds.
+    struct stream_case {
+        int events;
+        double samples;
+    };
+
+    for (const auto& [events, samples] : {stream_case{1, 0.0}, {2, 1.0}, {7, 1.0}, {30, 1.0}}) {
+        router_fixture fixture;
+        const auto out = fixture.ask(stream);
+        const routing::server_instance server{
+            common::server_id{fixture.last().header("Reedramp-Expect-Server")}};
+        fixture.last().head(200, {{"Reedramp-Confidence", "90"}});
+        for (int i = 0; i < events; ++i) {
+            fixture.advance(milliseconds{10});
+            fixture.last().chunk(event(i));
+        }
+        fixture.last().end();
+        INFO(events << " events");
+        CHECK(out->is_finished);
+        const auto& speeds = fixture.core->speeds[common::service_name{"engines"}];
+        CHECK(speeds.own_pace(server).samples == samples);
+    }
+}
+
 TEST_CASE("a resumed stream is more urgent and returns to the server that started it", "[relay]")
 {
     // An entry is killed, and all its callers return at once. Callers of started streams notice the
--- /dev/null
+++ b/source/unit_tests/routing/server_speed_test.cpp
@@ -0,0 +1,106 @@
+#include <cmath>
+#include <limits>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "routing/server_speed_tracker.hpp"
+
+namespace reedramp::routing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const server_instance a{common::server_id{"a"}};
+const server_instance b{common::server_id{"b"}};
+const server_instance c{common::server_id{"c"}};
+
+} // namespace
+
+TEST_CASE("pauses of different models are not compared with each other", "[server_speed]")
+{
+    // A server that runs mostly the large model would look ten times as slow as one that runs the
+    // small one.
+    server_speed_tracker speeds;
+    for (int i = 0; i < 20; ++i) {
+        speeds.note_pause(a, "small", 5.0);
+        speeds.note_pause(b, "small", 5.0);
+        speeds.note_pause(b, "large", 50.0);
+        speeds.note_pause(c, "large", 50.0);
+    }
+    for (const auto& server : {a, b, c}) {
+        CHECK(speeds.slowness_by_pace(server) == Approx(1.0));
+    }
+}
+
+TEST_CASE("one pause moves the estimate by a part only", "[server_speed]")
+{
+    // A prompt that is read between two events makes one stream look several times as slow.
+    server_speed_tracker speeds;
+    for (int i = 0; i < 20; ++i) {
+        speeds.note_pause(b, "m", 10.0);
+        speeds.note_pause(c, "m", 10.0);
+    }
+    CHECK(speeds.slowness_by_pace(a) == 1.0);
+    speeds.note_pause(a, "m", 40.0);
+    CHECK(speeds.slowness_by_pace(a) > 1.0);
+    CHECK(speeds.slowness_by_pace(a) < 1.4);
+    for (int i = 0; i < 20; ++i) {
+        speeds.note_pause(a, "m", 1000.0);
+    }
+    CHECK(speeds.slowness_by_pace(a) <= 10.0);
+    CHECK(speeds.slowness_by_pace(b) >= 0.7);
+}
+
+TEST_CASE("pauses leave the estimates from waits as they are", "[server_speed]")
+{
+    // Without overload control decisions must not change, and those use the estimate from waits.
+    server_speed_tracker with_pauses;
+    server_speed_tracker without;
+    for (int i = 0; i < 40; ++i) {
+        for (auto* speeds : {&with_pauses, &without}) {
+            speeds->note(a, milliseconds{300 + i}, 500.0);
+            speeds->note(b, milliseconds{100 + i}, 700.0);
+            speeds->note(c, milliseconds{110}, 300.0);
+        }
+        with_pauses.note_pause(a, "m", 3.0);
+        with_pauses.note_pause(b, "m", 30.0);
+        with_pauses.note_pause(server_instance{common::server_id{"d"}}, "m", 30.0);
+        for (const auto& server : {a, b, c}) {
+            CHECK(with_pauses.slowness(server) == without.slowness(server));
+        }
+    }
+    CHECK(with_pauses.expected(900.0) == without.expected(900.0));
+    CHECK(with_pauses.expected_queueing(900.0) == without.expected_queueing(900.0));
+    // Plain services have no events; their servers are judged by waits there, too.
+    CHECK(with_pauses.slowness_by_pace(c) == without.slowness(c));
+}
+
+TEST_CASE("a removed server no longer counts in the mean pause", "[server_speed]")
+{
+    server_speed_tracker speeds;
+    for (int i = 0; i < 20; ++i) {
+        speeds.note_pause(a, "m", 10.0);
+        speeds.note_pause(b, "m", 10.0);
+        speeds.note_pause(c, "m", 90.0);
+    }
+    CHECK(speeds.own_pace(a).log_ratio < -0.5);
+    speeds.forget_if([](const server_instance& server) { return server == c; });
+    CHECK(speeds.own_pace(a).log_ratio == Approx(0.0).margin(1e-9));
+    CHECK(speeds.own_pace(c).samples == 0.0);
+}
+
+TEST_CASE("invalid pauses and names that callers invent are harmless", "[server_speed]")
+{
+    server_speed_tracker speeds;
+    speeds.note_pause(a, "m", std::numeric_limits<double>::quiet_NaN());
+    CHECK(speeds.own_pace(a).samples == 0.0);
+    for (int i = 0; i < 100; ++i) {
+        speeds.note_pause(a, "m" + std::to_string(i), 0.0);
+    }
+    CHECK(std::isfinite(speeds.own_pace(a).log_ratio));
+    CHECK(speeds.own_pace(a).samples == max_pace_samples);
+}
+
+} // namespace reedramp::routing
