Speeds of servers are reported between entries under overload control

An entry sends a server one stream in five seconds, so that each one learned all speeds anew and late.

Reports name eight servers with the sender's own pace and number of samples. All peers get the same eight before the next eight are chosen. A peer's row counts for 60 s, as at most eight samples, and is replaced by its next one; rows of instances that are gone are dropped with the other state of gone servers, and rows with impossible values are ignored. Rows are summed on arrival, so that a choice does not depend on the number of entries.

--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -251,7 +251,8 @@
         this->core->speeds[this->service],
         this->core->health,
         &this->core->limiter,
-        this->cold_per_second()};
+        this->cold_per_second(),
+        this->core->is_overload_controlled() ? &this->core->peer_speeds : nullptr};
 }
 
 auto relay::choose_among(const std::vector<const routing::registration*>& allowed, time_point now)
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -26,6 +26,7 @@
 #include "routing/list_freshness.hpp"
 #include "routing/load_tracker.hpp"
 #include "routing/model_choice.hpp"
+#include "routing/peer_speed_table.hpp"
 #include "routing/rollout_manager.hpp"
 #include "routing/server_choice.hpp"
 #include "routing/server_health.hpp"
@@ -285,6 +286,8 @@
     /// By service, since the time per unit of work differs far more between services than within
     /// one.
     std::map<common::service_name, routing::server_speed_tracker> speeds;
+    /// Speeds of all services' servers, from peers. Applied and used under overload control.
+    routing::peer_speed_table peer_speeds;
     routing::server_health health;
     overload_state overload_control;
     routing::server_limiter limiter;
--- a/source/core/router/servers_list.cpp
+++ b/source/core/router/servers_list.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <unordered_set>
 #include <utility>
 
 #include "common/log.hpp"
@@ -290,6 +291,14 @@
     for (auto& [service, speeds] : this->core->speeds) {
         speeds.forget_if(is_gone);
     }
+    std::unordered_set<std::uint64_t> hashes;
+    for (const auto& id : servers.ids()) {
+        if (const auto* known = servers.find(id)) {
+            hashes.insert(hash_of(known->instance()));
+        }
+    }
+    this->core->peer_speeds.forget_if(
+        [&hashes](std::uint64_t server) { return !hashes.contains(server); });
 }
 
 } // namespace reedramp::router
--- a/source/core/routing/server_choice.cpp
+++ b/source/core/routing/server_choice.cpp
@@ -159,6 +159,15 @@
     return found;
 }
 
+auto slowness_of(const server_instance& server, const server_trackers& trackers, time_point now)
+    -> double
+{
+    return trackers.peer_speeds == nullptr
+               ? trackers.speeds.slowness(server)
+               : trackers.speeds.slowness_by_pace(
+                     server, trackers.peer_speeds->pace_of(server, now));
+}
+
 auto cost_at(
     const registration& server,
     const placement_request& asked,
@@ -170,7 +179,7 @@
     const bool is_limited_as_cold =
         server_limiter::is_limited_as_cold(server, trackers.cold_per_second, now);
     const auto slowness =
-        trackers.speeds.slowness(instance) * (is_limited_as_cold ? options.cold_slowness : 1.0);
+        slowness_of(instance, trackers, now) * (is_limited_as_cold ? options.cold_slowness : 1.0);
     const auto cost = slowness * (trackers.loads.total(instance, now).work + asked.work);
     const bool is_far = server.data_centre != asked.own_data_centre;
     return is_far ? cost + options.distance_work : cost;
--- a/source/core/routing/server_choice.hpp
+++ b/source/core/routing/server_choice.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "routing/load_tracker.hpp"
+#include "routing/peer_speed_table.hpp"
 #include "routing/server_health.hpp"
 #include "routing/server_limiter.hpp"
 #include "routing/server_speed_tracker.hpp"
@@ -52,6 +53,8 @@
     const server_limiter* limiter = nullptr;
     /// Requests per second that a cold server of the service can handle; 0 if it needs no limit.
     double cold_per_second = 0.0;
+    /// Null while overload control is off: servers are judged by waits alone then.
+    const peer_speed_table* peer_speeds = nullptr;
 };
 
 /// Chooses a server for a request: among a few candidates, the one that would finish first, given
--- a/source/core/routing/server_speed_tracker.cpp
+++ b/source/core/routing/server_speed_tracker.cpp
@@ -106,14 +106,29 @@
     return {sum.log_ratio, std::min(sum.samples, max_pace_samples)};
 }
 
-auto server_speed_tracker::slowness_by_pace(const server_instance& server) const -> double
+auto server_speed_tracker::slowness_by_pace(
+    const server_instance& server, const pace& of_peers) const -> double
 {
     const auto own = this->own_pace(server);
-    if (own.samples == 0.0) {
+    const auto samples = own.samples + of_peers.samples;
+    if (samples == 0.0) {
         return this->slowness(server);
     }
-    const auto log_ratio = own.samples * own.log_ratio / (own.samples + prior_samples);
-    return std::clamp(std::exp(log_ratio), min_slowness, max_slowness);
+    const auto sum = own.samples * own.log_ratio + of_peers.samples * of_peers.log_ratio;
+    return std::clamp(std::exp(sum / (samples + prior_samples)), min_slowness, max_slowness);
+}
+
+auto server_speed_tracker::add_reports(std::vector<speed_report>& to) const -> void
+{
+    for (const auto& [server, known] : this->servers) {
+        const auto own = this->own_pace(server);
+        if (own.samples > 0.0) {
+            to.push_back(
+                {hash_of(server),
+                 std::exp(own.log_ratio),
+                 static_cast<std::uint32_t>(own.samples)});
+        }
+    }
 }
 
 auto server_speed_tracker::expected(double work) const -> std::chrono::milliseconds
--- a/source/core/routing/server_speed_tracker.hpp
+++ b/source/core/routing/server_speed_tracker.hpp
@@ -50,9 +50,13 @@
     [[nodiscard]] auto own_pace(const server_instance& server) const -> pace;
 
     /// Returns the time for the same work relative to the mean server by the pauses between events,
-    /// shrunk towards 1 by a prior of a few samples. Servers without such samples are judged by
-    /// their waits.
-    [[nodiscard]] auto slowness_by_pace(const server_instance& server) const -> double;
+    /// from this tracker's samples and those of peers, shrunk towards 1 by a prior of a few
+    /// samples. Servers without any such samples are judged by their waits.
+    [[nodiscard]] auto
+    slowness_by_pace(const server_instance& server, const pace& of_peers = {}) const -> double;
+
+    /// Adds a report to send to peers for each server with samples of pauses.
+    auto add_reports(std::vector<speed_report>& to) const -> void;
 
     /// Returns the time for the same work relative to the median server, judged by the waits for
     /// first answers; 1 for an unknown server.
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -74,8 +74,9 @@
       own_data_centre(router::data_centre_hash(this->core->options.data_centre)),
       process(this->core->hooks.random()), own_address(std::move(address)),
       send(std::move(send_datagram)), on_newer_rules(std::move(newer_rules)),
-      on_newer_list(std::move(newer_list)), started(this->core->hooks.clock()),
-      sent_revisions(this->current_revisions()), period(report_period)
+      on_newer_list(std::move(newer_list)), last_reported_speed(this->process),
+      started(this->core->hooks.clock()), sent_revisions(this->current_revisions()),
+      period(report_period)
 {
 }
 
@@ -123,6 +124,9 @@
     report.ended = this->core->servers.ended(now);
     report.evacuations = this->core->evacuations.make_report();
     report.limits = this->core->limiter.limits().make_reports(now);
+    if (this->core->is_overload_controlled()) {
+        report.speeds = this->speeds_to_report;
+    }
     if (this->core->process_ends_at() != common::never) {
         report.ends_in = std::chrono::duration_cast<std::chrono::milliseconds>(
             this->core->process_ends_at() - now);
@@ -138,6 +142,7 @@
     std::erase_if(this->peers, [now](const auto& item) {
         return now - item.second.last_heard > removal_silence;
     });
+    this->choose_speeds_to_report();
     const auto bytes = router::encode(this->make_report(now, max_named_peers));
     const auto count = this->recipient_count(now);
     auto next = this->peers.upper_bound(this->last_recipient);
@@ -151,6 +156,20 @@
     }
 }
 
+auto peer_group::choose_speeds_to_report() -> void
+{
+    this->calls_with_speeds += 1;
+    if (this->calls_with_speeds < this->calls_per_round() && !this->speeds_to_report.empty()) {
+        return;
+    }
+    this->calls_with_speeds = 0;
+    this->speeds_to_report =
+        routing::next_speed_reports(this->core->speeds, this->last_reported_speed);
+    if (!this->speeds_to_report.empty()) {
+        this->last_reported_speed = this->speeds_to_report.back().server;
+    }
+}
+
 auto peer_group::random_live_peers(std::size_t max_count) const -> std::vector<std::string>
 {
     std::vector<std::string> names;
@@ -260,6 +279,9 @@
     this->core->loads.apply_reports(report->host, report->loads, trusted_until);
     this->core->freshness.apply_report(report->freshness, now);
     this->core->health.apply_reports(report->host, report->outcomes, trusted_until, now);
+    if (this->core->is_overload_controlled()) {
+        this->core->peer_speeds.apply_reports(report->host, report->speeds, now);
+    }
     this->core->rollouts.apply_reports(evidence_source(*report), report->rollouts, now);
     if (report->rules_version > this->core->rules_version()) {
         this->on_newer_rules(*from);
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -128,6 +128,10 @@
     [[nodiscard]] auto silence() const -> common::duration;
     /// Removes the servers that the sender reports as leaving or ended.
     auto apply_server_reports(const router::peer_report& report, common::time_point now) -> void;
+    /// Chooses the servers whose speeds are reported, in turn. All peers get the same ones before
+    /// the next are chosen; otherwise a peer whose turn always comes with the same servers would
+    /// never learn of the others.
+    auto choose_speeds_to_report() -> void;
     [[nodiscard]] auto make_report(common::time_point now, std::size_t max_named) const
         -> router::peer_report;
 
@@ -167,6 +171,12 @@
     send_hook send;
     newer_rules_hook on_newer_rules;
     newer_list_hook on_newer_list;
+    /// Hash of the server whose speed was chosen last for reports. The first one is random, so that
+    /// peers do not all report the same servers at the same time.
+    std::uint64_t last_reported_speed;
+    std::vector<routing::speed_report> speeds_to_report;
+    /// Calls of `send_reports` with the present `speeds_to_report`.
+    std::size_t calls_with_speeds = 0;
     common::time_point started;
     urgent_revisions sent_revisions;
     /// Until then all peers get reports within `urgent_round`, whatever their number.
--- a/source/router/state_page.cpp
+++ b/source/router/state_page.cpp
@@ -28,7 +28,11 @@
         {"data_centre", server.data_centre.value()},
         {"requests", load.requests},
         {"work", load.work},
-        {"slowness", speeds == core.speeds.end() ? 1.0 : speeds->second.slowness(start)},
+        {"slowness",
+         speeds == core.speeds.end() ? 1.0
+         : core.is_overload_controlled()
+             ? speeds->second.slowness_by_pace(start, core.peer_speeds.pace_of(start, now))
+             : speeds->second.slowness(start)},
         {"failures", core.health.failures(start)},
         {"resting", core.health.is_ejected(start, now)},
         {"cold", server.is_cold(now)},
--- a/source/unit_tests/router/peer_group_test.cpp
+++ b/source/unit_tests/router/peer_group_test.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using router_program::peer_group;
+using routing::server_instance;
 
 auto address_of(int number) -> http::endpoint
 {
@@ -91,6 +92,35 @@
     CHECK(one.sent.empty());
 }
 
+TEST_CASE("speeds of servers reach peers under overload control only", "[peer_group]")
+{
+    // Each entry would need twenty seconds to know a slow server. Deployments that do not call for
+    // overload control must behave as before.
+    const server_instance b{common::server_id{"b"}};
+    const auto slowness_at_peer = [&b](overload::control_mode sender, overload::control_mode mode) {
+        router_fixture here;
+        router_fixture there;
+        here.core->overload_control = overload_state{{.mode = mode}};
+        there.core->overload_control = overload_state{{.mode = sender}};
+        recording_entry one{here, 1};
+        recording_entry two{there, 2};
+        two.group.add(address_of(1));
+        auto& speeds = there.core->speeds[common::service_name{"engines"}];
+        for (int i = 0; i < 8; ++i) {
+            speeds.note_pause(common::server_id{"a"}, "s", 10.0);
+            speeds.note_pause(b, "s", 40.0);
+        }
+        two.group.send_reports();
+        one.group.receive(two.sent.front().second);
+        return here.core->speeds[common::service_name{"engines"}].slowness_by_pace(
+            b, here.core->peer_speeds.pace_of(b, here.now));
+    };
+    using overload::control_mode;
+    CHECK(slowness_at_peer(control_mode::on, control_mode::on) > 1.4);
+    CHECK(slowness_at_peer(control_mode::on, control_mode::off) == 1.0);
+    CHECK(slowness_at_peer(control_mode::off, control_mode::on) == 1.0);
+}
+
 TEST_CASE("an entry without the store drops a server that its peers have seen end", "[peer_group]")
 {
     // The server's registration ended without a leaving flag. The peer has read that. The store
--- a/source/unit_tests/router/peer_report_test.cpp
+++ b/source/unit_tests/router/peer_report_test.cpp
@@ -44,6 +44,7 @@
     report.evacuations = {
         routing::stream_position{4321},
         {common::data_centre_id{"dc-1"}, common::data_centre_id{"dc-2"}}};
+    report.speeds = {{21, 1.75, 6}};
     report.ends_in = std::chrono::milliseconds{4200};
     return report;
 }
@@ -93,6 +94,10 @@
     CHECK(read->peers == report.peers);
     CHECK(read->leaving == report.leaving);
     CHECK(read->ends_in == report.ends_in);
+    REQUIRE(read->speeds.size() == 1);
+    CHECK(read->speeds[0].server == 21);
+    CHECK(read->speeds[0].slowness == 1.75);
+    CHECK(read->speeds[0].samples == 6);
 }
 
 TEST_CASE("a share is transmitted exactly", "[peer_message]")
--- a/source/unit_tests/routing/server_speed_test.cpp
+++ b/source/unit_tests/routing/server_speed_test.cpp
@@ -1,10 +1,12 @@
 #include <cmath>
 #include <limits>
+#include <map>
+#include <set>
 #include <string>
 
 #include <catch2/catch.hpp>
 
-#include "routing/server_speed_tracker.hpp"
+#include "routing/peer_speed_table.hpp"
 
 namespace reedramp::routing {
 
@@ -16,6 +18,9 @@
 const server_instance b{common::server_id{"b"}};
 const server_instance c{common::server_id{"c"}};
 
+const common::host_id peer{"peer"};
+const time_point start{std::chrono::seconds{100}};
+
 } // namespace
 
 TEST_CASE("pauses of different models are not compared with each other", "[server_speed]")
@@ -103,4 +108,70 @@
     CHECK(speeds.own_pace(a).samples == max_pace_samples);
 }
 
+TEST_CASE("a peer's row is replaced, bounded, and expires", "[server_speed]")
+{
+    // Reports arrive several times, and the last ones of an entry that has ended stay.
+    server_speed_tracker speeds;
+    peer_speed_table peers;
+    const auto slowness = [&](time_point now) {
+        return speeds.slowness_by_pace(a, peers.pace_of(a, now));
+    };
+    CHECK(slowness(start) == 1.0);
+    for (int i = 0; i < 5; ++i) {
+        peers.apply_reports(peer, {{hash_of(a), 4.0, 4'000'000'000U}}, start);
+    }
+    CHECK(peers.pace_of(a, start).samples == max_pace_samples);
+    CHECK(slowness(start) > 2.0);
+    CHECK(slowness(start) < 4.0);
+    const auto later = start + std::chrono::seconds{59};
+    peers.apply_reports(peer, {{hash_of(a), 2.0, 3}}, later);
+    CHECK(peers.pace_of(a, later).samples == 3.0);
+    peers.apply_reports(common::host_id{"other"}, {{hash_of(a), 2.0, 3}}, later);
+    CHECK(peers.pace_of(a, later).samples == 6.0);
+    CHECK(slowness(later + std::chrono::seconds{59}) > 1.0);
+    CHECK(slowness(later + std::chrono::seconds{60}) == 1.0);
+}
+
+TEST_CASE("impossible rows are ignored, and rows of a gone instance dropped", "[server_speed]")
+{
+    peer_speed_table peers;
+    const auto nan = std::numeric_limits<double>::quiet_NaN();
+    const auto infinite = std::numeric_limits<double>::infinity();
+    const auto of_a = hash_of(a);
+    peers.apply_reports(
+        peer,
+        {{of_a, nan, 5}, {of_a, infinite, 5}, {of_a, -1.0, 5}, {of_a, 0.0, 5}, {of_a, 2.0, 0}},
+        start);
+    CHECK(peers.pace_of(a, start).samples == 0.0);
+    peers.apply_reports(peer, {{of_a, 1e300, 5}, {hash_of(b), 2.0, 5}}, start);
+    CHECK(peers.pace_of(a, start).log_ratio == Approx(std::log(10.0)));
+    const server_instance restarted{a.id, start_time{7}};
+    CHECK(peers.pace_of(restarted, start).samples == 0.0);
+    peers.forget_if([of_a](std::uint64_t server) { return server == of_a; });
+    CHECK(peers.pace_of(a, start).samples == 0.0);
+    CHECK(peers.pace_of(b, start).samples == 5.0);
+}
+
+TEST_CASE("reports name all servers in turn", "[server_speed]")
+{
+    // A fixed selection would leave all other servers unknown to the peers.
+    std::map<common::service_name, server_speed_tracker> speeds;
+    constexpr int servers = 41;
+    for (int i = 0; i < servers; ++i) {
+        const common::service_name service{i % 2 == 0 ? "even" : "odd"};
+        speeds[service].note_pause(common::server_id{"s" + std::to_string(i)}, "m", 10.0);
+    }
+    std::set<std::uint64_t> named;
+    std::uint64_t last = 0;
+    for (int i = 0; i < 6; ++i) {
+        const auto reports = next_speed_reports(speeds, last);
+        REQUIRE(reports.size() == max_reported_speeds);
+        last = reports.back().server;
+        for (const auto& one : reports) {
+            named.insert(one.server);
+        }
+    }
+    CHECK(named.size() == servers);
+}
+
 } // namespace reedramp::routing
