Predicted and real waits for the first event are visible

A wrong prediction could not be seen. The new log line "first event" has ms and predicted_ms; the histograms router_predicted_wait_ms and router_real_wait_ms have them by service.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -119,6 +119,15 @@
     next->prompt_work = work.prompt;
     next->memory = work.memory;
     next->work_ahead = this->core->loads.total(next->server, now).work + work.prompt;
+    if (this->core->is_overload_controlled()) {
+        next->cost = routing::cost_of(
+            server,
+            this->make_placement_request(),
+            this->trackers(),
+            this->core->options.choice,
+            now);
+        next->predicted_ms = this->core->speeds[this->service].expected_ms(*next->cost);
+    }
     next->is_cold = server.is_cold(now);
     next->sent = now;
     next->last_progress = now;
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -84,6 +84,10 @@
         /// Work that the server had to do before this attempt's first event, including its own
         /// prompt.
         double work_ahead = 0.0;
+        /// Cost of the choice of its server, and the wait for its first event predicted from that;
+        /// none without overload control.
+        std::optional<double> cost;
+        double predicted_ms = 0.0;
         time_point sent;
         time_point last_progress;
         verdict head_verdict = verdict::none;
@@ -184,11 +188,13 @@
     /// Classifies a head that does not belong to another request.
     [[nodiscard]] auto classify_head(const http::response& head) const -> verdict;
 
+    /// Compares the wait for the first event with its prediction.
+    auto note_predicted_wait(const attempt& of) const -> void;
     /// Reports the mean pause between events to the roll-out guide, once per attempt.
     auto note_event_pause(attempt& of) const -> void;
     /// Takes the mean pause between events as a sample of the server's speed, once per attempt that
-    /// has had at least `enough_events`.
-    auto note_speed(attempt& of, std::int64_t enough_events) const -> void;
+    /// has had at least `min_events`.
+    auto note_speed(attempt& of, std::int64_t min_events) const -> void;
     /// Reports the total time of an attempt that ended, or its lower bound if it was given up.
     auto note_total_time(attempt& of, routing::time_bound bound) const -> void;
     auto note_time(attempt& of, const routing::timed_answer& timed) const -> void;
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -175,10 +175,30 @@
     }
 }
 
-auto relay::note_speed(attempt& of, std::int64_t enough_events) const -> void
+auto relay::note_predicted_wait(const attempt& of) const -> void
+{
+    if (!of.cost) {
+        return;
+    }
+    const auto waited = milliseconds_between(of.sent, of.first_event).count();
+    const auto waited_ms = static_cast<double>(waited);
+    // The first waits have no prediction yet.
+    if (of.predicted_ms > 0.0) {
+        this->core->counters.record_wait(this->service.value(), of.predicted_ms, waited_ms);
+    }
+    this->core->speeds[this->service].note_cost(waited_ms, *of.cost);
+    common::log(
+        common::log_part::place,
+        common::log_level::info,
+        "first event request=" + this->request.caller.attempt + " server=" + of.server.id.value() +
+            " model=" + this->model + " ms=" + std::to_string(waited) +
+            " predicted_ms=" + std::to_string(static_cast<std::int64_t>(of.predicted_ms)));
+}
+
+auto relay::note_speed(attempt& of, std::int64_t min_events) const -> void
 {
     const auto pauses = of.events_seen - of.first_events;
-    const bool is_enough = of.events_seen >= enough_events && pauses > 0;
+    const bool is_enough = of.events_seen >= min_events && pauses > 0;
     // A cold server's pace says nothing about its later speed.
     if (of.is_speed_sampled || of.is_cold || !is_enough) {
         return;
@@ -243,6 +263,7 @@
         if (!of->has_events) {
             of->has_events = true;
             of->first_event = of->last_progress;
+            this->note_predicted_wait(*of);
             this->core->loads.reduce_work(of->server, of->prompt_work);
             of->work -= of->prompt_work;
             const auto took = milliseconds_between(of->sent, of->last_progress);
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -56,6 +56,26 @@
         .add();
 }
 
+auto router_metrics::record_wait(
+    const std::string& service, double predicted_ms, double real_ms) const -> void
+{
+    const metrics::labels labels{{"service", service}};
+    this->all
+        .histogram_of(
+            "router_predicted_wait_ms",
+            "Predicted time from a send to the first event, in ms.",
+            labels,
+            milliseconds_range)
+        .record(predicted_ms);
+    this->all
+        .histogram_of(
+            "router_real_wait_ms",
+            "Time from a send to the first event, in ms, where it was predicted.",
+            labels,
+            milliseconds_range)
+        .record(real_ms);
+}
+
 auto router_metrics::count_store_call(const std::string& call) const -> void
 {
     this->all
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -41,6 +41,9 @@
     /// Counts a statement of a backend server that changed its known state, or was rejected.
     auto count_server_statement(const std::string& what) const -> void;
 
+    /// Records how long a stream's first event took from its send, and the prediction.
+    auto record_wait(const std::string& service, double predicted_ms, double real_ms) const -> void;
+
     /// Counts a call to the platform's store. Each is billed.
     auto count_store_call(const std::string& call) const -> void;
 
--- a/source/core/routing/server_speed_tracker.cpp
+++ b/source/core/routing/server_speed_tracker.cpp
@@ -138,6 +138,19 @@
         static_cast<std::int64_t>(time_per_work * (work + fixed_work))};
 }
 
+auto server_speed_tracker::note_cost(double took_ms, double cost) -> void
+{
+    constexpr double kept = 1.0 - sum_memory;
+    this->cost_time_sum = this->cost_time_sum * kept + took_ms;
+    this->cost_sum = this->cost_sum * kept + cost + fixed_work;
+}
+
+auto server_speed_tracker::expected_ms(double cost) const -> double
+{
+    const auto ms_per_cost = this->cost_sum > 0.0 ? this->cost_time_sum / this->cost_sum : 0.0;
+    return ms_per_cost * (cost + fixed_work);
+}
+
 auto server_speed_tracker::expected_queueing(double queued) const -> std::chrono::milliseconds
 {
     const auto time_per_work = this->work_sum > 0.0 ? this->time_sum / this->work_sum : 0.0;
--- a/source/core/routing/server_speed_tracker.hpp
+++ b/source/core/routing/server_speed_tracker.hpp
@@ -70,6 +70,13 @@
     /// mean speed. Unlike `expected`, without the fixed time of the request itself.
     [[nodiscard]] auto expected_queueing(double queued) const -> std::chrono::milliseconds;
 
+    /// Records that a first event took `took_ms`, with `cost` of the choice of its server.
+    auto note_cost(double took_ms, double cost) -> void;
+
+    /// Returns the expected milliseconds until the first event, by the cost of the choice of its
+    /// server. Zero before the first event.
+    [[nodiscard]] auto expected_ms(double cost) const -> double;
+
     /// Removes the servers for which `is_gone` returns true.
     auto forget_if(const std::function<auto(const server_instance& server)->bool>& is_gone) -> void;
 
@@ -111,6 +118,9 @@
     /// whereas a mean of the samples is dominated by the many short requests.
     double time_sum = 0.0;
     double work_sum = 0.0;
+    /// The same for the costs of choices.
+    double cost_time_sum = 0.0;
+    double cost_sum = 0.0;
 };
 
 } // namespace reedramp::routing
--- a/source/unit_tests/router/relay_test.cpp
+++ b/source/unit_tests/router/relay_test.cpp
@@ -349,6 +349,31 @@
     CHECK(sends_in_two_seconds("90000,10") == 1);
 }
 
+TEST_CASE("predicted and real waits are recorded under overload control", "[relay]")
+{
+    // A choice by wrong expectations would be visible in no series.
+    for (const auto mode : {overload::control_mode::on, overload::control_mode::off}) {
+        router_fixture fixture;
+        fixture.core->overload_control = overload_state{{.mode = mode}};
+        constexpr int streams = 40;
+        for (int i = 0; i < streams; ++i) {
+            fixture.ask(stream);
+            fixture.advance(milliseconds{80});
+            fixture.last().head(200, {{"Reedramp-Confidence", "90"}});
+            fixture.last().chunk(event(0));
+            fixture.last().end();
+        }
+        const auto text = fixture.core->series.prometheus_text();
+        const bool is_on = mode == overload::control_mode::on;
+        // The first one has no prediction.
+        const std::string count = "_wait_ms_count{service=\"engines\"} 39";
+        CHECK((text.find("router_predicted" + count) != std::string::npos) == is_on);
+        CHECK((text.find("router_real" + count) != std::string::npos) == is_on);
+        const auto& speeds = fixture.core->speeds[common::service_name{"engines"}];
+        CHECK((speeds.expected_ms(0.0) > 0.0) == is_on);
+    }
+}
+
 TEST_CASE("a stream is one sample of its server's speed, whatever its length", "[relay]")
 {
     // A sample for each event would let one long stream outweigh all others; without one for short
--- a/source/unit_tests/routing/server_speed_test.cpp
+++ b/source/unit_tests/routing/server_speed_test.cpp
@@ -152,6 +152,20 @@
     CHECK(peers.pace_of(b, start).samples == 5.0);
 }
 
+TEST_CASE("the wait is predicted from the cost of the choice", "[server_speed]")
+{
+    // The log and the histograms would show a prediction that does not follow the queue.
+    server_speed_tracker speeds;
+    CHECK(speeds.expected_ms(1000.0) == 0.0);
+    for (int i = 0; i < 200; ++i) {
+        speeds.note_cost(50.0, 500.0);
+        speeds.note_cost(450.0, 8500.0);
+    }
+    CHECK(speeds.expected_ms(500.0) == Approx(50.0));
+    CHECK(speeds.expected_ms(3500.0) == Approx(200.0));
+    CHECK(speeds.expected(1000.0) == milliseconds{0});
+}
+
 TEST_CASE("reports name all servers in turn", "[server_speed]")
 {
     // A fixed selection would leave all other servers unknown to the peers.
