--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -120,6 +120,15 @@
     next->prompt_work = work.prompt;
     next->memory = work.memory;
     next->work_ahead = this->core->loads.total(next->server, now).work + work.prompt;
+    if (this->core->is_overload_controlled()) {
+        next->cost = routing::cost_of(
+            server,
+            this->make_placement_request(),
+            this->trackers(),
+            this->core->options.choice,
+            now);
+        next->predicted_ms = this->core->speeds[this->service].expected_ms(*next->cost);
+    }
     next->is_cold = server.is_cold(now);
     next->sent = now;
     next->last_progress = now;
@@ -161,6 +170,8 @@
         this->note_total_time(
             *of, is_whole ? routing::time_bound::seen : routing::time_bound::at_least);
     }
+    constexpr std::int64_t least_events = 2;
+    this->note_speed(*of, least_events);
     const auto now = this->core->hooks.clock();
     this->core->loads.end(of->server, of->work, of->has_events ? 0.0 : of->prompt_work, of->memory);
     this->core->rollouts.note_ended(this->service, this->session_hash, of->version, now);
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -86,6 +86,7 @@
     placement.tried = this->tried;
     const auto work = this->work();
     placement.work = work.prompt + work.answer;
+    placement.prompt_work = work.prompt;
     placement.own_data_centre = this->core->options.data_centre;
     const auto& parts = this->request.caller.parts;
     // The last part is specific to this request or its session. Only a resumed stream finds it
@@ -257,7 +258,8 @@
         this->core->speeds[this->service],
         this->core->health,
         &this->core->limiter,
-        this->cold_per_second()};
+        this->cold_per_second(),
+        this->core->is_overload_controlled() ? &this->core->peer_speeds : nullptr};
 }
 
 auto relay::choose_among(const std::vector<const routing::registration*>& allowed, time_point now)
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -28,6 +28,7 @@
 #include "routing/list_freshness.hpp"
 #include "routing/load_tracker.hpp"
 #include "routing/model_choice.hpp"
+#include "routing/peer_speed_table.hpp"
 #include "routing/rollout_manager.hpp"
 #include "routing/server_choice.hpp"
 #include "routing/server_health.hpp"
@@ -307,6 +308,8 @@
     std::map<common::service_name, routing::server_speed_tracker> speeds;
     /// By service.
     std::map<common::service_name, routing::first_event_estimator> first_events;
+    /// Speeds of all services' servers, from peers. Applied and used under overload control.
+    routing::peer_speed_table peer_speeds;
     routing::server_health health;
     overload_state overload_control;
     overload::organisation_shares shares;
