--- a/source/core/routing/server_choice.cpp
+++ b/source/core/routing/server_choice.cpp
@@ -15,6 +15,9 @@
 /// and may have evicted the prefix.
 constexpr double patience_step = 4.0;
 
+/// Cost of a server whose memory would overflow: more than that of any server with room.
+constexpr double overflow_cost = 1e12;
+
 auto id_hash(const registration& server) -> std::uint64_t
 {
     return server.id_hash == 0 ? hash_of(server.id) : server.id_hash;
@@ -47,6 +50,15 @@
                !this->trackers.health.is_ejected(server.instance(), this->now);
     }
 
+    /// Whether the request fits into the server's memory.
+    [[nodiscard]] auto has_room(const registration& server) const -> bool
+    {
+        const auto size = this->trackers.memory_tokens;
+        return size <= 0.0 || this->trackers.loads.total(server.instance(), this->now).memory +
+                                      this->asked.memory <=
+                                  size;
+    }
+
 private:
     const placement_request& asked;
     const server_trackers& trackers;
@@ -97,6 +109,8 @@
     // those wanted.
     constexpr std::size_t draws_for_each = 4;
     const auto draws = options.drawn * draws_for_each;
+    // The last quarter of the draws accepts servers without room: all may be full.
+    const auto draws_with_room = draws - options.drawn;
     const auto far = options.drawn - std::min(options.drawn_near, options.drawn);
     std::size_t near_found = 0;
     std::size_t far_found = 0;
@@ -104,7 +118,8 @@
         // A hash of the draw's index replaces a random number generator.
         const auto* server = usable[placement::affinity_weight(chance, i) % usable.size()];
         const bool is_near = server->data_centre == asked.own_data_centre;
-        if ((!is_near && far_found >= far) || !may_go.holds(*server)) {
+        if ((!is_near && far_found >= far) || !may_go.holds(*server) ||
+            (i < draws_with_room && !may_go.has_room(*server))) {
             continue;
         }
         if (add_new(to, server)) {
@@ -169,9 +184,15 @@
     const auto instance = server.instance();
     const bool is_limited_as_cold =
         server_limiter::is_limited_as_cold(server, trackers.cold_per_second, now);
-    const auto slowness =
+    auto slowness =
         trackers.speeds.slowness(instance) * (is_limited_as_cold ? options.cold_slowness : 1.0);
-    const auto cost = slowness * (trackers.loads.total(instance, now).work + asked.work);
+    const auto load = trackers.loads.total(instance, now);
+    auto work = load.work + asked.work;
+    if (trackers.stated != nullptr) {
+        slowness *= trackers.stated->current_slowdown(server, now);
+        work += trackers.stated->unknown_work(instance, load, asked.work, now);
+    }
+    const auto cost = slowness * work;
     const bool is_far = server.data_centre != asked.own_data_centre;
     return is_far ? cost + options.distance_work : cost;
 }
@@ -194,7 +215,8 @@
     std::vector<double> costs;
     costs.reserve(found.all.size());
     std::ranges::transform(found.all, std::back_inserter(costs), [&](const auto* server) {
-        return cost_at(*server, asked, trackers, options, now);
+        return cost_at(*server, asked, trackers, options, now) +
+               (may_go.has_room(*server) ? 0.0 : overflow_cost);
     });
     const auto least = std::ranges::min_element(costs);
     if (least == costs.end()) {
--- a/source/core/routing/server_choice.hpp
+++ b/source/core/routing/server_choice.hpp
@@ -7,6 +7,7 @@
 #include "routing/load_tracker.hpp"
 #include "routing/server_health.hpp"
 #include "routing/server_limiter.hpp"
+#include "routing/server_load_tracker.hpp"
 #include "routing/server_speed_tracker.hpp"
 #include "routing/server_table.hpp"
 
@@ -16,6 +17,8 @@
 struct placement_request {
     /// Work of the request itself, in the load tracker's unit.
     double work = 0.0;
+    /// Tokens that the request holds in a server's memory.
+    double memory = 0.0;
     /// Hash of the prompt's last shared prefix; 0 if there is none worth caching.
     std::uint64_t affinity = 0;
     /// Work saved on a server that has that prefix cached, in the load tracker's unit.
@@ -52,12 +55,17 @@
     const server_limiter* limiter = nullptr;
     /// Requests per second that a cold server of the service can handle; 0 if it needs no limit.
     double cold_per_second = 0.0;
+    /// Null: what servers state of their load does not count.
+    const server_load_tracker* stated = nullptr;
+    /// Tokens that fit into the memory of each server of the service; 0 if not to be considered.
+    double memory_tokens = 0.0;
 };
 
 /// Chooses a server for a request: among a few candidates, the one that would finish first, given
 /// its work from all entries and this request's work, less what a cached prefix saves. Returns null
 /// if no server is available, or if the remaining ones accept requests only in send slots and this
-/// entry has none now. Ejected servers are used only if all are ejected.
+/// entry has none now. Ejected servers are used only if all are ejected, and servers whose memory
+/// would overflow only if no candidate has room.
 ///
 /// The candidates are the servers that may have the prefix cached and some random ones; all
 /// servers, if there are no more. Entries learn of each other's work late: with the same view, all
--- /dev/null
+++ b/source/core/routing/server_load_tracker.cpp
@@ -0,0 +1,208 @@
+#include "routing/server_load_tracker.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+
+#include "placement/affinity.hpp"
+
+namespace reedramp::routing {
+
+namespace {
+
+/// Mean time for which a host stays slow or fast.
+constexpr std::chrono::duration<double> host_state_time{0.6};
+/// Time in which most short requests that a statement counted have ended.
+constexpr std::chrono::duration<double> load_state_time{0.5};
+/// Age at which neither has any weight left.
+constexpr std::chrono::seconds max_age{4};
+
+/// Bounds of a stated slowdown: those known are between 1 and 2.5. A server that states an extreme
+/// value at all times must neither attract all requests nor lose all of them.
+constexpr double min_slowdown = 0.7;
+constexpr double max_slowdown = 5.0;
+/// Weight of the newest statement in a service's mean.
+constexpr double mean_memory = 0.02;
+
+/// Slowdowns that differ less from 1.0 are not worth a row in a message.
+constexpr double unusual_slowdown = 0.1;
+constexpr std::chrono::milliseconds reported_for{300};
+constexpr std::size_t max_reported = 8;
+
+/// More servers than the design is for; bounds the memory that servers and peers can make an entry
+/// use.
+constexpr std::size_t max_servers = 2048;
+
+/// Returns 1 for a new statement, falling to 0 as it ages.
+auto weight_at(common::duration age, std::chrono::duration<double> time_constant) -> double
+{
+    const std::chrono::duration<double> passed = std::max(age, common::duration::zero());
+    return passed >= max_age ? 0.0 : std::exp(-passed / time_constant);
+}
+
+/// As `hash_of` the instance, without hashing the text of the id again.
+auto instance_hash(const registration& server) -> std::uint64_t
+{
+    if (server.id_hash == 0) {
+        return hash_of(server.instance());
+    }
+    return server.started_at == start_time{0}
+               ? server.id_hash
+               : placement::affinity_weight(server.id_hash, server.started_at.value());
+}
+
+auto bounded(double slowdown) -> double
+{
+    return std::clamp(slowdown, min_slowdown, max_slowdown);
+}
+
+} // namespace
+
+auto server_load_tracker::note(
+    const common::service_name& service, const load_statement& statement, bool is_refusal) -> bool
+{
+    const auto found = this->statements.find(statement.server.id);
+    const bool is_new = found == this->statements.end();
+    if (is_new && this->statements.size() >= max_servers) {
+        return false;
+    }
+    if (!is_new) {
+        const auto& known = found->second;
+        const bool is_same = statement.server.started_at == known.server.started_at;
+        const bool is_earlier = statement.server.started_at < known.server.started_at;
+        if (is_earlier || (is_same && statement.at < known.at)) {
+            return false;
+        }
+    }
+    auto& newest = this->statements[statement.server.id];
+    newest = statement;
+    if (is_refusal) {
+        newest.load.running = std::max(newest.load.running, newest.load.slots);
+    }
+    if (newest.load.slowdown) {
+        const auto slowdown = bounded(*newest.load.slowdown);
+        newest.load.slowdown = slowdown;
+        auto& mean = this->means.try_emplace(service, slowdown).first->second;
+        mean += mean_memory * (slowdown - mean);
+    }
+    return true;
+}
+
+auto server_load_tracker::note_malformed(const server_instance& server) -> bool
+{
+    return this->malformed_seen.size() < max_servers && this->malformed_seen.insert(server).second;
+}
+
+auto server_load_tracker::newest(const server_instance& server) const -> const load_statement*
+{
+    const auto found = this->statements.find(server.id);
+    const bool is_known = found != this->statements.end() && found->second.server == server;
+    return is_known ? &found->second : nullptr;
+}
+
+auto server_load_tracker::newest_slowdown(const registration& server) const
+    -> std::optional<slowdown_at>
+{
+    std::optional<slowdown_at> newest;
+    const auto* own = this->newest(server.instance());
+    if (own != nullptr && own->load.slowdown) {
+        newest = {*own->load.slowdown, own->at};
+    }
+    if (!this->reported.empty()) {
+        const auto found = this->reported.find(instance_hash(server));
+        if (found != this->reported.end() && (!newest || found->second.at > newest->at)) {
+            newest = found->second;
+        }
+    }
+    return newest;
+}
+
+auto server_load_tracker::mean_slowdown(const common::service_name& service) const -> double
+{
+    const auto found = this->means.find(service);
+    return found == this->means.end() ? 1.0 : found->second;
+}
+
+auto server_load_tracker::current_slowdown(const registration& server, time_point now) const
+    -> double
+{
+    if (this->means.empty() && this->reported.empty()) {
+        return 1.0;
+    }
+    const auto mean = this->mean_slowdown(server.service);
+    const auto newest = this->newest_slowdown(server);
+    return newest ? mean + weight_at(now - newest->at, host_state_time) * (newest->factor - mean)
+                  : mean;
+}
+
+auto server_load_tracker::unknown_work(
+    const server_instance& server,
+    const server_load& known,
+    double usual_work,
+    time_point now) const -> double
+{
+    const auto* stated = this->newest(server);
+    if (stated == nullptr) {
+        return 0.0;
+    }
+    const auto requests = static_cast<double>(stated->load.running + stated->load.waiting);
+    // With as many requests again as are known, a server that always states full gets half as many
+    // as the others. One more is for a server that is idle as far as known.
+    const auto unknown = std::clamp(requests - known.requests, 0.0, known.requests + 1.0);
+    const auto work_of_one = known.requests >= 1.0 ? known.work / known.requests : usual_work;
+    return unknown * work_of_one * weight_at(now - stated->at, load_state_time);
+}
+
+auto server_load_tracker::make_reports(time_point now) const -> std::vector<slowdown_report>
+{
+    std::vector<slowdown_report> reports;
+    for (const auto& [id, one] : this->statements) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - one.at);
+        const bool is_unusual =
+            one.load.slowdown && std::abs(*one.load.slowdown - 1.0) >= unusual_slowdown;
+        if (is_unusual && age < reported_for) {
+            reports.push_back({hash_of(one.server), *one.load.slowdown, age});
+        }
+    }
+    std::ranges::sort(reports, {}, &slowdown_report::age);
+    reports.resize(std::min(reports.size(), max_reported));
+    return reports;
+}
+
+auto server_load_tracker::apply_reports(const std::vector<slowdown_report>& reports, time_point now)
+    -> void
+{
+    for (const auto& one : reports) {
+        const auto at = now - std::max(one.age, std::chrono::milliseconds{0});
+        const bool is_valid = std::isfinite(one.factor) && one.factor > 0.0 && now - at < max_age;
+        const auto found = this->reported.find(one.server);
+        const bool is_new = found == this->reported.end();
+        if (!is_valid || (!is_new && at <= found->second.at)) {
+            continue;
+        }
+        if (is_new && this->reported.size() >= max_servers) {
+            this->forget_old_reports(now);
+            if (this->reported.size() >= max_servers) {
+                return;
+            }
+        }
+        this->reported[one.server] = {bounded(one.factor), at};
+    }
+}
+
+auto server_load_tracker::forget_old_reports(time_point now) -> void
+{
+    std::erase_if(
+        this->reported, [now](const auto& item) { return now - item.second.at >= max_age; });
+}
+
+auto server_load_tracker::forget_if(
+    const std::function<auto(const server_instance& server)->bool>& is_gone, time_point now) -> void
+{
+    std::erase_if(
+        this->statements, [&is_gone](const auto& item) { return is_gone(item.second.server); });
+    std::erase_if(this->malformed_seen, is_gone);
+    this->forget_old_reports(now);
+}
+
+} // namespace reedramp::routing
