overload: entries read servers' loads, tell each other unusual speeds, and use both in the choice

Cause: the tracker of servers' stated loads was not fed and not used.

Change: the relay hands the head of each response that belongs to its request, and does not come from another server, to router_core::apply_load. A stated speed puts automatic overload control in force. A malformed header is logged and counted once a server.

--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -76,6 +76,11 @@
     if (is_own && head.status != misdirected) {
         of->directives = read_server_directives(head, this->core->options.names);
         this->apply_directives(*of);
+        if (of->head_verdict != verdict::untrusted) {
+            const bool is_refusal = of->head_verdict == verdict::not_executed;
+            this->core->apply_load(
+                {this->service, of->server}, head, is_refusal, this->request.caller.attempt);
+        }
     }
     of->head = make_caller_response(head);
     of->last_progress = this->core->hooks.clock();
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -80,6 +80,7 @@
     placement.tried = this->tried;
     const auto work = this->work();
     placement.work = work.prompt + work.answer;
+    placement.memory = work.memory;
     placement.own_data_centre = this->core->options.data_centre;
     const auto& parts = this->request.caller.parts;
     // The last part is specific to this request or its session. Only a resumed stream finds it
@@ -246,12 +247,19 @@
 
 auto relay::trackers() const -> routing::server_trackers
 {
-    return {
+    routing::server_trackers known{
         this->core->loads,
         this->core->speeds[this->service],
         this->core->health,
         &this->core->limiter,
         this->cold_per_second()};
+    if (this->core->is_overload_controlled()) {
+        const auto* service_rules = this->request.rules->find_service(this->service);
+        known.stated = &this->core->stated_loads;
+        known.memory_tokens =
+            service_rules == nullptr ? 0.0 : static_cast<double>(service_rules->memory_tokens);
+    }
+    return known;
 }
 
 auto relay::choose_among(const std::vector<const routing::registration*>& allowed, time_point now)
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -30,6 +30,7 @@
 #include "routing/server_choice.hpp"
 #include "routing/server_health.hpp"
 #include "routing/server_limiter.hpp"
+#include "routing/server_load_tracker.hpp"
 #include "routing/server_table.hpp"
 
 namespace reedramp::router {
@@ -123,6 +124,12 @@
     double first_event_work_factor = 3.0;
 };
 
+/// The server instance that sent a response, and its service.
+struct answering_server {
+    const common::service_name& service;
+    const routing::server_instance& server;
+};
+
 class relay;
 
 /// State that all requests of an entry share: the rules in force, the servers, the requests in
@@ -250,6 +257,14 @@
     auto apply_backoff(const routing::server_instance& server, std::chrono::milliseconds backoff)
         -> void;
 
+    /// Applies the load that a server stated in the head of its response to the attempt, if any. A
+    /// refusal means that the server has not run the request.
+    auto apply_load(
+        const answering_server& from,
+        const http::response& head,
+        bool is_refusal,
+        const std::string& attempt) -> void;
+
     /// Applies limits that a peer has read in servers' responses.
     auto apply_limit_reports(
         const std::vector<routing::limit_report>& reports, const std::string& source) -> void;
@@ -286,6 +301,7 @@
     /// one.
     std::map<common::service_name, routing::server_speed_tracker> speeds;
     routing::server_health health;
+    routing::server_load_tracker stated_loads;
     overload_state overload_control;
     routing::server_limiter limiter;
     routing::evacuation_registry evacuations;
--- a/source/core/router/servers_list.cpp
+++ b/source/core/router/servers_list.cpp
@@ -287,6 +287,7 @@
     };
     this->core->health.forget_if(is_gone);
     this->core->limiter.forget_if(is_gone, now);
+    this->core->stated_loads.forget_if(is_gone, now);
     for (auto& [service, speeds] : this->core->speeds) {
         speeds.forget_if(is_gone);
     }
--- /dev/null
+++ b/source/core/router/stated_loads.cpp
@@ -0,0 +1,34 @@
+#include <chrono>
+
+#include "common/log.hpp"
+#include "router/router_core.hpp"
+#include "router/server_load_header.hpp"
+
+/// Part of `router_core` that applies the load that servers state in their responses.
+namespace reedramp::router {
+
+auto router_core::apply_load(
+    const answering_server& from,
+    const http::response& head,
+    bool is_refusal,
+    const std::string& attempt) -> void
+{
+    const auto read = read_server_load(head, this->options.names);
+    if (read.is_malformed && this->stated_loads.note_malformed(from.server)) {
+        this->counters.count_server_statement("load_unreadable");
+        common::log(
+            common::log_part::members,
+            common::log_level::warning,
+            "server's load is malformed server=" + to_string(from.server) + " request=" + attempt);
+    }
+    if (!read.load) {
+        return;
+    }
+    this->stated_loads.note(
+        from.service, {from.server, *read.load, this->hooks.clock()}, is_refusal);
+    if (read.load->slowdown) {
+        this->overload_control.note_stated_speed();
+    }
+}
+
+} // namespace reedramp::router
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -123,6 +123,9 @@
     report.ended = this->core->servers.ended(now);
     report.evacuations = this->core->evacuations.make_report();
     report.limits = this->core->limiter.limits().make_reports(now);
+    if (this->core->is_overload_controlled()) {
+        report.slowdowns = this->core->stated_loads.make_reports(now);
+    }
     if (this->core->process_ends_at() != common::never) {
         report.ends_in = std::chrono::duration_cast<std::chrono::milliseconds>(
             this->core->process_ends_at() - now);
@@ -256,6 +259,9 @@
     this->core->replace_evacuations(report->evacuations, report->host.value());
     this->apply_server_reports(*report, now);
     this->core->apply_limit_reports(report->limits, report->host.value());
+    if (this->core->is_overload_controlled()) {
+        this->core->stated_loads.apply_reports(report->slowdowns, now);
+    }
     const auto trusted_until = now + this->round() * load_report_rounds;
     this->core->loads.apply_reports(report->host, report->loads, trusted_until);
     this->core->freshness.apply_report(report->freshness, now);
--- a/source/unit_tests/routing/server_load_tracker_test.cpp
+++ b/source/unit_tests/routing/server_load_tracker_test.cpp
@@ -1,5 +1,6 @@
 #include "routing/server_load_tracker.hpp"
 
+#include <array>
 #include <limits>
 #include <string>
 
@@ -109,13 +110,11 @@
           stated_load{64, 1000, 64, std::nullopt},
           stated_load{0, 0, 64, 0.01},
           stated_load{64, 1000, 64, 10'000.0}}) {
-        std::vector<registration> all;
-        std::vector<const registration*> usable;
-        for (int i = 0; i < 8; ++i) {
-            all.push_back(server_of(std::to_string(i)));
-        }
-        for (const auto& one : all) {
-            usable.push_back(&one);
+        std::array<registration, 8> all;
+        std::vector<const registration*> usable(all.size());
+        for (std::size_t i = 0; i < all.size(); ++i) {
+            all[i] = server_of(std::to_string(i));
+            usable[i] = &all[i];
         }
         load_tracker loads;
         const server_speed_tracker speeds;
