--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -79,7 +79,10 @@
         if (of->head_verdict != verdict::untrusted) {
             const bool is_refusal = of->head_verdict == verdict::not_executed;
             this->core->apply_load(
-                {this->service, of->server}, head, is_refusal, this->request.caller.attempt);
+                {this->service, of->server, of->work},
+                head,
+                is_refusal,
+                this->request.caller.attempt);
         }
     }
     of->head = make_caller_response(head);
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -124,10 +124,11 @@
     double first_event_work_factor = 3.0;
 };
 
-/// The server instance that sent a response, and its service.
+/// The server instance that sent a response, its service, and the work of the request.
 struct answering_server {
     const common::service_name& service;
     const routing::server_instance& server;
+    double work = 0.0;
 };
 
 class relay;
--- a/source/core/router/stated_loads.cpp
+++ b/source/core/router/stated_loads.cpp
@@ -25,7 +25,7 @@
         return;
     }
     this->stated_loads.note(
-        from.service, {from.server, *read.load, this->hooks.clock()}, is_refusal);
+        from.service, {from.server, *read.load, this->hooks.clock(), from.work}, is_refusal);
     if (read.load->slowdown) {
         this->overload_control.note_stated_speed();
     }
--- a/source/core/routing/server_choice.cpp
+++ b/source/core/routing/server_choice.cpp
@@ -190,7 +190,7 @@
     auto work = load.work + asked.work;
     if (trackers.stated != nullptr) {
         slowness *= trackers.stated->current_slowdown(server, now);
-        work += trackers.stated->unknown_work(instance, load, asked.work, now);
+        work += trackers.stated->unknown_work(server, load, now);
     }
     const auto cost = slowness * work;
     const bool is_far = server.data_centre != asked.own_data_centre;
--- a/source/core/routing/server_load_tracker.cpp
+++ b/source/core/routing/server_load_tracker.cpp
@@ -24,6 +24,10 @@
 /// Weight of the newest statement in a service's mean.
 constexpr double mean_memory = 0.02;
 
+constexpr double max_requests_per_slot = 2.0;
+/// Share of a request's work that remains on average while it is in flight.
+constexpr double mean_remaining = 0.5;
+
 /// Slowdowns that differ less from 1.0 are not worth a row in a message.
 constexpr double unusual_slowdown = 0.1;
 constexpr std::chrono::milliseconds reported_for{300};
@@ -51,6 +55,14 @@
                : placement::affinity_weight(server.id_hash, server.started_at.value());
 }
 
+/// Requests at the server. Bounded, so that one absurd statement does not dominate the mean.
+auto requests_of(const stated_load& load) -> double
+{
+    return std::min(
+        static_cast<double>(load.running + load.waiting),
+        max_requests_per_slot * static_cast<double>(load.slots));
+}
+
 auto bounded(double slowdown) -> double
 {
     return std::clamp(slowdown, min_slowdown, max_slowdown);
@@ -80,14 +92,27 @@
         newest.load.running = std::max(newest.load.running, newest.load.slots);
     }
     if (newest.load.slowdown) {
-        const auto slowdown = bounded(*newest.load.slowdown);
-        newest.load.slowdown = slowdown;
-        auto& mean = this->means.try_emplace(service, slowdown).first->second;
-        mean += mean_memory * (slowdown - mean);
+        newest.load.slowdown = bounded(*newest.load.slowdown);
     }
+    this->update_means(service, newest);
     return true;
 }
 
+auto server_load_tracker::update_means(
+    const common::service_name& service, const load_statement& newest) -> void
+{
+    const auto [found, is_first] = this->by_service.try_emplace(service);
+    auto& means = found->second;
+    const auto weight = is_first ? 1.0 : mean_memory;
+    means.requests += weight * (requests_of(newest.load) - means.requests);
+    means.work += weight * (newest.work - means.work);
+    if (newest.load.slowdown) {
+        const auto weight_of_slowdown = means.has_slowdown ? mean_memory : 1.0;
+        means.slowdown += weight_of_slowdown * (*newest.load.slowdown - means.slowdown);
+        means.has_slowdown = true;
+    }
+}
+
 auto server_load_tracker::note_malformed(const server_instance& server) -> bool
 {
     return this->malformed_seen.size() < max_servers && this->malformed_seen.insert(server).second;
@@ -117,40 +142,38 @@
     return newest;
 }
 
-auto server_load_tracker::mean_slowdown(const common::service_name& service) const -> double
-{
-    const auto found = this->means.find(service);
-    return found == this->means.end() ? 1.0 : found->second;
-}
-
 auto server_load_tracker::current_slowdown(const registration& server, time_point now) const
     -> double
 {
-    if (this->means.empty() && this->reported.empty()) {
+    if (this->by_service.empty() && this->reported.empty()) {
         return 1.0;
     }
-    const auto mean = this->mean_slowdown(server.service);
+    const auto means = this->by_service.find(server.service);
+    const auto mean = means == this->by_service.end() ? 1.0 : means->second.slowdown;
     const auto newest = this->newest_slowdown(server);
     return newest ? mean + weight_at(now - newest->at, host_state_time) * (newest->factor - mean)
                   : mean;
 }
 
 auto server_load_tracker::unknown_work(
-    const server_instance& server,
-    const server_load& known,
-    double usual_work,
-    time_point now) const -> double
+    const registration& server, const server_load& known, time_point now) const -> double
 {
-    const auto* stated = this->newest(server);
-    if (stated == nullptr) {
+    const auto means = this->by_service.find(server.service);
+    if (means == this->by_service.end()) {
         return 0.0;
     }
-    const auto requests = static_cast<double>(stated->load.running + stated->load.waiting);
-    // With as many requests again as are known, a server that always states full gets half as many
-    // as the others. One more is for a server that is idle as far as known.
+    // Without a statement a server counts as the mean. If it counted as known to be idle, servers
+    // that answer would look busier than those whose requests all wait.
+    auto requests = means->second.requests;
+    const auto* stated = this->newest(server.instance());
+    if (stated != nullptr) {
+        requests += weight_at(now - stated->at, load_state_time) *
+                    (requests_of(stated->load) - means->second.requests);
+    }
+    // With as many requests again as are known, a server that always states full gets about half as
+    // many as the others. One more is for a server that is idle as far as known.
     const auto unknown = std::clamp(requests - known.requests, 0.0, known.requests + 1.0);
-    const auto work_of_one = known.requests >= 1.0 ? known.work / known.requests : usual_work;
-    return unknown * work_of_one * weight_at(now - stated->at, load_state_time);
+    return unknown * mean_remaining * means->second.work;
 }
 
 auto server_load_tracker::make_reports(time_point now) const -> std::vector<slowdown_report>
--- a/source/core/routing/server_load_tracker.hpp
+++ b/source/core/routing/server_load_tracker.hpp
@@ -43,6 +43,8 @@
     stated_load load;
     /// Time of the response's head.
     time_point at;
+    /// Work of the request that the response belongs to, in the load tracker's unit.
+    double work = 0.0;
 };
 
 /// Keeps the newest load that each server stated, and what peers report of hosts' present speeds.
@@ -72,13 +74,12 @@
     /// nothing is known.
     [[nodiscard]] auto current_slowdown(const registration& server, time_point now) const -> double;
 
-    /// Work of requests that the server stated beyond `known`, the load from all entries. Each such
-    /// request counts as the mean of the known ones, or as `usual_work` if none is known.
-    [[nodiscard]] auto unknown_work(
-        const server_instance& server,
-        const server_load& known,
-        double usual_work,
-        time_point now) const -> double;
+    /// Expected work of requests that the server has beyond `known`, the load from all entries, by
+    /// its newest statement, which approaches the mean of the service as it ages. At most as many
+    /// requests again as are known, and one more.
+    [[nodiscard]] auto
+    unknown_work(const registration& server, const server_load& known, time_point now) const
+        -> double;
 
     /// Reports to send to peers, the newest first.
     [[nodiscard]] auto make_reports(time_point now) const -> std::vector<slowdown_report>;
@@ -98,17 +99,25 @@
         time_point at{};
     };
 
+    /// Exponentially weighted means of what a service's servers stated to this entry.
+    struct service_means {
+        bool has_slowdown = false;
+        /// Peers' reports would bias it, since usual values are not reported.
+        double slowdown = 1.0;
+        /// Requests at a server, and work of a request.
+        double requests = 0.0;
+        double work = 0.0;
+    };
+
     [[nodiscard]] auto newest_slowdown(const registration& server) const
         -> std::optional<slowdown_at>;
-    [[nodiscard]] auto mean_slowdown(const common::service_name& service) const -> double;
+    auto update_means(const common::service_name& service, const load_statement& newest) -> void;
     auto forget_old_reports(time_point now) -> void;
 
     std::unordered_map<common::server_id, load_statement> statements;
     /// By `hash_of` the server instance.
     std::unordered_map<std::uint64_t, slowdown_at> reported;
-    /// Exponentially weighted mean of the slowdowns that each service's servers stated to this
-    /// entry. Peers' reports would bias it, since usual values are not reported.
-    std::map<common::service_name, double> means;
+    std::map<common::service_name, service_means> by_service;
     std::unordered_set<server_instance> malformed_seen;
 };
 
