overload: test that stated loads do not count while overload control is not in force

Cause: the test passed with stated loads in use, since one statement is its service's mean as well. Change: a second server states that it is idle.

--- a/source/unit_tests/router/stated_loads_test.cpp
+++ b/source/unit_tests/router/stated_loads_test.cpp
@@ -106,6 +106,7 @@
     // Guards against a deployment without overload control that chooses its servers otherwise.
     router_fixture fixture;
     CHECK(chosen_server(fixture) == "a");
+    state_load(fixture, "c", "0,0,8");
     state_load(fixture, "a", "8,900,8");
     CHECK(chosen_server(fixture) == "a");
     state_load(fixture, "c", "0,0,8,100");
