overload: the test of stated loads without overload control states work

Cause: with work of 0 the stated loads had no effect, so the test also passed with them in use. Change: the responses of the test belong to requests with work. Result: with the condition in relay::trackers removed the test fails, with it router_test "[server_load]" passes.

--- a/source/unit_tests/router/stated_loads_test.cpp
+++ b/source/unit_tests/router/stated_loads_test.cpp
@@ -31,7 +31,7 @@
     http::response head;
     head.headers = {{"Reedramp-Load", load}};
     const auto& server = server_of(fixture, id);
-    fixture.core->apply_load({server.service, server.instance()}, head, false, "attempt");
+    fixture.core->apply_load({server.service, server.instance(), 1000.0}, head, false, "attempt");
 }
 
 auto chosen_server(router_fixture& fixture) -> std::string
