--- a/source/core/routing/server_load_tracker.cpp
+++ b/source/core/routing/server_load_tracker.cpp
@@ -118,18 +118,25 @@
     return this->malformed_seen.size() < max_servers && this->malformed_seen.insert(server).second;
 }
 
-auto server_load_tracker::newest(const server_instance& server) const -> const load_statement*
+auto server_load_tracker::find(const common::server_id& server, start_time started_at) const
+    -> const load_statement*
 {
-    const auto found = this->statements.find(server.id);
-    const bool is_known = found != this->statements.end() && found->second.server == server;
+    const auto found = this->statements.find(server);
+    const bool is_known =
+        found != this->statements.end() && found->second.server.started_at == started_at;
     return is_known ? &found->second : nullptr;
 }
 
+auto server_load_tracker::newest(const server_instance& server) const -> const load_statement*
+{
+    return this->find(server.id, server.started_at);
+}
+
 auto server_load_tracker::newest_slowdown(const registration& server) const
     -> std::optional<slowdown_at>
 {
     std::optional<slowdown_at> newest;
-    const auto* own = this->newest(server.instance());
+    const auto* own = this->find(server.id, server.started_at);
     if (own != nullptr && own->load.slowdown) {
         newest = {*own->load.slowdown, own->at};
     }
@@ -165,7 +172,7 @@
     // Without a statement a server counts as the mean. If it counted as known to be idle, servers
     // that answer would look busier than those whose requests all wait.
     auto requests = means->second.requests;
-    const auto* stated = this->newest(server.instance());
+    const auto* stated = this->find(server.id, server.started_at);
     if (stated != nullptr) {
         requests += weight_at(now - stated->at, load_state_time) *
                     (requests_of(stated->load) - means->second.requests);
--- a/source/core/routing/server_load_tracker.hpp
+++ b/source/core/routing/server_load_tracker.hpp
@@ -109,6 +109,8 @@
         double work = 0.0;
     };
 
+    [[nodiscard]] auto find(const common::server_id& server, start_time started_at) const
+        -> const load_statement*;
     [[nodiscard]] auto newest_slowdown(const registration& server) const
         -> std::optional<slowdown_at>;
     auto update_means(const common::service_name& service, const load_statement& newest) -> void;
