--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -33,6 +33,7 @@
 #include "routing/server_choice.hpp"
 #include "routing/server_health.hpp"
 #include "routing/server_limiter.hpp"
+#include "routing/server_load_tracker.hpp"
 #include "routing/server_table.hpp"
 
 namespace reedramp::router {
@@ -131,6 +132,13 @@
     double moves_below = 0.5;
 };
 
+/// The server instance that sent a response, its service, and the work of the request.
+struct answering_server {
+    const common::service_name& service;
+    const routing::server_instance& server;
+    double work = 0.0;
+};
+
 class relay;
 
 /// State that all requests of an entry share: the rules in force, the servers, the requests in
@@ -271,6 +279,14 @@
     auto apply_backoff(const routing::server_instance& server, std::chrono::milliseconds backoff)
         -> void;
 
+    /// Applies the load that a server stated in the head of its response to the attempt, if any. A
+    /// refusal means that the server has not run the request.
+    auto apply_load(
+        const answering_server& from,
+        const http::response& head,
+        bool is_refusal,
+        const std::string& attempt) -> void;
+
     /// Applies limits that a peer has read in servers' responses.
     auto apply_limit_reports(
         const std::vector<routing::limit_report>& reports, const std::string& source) -> void;
@@ -311,6 +327,7 @@
     /// Speeds of all services' servers, from peers. Applied and used under overload control.
     routing::peer_speed_table peer_speeds;
     routing::server_health health;
+    routing::server_load_tracker stated_loads;
     overload_state overload_control;
     overload::organisation_shares shares;
     routing::server_limiter limiter;
--- a/source/core/routing/server_choice.cpp
+++ b/source/core/routing/server_choice.cpp
@@ -18,6 +18,9 @@
 /// generated in one step and delay a prompt little.
 constexpr double other_work_weight = 0.25;
 
+/// Cost of a server whose memory would overflow: more than that of any server with room.
+constexpr double overflow_cost = 1e12;
+
 auto id_hash(const registration& server) -> std::uint64_t
 {
     return server.id_hash == 0 ? hash_of(server.id) : server.id_hash;
@@ -50,6 +53,15 @@
                !this->trackers.health.is_ejected(server.instance(), this->now);
     }
 
+    /// Whether the request fits into the server's memory.
+    [[nodiscard]] auto has_room(const registration& server) const -> bool
+    {
+        const auto size = this->trackers.memory_tokens;
+        return size <= 0.0 || this->trackers.loads.total(server.instance(), this->now).memory +
+                                      this->asked.memory <=
+                                  size;
+    }
+
 private:
     const placement_request& asked;
     const server_trackers& trackers;
@@ -100,6 +112,8 @@
     // those wanted.
     constexpr std::size_t draws_for_each = 4;
     const auto draws = options.drawn * draws_for_each;
+    // The last quarter of the draws accepts servers without room: all may be full.
+    const auto draws_with_room = draws - options.drawn;
     const auto far = options.drawn - std::min(options.drawn_near, options.drawn);
     std::size_t near_found = 0;
     std::size_t far_found = 0;
@@ -107,7 +121,8 @@
         // A hash of the draw's index replaces a random number generator.
         const auto* server = usable[placement::affinity_weight(chance, i) % usable.size()];
         const bool is_near = server->data_centre == asked.own_data_centre;
-        if ((!is_near && far_found >= far) || !may_go.holds(*server)) {
+        if ((!is_near && far_found >= far) || !may_go.holds(*server) ||
+            (i < draws_with_room && !may_go.has_room(*server))) {
             continue;
         }
         if (add_new(to, server)) {
@@ -188,10 +203,14 @@
     const auto instance = server.instance();
     const bool is_limited_as_cold =
         server_limiter::is_limited_as_cold(server, trackers.cold_per_second, now);
-    const auto slowness =
+    auto slowness =
         slowness_of(instance, trackers, now) * (is_limited_as_cold ? options.cold_slowness : 1.0);
     const auto load = trackers.loads.total(instance, now);
-    const auto work = load.work + asked.work;
+    auto work = load.work + asked.work;
+    if (trackers.stated != nullptr) {
+        slowness *= trackers.stated->current_slowdown(server, now);
+        work += trackers.stated->unknown_work(server, load, now);
+    }
     const auto cost =
         slowness *
         (trackers.peer_speeds == nullptr ? work : weigh(work, load.reading + asked.prompt_work));
@@ -215,7 +234,8 @@
     std::vector<double> costs;
     costs.reserve(found.all.size());
     std::ranges::transform(found.all, std::back_inserter(costs), [&](const auto* server) {
-        return cost_of(*server, asked, trackers, options, now);
+        return cost_of(*server, asked, trackers, options, now) +
+               (may_go.has_room(*server) ? 0.0 : overflow_cost);
     });
     const auto least = std::ranges::min_element(costs);
     if (least == costs.end()) {
--- a/source/core/routing/server_choice.hpp
+++ b/source/core/routing/server_choice.hpp
@@ -8,6 +8,7 @@
 #include "routing/peer_speed_table.hpp"
 #include "routing/server_health.hpp"
 #include "routing/server_limiter.hpp"
+#include "routing/server_load_tracker.hpp"
 #include "routing/server_speed_tracker.hpp"
 #include "routing/server_table.hpp"
 
@@ -19,6 +20,8 @@
     double work = 0.0;
     /// The part of `work` that is the prompt.
     double prompt_work = 0.0;
+    /// Tokens that the request holds in a server's memory.
+    double memory = 0.0;
     /// Hash of the prompt's last shared prefix; 0 if there is none worth caching.
     std::uint64_t affinity = 0;
     /// Work saved on a server that has that prefix cached, in the load tracker's unit.
@@ -57,12 +60,17 @@
     double cold_per_second = 0.0;
     /// Null while overload control is off: servers are judged by waits and all work alike then.
     const peer_speed_table* peer_speeds = nullptr;
+    /// Null: what servers state of their load does not count.
+    const server_load_tracker* stated = nullptr;
+    /// Tokens that fit into the memory of each server of the service; 0 if not to be considered.
+    double memory_tokens = 0.0;
 };
 
 /// Chooses a server for a request: among a few candidates, the one that would finish first, given
 /// its work from all entries and this request's work, less what a cached prefix saves. Returns null
 /// if no server is available, or if the remaining ones accept requests only in send slots and this
-/// entry has none now. Ejected servers are used only if all are ejected.
+/// entry has none now. Ejected servers are used only if all are ejected, and servers whose memory
+/// would overflow only if no candidate has room.
 ///
 /// The candidates are the servers that may have the prefix cached and some random ones; all
 /// servers, if there are no more. Entries learn of each other's work late: with the same view, all
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -126,6 +126,7 @@
     report.limits = this->core->limiter.limits().make_reports(now);
     report.usage = this->core->make_usage_reports();
     if (this->core->is_overload_controlled()) {
+        report.slowdowns = this->core->stated_loads.make_reports(now);
         report.speeds = this->speeds_to_report;
     }
     if (this->core->process_ends_at() != common::never) {
@@ -276,6 +277,9 @@
     this->core->replace_evacuations(report->evacuations, report->host.value());
     this->apply_server_reports(*report, now);
     this->core->apply_limit_reports(report->limits, report->host.value());
+    if (this->core->is_overload_controlled()) {
+        this->core->stated_loads.apply_reports(report->slowdowns, now);
+    }
     const auto trusted_until = now + this->round() * load_report_rounds;
     this->core->loads.apply_reports(report->host, report->loads, trusted_until);
     this->core->shares.apply_reports(report->host, report->usage, now + this->silence());
