router: back-pressure on a server's response whose caller reads slowly

The relay wrote to a caller as fast as the server sent, so each slow reader held its whole response in the entry. held_stream stands between relay and caller. It counts what the entry holds, pauses the server's call above 64 KB of backlog and resumes it below 16 KB, at the latest after 2 s since servers cut a response that stays unread. A plain response counts while it is received and until its caller has read it, also after the request has ended. Without a budget (the default) nothing is counted or paused.

A pause is not a stall of the server, and its event pauses are not evidence on the server's version.

responder::taken() shows progress within a large piece, and drop_unsent() closes a connection whose answer was handed over whole; abort() does nothing then.

--- a/source/core/http/exchange.cpp
+++ b/source/core/http/exchange.cpp
@@ -75,6 +75,23 @@
     this->request_flush(guard, urgency::soon);
 }
 
+auto exchange::drop_unsent() -> void
+{
+    std::unique_lock guard(this->lock);
+    if (this->connection_closed) {
+        return;
+    }
+    this->answer = stage::ended;
+    this->pending.cut = true;
+    // At once, since the caller of this function needs the memory.
+    this->request_flush(guard, urgency::now);
+}
+
+auto exchange::taken() const -> std::uint64_t
+{
+    return this->taken_before + this->taken_in_flight;
+}
+
 auto exchange::backlog() -> std::size_t
 {
     const std::lock_guard guard(this->lock);
@@ -141,8 +158,14 @@
     return this->pending.cut;
 }
 
+auto exchange::written_part(std::size_t bytes) -> void
+{
+    this->taken_in_flight = bytes;
+}
+
 auto exchange::written() -> void
 {
+    this->taken_before += this->taken_in_flight.exchange(0);
     std::vector<action> ready;
     {
         const std::lock_guard guard(this->lock);
@@ -268,6 +291,16 @@
     return this->target->backlog();
 }
 
+auto exchange_responder::taken() const -> std::uint64_t
+{
+    return this->target->taken();
+}
+
+auto exchange_responder::drop_unsent() -> void
+{
+    this->target->drop_unsent();
+}
+
 auto exchange_responder::when_drained(std::size_t low_water, std::function<auto()->void> action)
     -> void
 {
--- a/source/core/http/exchange.hpp
+++ b/source/core/http/exchange.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -54,7 +56,9 @@
     auto write(std::string chunk) -> void;
     auto finish() -> void;
     auto abort() -> void;
+    auto drop_unsent() -> void;
     auto backlog() -> std::size_t;
+    [[nodiscard]] auto taken() const -> std::uint64_t;
     auto when_drained(std::size_t low_water, action run) -> void;
     auto on_disconnect(action run) -> void;
     /// The responder was dropped. Without an answer so far, a caller would wait for ever; it gets
@@ -66,6 +70,8 @@
     auto take() -> std::optional<outgoing>;
     /// The answer was broken off; what the socket has not taken is not wanted any more.
     auto is_cut() -> bool;
+    /// The socket has taken `bytes` of the last `take`, its head and framing included.
+    auto written_part(std::size_t bytes) -> void;
     /// The socket has taken all of the last `take`.
     auto written() -> void;
     /// The caller has left, or has closed its sending side.
@@ -95,6 +101,9 @@
     bool caller_gone = false;
     bool connection_closed = false;
     std::size_t in_flight_bytes = 0;
+    /// Bytes of finished pieces that the socket has taken, and of the one in flight.
+    std::atomic<std::uint64_t> taken_before{0};
+    std::atomic<std::uint64_t> taken_in_flight{0};
     std::vector<waiter> waiters;
     action disconnect_action;
 };
@@ -115,6 +124,8 @@
     auto finish() -> void override;
     auto abort() -> void override;
     [[nodiscard]] auto backlog() const -> std::size_t override;
+    [[nodiscard]] auto taken() const -> std::uint64_t override;
+    auto drop_unsent() -> void override;
     auto when_drained(std::size_t low_water, std::function<auto()->void> action) -> void override;
     auto on_disconnect(std::function<auto()->void> action) -> void override;
 
--- a/source/core/http/server.hpp
+++ b/source/core/http/server.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -38,6 +39,15 @@
     /// while this is high; else one slow caller would hold an answer's whole size in memory.
     [[nodiscard]] virtual auto backlog() const -> std::size_t = 0;
 
+    /// Bytes of the answer, head and framing included, that the socket has taken. Grows also within
+    /// a large piece, which counts as backlog until all of it is taken. 0 without a socket.
+    [[nodiscard]] virtual auto taken() const -> std::uint64_t { return 0; }
+
+    /// Closes the connection unless the socket has taken the whole answer, also after `send` and
+    /// `finish`, so that the caller sees that the answer is cut. Without a socket the same as
+    /// `abort`.
+    virtual auto drop_unsent() -> void { this->abort(); }
+
     /// `action` runs once when the backlog has fallen below `low_water` bytes (at once if it is).
     virtual auto when_drained(std::size_t low_water, std::function<auto()->void> action)
         -> void = 0;
--- a/source/core/http/stream_connection_output.hpp
+++ b/source/core/http/stream_connection_output.hpp
@@ -114,8 +114,10 @@
     this->writing = true;
     // A caller that reads nothing for this long holds its whole backlog in memory, and an engine
     // besides; it is cut. One that reads slowly moves the deadline with each piece.
-    const auto piece_limit = [this](error_code problem, std::size_t) -> std::size_t {
+    const auto piece_limit =
+        [this, of = this->current](error_code problem, std::size_t size) -> std::size_t {
         this->timer.expires_after(this->shared->options.write_timeout);
+        of->written_part(size);
         return problem ? 0 : largest_write;
     };
     const std::array<boost::asio::const_buffer, 3> pieces{
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -24,7 +24,8 @@
     std::shared_ptr<router_core> core_to_use,
     admitted_request request_to_relay,
     std::shared_ptr<http::responder> responder)
-    : core(std::move(core_to_use)), request(std::move(request_to_relay)), out(std::move(responder)),
+    : core(std::move(core_to_use)), request(std::move(request_to_relay)),
+      out(this->core->streams->open(this->request.caller.attempt, std::move(responder))),
       received(this->request.received), last_event(this->request.caller.last_event)
 {
     this->core->open_requests.insert(this);
@@ -103,6 +104,7 @@
              [keep, next](const common::result<http::response>& answer) {
                  keep->on_done(next, answer);
              }});
+    this->out->follow(next->call);
     if (this->is_stream()) {
         this->watch_for_stall(next);
     }
@@ -279,7 +281,9 @@
             if (self == nullptr || of->ended || self->ended) {
                 return;
             }
-            const bool is_silent = self->core->hooks.clock() - of->last_progress >= limit;
+            // Silence while this entry does not read for a slow caller is not the server's.
+            const auto silent_since = std::max(of->last_progress, self->out->reading_since());
+            const bool is_silent = self->core->hooks.clock() - silent_since >= limit;
             // Without another attempt, a slow server is better than none.
             if (!is_silent || !self->may_leave_current() || !self->retries().try_acquire_retry()) {
                 self->watch_for_stall(of);
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "router/held_stream.hpp"
 #include "router/router_core.hpp"
 #include "routing/attempt_ledger.hpp"
 #include "routing/event_splitter.hpp"
@@ -225,7 +226,7 @@
 
     std::shared_ptr<router_core> core;
     admitted_request request;
-    std::shared_ptr<http::responder> out;
+    std::shared_ptr<held_stream> out;
 
     time_point received;
     time_point give_up_at;
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -166,6 +166,7 @@
         return;
     }
     of->body += bytes;
+    this->out->note_buffered(of->body.size());
     if (of->body.size() > this->core->options.max_buffered_response) {
         this->abandon(of, attempt_end::ran, server_outcome::failed);
         this->retry(result_code::server_failed);
@@ -250,6 +251,9 @@
         this->note_event_pause(*of);
         this->last_event = of->events->last_id();
         this->out->write(std::move(whole));
+        if (this->out != nullptr && this->out->is_paused()) {
+            of->is_timed = true; // Its pauses are those of the caller from now on.
+        }
     }
     if (!in_order) {
         this->abandon(of, attempt_end::ran, server_outcome::failed);
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -31,7 +31,9 @@
       freshness(with_reader(this->options.freshness, this->hooks.random())),
       health(this->options.health), overload_control(this->options.overload),
       limiter(this->options.limiter, {this->hooks.rank, this->hooks.unix_ms}),
-      crashes(this->options.crashes), rollouts(this->options.rollout), counters(this->series)
+      crashes(this->options.crashes), rollouts(this->options.rollout), counters(this->series),
+      streams(std::make_shared<held_streams>(
+          this->hooks.clock, this->hooks.timer, this->options.streams))
 {
 }
 
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -15,6 +15,7 @@
 #include "placement/retry_budget.hpp"
 #include "router/caller_request.hpp"
 #include "router/header_names.hpp"
+#include "router/held_stream.hpp"
 #include "router/overload_state.hpp"
 #include "router/router_metrics.hpp"
 #include "router/server_directives.hpp"
@@ -68,6 +69,7 @@
     routing::model_options models;
     placement::retry_budget_settings retries;
     overload_options overload;
+    held_stream_options streams;
     /// Maximum sends of one request, refused ones included. A refusal costs a round trip, and a
     /// service whose servers all refuse is full.
     unsigned max_sends = 4;
@@ -294,6 +296,7 @@
     metrics::registry series;
     routing::wait_gauge waits;
     router_metrics counters;
+    std::shared_ptr<held_streams> streams;
     /// Requests without a final response. Each adds and removes itself.
     std::set<relay*> open_requests;
 
--- a/source/unit_tests/http/server_test.cpp
+++ b/source/unit_tests/http/server_test.cpp
@@ -61,6 +61,33 @@
     CHECK(caller.read_to_end().ends_with("\r\n\r\nwhole"));
 }
 
+// Guards against an answer that stays in memory although its sender has dropped it: `abort` does
+// nothing once the answer has been handed over whole.
+TEST_CASE("an answer that was handed over whole can still be dropped")
+{
+    constexpr std::size_t total = 32UL * 1024UL * 1024UL;
+    loop server_loop;
+    held_answer held;
+    const auto serving = open_server({&server_loop.context}, held.handler());
+    raw_caller caller{address_of(*serving)};
+    caller.send(plain_get);
+    const auto out = held.out.get();
+    out->send({200, {}, std::string(total, 'x')});
+    std::promise<void> released;
+    out->when_drained(1, [&released] { released.set_value(); });
+    // The backlog is one piece until its last byte is taken, but what is taken of it is known.
+    const auto until = std::chrono::steady_clock::now() + 10s;
+    while (out->taken() == 0 && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(1ms);
+    }
+    CHECK(out->taken() > 0);
+    CHECK(out->backlog() == total);
+    out->drop_unsent();
+    CHECK(released.get_future().wait_for(10s) == std::future_status::ready);
+    CHECK(out->backlog() == 0);
+    CHECK(caller.read_to_end().size() < total);
+}
+
 // What the caller sees: it reads nothing, then reads all. Meanwhile the source of the stream learns
 // from the backlog that it has to stop, and goes on when the backlog has fallen; else each slow
 // caller would hold its whole answer in memory.
--- a/source/unit_tests/router/router_fixture.cpp
+++ b/source/unit_tests/router/router_fixture.cpp
@@ -1,5 +1,6 @@
 #include "router_fixture.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace reedramp::router::testing {
@@ -114,7 +115,25 @@
     return {std::move(rules), "text of version " + std::to_string(version)};
 }
 
-router_fixture::router_fixture()
+auto caller::read(std::size_t bytes) -> void
+{
+    const auto now_read = std::min(bytes, this->unread);
+    this->unread -= now_read;
+    this->read_bytes += now_read;
+    std::vector<std::function<auto()->void>> due;
+    std::erase_if(this->drain_actions, [this, &due](auto& one) {
+        const bool is_due = this->unread < one.first;
+        if (is_due) {
+            due.push_back(std::move(one.second));
+        }
+        return is_due;
+    });
+    for (const auto& action : due) {
+        action();
+    }
+}
+
+router_fixture::router_fixture(router_options options)
 {
     router_hooks hooks;
     hooks.clock = [this] {
@@ -126,7 +145,7 @@
     hooks.random = [] {
         return std::uint64_t{0};
     };
-    this->core = std::make_shared<router_core>(std::move(hooks), router_options{}, this->client);
+    this->core = std::make_shared<router_core>(std::move(hooks), std::move(options), this->client);
     this->core->apply_rules(rules_of(1));
     for (const auto* id : {"a", "b", "c"}) {
         this->add_server(id);
@@ -172,6 +191,15 @@
 auto router_fixture::ask(
     const std::string& path, std::vector<http::header> extra, const std::string& body)
     -> std::shared_ptr<caller>
+{
+    return this->ask(std::make_shared<caller>(), path, std::move(extra), body);
+}
+
+auto router_fixture::ask(
+    std::shared_ptr<caller> out,
+    const std::string& path,
+    std::vector<http::header> extra,
+    const std::string& body) -> std::shared_ptr<caller>
 {
     http::request request;
     request.method = "POST";
@@ -188,7 +216,6 @@
             request.headers, [&item](const auto& other) { return other.name == item.name; });
         request.headers.push_back(std::move(item));
     }
-    auto out = std::make_shared<caller>();
     this->core->handle(std::move(request), out);
     return out;
 }
--- a/source/unit_tests/router/router_fixture.hpp
+++ b/source/unit_tests/router/router_fixture.hpp
@@ -23,6 +23,8 @@
     http::call_events events;
     bool is_cancelled = false;
     bool is_calling = false;
+    bool is_paused = false;
+    unsigned pauses = 0;
 
     /// Drops the callbacks like the real client does, though not while one of them runs.
     auto cancel() -> void override
@@ -38,9 +40,13 @@
         }
     }
 
-    auto pause() -> void override {}
+    auto pause() -> void override
+    {
+        this->is_paused = true;
+        this->pauses += 1;
+    }
 
-    auto resume() -> void override {}
+    auto resume() -> void override { this->is_paused = false; }
 
     [[nodiscard]] auto header(std::string_view name) const -> std::string;
 
@@ -56,7 +62,7 @@
     auto lose(common::execution run) -> void;
 };
 
-/// A caller, with what it has received.
+/// A caller, with what it has received. One that `reads_slowly` takes only what the test reads.
 struct caller final : http::responder {
     std::optional<http::response> answer;
     bool is_stream = false;
@@ -64,8 +70,21 @@
     bool is_aborted = false;
     std::string events;
     std::function<auto()->void> leave_action;
+    bool reads_slowly = false;
+    bool is_dropped = false;
+    /// Bytes that were sent but not read.
+    std::size_t unread = 0;
+    std::uint64_t read_bytes = 0;
+    std::vector<std::pair<std::size_t, std::function<auto()->void>>> drain_actions;
+
+    auto send(http::response whole) -> void override
+    {
+        this->unread += this->reads_slowly ? whole.body.size() : 0;
+        this->answer = std::move(whole);
+    }
 
-    auto send(http::response whole) -> void override { this->answer = std::move(whole); }
+    /// Reads up to `bytes` of what was sent.
+    auto read(std::size_t bytes) -> void;
 
     auto start(http::response head) -> void override
     {
@@ -73,18 +92,26 @@
         this->is_stream = true;
     }
 
-    auto write(std::string bytes) -> void override { this->events += bytes; }
+    auto write(std::string bytes) -> void override
+    {
+        this->unread += this->reads_slowly ? bytes.size() : 0;
+        this->events += bytes;
+    }
 
     auto finish() -> void override { this->is_finished = true; }
 
     auto abort() -> void override { this->is_aborted = true; }
 
-    [[nodiscard]] auto backlog() const -> std::size_t override { return 0; }
+    auto drop_unsent() -> void override { this->is_dropped = true; }
 
-    auto when_drained(std::size_t /*low_water*/, std::function<auto()->void> action)
-        -> void override
+    [[nodiscard]] auto backlog() const -> std::size_t override { return this->unread; }
+
+    [[nodiscard]] auto taken() const -> std::uint64_t override { return this->read_bytes; }
+
+    auto when_drained(std::size_t low_water, std::function<auto()->void> action) -> void override
     {
-        action();
+        this->drain_actions.emplace_back(low_water, std::move(action));
+        this->read(0);
     }
 
     auto on_disconnect(std::function<auto()->void> action) -> void override
@@ -109,7 +136,7 @@
 /// organisation "org" with the key "key"; and servers a, b and c.
 class router_fixture {
 public:
-    router_fixture();
+    explicit router_fixture(router_options options = {});
     /// Breaks the reference cycles between open requests and their calls. The real client ends its
     /// calls with its context.
     ~router_fixture();
@@ -126,6 +153,13 @@
         std::vector<http::header> extra = {},
         const std::string& body = "body") -> std::shared_ptr<caller>;
 
+    /// The same for a caller that the test has made.
+    auto
+    ask(std::shared_ptr<caller> out,
+        const std::string& path,
+        std::vector<http::header> extra = {},
+        const std::string& body = "body") -> std::shared_ptr<caller>;
+
     /// The newest request to a server.
     [[nodiscard]] auto last() const -> sent_request& { return *this->client->sent.back(); }
 
--- /dev/null
+++ b/source/unit_tests/router/slow_caller_test.cpp
@@ -0,0 +1,151 @@
+#include <catch2/catch.hpp>
+
+#include "router_fixture.hpp"
+
+namespace reedramp::router::testing {
+
+namespace {
+
+constexpr auto stream = "/stream/1";
+constexpr auto again = "/again/1";
+constexpr std::size_t kilobyte = 1024;
+
+auto bounded(std::size_t budget) -> router_options
+{
+    router_options options;
+    options.streams.held.budget = budget;
+    return options;
+}
+
+auto slow_caller() -> std::shared_ptr<caller>
+{
+    auto out = std::make_shared<caller>();
+    out->reads_slowly = true;
+    return out;
+}
+
+auto event(int id, std::size_t bytes) -> std::string
+{
+    return "id: " + std::to_string(id) + "\ndata: " + std::string(bytes, 'x') + "\n\n";
+}
+
+/// Starts a stream and returns its call to the server.
+auto begin_stream(router_fixture& fixture, const std::shared_ptr<caller>& out) -> sent_request&
+{
+    fixture.ask(out, stream);
+    fixture.last().head(200, {{"Reedramp-Confidence", "100"}});
+    return fixture.last();
+}
+
+} // namespace
+
+// Guards against holding a whole response for each caller that reads slowly.
+TEST_CASE("a server's response is not read while its caller's backlog is high", "[slow_caller]")
+{
+    router_fixture fixture{bounded(1024 * kilobyte)};
+    const auto out = slow_caller();
+    auto& server = begin_stream(fixture, out);
+    server.chunk(event(0, 40 * kilobyte));
+    CHECK_FALSE(server.is_paused);
+    server.chunk(event(1, 40 * kilobyte));
+    CHECK(server.is_paused);
+    CHECK(fixture.core->streams->total() == out->unread);
+    out->read(60 * kilobyte);
+    CHECK(server.is_paused);
+    out->read(10 * kilobyte);
+    CHECK_FALSE(server.is_paused);
+    server.chunk(event(2, 10));
+    server.end();
+    out->read(out->unread);
+    CHECK(out->is_finished);
+    CHECK(out->events == event(0, 40 * kilobyte) + event(1, 40 * kilobyte) + event(2, 10));
+    CHECK(fixture.core->streams->total() == 0);
+}
+
+// Guards against a server that cuts its response since nobody has read it for seconds.
+TEST_CASE("a pause ends after two seconds, and the entry buffers further", "[slow_caller]")
+{
+    router_fixture fixture{bounded(1024 * kilobyte)};
+    const auto out = slow_caller();
+    auto& server = begin_stream(fixture, out);
+    server.chunk(event(0, 80 * kilobyte));
+    REQUIRE(server.is_paused);
+    fixture.advance(milliseconds{1999});
+    CHECK(server.is_paused);
+    fixture.advance(milliseconds{1});
+    CHECK_FALSE(server.is_paused);
+    server.chunk(event(1, 80 * kilobyte));
+    CHECK_FALSE(server.is_paused);
+    out->read(out->unread);
+    server.chunk(event(2, 80 * kilobyte));
+    CHECK(server.pauses == 2);
+}
+
+// Guards against taking the entry's own pause for a stall of the server, which would start the
+// stream a second time.
+TEST_CASE("a paused stream is not resumed at another server", "[slow_caller]")
+{
+    router_fixture fixture{bounded(1024 * kilobyte)};
+    const auto out = slow_caller();
+    auto& server = begin_stream(fixture, out);
+    server.chunk(event(0, 80 * kilobyte));
+    fixture.advance(milliseconds{1900});
+    out->read(out->unread);
+    fixture.advance(milliseconds{1100});
+    CHECK(fixture.sends() == 1);
+    // From here on the silence is the server's.
+    fixture.advance(milliseconds{1000});
+    CHECK(fixture.sends() == 2);
+}
+
+// Guards against delaying or changing what callers get that read.
+TEST_CASE("a caller that reads is never waited for", "[slow_caller]")
+{
+    router_fixture fixture{bounded(100 * kilobyte)};
+    const auto out = std::make_shared<caller>();
+    auto& server = begin_stream(fixture, out);
+    std::string all;
+    for (int id = 0; id < 50; ++id) {
+        all += event(id, 30 * kilobyte);
+        server.chunk(event(id, 30 * kilobyte));
+    }
+    server.end();
+    CHECK(server.pauses == 0);
+    CHECK(out->events == all);
+    CHECK(out->is_finished);
+}
+
+// Guards against a plain response that is held but not counted: while it is received, and while its
+// caller reads it slowly.
+TEST_CASE("a buffered plain response counts as held", "[slow_caller]")
+{
+    router_fixture fixture{bounded(1024 * kilobyte)};
+    const auto out = slow_caller();
+    fixture.ask(out, again);
+    fixture.last().head(200);
+    fixture.last().chunk(std::string(100 * kilobyte, 'x'));
+    CHECK(fixture.core->streams->total() == 100 * kilobyte);
+    fixture.last().end();
+    CHECK(fixture.core->in_flight() == 0);
+    CHECK(fixture.core->streams->total() == 100 * kilobyte);
+    out->read(70 * kilobyte);
+    fixture.advance(milliseconds{250});
+    CHECK(fixture.core->streams->total() == 30 * kilobyte);
+    out->read(30 * kilobyte);
+    CHECK(fixture.core->streams->total() == 0);
+}
+
+// Guards against a change where the process's memory is unknown.
+TEST_CASE("without a budget nothing is paused or counted", "[slow_caller]")
+{
+    router_fixture fixture;
+    const auto out = slow_caller();
+    auto& server = begin_stream(fixture, out);
+    server.chunk(event(0, 1024 * kilobyte));
+    CHECK(server.pauses == 0);
+    CHECK(fixture.core->streams->total() == 0);
+    server.end();
+    CHECK(out->is_finished);
+}
+
+} // namespace reedramp::router::testing
