router: bound on the bytes held for slow readers

Beyond the budget the entry gives up one stream after another until the budget is met: the call to the server is cancelled and the caller's connection is closed without an end of the response. A request whose caller has nothing yet gets a response instead. New requests are refused with memory_full (503, new result code) and a Retry-After of 1 to 2 s, at most a third of the caller's time, while the budget is exceeded and for 1 s afterwards. The readiness check fails from nine tenths of the budget until below one half.

The setting overload.held_memory is the share of process.memory_mb (0.25). The bound is in force wherever process.memory_mb is set, independent of overload.control.

--- a/source/core/common/result.hpp
+++ b/source/core/common/result.hpp
@@ -55,6 +55,7 @@
     already_refused = 309,
     wrong_incarnation = 310,
     ends_servers = 311,
+    memory_full = 312,
     outcome_unknown = 400,
     server_failed = 401,
     server_lost = 402,
--- a/source/core/router/held_stream.cpp
+++ b/source/core/router/held_stream.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "common/log.hpp"
+
 namespace reedramp::router {
 
 held_streams::held_streams(
@@ -37,6 +39,7 @@
         return;
     }
     this->count(stream);
+    this->enforce_budget();
     this->schedule_sample();
 }
 
@@ -45,6 +48,27 @@
     this->bytes.update(stream.number, stream.held(), stream.caller->taken(), this->clock());
 }
 
+auto held_streams::enforce_budget() -> void
+{
+    if (!this->bytes.is_over_budget()) {
+        return;
+    }
+    // Callers may have read since their last write.
+    this->sample();
+    while (const auto chosen = this->bytes.choose_stream_to_give_up(this->clock())) {
+        const auto stream = this->streams.at(chosen->value())->shared_from_this();
+        common::log(
+            common::log_part::entry,
+            common::log_level::warning,
+            "stream given up request=" + stream->request +
+                " held=" + std::to_string(this->bytes.held_by(*chosen)) + " idle_ms=" +
+                std::to_string(this->bytes.idle_time(*chosen, this->clock()).count()) +
+                " total=" + std::to_string(this->bytes.total()) +
+                " budget=" + std::to_string(this->options.held.budget));
+        stream->give_up();
+    }
+}
+
 auto held_streams::sample() -> void
 {
     for (const auto& [number, stream] : this->streams) {
@@ -157,6 +181,11 @@
     }
 }
 
+auto held_stream::when_given_up(std::function<auto()->void> action) -> void
+{
+    this->given_up_action = std::move(action);
+}
+
 auto held_stream::reading_since() const -> time_point
 {
     return this->paused ? this->owner.clock() : this->resumed_at;
@@ -232,6 +261,7 @@
 {
     this->server.reset();
     this->paused = false;
+    this->given_up_action = nullptr;
     this->buffered = 0;
     if (!this->counted) {
         return;
@@ -255,10 +285,25 @@
 {
     this->server.reset();
     this->paused = false;
+    this->given_up_action = nullptr;
     if (std::exchange(this->counted, false)) {
         this->owner.forget(this->number);
         this->owner.draining.erase(this->number.value());
     }
 }
 
+auto held_stream::give_up() -> void
+{
+    // Takes the stream out of the count before the request's end changes it again.
+    const auto action = std::exchange(this->given_up_action, nullptr);
+    const auto keep = this->shared_from_this();
+    this->release();
+    if (action) {
+        action();
+    }
+    else {
+        this->caller->drop_unsent();
+    }
+}
+
 } // namespace reedramp::router
--- a/source/core/router/held_stream.hpp
+++ b/source/core/router/held_stream.hpp
@@ -44,6 +44,12 @@
     auto open(std::string request, std::shared_ptr<http::responder> caller)
         -> std::shared_ptr<held_stream>;
 
+    /// Whether a new request is refused, because the budget is or was a moment ago exceeded.
+    [[nodiscard]] auto refuses_new() const -> bool
+    {
+        return this->bytes.refuses_new(this->clock());
+    }
+
     /// Whether the load balancer should send callers elsewhere.
     [[nodiscard]] auto is_crowded() const -> bool { return this->bytes.is_crowded(); }
 
@@ -53,10 +59,11 @@
 private:
     friend class held_stream;
 
-    /// Counts what the stream holds now.
+    /// Counts what the stream holds now. Gives streams up until the budget is met.
     auto note(held_stream& stream) -> void;
     auto count(held_stream& stream) -> void;
     auto forget(overload::held_stream_id number) -> void;
+    auto enforce_budget() -> void;
     /// Reads the progress of all streams that hold bytes.
     auto sample() -> void;
     auto schedule_sample() -> void;
@@ -100,6 +107,9 @@
     /// Sets the bytes of a response that is kept until it is whole.
     auto note_buffered(std::size_t size) -> void;
 
+    /// `action` ends the request if its stream is given up before its response has ended.
+    auto when_given_up(std::function<auto()->void> action) -> void;
+
     /// Whether the server's response is not read at present.
     [[nodiscard]] auto is_paused() const -> bool { return this->paused; }
 
@@ -118,6 +128,7 @@
     auto end() -> void;
     /// Nothing is held any more.
     auto release() -> void;
+    auto give_up() -> void;
 
     held_streams& owner;
     /// False without a budget, and once nothing more is held.
@@ -126,6 +137,7 @@
     std::string request;
     std::shared_ptr<http::responder> caller;
     std::shared_ptr<http::call> server;
+    std::function<auto()->void> given_up_action;
     std::size_t buffered = 0;
     bool paused = false;
     /// The last pause reached its bound, or goes on: the next one starts only after the backlog has
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -48,6 +48,11 @@
             self->on_caller_left();
         }
     });
+    this->out->when_given_up([weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->on_memory_exceeded();
+        }
+    });
     this->core->hooks.timer(this->give_up_at, [weak = this->weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->on_time_up();
@@ -312,6 +317,12 @@
     this->stop(server_outcome::refused, result_code::shutting_down, result_code::outcome_unknown);
 }
 
+auto relay::on_memory_exceeded() -> void
+{
+    // The interruption says nothing about the server.
+    this->stop(server_outcome::refused, result_code::memory_full, result_code::outcome_unknown);
+}
+
 auto relay::stop(server_outcome of_current, result_code if_not_run, result_code otherwise) -> void
 {
     if (this->ended) {
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -221,6 +221,8 @@
         common::result_code if_not_run,
         common::result_code otherwise) -> void;
     auto on_caller_left() -> void;
+    /// Ends the request because the entry holds too much for slow readers.
+    auto on_memory_exceeded() -> void;
     auto cancel_call() -> void;
     auto finish(std::string_view how) -> void;
 
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -68,6 +68,15 @@
             " print=" + to_string(*barred));
         return;
     }
+    if (this->streams->refuses_new()) {
+        this->refuse(
+            common::make_error(common::result_code::memory_full),
+            caller->attempt,
+            *out,
+            " held=" + std::to_string(this->streams->total()),
+            caller->deadline);
+        return;
+    }
     const auto* owner = this->rules_in_force->owner_of(caller->key);
     relay::begin(
         this->shared_from_this(),
@@ -199,7 +208,8 @@
     const common::error& why,
     const std::string& attempt,
     http::responder& out,
-    const std::string& logged) -> void
+    const std::string& logged,
+    time_point deadline) -> void
 {
     const auto name = std::string{common::row_of(why.code).name};
     this->counters.count_end(name);
@@ -207,7 +217,13 @@
         common::log_part::entry,
         common::log_level::info,
         "refused request=" + attempt + " why=" + name + logged);
-    out.send(make_own_response(why, this->retry_after(why.code)));
+    auto wait = this->retry_after(why.code);
+    if (deadline != common::never) {
+        // Callers return only if at most a third of their time passes until then.
+        const auto now = this->hooks.clock();
+        wait = std::min(wait, milliseconds_between(now, std::max(now, deadline)) / 3);
+    }
+    out.send(make_own_response(why, wait));
 }
 
 auto router_core::hold(
@@ -292,6 +308,12 @@
         // A request that returns sooner is refused again, and stays barred for longer.
         return this->options.crashes.barred_for;
     }
+    if (why == common::result_code::memory_full) {
+        const auto spread = common::random_unit(this->hooks.random) *
+                            static_cast<double>(this->options.return_spread.count());
+        return this->options.streams.held.refusal_time +
+               std::chrono::milliseconds{static_cast<std::int64_t>(spread)};
+    }
     const auto usual = this->options.retry_after;
     if (why != common::result_code::shutting_down || !this->hooks.accepted_elsewhere_at) {
         return usual;
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -314,12 +314,14 @@
     auto hold(http::request request, std::shared_ptr<http::responder> out, time_point received)
         -> void;
     auto refuse_held(const std::shared_ptr<held_request>& one) -> void;
-    /// Refuses the request. `logged` is appended to the log line.
+    /// Refuses the request. `logged` is appended to the log line. With a `deadline` the response
+    /// asks the caller to return within a third of the time until then.
     auto refuse(
         const common::error& why,
         const std::string& attempt,
         http::responder& out,
-        const std::string& logged = {}) -> void;
+        const std::string& logged = {},
+        time_point deadline = common::never) -> void;
     /// Whether a request can finish before the process ends if each of its tokens takes `token`.
     [[nodiscard]] auto may_finish(
         const routing::route& on,
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -223,7 +223,8 @@
 {
     http::response answer;
     const bool is_question = request.target == this->platform.ready_path;
-    const bool is_ready = this->core->is_ready() && !this->is_leaving;
+    const bool is_ready =
+        this->core->is_ready() && !this->is_leaving && !this->core->streams->is_crowded();
     answer.status = !is_question ? 404 : (is_ready ? 200 : 503);
     out.send(std::move(answer));
 }
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -26,6 +26,13 @@
          .fallback = settings::text_list{}},
         settings::number_key(
             "process.memory_mb", "Memory of this process, in MB; 0 if unlimited.", 0, 0, 1e9),
+        {.path = "overload.held_memory",
+         .type = settings::value_type::real,
+         .doc = "Share of process.memory_mb that may hold data for callers and servers that read "
+                "slowly. Beyond it, streams are given up and new requests refused.",
+         .fallback = 0.25,
+         .lowest = 0.01,
+         .highest = 1.0},
     };
 }
 
@@ -39,6 +46,9 @@
     read.router.overload.mode = *mode;
     read.features = values.texts("deployment.features");
     read.memory_mb = static_cast<std::uint64_t>(values.integer("process.memory_mb"));
+    constexpr double bytes_per_mb = 1e6;
+    read.router.streams.held.budget = static_cast<std::size_t>(
+        static_cast<double>(read.memory_mb) * bytes_per_mb * values.real("overload.held_memory"));
     return {};
 }
 
--- a/source/unit_tests/router/slow_caller_test.cpp
+++ b/source/unit_tests/router/slow_caller_test.cpp
@@ -135,6 +135,79 @@
     CHECK(fixture.core->streams->total() == 0);
 }
 
+// Guards against an entry that is killed because it holds too much for callers that do not read.
+TEST_CASE("beyond the budget the stream of the caller that stopped is given up", "[slow_caller]")
+{
+    router_fixture fixture{bounded(200 * kilobyte)};
+    const auto stopped = slow_caller();
+    const auto slow = slow_caller();
+    auto& first = begin_stream(fixture, stopped);
+    first.chunk(event(0, 60 * kilobyte));
+    fixture.advance(milliseconds{1000});
+    auto& second = begin_stream(fixture, slow);
+    second.chunk(event(0, 50 * kilobyte));
+    second.chunk(event(1, 89 * kilobyte));
+    CHECK_FALSE(stopped->is_aborted);
+    CHECK(fixture.core->streams->is_crowded());
+    second.chunk(event(2, 10 * kilobyte));
+    CHECK(stopped->is_aborted);
+    CHECK_FALSE(stopped->is_finished);
+    CHECK(first.is_cancelled);
+    CHECK_FALSE(slow->is_aborted);
+    CHECK_FALSE(second.is_cancelled);
+    CHECK(fixture.core->streams->total() == slow->unread);
+    CHECK(fixture.sends() == 2);
+    CHECK(fixture.core->in_flight() == 1);
+}
+
+// Guards against a response that can't be given up any more because its server has ended it.
+TEST_CASE("a response that ended at its server is given up while it is unread", "[slow_caller]")
+{
+    router_fixture fixture{bounded(200 * kilobyte)};
+    const auto plain = slow_caller();
+    fixture.ask(plain, again);
+    fixture.last().answer(200, std::string(150 * kilobyte, 'x'));
+    const auto other = slow_caller();
+    fixture.ask(other, again);
+    fixture.last().answer(200, std::string(60 * kilobyte, 'x'));
+    CHECK(plain->is_dropped);
+    CHECK_FALSE(other->is_dropped);
+    CHECK(fixture.core->streams->total() == 60 * kilobyte);
+}
+
+// Guards against a cut connection where a proper response can still be given: nothing of this one
+// has been sent. It must not claim that the request has not run.
+TEST_CASE("a request is ended with a response if its caller has nothing yet", "[slow_caller]")
+{
+    router_fixture fixture{bounded(200 * kilobyte)};
+    const auto out = slow_caller();
+    fixture.ask(out, again);
+    fixture.last().head(200);
+    fixture.last().chunk(std::string(201 * kilobyte, 'x'));
+    CHECK(out->status() == 502);
+    CHECK_FALSE(out->is_dropped);
+    CHECK(fixture.last().is_cancelled);
+    CHECK(fixture.core->streams->total() == 0);
+}
+
+// Guards against new streams that are admitted at the expense of those that have begun, and against
+// callers that are sent away for longer than they can wait.
+TEST_CASE("new requests are refused for a while after a stream was given up", "[slow_caller]")
+{
+    router_fixture fixture{bounded(100 * kilobyte)};
+    begin_stream(fixture, slow_caller()).chunk(event(0, 101 * kilobyte));
+    const auto sends = fixture.sends();
+    const auto refused = fixture.ask(stream);
+    CHECK(refused->status() == 503);
+    CHECK(http::find_header(refused->answer->headers, "Retry-After") == "1.000");
+    const auto hurried = fixture.ask(stream, {{"Reedramp-Deadline-Ms", "1500"}});
+    CHECK(http::find_header(hurried->answer->headers, "Retry-After") == "0.500");
+    CHECK(fixture.sends() == sends);
+    fixture.advance(milliseconds{1000});
+    CHECK(fixture.ask(stream)->status() == 0);
+    CHECK(fixture.sends() == sends + 1);
+}
+
 // Guards against a change where the process's memory is unknown.
 TEST_CASE("without a budget nothing is paused or counted", "[slow_caller]")
 {
