router: count request bodies that a server reads slowly

The HTTP client reports when the system has taken the whole request. Until then the relay counts both copies that the client holds of the body. A server that has not read for 1 s is the first to be given up beyond the budget; its caller gets a response that does not claim that the request has not run.

Not visible: how far a body has been sent, what the system buffers, and bodies that callers are still sending, which the HTTP server reads whole before the router sees them.

--- a/source/core/router/held_stream.cpp
+++ b/source/core/router/held_stream.cpp
@@ -6,6 +6,13 @@
 
 namespace reedramp::router {
 
+namespace {
+
+/// The HTTP client keeps a request for a second connection beside the bytes that it writes.
+constexpr std::size_t copies_of_unsent_body = 2;
+
+} // namespace
+
 held_streams::held_streams(
     common::clock_hook clock_to_use,
     common::timer_hook timer_to_use,
@@ -165,11 +172,20 @@
     this->caller->on_disconnect(std::move(action));
 }
 
-auto held_stream::follow(std::shared_ptr<http::call> call) -> void
+auto held_stream::follow(std::shared_ptr<http::call> call, std::size_t request_body) -> void
 {
+    const auto keep = this->shared_from_this();
     this->server = std::move(call);
     this->paused = false;
-    this->note_buffered(0);
+    this->buffered = 0;
+    this->unsent = copies_of_unsent_body * request_body;
+    this->owner.note(*this);
+}
+
+auto held_stream::note_request_sent() -> void
+{
+    this->unsent = 0;
+    this->owner.note(*this);
 }
 
 auto held_stream::note_buffered(std::size_t size) -> void
@@ -193,7 +209,7 @@
 
 auto held_stream::held() const -> std::size_t
 {
-    return this->caller->backlog() + this->buffered;
+    return this->caller->backlog() + this->buffered + this->unsent;
 }
 
 auto held_stream::pause_if_slow() -> void
@@ -263,6 +279,7 @@
     this->paused = false;
     this->given_up_action = nullptr;
     this->buffered = 0;
+    this->unsent = 0;
     if (!this->counted) {
         return;
     }
--- a/source/core/router/held_stream.hpp
+++ b/source/core/router/held_stream.hpp
@@ -101,8 +101,12 @@
     auto when_drained(std::size_t low_water, std::function<auto()->void> action) -> void override;
     auto on_disconnect(std::function<auto()->void> action) -> void override;
 
-    /// The server's call whose response is passed on from now on. Without it nothing is paused.
-    auto follow(std::shared_ptr<http::call> server) -> void;
+    /// The server's call whose response is passed on from now on, and the size of its request's
+    /// body, which the client holds until the system has taken it.
+    auto follow(std::shared_ptr<http::call> server, std::size_t request_body) -> void;
+
+    /// The system has taken the whole request to the server.
+    auto note_request_sent() -> void;
 
     /// Sets the bytes of a response that is kept until it is whole.
     auto note_buffered(std::size_t size) -> void;
@@ -139,6 +143,8 @@
     std::shared_ptr<http::call> server;
     std::function<auto()->void> given_up_action;
     std::size_t buffered = 0;
+    /// Bytes that the HTTP client holds of a request until it is sent.
+    std::size_t unsent = 0;
     bool paused = false;
     /// The last pause reached its bound, or goes on: the next one starts only after the backlog has
     /// drained.
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -103,13 +103,19 @@
         *where,
         make_server_request(
             this->request.original, this->core->options.names, this->make_forward_headers(server)),
-        {.on_head = [keep, next](const http::response& head) { keep->on_head(next, head); },
+        {.on_sent =
+             [weak = std::weak_ptr(this->out)] {
+                 if (const auto stream = weak.lock()) {
+                     stream->note_request_sent();
+                 }
+             },
+         .on_head = [keep, next](const http::response& head) { keep->on_head(next, head); },
          .on_chunk = [keep, next](std::string bytes) { keep->on_bytes(next, std::move(bytes)); },
          .on_done =
              [keep, next](const common::result<http::response>& answer) {
                  keep->on_done(next, answer);
              }});
-    this->out->follow(next->call);
+    this->out->follow(next->call, this->request.original.body.size());
     if (this->is_stream()) {
         this->watch_for_stall(next);
     }
--- a/source/unit_tests/http/client_test.cpp
+++ b/source/unit_tests/http/client_test.cpp
@@ -279,6 +279,38 @@
     CHECK(got == total);
 }
 
+// Guards against a body that counts as sent while the client still holds it, since the server does
+// not read.
+TEST_CASE("a request is reported as sent when the system has taken all of it")
+{
+    loop client_loop;
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor{
+        context, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    const auto with = client::create(client_loop.context, {});
+    std::promise<void> sent;
+    auto was_sent = sent.get_future();
+    call_events events;
+    events.on_sent = [&sent] {
+        sent.set_value();
+    };
+    events.on_done = [](const common::result<response>&) {
+    };
+    const auto running = with->send(
+        {"127.0.0.1", acceptor.local_endpoint().port()},
+        post("/", std::string(64UL * 1024UL * 1024UL, 'x')),
+        events);
+    auto socket = acceptor.accept();
+    CHECK(was_sent.wait_for(100ms) == std::future_status::timeout);
+    std::string bytes(1024UL * 1024UL, ' ');
+    boost::system::error_code ended;
+    while (was_sent.wait_for(0ms) != std::future_status::ready && !ended) {
+        socket.read_some(boost::asio::buffer(bytes), ended);
+    }
+    CHECK_FALSE(ended);
+    running->cancel();
+}
+
 TEST_CASE("calls from several threads to several loops are each answered")
 {
     loop client_loop;
--- a/source/unit_tests/router/router_fixture.hpp
+++ b/source/unit_tests/router/router_fixture.hpp
@@ -50,6 +50,14 @@
 
     [[nodiscard]] auto header(std::string_view name) const -> std::string;
 
+    /// Takes the whole request.
+    auto take() -> void
+    {
+        if (this->events.on_sent) {
+            this->events.on_sent();
+        }
+    }
+
     /// Sends the status and headers of a response, signed by the server and for this attempt.
     /// `extra` replaces or adds headers; an empty value removes one.
     auto head(std::uint16_t status, std::vector<http::header> extra = {}) -> void;
--- a/source/unit_tests/router/slow_caller_test.cpp
+++ b/source/unit_tests/router/slow_caller_test.cpp
@@ -33,6 +33,7 @@
 auto begin_stream(router_fixture& fixture, const std::shared_ptr<caller>& out) -> sent_request&
 {
     fixture.ask(out, stream);
+    fixture.last().take();
     fixture.last().head(200, {{"Reedramp-Confidence", "100"}});
     return fixture.last();
 }
@@ -122,6 +123,7 @@
     router_fixture fixture{bounded(1024 * kilobyte)};
     const auto out = slow_caller();
     fixture.ask(out, again);
+    fixture.last().take();
     fixture.last().head(200);
     fixture.last().chunk(std::string(100 * kilobyte, 'x'));
     CHECK(fixture.core->streams->total() == 100 * kilobyte);
@@ -182,6 +184,7 @@
     router_fixture fixture{bounded(200 * kilobyte)};
     const auto out = slow_caller();
     fixture.ask(out, again);
+    fixture.last().take();
     fixture.last().head(200);
     fixture.last().chunk(std::string(201 * kilobyte, 'x'));
     CHECK(out->status() == 502);
@@ -190,6 +193,27 @@
     CHECK(fixture.core->streams->total() == 0);
 }
 
+// Guards against an entry that is killed because servers do not read large requests.
+TEST_CASE("a request's body counts as held until its server has taken it", "[slow_caller]")
+{
+    router_fixture fixture{bounded(200 * kilobyte)};
+    const auto out = fixture.ask(again, {}, std::string(40 * kilobyte, 'x'));
+    CHECK(fixture.core->streams->total() == 80 * kilobyte);
+    fixture.last().take();
+    CHECK(fixture.core->streams->total() == 0);
+    fixture.last().answer(200, "whole");
+    CHECK(out->status() == 200);
+
+    const auto stuck = fixture.ask(again, {}, std::string(50 * kilobyte, 'x'));
+    auto& unread = fixture.last();
+    fixture.advance(milliseconds{1000});
+    const auto moving = fixture.ask(again, {}, std::string(51 * kilobyte, 'x'));
+    CHECK(stuck->status() == 502);
+    CHECK(unread.is_cancelled);
+    CHECK(moving->status() == 0);
+    CHECK(fixture.core->streams->total() == 102 * kilobyte);
+}
+
 // Guards against new streams that are admitted at the expense of those that have begun, and against
 // callers that are sent away for longer than they can wait.
 TEST_CASE("new requests are refused for a while after a stream was given up", "[slow_caller]")
