router: log lines and metrics of the bound on held bytes

router_held_bytes, router_pauses_total, router_streams_given_up_total and router_memory_refusals_total. The first pause of each stream is logged, at most 10 lines a second over all streams; each give-up has a line of its own.

--- a/source/core/router/held_stream.cpp
+++ b/source/core/router/held_stream.cpp
@@ -16,9 +16,10 @@
 held_streams::held_streams(
     common::clock_hook clock_to_use,
     common::timer_hook timer_to_use,
-    held_stream_options options_to_use)
+    held_stream_options options_to_use,
+    const router_metrics& counters_to_use)
     : clock(std::move(clock_to_use)), timer(std::move(timer_to_use)), options(options_to_use),
-      bytes(options_to_use.held)
+      counters(counters_to_use), bytes(options_to_use.held)
 {
 }
 
@@ -72,6 +73,7 @@
                 std::to_string(this->bytes.idle_time(*chosen, this->clock()).count()) +
                 " total=" + std::to_string(this->bytes.total()) +
                 " budget=" + std::to_string(this->options.held.budget));
+        this->counters.streams_given_up.add();
         stream->give_up();
     }
 }
@@ -100,6 +102,26 @@
     });
 }
 
+auto held_streams::note_pause(held_stream& stream) -> void
+{
+    this->counters.pauses.add();
+    const auto now = this->clock();
+    if (now - this->pause_lines_since >= std::chrono::seconds{1}) {
+        this->pause_lines_since = now;
+        this->pause_lines = 0;
+    }
+    const bool is_first = !std::exchange(stream.was_paused, true);
+    if (!is_first || this->pause_lines >= this->options.pause_lines_per_second) {
+        return;
+    }
+    this->pause_lines += 1;
+    common::log(
+        common::log_part::entry,
+        common::log_level::info,
+        "paused request=" + stream.request + " held=" + std::to_string(stream.held()) +
+            " total=" + std::to_string(this->bytes.total()));
+}
+
 held_stream::held_stream(
     held_streams& owner_to_use,
     std::string request_name,
@@ -224,6 +246,7 @@
     this->paused_at = this->owner.clock();
     this->server->pause();
     this->watch_pause();
+    this->owner.note_pause(*this);
     this->caller->when_drained(options.low_water, [weak = this->weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->on_drained();
--- a/source/core/router/held_stream.hpp
+++ b/source/core/router/held_stream.hpp
@@ -13,6 +13,7 @@
 #include "http/client.hpp"
 #include "http/server.hpp"
 #include "overload/held_bytes.hpp"
+#include "router/router_metrics.hpp"
 
 namespace reedramp::router {
 
@@ -30,6 +31,8 @@
     std::chrono::milliseconds longest_pause{2000};
     /// Interval at which the callers' progress is read while bytes are held.
     std::chrono::milliseconds sample_interval{250};
+    /// Most log lines on pauses in a second, over all streams.
+    unsigned pause_lines_per_second = 10;
 };
 
 class held_stream;
@@ -38,7 +41,11 @@
 /// from one thread. Outlives its streams.
 class held_streams : public std::enable_shared_from_this<held_streams> {
 public:
-    held_streams(common::clock_hook clock, common::timer_hook timer, held_stream_options options);
+    held_streams(
+        common::clock_hook clock,
+        common::timer_hook timer,
+        held_stream_options options,
+        const router_metrics& counters);
 
     /// Starts to count what is held for a request's caller. `request` names it in log lines.
     auto open(std::string request, std::shared_ptr<http::responder> caller)
@@ -67,13 +74,18 @@
     /// Reads the progress of all streams that hold bytes.
     auto sample() -> void;
     auto schedule_sample() -> void;
+    /// Counts a pause of the stream. Logs the first one of each stream, within the limit of lines.
+    auto note_pause(held_stream& stream) -> void;
 
     common::clock_hook clock;
     common::timer_hook timer;
     held_stream_options options;
+    const router_metrics& counters;
     overload::held_bytes bytes;
     std::unordered_map<std::uint64_t, held_stream*> streams;
     bool is_sampling = false;
+    time_point pause_lines_since{};
+    unsigned pause_lines = 0;
     /// Streams whose response has ended, until their callers have read it. Destroyed before the
     /// members that streams use at their end.
     std::map<std::uint64_t, std::shared_ptr<held_stream>> draining;
@@ -150,6 +162,7 @@
     /// drained.
     bool awaits_drain = false;
     bool watches_pause = false;
+    bool was_paused = false;
     time_point paused_at{};
     time_point resumed_at{};
 };
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -33,7 +33,7 @@
       limiter(this->options.limiter, {this->hooks.rank, this->hooks.unix_ms}),
       crashes(this->options.crashes), rollouts(this->options.rollout), counters(this->series),
       streams(std::make_shared<held_streams>(
-          this->hooks.clock, this->hooks.timer, this->options.streams))
+          this->hooks.clock, this->hooks.timer, this->options.streams, this->counters))
 {
 }
 
@@ -69,6 +69,7 @@
         return;
     }
     if (this->streams->refuses_new()) {
+        this->counters.memory_refusals.add();
         this->refuse(
             common::make_error(common::result_code::memory_full),
             caller->attempt,
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -36,6 +36,17 @@
           "Requests that waited for a send slot of a server that is cold or has a limit.")),
       backoffs(registry.counter_of(
           "router_rests_total", "Refusals in which a server asked this entry to back off.")),
+      held_bytes(registry.gauge_of(
+          "router_held_bytes", "Bytes held for callers and servers that read slowly.")),
+      pauses(registry.counter_of(
+          "router_pauses_total",
+          "Pauses in reading a server's response because its caller reads slowly.")),
+      streams_given_up(registry.counter_of(
+          "router_streams_given_up_total",
+          "Requests given up because the entry held too much for slow readers.")),
+      memory_refusals(registry.counter_of(
+          "router_memory_refusals_total",
+          "Requests refused because the entry held too much for slow readers.")),
       evacuated(
           registry.gauge_of("router_evacuated_data_centres", "Data centres that are evacuated.")),
       store_restores(registry.counter_of(
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -25,6 +25,13 @@
     metrics::counter& slot_waits;
     /// Refusals in which a server asked this entry to back off.
     metrics::counter& backoffs;
+    /// Bytes held for callers and servers that read slowly.
+    metrics::gauge& held_bytes;
+    /// Pauses in reading a server's response because its caller reads slowly.
+    metrics::counter& pauses;
+    /// Streams that were given up, and requests that were refused, beyond the bound on held bytes.
+    metrics::counter& streams_given_up;
+    metrics::counter& memory_refusals;
     /// Number of evacuated data centres.
     metrics::gauge& evacuated;
     /// Times that the store was restored from an older copy of itself.
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -188,6 +188,8 @@
     }
     if (request.target == metrics_path) {
         this->core->counters.in_flight.set(static_cast<std::int64_t>(this->core->in_flight()));
+        this->core->counters.held_bytes.set(
+            static_cast<std::int64_t>(this->core->streams->total()));
         return {
             200,
             {{"Content-Type", "text/plain; version=0.0.4"}},
--- a/source/unit_tests/router/slow_caller_test.cpp
+++ b/source/unit_tests/router/slow_caller_test.cpp
@@ -158,6 +158,9 @@
     CHECK_FALSE(slow->is_aborted);
     CHECK_FALSE(second.is_cancelled);
     CHECK(fixture.core->streams->total() == slow->unread);
+    const auto metrics = fixture.core->series.prometheus_text();
+    CHECK(metrics.find("\nrouter_streams_given_up_total 1\n") != std::string::npos);
+    CHECK(metrics.find("\nrouter_pauses_total 1\n") != std::string::npos);
     CHECK(fixture.sends() == 2);
     CHECK(fixture.core->in_flight() == 1);
 }
