--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -25,7 +25,8 @@
     std::shared_ptr<router_core> core_to_use,
     admitted_request request_to_relay,
     std::shared_ptr<http::responder> responder)
-    : core(std::move(core_to_use)), request(std::move(request_to_relay)), out(std::move(responder)),
+    : core(std::move(core_to_use)), request(std::move(request_to_relay)),
+      out(this->core->streams->open(this->request.caller.attempt, std::move(responder))),
       received(this->request.received), last_event(this->request.caller.last_event)
 {
     this->core->open_requests.insert(this);
@@ -48,6 +49,11 @@
             self->on_caller_left();
         }
     });
+    this->out->when_given_up([weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->on_memory_exceeded();
+        }
+    });
     this->core->hooks.timer(this->give_up_at, [weak = this->weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->on_time_up();
@@ -98,12 +104,19 @@
         *where,
         make_server_request(
             this->request.original, this->core->options.names, this->make_forward_headers(server)),
-        {.on_head = [keep, next](const http::response& head) { keep->on_head(next, head); },
+        {.on_sent =
+             [weak = std::weak_ptr(this->out)] {
+                 if (const auto stream = weak.lock()) {
+                     stream->note_request_sent();
+                 }
+             },
+         .on_head = [keep, next](const http::response& head) { keep->on_head(next, head); },
          .on_chunk = [keep, next](std::string bytes) { keep->on_bytes(next, std::move(bytes)); },
          .on_done =
              [keep, next](const common::result<http::response>& answer) {
                  keep->on_done(next, answer);
              }});
+    this->out->follow(next->call, this->request.original.body.size());
     if (this->is_stream()) {
         this->watch_for_stall(next);
     }
@@ -309,7 +322,9 @@
             if (self == nullptr || of->ended || self->ended) {
                 return;
             }
-            const bool is_silent = self->core->hooks.clock() - of->last_progress >= limit;
+            // Silence while this entry does not read for a slow caller is not the server's.
+            const auto silent_since = std::max(of->last_progress, self->out->reading_since());
+            const bool is_silent = self->core->hooks.clock() - silent_since >= limit;
             // Without another attempt, a slow server is better than none.
             if (!is_silent || !self->may_leave_current() || !self->retries().try_acquire_retry()) {
                 self->watch_for_stall(of);
@@ -338,6 +353,12 @@
     this->stop(server_outcome::refused, result_code::shutting_down, result_code::outcome_unknown);
 }
 
+auto relay::on_memory_exceeded() -> void
+{
+    // The interruption says nothing about the server.
+    this->stop(server_outcome::refused, result_code::memory_full, result_code::outcome_unknown);
+}
+
 auto relay::stop(server_outcome of_current, result_code if_not_run, result_code otherwise) -> void
 {
     if (this->ended) {
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "router/held_stream.hpp"
 #include "router/router_core.hpp"
 #include "routing/attempt_ledger.hpp"
 #include "routing/event_splitter.hpp"
@@ -251,12 +252,14 @@
         common::result_code if_not_run,
         common::result_code otherwise) -> void;
     auto on_caller_left() -> void;
+    /// Ends the request because the entry holds too much for slow readers.
+    auto on_memory_exceeded() -> void;
     auto cancel_call() -> void;
     auto finish(std::string_view how) -> void;
 
     std::shared_ptr<router_core> core;
     admitted_request request;
-    std::shared_ptr<http::responder> out;
+    std::shared_ptr<held_stream> out;
 
     time_point received;
     time_point give_up_at;
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -32,7 +32,9 @@
       freshness(with_reader(this->options.freshness, this->hooks.random())),
       health(this->options.health), overload_control(this->options.overload),
       limiter(this->options.limiter, {this->hooks.rank, this->hooks.unix_ms}),
-      crashes(this->options.crashes), rollouts(this->options.rollout), counters(this->series)
+      crashes(this->options.crashes), rollouts(this->options.rollout), counters(this->series),
+      streams(std::make_shared<held_streams>(
+          this->hooks.clock, this->hooks.timer, this->options.streams, this->counters))
 {
 }
 
@@ -71,6 +73,17 @@
             owner_fields(owner, this->rank_of(**found, owner)) + " print=" + to_string(*barred));
         return;
     }
+    if (this->streams->refuses_new()) {
+        this->counters.memory_refusals.add();
+        this->refuse(
+            common::make_error(common::result_code::memory_full),
+            caller->attempt,
+            *out,
+            owner_fields(owner, this->rank_of(**found, owner)) +
+                " held=" + std::to_string(this->streams->total()),
+            caller->deadline);
+        return;
+    }
     relay::begin(
         this->shared_from_this(),
         {std::move(request), std::move(*caller), this->rules_in_force, *found, owner, received},
@@ -201,7 +214,8 @@
     const common::error& why,
     const std::string& attempt,
     http::responder& out,
-    const std::string& logged) -> void
+    const std::string& logged,
+    time_point deadline) -> void
 {
     const auto name = std::string{common::row_of(why.code).name};
     this->counters.count_end(name);
@@ -209,7 +223,13 @@
         common::log_part::entry,
         common::log_level::info,
         "refused request=" + attempt + " why=" + name + logged);
-    out.send(make_own_response(why, this->retry_after(why.code)));
+    auto wait = this->retry_after(why.code);
+    if (deadline != common::never) {
+        // Callers return only if at most a third of their time passes until then.
+        const auto now = this->hooks.clock();
+        wait = std::min(wait, milliseconds_between(now, std::max(now, deadline)) / 3);
+    }
+    out.send(make_own_response(why, wait));
 }
 
 auto router_core::hold(
@@ -294,6 +314,12 @@
         // A request that returns sooner is refused again, and stays barred for longer.
         return this->options.crashes.barred_for;
     }
+    if (why == common::result_code::memory_full) {
+        const auto spread = common::random_unit(this->hooks.random) *
+                            static_cast<double>(this->options.return_spread.count());
+        return this->options.streams.held.refusal_time +
+               std::chrono::milliseconds{static_cast<std::int64_t>(spread)};
+    }
     const auto usual = this->options.retry_after;
     if (why != common::result_code::shutting_down || !this->hooks.accepted_elsewhere_at) {
         return usual;
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -16,6 +16,7 @@
 #include "placement/retry_budget.hpp"
 #include "router/caller_request.hpp"
 #include "router/header_names.hpp"
+#include "router/held_stream.hpp"
 #include "router/overload_state.hpp"
 #include "router/router_metrics.hpp"
 #include "router/server_directives.hpp"
@@ -72,6 +73,7 @@
     routing::model_options models;
     placement::retry_budget_settings retries;
     overload_options overload;
+    held_stream_options streams;
     /// Maximum sends of one request, refused ones included. A refusal costs a round trip, and a
     /// service whose servers all refuse is full.
     unsigned max_sends = 4;
@@ -337,6 +339,7 @@
     metrics::registry series;
     routing::wait_gauge waits;
     router_metrics counters;
+    std::shared_ptr<held_streams> streams;
     /// Requests without a final response. Each adds and removes itself.
     std::set<relay*> open_requests;
 
@@ -354,12 +357,14 @@
     auto hold(http::request request, std::shared_ptr<http::responder> out, time_point received)
         -> void;
     auto refuse_held(const std::shared_ptr<held_request>& one) -> void;
-    /// Refuses the request. `logged` is appended to the log line.
+    /// Refuses the request. `logged` is appended to the log line. With a `deadline` the response
+    /// asks the caller to return within a third of the time until then.
     auto refuse(
         const common::error& why,
         const std::string& attempt,
         http::responder& out,
-        const std::string& logged = {}) -> void;
+        const std::string& logged = {},
+        time_point deadline = common::never) -> void;
     /// Whether a request can finish before the process ends if each of its tokens takes `token`.
     [[nodiscard]] auto may_finish(
         const routing::route& on,
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -188,6 +188,8 @@
     }
     if (request.target == metrics_path) {
         this->core->counters.in_flight.set(static_cast<std::int64_t>(this->core->in_flight()));
+        this->core->counters.held_bytes.set(
+            static_cast<std::int64_t>(this->core->streams->total()));
         return {
             200,
             {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -223,7 +225,8 @@
 {
     http::response answer;
     const bool is_question = request.target == this->platform.ready_path;
-    const bool is_ready = this->core->is_ready() && !this->is_leaving;
+    const bool is_ready =
+        this->core->is_ready() && !this->is_leaving && !this->core->streams->is_crowded();
     answer.status = !is_question ? 404 : (is_ready ? 200 : 503);
     out.send(std::move(answer));
 }
