--- a/source/core/router/relay_admission.cpp
+++ b/source/core/router/relay_admission.cpp
@@ -181,6 +181,11 @@
 auto relay::refuse(const overload::admission_decision& decision) -> void
 {
     this->log_admission("refused", decision);
+    if (!this->ledger.is_not_run()) {
+        // The response must not state that the request has not run.
+        this->give_up(result_code::outcome_unknown);
+        return;
+    }
     this->return_after = decision.delay;
     const bool is_too_late = decision.why == "deadline";
     this->give_up(is_too_late ? result_code::deadline_too_near : result_code::no_capacity);
--- a/source/unit_tests/router/overload_admission_test.cpp
+++ b/source/unit_tests/router/overload_admission_test.cpp
@@ -88,6 +88,20 @@
     CHECK(later->status() == 200);
 }
 
+TEST_CASE("a throttled read that may have run is not said to have not run", "[overload]")
+{
+    // Guards against a 503 "not run" for a read whose first server was lost while it ran.
+    router_fixture fixture;
+    turn_on(fixture);
+    const auto out = fixture.ask("/again/1");
+    (void)sends_to_full_service(fixture, 10);
+    auto& first = *fixture.client->sent.front();
+    const auto sends = fixture.sends();
+    first.lose(common::execution::unknown);
+    CHECK(fixture.sends() == sends);
+    CHECK(out->status() == 502);
+}
+
 TEST_CASE("refusals for other reasons than room do not throttle", "[overload]")
 {
     // Guards against throttling a service because its servers leave or have been replaced.
@@ -140,4 +154,35 @@
     CHECK(fixture.sends() == 2);
 }
 
+TEST_CASE("while an engine's memory is full, requests are held, then deferred", "[overload]")
+{
+    // Guards against a control that decides, but whose decision reaches neither caller nor engine.
+    for (const bool is_on : {true, false}) {
+        router_fixture fixture;
+        if (is_on) {
+            turn_on(fixture);
+        }
+        std::uint64_t state = 1;
+        fixture.core->hooks.random = [&state] {
+            return state += 0x9E3779B97F4A7C15;
+        };
+        auto rules = rules_of(9);
+        rules.rules.services.front().engine_slots = 8;
+        rules.rules.services.front().memory_tokens = 100;
+        for (auto& route : rules.rules.routes) {
+            route.priority = 1;
+        }
+        fixture.core->apply_rules(std::move(rules));
+        for (int i = 0; i < 40; ++i) {
+            fixture.ask("/stream/1", {{"Reedramp-Tokens", "400,100"}});
+            fixture.advance(milliseconds{100});
+        }
+        CHECK(fixture.sends() >= 39);
+        CHECK(fixture.last().header("Reedramp-Urgency") == (is_on ? "8" : "5"));
+        const auto text = fixture.core->series.prometheus_text();
+        const auto has_series = text.find("router_admission_total") != std::string::npos;
+        CHECK(has_series == is_on);
+    }
+}
+
 } // namespace reedramp::router::testing
