overload: admit all of the measured room, and reject later

Cause: with 0.95 of the room and rejection from half of the time left, answers in time used 0.84 to 0.89 of the room at 3 times the load; the goal is 0.9.

Change: used_room 1.0, well_inside 0.7. A rank whose requests wait defers more of them, so that the margin is not needed.

--- a/source/core/overload/admission_control.hpp
+++ b/source/core/overload/admission_control.hpp
@@ -22,14 +22,14 @@
     /// How long the pressure stays above `scarce_from` before requests are rejected for it. Models
     /// are made smaller first, and a short burst is worked off within the deadlines.
     std::chrono::milliseconds patience{1000};
-    /// Work admitted with its own urgency, relative to the work that the service completes. Below
-    /// 1, so that it does not queue; the rest of the room is left to deferred requests.
-    double used_room = 0.95;
+    /// Work admitted with its own urgency, relative to the work that the service completes. A rank
+    /// whose requests wait nevertheless defers more of them.
+    double used_room = 1.0;
     /// Share of the requests of every kind that is never rejected for scarcity.
     double least_admitted = 0.1;
     /// A deferred request is not rejected while its expected end is within this share of the time
     /// that its caller has left. A late answer has some value, and a refused caller returns once.
-    double well_inside = 0.5;
+    double well_inside = 0.7;
     /// A request may wait for this share of its target.
     double longest_wait = 0.125;
     std::size_t max_waiting = 64;
--- a/source/unit_tests/overload/admission_control_test.cpp
+++ b/source/unit_tests/overload/admission_control_test.cpp
@@ -64,8 +64,8 @@
                 const auto loop = run_loop({.load = load, .view_age = age, .entries = entries});
                 print(loop.options, loop);
                 INFO(load << " " << age << " " << entries);
-                // The goal is 0.9; these bounds guard against what is reached.
-                CHECK(mean_of(loop.used_in_time()) >= 0.82);
+                // The goal is 0.9; 0.87 is reached.
+                CHECK(mean_of(loop.used_in_time()) >= 0.86);
                 CHECK(loop.value() >= off.value() - 0.01);
                 const auto urgent = loop.total(0);
                 CHECK(urgent.wait / (urgent.in_time + urgent.late) <= 1.0);
