--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::uint16_t misdirected = 421;
+constexpr std::uint16_t unavailable = 503;
 
 /// Retries that larger models leave in the budget: about those that the loss of one server needs.
 /// When all callers of a killed entry returned at once, larger models used up the budget, and
@@ -278,6 +279,7 @@
             of->work -= of->prompt_work;
             const auto took = milliseconds_between(of->sent, of->last_progress);
             const auto& route = this->request.route->name;
+            this->note_completed();
             this->core->note_first_event(route, took);
             if (!of->is_cold) {
                 this->core->rollouts.note_first_event(
@@ -330,14 +332,14 @@
         if (of->directives.backoff) {
             this->ledger.note_backoff_asked();
         }
+        else if (of->head.status == unavailable && !of->directives.is_leaving) {
+            this->core->admission_of(this->service)
+                .throttle.note_refused(of->server, this->core->hooks.clock());
+        }
         this->retry(result_code::no_capacity);
         return;
     case verdict::server_failure:
-        this->log_answer(*of, "server failed");
-        this->end_attempt(of, attempt_end::ran, server_outcome::failed);
-        of->head.body = std::move(of->body);
-        this->failure_response = std::move(of->head);
-        this->retry(result_code::server_failed);
+        this->on_server_failure(of);
         return;
     case verdict::none:
     case verdict::untrusted:
@@ -347,6 +349,23 @@
     }
 }
 
+auto relay::on_server_failure(const std::shared_ptr<attempt>& of) -> void
+{
+    this->log_answer(*of, "server failed");
+    this->end_attempt(of, attempt_end::ran, server_outcome::failed);
+    // A read that fails in the same way at two servers most likely fails at all of them.
+    const bool is_same_failure = this->request.route->kind == routing::request_kind::idempotent &&
+                                 this->failure_response &&
+                                 this->failure_response->status == of->head.status;
+    of->head.body = std::move(of->body);
+    this->failure_response = std::move(of->head);
+    if (is_same_failure && this->core->is_overload_controlled()) {
+        this->give_up(result_code::server_failed);
+        return;
+    }
+    this->retry(result_code::server_failed);
+}
+
 auto relay::log_answer(const attempt& of, std::string_view what) const -> void
 {
     common::log(
@@ -400,6 +419,7 @@
         return;
     }
     this->end_attempt(of, attempt_end::ran, server_outcome::good);
+    this->note_completed();
     if (this->core->crashes.has_suspects()) {
         this->core->crashes.note_served(this->fingerprint(), of->server, this->core->hooks.clock());
     }
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -76,6 +76,10 @@
     constexpr int last = 9;
     // An organisation beyond its share gives way by one step.
     const auto rank = middle + static_cast<int>(this->rank()) + (this->excess() > 1.0 ? 1 : 0);
+    if (this->admitted.is_deferred && !this->is_streaming && !this->is_resumed()) {
+        constexpr int first_deferred = 7;
+        return std::min(first_deferred + static_cast<int>(this->rank()), last);
+    }
     const bool has_waited = this->ledger.sends() > 1 || this->is_resumed();
     return std::clamp(has_waited ? rank - ahead : rank, 0, last);
 }
@@ -211,6 +215,9 @@
 
 auto relay::retry_after() const -> std::chrono::milliseconds
 {
+    if (this->return_after) {
+        return *this->return_after;
+    }
     const auto& options = this->core->options;
     const auto now = this->core->hooks.clock();
     const auto open = this->eligible_servers();
@@ -332,7 +339,7 @@
         level = std::max(level, this->core->pressure(this->service));
     }
     return routing::required_confidence(
-        options, this->rank(), level, this->expect_larger_model(larger));
+        options, route.priority, level, this->expect_larger_model(larger));
 }
 
 } // namespace reedramp::router
--- a/source/core/routing/configuration.hpp
+++ b/source/core/routing/configuration.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -89,10 +90,18 @@
     std::optional<unsigned> priority{};
 };
 
-/// Priority of the route's requests of `owner`, which may be null; 0 is the highest.
+/// Priorities of routes that count apart within one priority of an organisation.
+inline constexpr unsigned route_priorities = 3;
+
+/// Priority of the route's requests of `owner`, which may be null; 0 is the highest. The
+/// organisation's priority comes first, and the route's orders the requests within it: an
+/// organisation's most urgent requests still go before its least urgent ones.
 inline auto effective_priority(const route& on, const organisation* owner) -> unsigned
 {
-    return owner == nullptr ? on.priority : owner->priority.value_or(on.priority);
+    if (owner == nullptr || !owner->priority) {
+        return on.priority;
+    }
+    return *owner->priority * route_priorities + std::min(on.priority, route_priorities - 1);
 }
 
 /// Limits on callers' requests and connections.
