router: a refusal by other servers is not 'not run' for a request that may have run

A read whose first server was lost while it ran, and which all further servers refused, was answered with 503 no_capacity, which promises that it has not run. Any result that states 'not run' now becomes outcome_unknown in that case. Found by review; test: 'a read that may have run is not said to have not run when others refuse it', with and without overload control.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -268,7 +268,7 @@
         return;
     }
     const bool is_not_run = this->ledger.is_not_run();
-    if (why == result_code::ends_servers && !is_not_run) {
+    if (!is_not_run && common::row_of(why).default_execution == common::execution::not_run) {
         // The refusal states that the request has not run, which is not certain here.
         why = result_code::outcome_unknown;
     }
--- a/source/unit_tests/router/overload_admission_test.cpp
+++ b/source/unit_tests/router/overload_admission_test.cpp
@@ -102,6 +102,26 @@
     CHECK(out->status() == 502);
 }
 
+TEST_CASE(
+    "a read that may have run is not said to have not run when others refuse it", "[overload]")
+{
+    // Guards against a 503 "not run" for a read whose first server was lost while it ran, and which
+    // all further servers refuse.
+    for (const bool is_on : {true, false}) {
+        router_fixture fixture;
+        if (is_on) {
+            turn_on(fixture);
+        }
+        const auto out = fixture.ask("/again/1");
+        fixture.last().lose(common::execution::unknown);
+        while (out->status() == 0) {
+            fixture.last().answer(503, "", refusal);
+        }
+        CHECK(fixture.sends() > 1);
+        CHECK(out->status() == 502);
+    }
+}
+
 TEST_CASE("refusals for other reasons than room do not throttle", "[overload]")
 {
     // Guards against throttling a service because its servers leave or have been replaced.
