overload: a request is not held where the wait would make it miss its deadline

A request with little time left was held for an eighth of its target in a burst, and then rejected with why=deadline although it could have started at once. It now waits only if the wait and the expected duration fit into the time left. Test: 'a request that a wait would make miss its deadline does not wait'.

--- a/source/core/overload/admission_control.cpp
+++ b/source/core/overload/admission_control.cpp
@@ -234,7 +234,10 @@
 
 auto admission_control::may_wait(const admission_request& request) const -> bool
 {
-    return !request.has_waited && request.target.count() > 0 &&
+    // The wait must not be what lets the request miss its deadline.
+    const auto ends =
+        scaled(request.target, this->options.longest_wait) + request.expected_duration;
+    return !request.has_waited && request.target.count() > 0 && ends < request.left &&
            this->waiting < this->options.max_waiting &&
            this->waiting_bytes + request.bytes <= this->options.max_waiting_bytes;
 }
--- a/source/unit_tests/overload/admission_control_test.cpp
+++ b/source/unit_tests/overload/admission_control_test.cpp
@@ -233,6 +233,7 @@
 
 TEST_CASE("waits are bounded in time, count and bytes", "[admission]")
 {
+    // Guards against a burst whose held requests fill the entry's memory, or wait again and again.
     admission_control control{[] {
         return std::uint64_t{0};
     }};
@@ -251,6 +252,21 @@
     CHECK(control.decide(request, burst, now).what == admission::start);
 }
 
+TEST_CASE("a request that a wait would make miss its deadline does not wait", "[admission]")
+{
+    // Guards against requests that are held in a burst, and then rejected for their deadline.
+    admission_control control{[] {
+        return std::uint64_t{0};
+    }};
+    const time_point now{std::chrono::seconds{1}};
+    auto request = usual_request;
+    request.expected_wait = milliseconds{0};
+    request.left = milliseconds{626};
+    CHECK(control.decide(request, {.pressure = 2.0}, now).what == admission::wait);
+    request.left = milliseconds{600};
+    CHECK(control.decide(request, {.pressure = 2.0}, now).what == admission::start);
+}
+
 TEST_CASE("an entry that hears nobody refuses nothing and harms no other", "[admission]")
 {
     // Its pressure is underestimated: it sees its own requests only.
