overload: the room is measured anew after a quiet time

Completions follow arrivals by a while. Only a new process allowed for that: after a quiet time, the first requests of a burst found no completions, so nearly all of them gave way, and an entry with a request a minute deferred each. The 2 s now also start anew when nothing arrived for 15 s, the longest memory. Test: 'the first requests after a quiet time do not give way'.

--- a/source/core/overload/admission_control.cpp
+++ b/source/core/overload/admission_control.cpp
@@ -40,7 +40,10 @@
     -> admission_decision
 {
     const auto level = this->level_of(request);
-    this->first_arrival = std::min(this->first_arrival, now);
+    // After a quiet time nothing is remembered, as in a new process.
+    const bool is_first = this->arrivals <= 0.0 || now - this->last_arrival > longest_memory;
+    this->measured_since = is_first ? now : this->measured_since;
+    this->last_arrival = now;
     this->forget(now);
     const bool is_new = !request.is_further_send && !request.has_waited;
     this->arrived.at(level) += is_new ? request.work : 0.0;
@@ -154,8 +157,8 @@
     }
     const bool is_scarce = this->scarce_since != common::never;
     this->has_lasted = is_scarce && now - this->scarce_since >= this->options.patience;
-    // Completions follow arrivals by a while, so that a new process first finds too little room.
-    const bool is_measured = now - this->first_arrival >= shortest_memory;
+    // Completions follow arrivals by a while, so that too little room is found at first.
+    const bool is_measured = now - this->measured_since >= shortest_memory;
     this->yielding = is_scarce && is_measured ? this->measured_yielding(state) : 0.0;
 }
 
--- a/source/core/overload/admission_control.hpp
+++ b/source/core/overload/admission_control.hpp
@@ -171,7 +171,9 @@
     /// Number of arrivals remembered.
     double arrivals = 0.0;
     time_point updated{};
-    time_point first_arrival = common::never;
+    time_point last_arrival{};
+    /// First arrival after a quiet time.
+    time_point measured_since{};
     /// Time constant of the remembered arrivals and completions.
     std::chrono::duration<double> memory{2.0};
     /// Since when the pressure is above `scarce_from`; `never` if it is not.
--- a/source/unit_tests/overload/admission_control_test.cpp
+++ b/source/unit_tests/overload/admission_control_test.cpp
@@ -267,6 +267,16 @@
     CHECK(control.decide(request, {.pressure = 2.0}, now).what == admission::start);
 }
 
+TEST_CASE("the first requests after a quiet time do not give way", "[admission]")
+{
+    // Guards against an entry that takes requests without completions yet for a lack of room, and
+    // against one with a request a minute that defers each.
+    overloaded_control test{0.5};
+    test.now += std::chrono::seconds{60};
+    CHECK(test.decide(usual_request).what == admission::wait);
+    CHECK(test.control.yielding_share() == 0.0);
+}
+
 TEST_CASE("an entry that hears nobody refuses nothing and harms no other", "[admission]")
 {
     // Its pressure is underestimated: it sees its own requests only.
