overload: refusals are forgotten also where no send is throttled

The servers that refused were dropped only in should_refuse, which is called for plain services under overload control. Refusals are noted for all services, so the map grew with each restart of a refusing server. note_refused now drops them too. Test: 'refusals are forgotten also where no send is throttled'.

--- a/source/core/overload/refusal_throttle.cpp
+++ b/source/core/overload/refusal_throttle.cpp
@@ -26,6 +26,8 @@
 auto refusal_throttle::note_refused(const routing::server_instance& server, time_point now) -> void
 {
     this->bucket_at(now).refused_by_servers += 1;
+    // Not every entry asks `should_refuse`, so servers that no longer refuse are dropped here too.
+    (void)this->refusing_servers(now);
     this->refused_at[server] = now;
 }
 
--- a/source/core/overload/refusal_throttle.hpp
+++ b/source/core/overload/refusal_throttle.hpp
@@ -42,6 +42,9 @@
     /// Probability with which `should_refuse` refuses, apart from probes.
     auto refusal_probability(std::size_t usable, time_point now) -> double;
 
+    /// Number of server instances whose refusals are remembered.
+    [[nodiscard]] auto remembered_servers() const -> std::size_t { return this->refused_at.size(); }
+
 private:
     static constexpr std::chrono::milliseconds bucket_length{250};
     static constexpr std::size_t buckets = 8;
--- a/source/unit_tests/overload/refusal_throttle_test.cpp
+++ b/source/unit_tests/overload/refusal_throttle_test.cpp
@@ -234,6 +234,7 @@
 
 TEST_CASE("an entry throttles by the share of its sends that servers refuse", "[throttle]")
 {
+    // Guards against throttling for single refusals, and against none when all sends are refused.
     CHECK(probability_after(10, 0, true) == 0.0);
     // One in twelve is tolerated.
     CHECK(probability_after(12, 1, true) == 0.0);
@@ -263,6 +264,18 @@
     CHECK(throttle.refusal_probability(4, now) == 0.0);
 }
 
+TEST_CASE("refusals are forgotten also where no send is throttled", "[throttle]")
+{
+    // Guards against a memory that grows with each restart of a server, at services with engines
+    // and where overload control is not in force: only `note_refused` is called there.
+    refusal_throttle throttle;
+    time_point now{10s};
+    throttle.note_refused(first, now);
+    now += 3s;
+    throttle.note_refused(second, now);
+    CHECK(throttle.remembered_servers() == 1);
+}
+
 TEST_CASE("a service at 2.5 to 3 times its load gets few sends in vain", "[throttle]")
 {
     // Guards against entries that send on to servers which refuse: 3,975 of 9,544 sends in a day.
