--- a/source/core/overload/admission_control.hpp
+++ b/source/core/overload/admission_control.hpp
@@ -17,7 +17,6 @@
     /// Pressure above which capacity is scarce.
     double scarce_from = 1.0;
     /// The same for a plain service, whose pressure is the expected time relative to the target.
-    /// 0.8 gave fewer late answers, and 2 s more until all requests were admitted again.
     double plain_scarce_from = 0.9;
     /// How long the pressure stays above `scarce_from` before requests are rejected for it. Models
     /// are made smaller first, and a short burst is worked off within the deadlines.
--- a/source/core/overload/refusal_throttle.hpp
+++ b/source/core/overload/refusal_throttle.hpp
@@ -14,11 +14,11 @@
 using common::time_point;
 
 struct refusal_throttle_options {
-    /// Sends per accepted one. 1.1 tolerates that one send in eleven is refused. 1.5 found recovery
-    /// 0.1 to 0.8 s sooner, for 1.2 to 1.4 times as many refusals.
+    /// Sends per accepted one. 1.1 tolerates that one send in eleven is refused; a larger value
+    /// finds recovery sooner, for more refusals.
     double sends_per_accepted = 1.1;
-    /// One request is sent at least this often, so that recovery is noticed. An interval of 500 ms
-    /// let 103 small entries send more than the servers could handle.
+    /// One request is sent at least this often, so that recovery is noticed. The probes of a
+    /// hundred entries must be few for the servers.
     std::chrono::milliseconds probe_interval{2000};
 };
 
