reedramp-ctl explain: says why overload control held, deferred or refused a request

A refusal by overload control without an end is no longer described as 'before it was sent'. The pressure in these lines has two decimals like that of other lines. Test: 'the trace states why a request was delayed or refused'.

--- a/source/core/operators/request_trace.cpp
+++ b/source/core/operators/request_trace.cpp
@@ -26,6 +26,11 @@
 constexpr std::string_view barred = "request barred";
 constexpr std::string_view sent = "sent";
 constexpr std::string_view accepted = "answer accepted";
+constexpr std::string_view held = "held";
+constexpr std::string_view deferred = "deferred";
+
+/// Component of the lines of overload control's decisions.
+constexpr std::string_view policy = "policy";
 
 /// Removes the first word and the space after it from `rest`, and returns the word.
 auto take_next_word(std::string_view& rest) -> std::string_view
@@ -117,6 +122,21 @@
            (pressure.empty() ? "" : " at a pressure of " + pressure);
 }
 
+/// What overload control last decided on the request, with the inputs of that decision; empty if
+/// it was sent as usual.
+auto describe_admission(const std::vector<log_line>& lines) -> std::string
+{
+    const auto* line = find_newest(lines, [](const log_line& one) {
+        return one.component == policy &&
+               (one.message == held || one.message == deferred || one.message == refused);
+    });
+    return line == nullptr
+               ? std::string{}
+               : " It was " + line->message + " for \"" + line->field("why") +
+                     "\" at a pressure of " + line->field("pressure") +
+                     ", with its end expected after " + line->field("expected_ms") + " ms.";
+}
+
 /// Why the request was sent less urgent than its rank says; empty if it was not.
 auto describe_excess(const log_line& last_send) -> std::string
 {
@@ -132,9 +152,11 @@
     const auto* last_send =
         find_newest(lines, [](const log_line& line) { return line.message == sent; });
     if (how == "served" && last_send != nullptr) {
+        const auto admission = describe_admission(lines);
         return "server " + last_send->field("server") + " of version " +
                last_send->field("version") + " answered on send " + last_send->field("send") +
-               describe_accepted_model(lines) + describe_excess(*last_send);
+               describe_accepted_model(lines) + describe_excess(*last_send) +
+               (admission.empty() ? "" : "." + admission);
     }
     if (how == "caller_left") {
         return "the caller closed the connection";
@@ -144,7 +166,7 @@
     const auto last = failed_send == nullptr
                           ? std::string{}
                           : " Last failure: " + *describe_failure(*failed_send) + ".";
-    return explanation_of(how) + last;
+    return explanation_of(how) + describe_admission(lines) + last;
 }
 
 /// Lists the servers at which attempts of the request were lost, under any request id; empty if
@@ -176,8 +198,10 @@
 {
     const auto* end =
         find_newest(trace.lines, [](const log_line& line) { return line.message == ended; });
-    const auto* refusal =
-        find_newest(trace.lines, [](const log_line& line) { return line.message == refused; });
+    // Overload control may refuse a request that was sent before; only its end shows that.
+    const auto* refusal = find_newest(trace.lines, [](const log_line& line) {
+        return line.message == refused && line.component != policy;
+    });
     if (end != nullptr) {
         trace.end = end->field("how");
         trace.cause = describe_cause(trace.lines, *end);
--- a/source/core/router/relay_admission.cpp
+++ b/source/core/router/relay_admission.cpp
@@ -211,7 +211,7 @@
         common::log_level::info,
         std::string{what} + " request=" + this->request.caller.attempt +
             " why=" + std::string{decision.why} + owner_fields(this->request.owner, rank) +
-            " pressure=" + std::to_string(this->core->pressure(this->service)) +
+            pressure_field(this->core->pressure(this->service)) +
             " expected_ms=" + std::to_string(decision.expected.count()) +
             (what == "refused" ? " retry_after_ms=" + std::to_string(decision.delay.count()) : ""));
 }
--- a/source/unit_tests/operators/request_trace_test.cpp
+++ b/source/unit_tests/operators/request_trace_test.cpp
@@ -153,6 +153,30 @@
     CHECK(refusal->rank == "0");
 }
 
+TEST_CASE("the trace states why a request was delayed or refused", "[request_story]")
+{
+    // Guards against a refusal that operators can't tell from a service without servers.
+    const auto refused = build_request_trace(
+        "r1",
+        logs_of(
+            {"I 10.000 policy: refused request=r1 why=scarcity rank=2 pressure=2.50 "
+             "expected_ms=9000 retry_after_ms=700",
+             "I 10.000 entry: ended request=r1 how=no_capacity rank=2 sends=0"}));
+    REQUIRE(refused);
+    CHECK(refused->end == "no_capacity");
+    CHECK(
+        refused->cause.find("refused for \"scarcity\" at a pressure of 2.50, with its end expected "
+                            "after 9000 ms.") != std::string::npos);
+    const auto delayed = build_request_trace(
+        "r1",
+        logs_of(
+            {"I 10.000 policy: deferred request=r1 why=share pressure=1.50 expected_ms=4000",
+             "I 10.000 place: sent request=r1 server=a version=v1 send=1",
+             "I 14.000 entry: ended request=r1 how=served sends=1"}));
+    REQUIRE(delayed);
+    CHECK(delayed->cause.find("deferred for \"share\"") != std::string::npos);
+}
+
 TEST_CASE("lines of several entries are ordered by time", "[request_story]")
 {
     // The entry of the request was killed, and another entry continued the request.
