Comments of the usage hash: it covers service and organisation

usage_report::organisation is renamed to key, since it hashes both names and some rows are totals. The schema keeps its field; the generated files hold no comments.

--- a/source/core/overload/organisation_shares.cpp
+++ b/source/core/overload/organisation_shares.cpp
@@ -174,13 +174,13 @@
     this->truncated = {};
     for (const auto& [peer, report] : this->peers) {
         const auto is_named = [this](const usage_report& row) {
-            return this->known_keys.contains(row.organisation);
+            return this->known_keys.contains(row.key);
         };
         const auto named = static_cast<std::size_t>(std::ranges::count_if(report.rows, is_named));
         const bool is_truncated = named >= this->options.max_reported;
         auto least = unlimited;
         for (const auto& row : report.rows) {
-            auto& sum = this->peer_sums[row.organisation];
+            auto& sum = this->peer_sums[row.key];
             sum.rate += row.rate;
             sum.truncated += is_truncated ? 1 : 0;
             least = is_named(row) ? std::min(least, row.rate) : least;
--- a/source/core/overload/organisation_shares.hpp
+++ b/source/core/overload/organisation_shares.hpp
@@ -18,10 +18,10 @@
 using common::time_point;
 
 /// Work per second that an organisation asks of a service through the sender, in the load tracker's
-/// unit, as sent to peers. `organisation` is a hash of the names of both. Some rows hold totals of
-/// a service instead, under hashes of their own.
+/// unit, as sent to peers. `key` is the `usage_key` of both. Some rows hold totals of a service
+/// instead, under keys of their own.
 struct usage_report {
-    std::uint32_t organisation = 0;
+    std::uint32_t key = 0;
     double rate = 0.0;
 };
 
@@ -65,7 +65,8 @@
 public:
     explicit organisation_shares(share_options options = {});
 
-    /// Takes over which organisations and services exist. Rows of others are kept but not counted.
+    /// Takes over which organisations and services exist. Drops the own work of
+    /// others; peers' rows of others do not count.
     auto set_rules(const routing::configuration& rules) -> void;
 
     /// Notes a send. `is_first` is false for a further send of the same request.
@@ -159,7 +160,7 @@
     [[nodiscard]] auto unreported_rate_of(std::uint32_t key, time_point now) const -> double;
     [[nodiscard]] auto usages_of(const common::service_name& service, time_point now) const
         -> std::vector<usage>;
-    /// Highest rate that is within the share; `never_beyond` if all are.
+    /// Highest rate that is within the share; infinite if all are.
     [[nodiscard]] auto fair_rate(
         const service_totals& totals,
         const std::vector<usage>& usages,
--- a/source/core/router/peer_report.cpp
+++ b/source/core/router/peer_report.cpp
@@ -230,7 +230,7 @@
     }
     auto usage = all.initUsage(static_cast<unsigned>(from.usage.size()));
     for (unsigned i = 0; i < from.usage.size(); ++i) {
-        usage[i].setOrganisation(from.usage[i].organisation);
+        usage[i].setOrganisation(from.usage[i].key);
         usage[i].setRate(static_cast<float>(from.usage[i].rate));
     }
 }
--- a/source/core/router/peer_report.hpp
+++ b/source/core/router/peer_report.hpp
@@ -54,7 +54,8 @@
     std::vector<routing::slowdown_report> slowdowns;
     /// Speeds of some servers, from the sender's own samples.
     std::vector<routing::speed_report> speeds;
-    /// Organisations that get the most work through the sender.
+    /// Organisations that ask the most work of a service through the sender, by a hash of the names
+    /// of both, and totals of services.
     std::vector<overload::usage_report> usage;
     /// Time until the sender's process ends at the latest; none if it stays.
     std::optional<std::chrono::milliseconds> ends_in;
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -28,7 +28,8 @@
   samples @2 :UInt32;
 }
 
-# Work per second that an organisation gets through the sender. The organisation is a hash.
+# Work per second that an organisation asks of a service through the sender. `organisation` is a
+# hash of the names of the service and the organisation. Some rows hold totals of a service.
 struct OrganisationUsage {
   organisation @0 :UInt32;
   rate @1 :Float32;
--- a/source/unit_tests/overload/organisation_shares_test.cpp
+++ b/source/unit_tests/overload/organisation_shares_test.cpp
@@ -133,8 +133,8 @@
     const auto rows = shares.make_reports(now);
     // In addition, the two totals of the service.
     REQUIRE(rows.size() == 10);
-    CHECK(rows.front().organisation == usage_key(engines, "o29"));
-    CHECK(rows[7].organisation == usage_key(engines, "o22"));
+    CHECK(rows.front().key == usage_key(engines, "o29"));
+    CHECK(rows[7].key == usage_key(engines, "o22"));
     CHECK(rows.front().rate == Approx(3000.0).epsilon(0.1));
     CHECK(organisation_shares{}.make_reports(now).empty());
 }
