--- a/tools/request_report_test.py
+++ b/tools/request_report_test.py
@@ -49,6 +49,7 @@
         self.assertEqual((row["wait mean"], row["wait p95"]), (1950, 3000))
 
     def test_rows_are_those_of_the_key(self):
+        # Guards against rows that take a field of one request for that of another.
         self.assertEqual(self.row("organisation", "north", {})["requests"], 2)
         # A text at the end of a line may look like a field.
         self.assertEqual(self.row("organisation", "south", {})["requests"], 1)
