--- a/source/core/router/overload_state.hpp
+++ b/source/core/router/overload_state.hpp
@@ -23,6 +23,9 @@
     overload::control_mode mode = overload::control_mode::automatic;
     /// The deployment states that callers compete for capacity. Counts in automatic mode.
     bool is_declared = false;
+    /// Requests are also held, deferred and refused for scarcity. Without it, only those that can't
+    /// end in time are refused, and sends to plain services that refuse them are throttled.
+    bool admits_by_room = false;
     /// Age at which a service's pressure is computed anew: one interval of peers' reports.
     std::chrono::milliseconds refresh{100};
 };
--- a/source/core/router/relay_admission.cpp
+++ b/source/core/router/relay_admission.cpp
@@ -56,8 +56,9 @@
     const auto& speeds = this->core->speeds[this->service];
     const auto work = this->work();
     overload::service_state state;
-    state.pressure = this->core->pressure(this->service);
     state.has_urgency = !this->is_to_plain_service();
+    const bool admits_by_room = this->core->options.overload.admits_by_room;
+    state.pressure = admits_by_room ? this->core->pressure(this->service) : 0.0;
     overload::admission_request asked;
     asked.rank = this->rank();
     asked.excess = this->excess();
@@ -79,7 +80,7 @@
                                 : std::uint64_t{0};
         asked.expected_duration += least_token_time * static_cast<std::int64_t>(tokens);
     }
-    if (!state.has_urgency) {
+    if (admits_by_room && !state.has_urgency) {
         state.pressure = std::max(state.pressure, this->plain_pressure());
     }
     // Without scarcity the wait does not count, and a choice of a server is not free.
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -20,6 +20,11 @@
                 "automatic (where the deployment's features say so, or servers state their present "
                 "speed).",
          .fallback = std::string{"automatic"}},
+        {.path = "overload.admission",
+         .type = settings::value_type::boolean,
+         .doc = "Under overload control, also hold, defer and refuse requests while capacity is "
+                "scarce.",
+         .fallback = false},
         {.path = "deployment.features",
          .type = settings::value_type::text_list,
          .doc = "Words with which the platform describes the deployment.",
@@ -44,6 +49,7 @@
             common::result_code::invalid_settings, "overload.control is not off, on or automatic");
     }
     read.router.overload.mode = *mode;
+    read.router.overload.admits_by_room = values.boolean("overload.admission");
     read.features = values.texts("deployment.features");
     read.memory_mb = static_cast<std::uint64_t>(values.integer("process.memory_mb"));
     constexpr double bytes_per_mb = 1e6;
