router: a request keeps the model that its caller chose

The check for a larger model ran for requests whose caller chose the model, too. It left the route's smallest model in place, so that a resumed stream was continued by another model and pauses were learned for the wrong one. On a route without models it read beyond the end of the list.

Both tests fail without the change (model "s" instead of "x"; a segmentation fault).

--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -151,7 +151,7 @@
     /// Sends the request at its next send slot; false if that is too late.
     auto wait_for_send_slot() -> bool;
     /// Index of the model to ask if the present one's answer is discarded; none if each larger one
-    /// is too slow.
+    /// is too slow, or if the caller chose the model.
     [[nodiscard]] auto larger_model() -> std::optional<std::size_t>;
     /// When the larger model's first event would come if it were asked now.
     auto expect_larger_model(std::optional<std::size_t> larger) -> routing::larger_model_timing;
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -291,8 +291,11 @@
 
 auto relay::larger_model() -> std::optional<std::size_t>
 {
+    if (this->model.empty()) {
+        return std::nullopt; // The caller chose the model.
+    }
     const auto& route = *this->request.route;
-    if (!this->core->is_overload_controlled() || this->model.empty()) {
+    if (!this->core->is_overload_controlled()) {
         return routing::next_model(route);
     }
     const auto* known = this->request.rules->find_service(this->service);
--- a/source/unit_tests/router/relay_test.cpp
+++ b/source/unit_tests/router/relay_test.cpp
@@ -349,6 +349,38 @@
     CHECK(sends_in_two_seconds("90000,10") == 1);
 }
 
+TEST_CASE("a resumed stream keeps the model that its caller chose", "[relay]")
+{
+    // The check for a larger model replaced the caller's model by the smallest one, which then
+    // continued the other model's answer.
+    for (const auto mode : {overload::control_mode::on, overload::control_mode::off}) {
+        router_fixture fixture;
+        fixture.core->overload_control = overload_state{{.mode = mode}};
+        fixture.ask(stream, {{"Reedramp-Model", "x"}});
+        fixture.last().head(200, {{"Reedramp-Confidence", "5"}});
+        fixture.last().chunk(event(0));
+        fixture.last().lose(common::execution::unknown);
+        REQUIRE(fixture.sends() == 2);
+        CHECK(fixture.last().header("Reedramp-Model") == "x");
+    }
+}
+
+TEST_CASE("a stream of a route without models is passed on", "[relay]")
+{
+    // The check for a larger model read beyond the end of the route's empty list.
+    for (const auto mode : {overload::control_mode::on, overload::control_mode::off}) {
+        router_fixture fixture;
+        fixture.core->overload_control = overload_state{{.mode = mode}};
+        auto rules = rules_of(1000);
+        rules.rules.routes.front().models = std::vector<common::model_id>{};
+        REQUIRE(fixture.core->apply_rules(std::move(rules)));
+        const auto out = fixture.ask(stream);
+        fixture.last().head(200, {{"Reedramp-Confidence", "5"}});
+        fixture.last().chunk(event(0));
+        CHECK(out->events == event(0));
+    }
+}
+
 TEST_CASE("predicted and real waits are recorded under overload control", "[relay]")
 {
     // A choice by wrong expectations would be visible in no series.
