router: routes without a target are not bound by one under overload control

A target of 0 means that the route has none. It was taken as a time: no larger model was asked once waits were known, and a stream was moved after three times the usual wait.

long_prompt_test fails without the change (3 sends instead of 1).

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -300,7 +300,7 @@
     const bool has_room_elsewhere = this->core->is_overload_controlled() &&
                                     this->core->pressure(this->service) < options.moves_below;
     const auto own_wait = this->core->first_events[this->service].expected(of.prompt_work);
-    if (!has_room_elsewhere || of.is_cold || own_wait.count() == 0) {
+    if (!has_room_elsewhere || of.is_cold || own_wait.count() == 0 || route.target.count() == 0) {
         return standing;
     }
     const auto of_target = std::chrono::duration_cast<common::duration>(
--- a/source/core/routing/model_choice.cpp
+++ b/source/core/routing/model_choice.cpp
@@ -55,8 +55,9 @@
     const std::function<auto(std::size_t model)->std::chrono::milliseconds>& reading_time)
     -> std::optional<std::size_t>
 {
+    const bool has_target = on.target.count() > 0;
     for (auto index = on.models.size(); index > model + 1; --index) {
-        if (reading_time(index - 1) <= on.target) {
+        if (!has_target || reading_time(index - 1) <= on.target) {
             return index - 1;
         }
     }
--- a/source/core/routing/model_choice.hpp
+++ b/source/core/routing/model_choice.hpp
@@ -79,8 +79,8 @@
 auto next_model(const route& on) -> std::size_t;
 
 /// Returns the index of the largest model after `model` that reads the prompt within the route's
-/// target; none if each takes longer. `reading_time` returns how long a request waits for its first
-/// event at the model with that index.
+/// target; none if each takes longer. Without a target, the largest. `reading_time` returns how
+/// long a request waits for its first event at the model with that index.
 auto next_model_in_time(
     const route& on,
     std::size_t model,
--- a/source/unit_tests/router/long_prompt_test.cpp
+++ b/source/unit_tests/router/long_prompt_test.cpp
@@ -69,4 +69,19 @@
     }
 }
 
+TEST_CASE("a stream without a target stays at its server", "[long_prompt]")
+{
+    // A target of 0 means that there is none; taken as a time, it moved streams after three times
+    // the usual wait.
+    router_fixture fixture;
+    fixture.core->overload_control = overload_state{{.mode = overload::control_mode::on}};
+    auto rules = rules_of(1000);
+    rules.rules.routes.front().target = milliseconds{0};
+    REQUIRE(fixture.core->apply_rules(std::move(rules)));
+    learn(fixture, 50.0, milliseconds{20});
+    const auto caller = ask_with_prompt(fixture, "500");
+    fixture.advance(milliseconds{1000});
+    CHECK(fixture.sends() == 1);
+}
+
 } // namespace reedramp::router::testing
--- a/source/unit_tests/routing/model_choice_test.cpp
+++ b/source/unit_tests/routing/model_choice_test.cpp
@@ -118,6 +118,14 @@
         0.0);
 }
 
+TEST_CASE("the largest model is asked next on a route without a target", "[model]")
+{
+    // A target of 0 means that there is none; taken as a time, it ruled out every larger model.
+    auto on = three_models();
+    on.target = milliseconds{0};
+    CHECK(next_model_in_time(on, 0, [](std::size_t) { return milliseconds{100}; }) == 2);
+}
+
 TEST_CASE("waits for first events are learned by size, and extrapolated upwards only", "[model]")
 {
     first_event_estimator waits;
