router: only streams teach how long first events take

The head of a response that is not a stream comes when its answer is whole. Its time was learned as the reading time of the prompt.

The test fails without the change (100 ms expected instead of none).

--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -77,7 +77,8 @@
     if (of->head_verdict == verdict::success) {
         const auto took = milliseconds_between(of->sent, this->core->hooks.clock());
         this->core->speeds[this->service].note(of->server, took, of->work_ahead);
-        if (!of->is_cold && of->prompt_work > 0.0) {
+        // The head of another response comes when its answer is whole.
+        if (this->is_stream() && !of->is_cold && of->prompt_work > 0.0) {
             this->core->first_events[this->service].note(of->prompt_work, took);
         }
     }
--- a/source/core/routing/first_event_estimator.cpp
+++ b/source/core/routing/first_event_estimator.cpp
@@ -10,7 +10,7 @@
 /// Largest work of the first size class. Each further class reaches to twice the previous one.
 constexpr double first_class_work = 128.0;
 /// Weight of the newest sample once a class has enough of them.
-constexpr double memory = 0.1;
+constexpr double newest_weight = 0.1;
 /// Samples that a class needs. A single one may have waited behind a long prompt.
 constexpr unsigned min_samples = 3;
 
@@ -30,7 +30,7 @@
 {
     auto& to = this->classes[class_of(prompt_work)];
     to.samples += 1;
-    const auto weight = std::max(memory, 1.0 / static_cast<double>(to.samples));
+    const auto weight = std::max(newest_weight, 1.0 / static_cast<double>(to.samples));
     to.mean_work += weight * (prompt_work - to.mean_work);
     to.mean_ms += weight * (static_cast<double>(took.count()) - to.mean_ms);
 }
--- a/source/unit_tests/router/long_prompt_test.cpp
+++ b/source/unit_tests/router/long_prompt_test.cpp
@@ -69,6 +69,23 @@
     }
 }
 
+TEST_CASE("only streams teach how long first events take", "[long_prompt]")
+{
+    // The response of another request comes when its answer is whole, and would make the prompts of
+    // streams look slow to read.
+    router_fixture fixture;
+    const auto& waits = fixture.core->first_events[common::service_name{"engines"}];
+    for (const auto* path : {"/once/x", "/stream/x"}) {
+        CHECK(waits.expected(500.0).count() == 0);
+        for (int i = 0; i < 5; ++i) {
+            fixture.ask(path, {{"Reedramp-Tokens", "500,100"}});
+            fixture.advance(milliseconds{100});
+            fixture.last().answer(200, events_of_one, {{"Reedramp-Confidence", "90"}});
+        }
+    }
+    CHECK(waits.expected(500.0).count() > 0);
+}
+
 TEST_CASE("a stream without a target stays at its server", "[long_prompt]")
 {
     // A target of 0 means that there is none; taken as a time, it moved streams after three times
