--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -144,7 +144,9 @@
     std::erase_if(this->peers, [now](const auto& item) {
         return now - item.second.last_heard > removal_silence;
     });
-    this->choose_speeds_to_report();
+    if (this->core->is_overload_controlled()) {
+        this->choose_speeds_to_report();
+    }
     const auto bytes = router::encode(this->make_report(now, max_named_peers));
     const auto count = this->recipient_count(now);
     auto next = this->peers.upper_bound(this->last_recipient);
