--- a/source/core/router/organisations.cpp
+++ b/source/core/router/organisations.cpp
@@ -43,11 +43,6 @@
         this->core->hooks.clock());
 }
 
-auto relay::organisation_pressure() const -> double
-{
-    return this->core->pressure(this->service) * this->excess();
-}
-
 auto relay::note_usage(double work) const -> void
 {
     const bool is_first = this->ledger.sends() == 1;
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -199,9 +199,6 @@
     [[nodiscard]] auto organisation() const -> common::organisation_id;
     /// How many times its fair share of the service the organisation uses; 1 if it stays within it.
     [[nodiscard]] auto excess() const -> double;
-    /// Pressure of the service times the organisation's excess; 0 while overload control is not in
-    /// force.
-    [[nodiscard]] auto organisation_pressure() const -> double;
     /// Notes the work of a send in the organisation's usage.
     auto note_usage(double work) const -> void;
     [[nodiscard]] auto urgency() const -> int;
--- a/source/core/routing/first_event_estimator.hpp
+++ b/source/core/routing/first_event_estimator.hpp
@@ -9,7 +9,7 @@
 /// Learns how long requests of one service wait for their first event, by the work of their own
 /// prompts.
 ///
-/// The time per unit of work grows with the prompt, since each token attends to all before it: a
+/// The time per unit of work grows with the prompt, since each token attends to all before it. A
 /// mean over all requests predicts half of what the longest prompts take.
 class first_event_estimator {
 public:
--- a/source/core/routing/model_choice.hpp
+++ b/source/core/routing/model_choice.hpp
@@ -59,8 +59,8 @@
     too_slow,
 };
 
-/// Returns the confidence required of a request of priority `rank` at a level of the gauge, or of
-/// the service's pressure where overload control is in force.
+/// Returns the confidence required of a request of priority `rank`. `level` is that of the gauge;
+/// where overload control is in force, the larger of it and the service's pressure.
 auto required_confidence(
     const model_options& options, unsigned rank, double level, larger_model_timing larger)
     -> double;
--- a/source/core/routing/server_choice.hpp
+++ b/source/core/routing/server_choice.hpp
@@ -62,7 +62,8 @@
     const peer_speed_table* peer_speeds = nullptr;
     /// Null: what servers state of their load does not count.
     const server_load_tracker* stated = nullptr;
-    /// Tokens that fit into the memory of each server of the service; 0 if not to be considered.
+    /// Tokens that fit into the memory of each server of the service; 0 if unknown or while
+    /// overload control is off.
     double memory_tokens = 0.0;
 };
 
--- a/source/unit_tests/routing/model_choice_test.cpp
+++ b/source/unit_tests/routing/model_choice_test.cpp
@@ -128,6 +128,8 @@
 
 TEST_CASE("waits for first events are learned by size, and extrapolated upwards only", "[model]")
 {
+    // A mean over all sizes predicts half of the longest prompts' wait. Scaled down, it would
+    // predict waits of short prompts that the fixed time of a request exceeds.
     first_event_estimator waits;
     CHECK(waits.expected(1000.0).count() == 0);
     for (int i = 0; i < 10; ++i) {
--- a/source/unit_tests/routing/server_speed_test.cpp
+++ b/source/unit_tests/routing/server_speed_test.cpp
@@ -84,6 +84,7 @@
 
 TEST_CASE("a removed server no longer counts in the mean pause", "[server_speed]")
 {
+    // A slow server that has ended would make all others look fast for ever.
     server_speed_tracker speeds;
     for (int i = 0; i < 20; ++i) {
         speeds.note_pause(a, "m", 10.0);
@@ -98,6 +99,8 @@
 
 TEST_CASE("invalid pauses and names that callers invent are harmless", "[server_speed]")
 {
+    // One value that is not finite would spoil the mean over all servers, and a record for each
+    // invented name would grow without bound.
     server_speed_tracker speeds;
     speeds.note_pause(a, "m", std::numeric_limits<double>::quiet_NaN());
     CHECK(speeds.own_pace(a).samples == 0.0);
