--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -151,7 +151,7 @@
     /// Sends the request at its next send slot; false if that is too late.
     auto wait_for_send_slot() -> bool;
     /// Index of the model to ask if the present one's answer is discarded; none if each larger one
-    /// is too slow.
+    /// is too slow, or if the caller chose the model.
     [[nodiscard]] auto larger_model() -> std::optional<std::size_t>;
     /// When the larger model's first event would come if it were asked now.
     auto expect_larger_model(std::optional<std::size_t> larger) -> routing::larger_model_timing;
@@ -199,9 +199,6 @@
     [[nodiscard]] auto organisation() const -> common::organisation_id;
     /// How many times its fair share of the service the organisation uses; 1 if it stays within it.
     [[nodiscard]] auto excess() const -> double;
-    /// Pressure of the service times the organisation's excess; 0 while overload control is not in
-    /// force.
-    [[nodiscard]] auto organisation_pressure() const -> double;
     /// Notes the work of a send in the organisation's usage.
     auto note_usage(double work) const -> void;
     [[nodiscard]] auto urgency() const -> int;
--- a/source/core/routing/model_choice.hpp
+++ b/source/core/routing/model_choice.hpp
@@ -59,8 +59,8 @@
     too_slow,
 };
 
-/// Returns the confidence required of a request of priority `rank` at a level of the gauge, or of
-/// the service's pressure where overload control is in force.
+/// Returns the confidence required of a request of priority `rank`. `level` is that of the gauge;
+/// where overload control is in force, the larger of it and the service's pressure.
 auto required_confidence(
     const model_options& options, unsigned rank, double level, larger_model_timing larger)
     -> double;
@@ -79,8 +79,8 @@
 auto next_model(const route& on) -> std::size_t;
 
 /// Returns the index of the largest model after `model` that reads the prompt within the route's
-/// target; none if each takes longer. `reading_time` returns how long a request waits for its first
-/// event at the model with that index.
+/// target; none if each takes longer. Without a target, the largest. `reading_time` returns how
+/// long a request waits for its first event at the model with that index.
 auto next_model_in_time(
     const route& on,
     std::size_t model,
--- a/source/unit_tests/routing/model_choice_test.cpp
+++ b/source/unit_tests/routing/model_choice_test.cpp
@@ -118,8 +118,18 @@
         0.0);
 }
 
+TEST_CASE("the largest model is asked next on a route without a target", "[model]")
+{
+    // A target of 0 means that there is none; taken as a time, it ruled out every larger model.
+    auto on = three_models();
+    on.target = milliseconds{0};
+    CHECK(next_model_in_time(on, 0, [](std::size_t) { return milliseconds{100}; }) == 2);
+}
+
 TEST_CASE("waits for first events are learned by size, and extrapolated upwards only", "[model]")
 {
+    // A mean over all sizes predicts half of the longest prompts' wait. Scaled down, it would
+    // predict waits of short prompts that the fixed time of a request exceeds.
     first_event_estimator waits;
     CHECK(waits.expected(1000.0).count() == 0);
     for (int i = 0; i < 10; ++i) {
