router: pauses for a slow caller are no sample of the server's speed

After the entry has paused a stream for its caller, the times between events are the caller's. The rollout's times left them out, the server's pace did not: a server looked slow because one caller of it read slowly, also at peers.

--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -303,7 +303,9 @@
         this->last_event = of->events->last_id();
         this->out->write(std::move(whole));
         if (this->out != nullptr && this->out->is_paused()) {
-            of->is_timed = true; // Its pauses are those of the caller from now on.
+            // Its pauses are those of the caller from now on.
+            of->is_timed = true;
+            of->is_speed_sampled = true;
         }
     }
     if (!in_order) {
--- a/source/unit_tests/router/slow_caller_test.cpp
+++ b/source/unit_tests/router/slow_caller_test.cpp
@@ -99,6 +99,26 @@
     CHECK(fixture.sends() == 2);
 }
 
+// Guards against a server that counts as slow because a caller reads slowly.
+TEST_CASE("pauses for a slow caller are no sample of the server's speed", "[slow_caller]")
+{
+    router_fixture fixture{bounded(1024 * kilobyte)};
+    const auto out = slow_caller();
+    auto& server = begin_stream(fixture, out);
+    const routing::server_instance sender{
+        common::server_id{server.header("Reedramp-Expect-Server")}};
+    server.chunk(event(0, 80 * kilobyte));
+    REQUIRE(server.is_paused);
+    fixture.advance(milliseconds{1900});
+    out->read(out->unread);
+    for (int id = 1; id < 10; ++id) {
+        server.chunk(event(id, 10));
+    }
+    server.end();
+    const auto& speeds = fixture.core->speeds[common::service_name{"engines"}];
+    CHECK(speeds.own_pace(sender).samples == 0.0);
+}
+
 // Guards against delaying or changing what callers get that read.
 TEST_CASE("a caller that reads is never waited for", "[slow_caller]")
 {
