router: a buffered response that still arrives is not idle

A response that is kept until it is whole counted as idle one second after its first bytes, since its caller takes nothing until then. Beyond the budget it was given up before a smaller stream whose caller had stopped reading. Bytes that arrive for it now count as progress.

The new test of router_test failed before (the request got 502).

--- a/source/core/router/held_stream.cpp
+++ b/source/core/router/held_stream.cpp
@@ -53,7 +53,9 @@
 
 auto held_streams::count(held_stream& stream) -> void
 {
-    this->bytes.update(stream.number, stream.held(), stream.caller->taken(), this->clock());
+    // Bytes that still arrive for a buffered response show progress too: its caller is not slow.
+    this->bytes.update(
+        stream.number, stream.held(), stream.caller->taken() + stream.buffered, this->clock());
 }
 
 auto held_streams::enforce_budget() -> void
--- a/source/unit_tests/router/slow_caller_test.cpp
+++ b/source/unit_tests/router/slow_caller_test.cpp
@@ -185,6 +185,28 @@
     CHECK(fixture.core->in_flight() == 1);
 }
 
+// Guards against giving up a request whose caller is not slow: its response arrives, but is kept
+// until it is whole.
+TEST_CASE("a response that still arrives is not idle", "[slow_caller]")
+{
+    router_fixture fixture{bounded(200 * kilobyte)};
+    const auto stopped = slow_caller();
+    begin_stream(fixture, stopped).chunk(event(0, 60 * kilobyte));
+    const auto waiting = fixture.ask(again);
+    auto& server = fixture.last();
+    server.take();
+    server.head(200);
+    for (int i = 0; i < 3; ++i) {
+        server.chunk(std::string(45 * kilobyte, 'x'));
+        fixture.advance(milliseconds{600});
+    }
+    CHECK_FALSE(stopped->is_aborted);
+    server.chunk(std::string(10 * kilobyte, 'x'));
+    CHECK(stopped->is_aborted);
+    server.end();
+    CHECK(waiting->status() == 200);
+}
+
 // Guards against a response that can't be given up any more because its server has ended it.
 TEST_CASE("a response that ended at its server is given up while it is unread", "[slow_caller]")
 {
