http: the client holds a call while its on_sent runs

on_head and on_chunk hold the call, which their callbacks may cancel; on_sent did not, although the bound on held bytes may cancel the call there.

--- a/source/core/http/client_link.cpp
+++ b/source/core/http/client_link.cpp
@@ -187,8 +187,9 @@
     // A server that refuses a request by its header answers and closes without reading the body.
     // The write fails then, but the answer may still be read.
     this->write_failed = static_cast<bool>(problem);
-    if (!problem && this->call->events.on_sent) {
-        this->call->events.on_sent();
+    const auto running = this->call;
+    if (!problem && running->events.on_sent) {
+        running->events.on_sent();
     }
     if (!this->call_is_live()) {
         return;
--- a/source/unit_tests/http/client_test.cpp
+++ b/source/unit_tests/http/client_test.cpp
@@ -279,6 +279,34 @@
     CHECK(got == total);
 }
 
+// Guards against a call that is used after its own `on_sent` has cancelled it, as the bound on held
+// bytes may do.
+TEST_CASE("a call can be cancelled when its request is reported as sent")
+{
+    loop client_loop;
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor{
+        context, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    const auto with = client::create(client_loop.context, {});
+    std::promise<std::shared_ptr<call>> started;
+    std::promise<common::result<response>> ended;
+    call_events events;
+    events.on_sent = [running = started.get_future().share()] {
+        running.get()->cancel();
+    };
+    events.on_done = [&ended](common::result<response> answer) {
+        ended.set_value(std::move(answer));
+    };
+    started.set_value(
+        with->send({"127.0.0.1", acceptor.local_endpoint().port()}, post("/", "x"), events));
+    auto answer = ended.get_future();
+    REQUIRE(answer.wait_for(10s) == std::future_status::ready);
+    const auto got = answer.get();
+    REQUIRE_FALSE(got);
+    CHECK(got.error().code == common::result_code::cancelled);
+    CHECK(got.error().run == common::execution::unknown);
+}
+
 // Guards against a body that counts as sent while the client still holds it, since the server does
 // not read.
 TEST_CASE("a request is reported as sent when the system has taken all of it")
