--- a/source/core/routing/server_load_tracker.cpp
+++ b/source/core/routing/server_load_tracker.cpp
@@ -21,8 +21,8 @@
 /// value at all times must neither attract all requests nor lose all of them.
 constexpr double min_slowdown = 0.7;
 constexpr double max_slowdown = 5.0;
-/// Weight of the newest statement in a service's mean.
-constexpr double mean_memory = 0.02;
+/// Weight of the newest statement in a service's exponentially weighted means.
+constexpr double newest_weight = 0.02;
 
 constexpr double max_requests_per_slot = 2.0;
 /// Share of a request's work that remains on average while it is in flight.
@@ -103,11 +103,11 @@
 {
     const auto [found, is_first] = this->by_service.try_emplace(service);
     auto& means = found->second;
-    const auto weight = is_first ? 1.0 : mean_memory;
+    const auto weight = is_first ? 1.0 : newest_weight;
     means.requests += weight * (requests_of(newest.load) - means.requests);
     means.work += weight * (newest.work - means.work);
     if (newest.load.slowdown) {
-        const auto weight_of_slowdown = means.has_slowdown ? mean_memory : 1.0;
+        const auto weight_of_slowdown = means.has_slowdown ? newest_weight : 1.0;
         means.slowdown += weight_of_slowdown * (*newest.load.slowdown - means.slowdown);
         means.has_slowdown = true;
     }
