--- a/source/unit_tests/routing/choice_test.cpp
+++ b/source/unit_tests/routing/choice_test.cpp
@@ -199,33 +199,33 @@
     }
     server_speed_tracker speeds;
     peer_speed_table peers;
+    server_load_tracker stated;
     for (int i = 0; i < servers; ++i) {
-        const auto& instance = table.usable(engines)[static_cast<std::size_t>(i)]->instance();
+        const auto instance = table.usable(engines)[static_cast<std::size_t>(i)]->instance();
         speeds.note_pause(instance, "m", 10.0 + i % 9);
         peers.apply_reports(common::host_id{"host-1"}, {{hash_of(instance), 1.1, 4}}, now);
+        stated.note(engines, {instance, {20, 0, 64, 1.5}, now, 1000.0}, false);
+        stated.apply_reports({{hash_of(instance), 2.5, milliseconds{100}}}, now);
     }
     placement_request asked;
     asked.own_data_centre = common::data_centre_id{"dc-1"};
     asked.work = 1000.0;
     asked.saved_work = 500.0;
-    for (const auto* by_pace : {static_cast<peer_speed_table*>(nullptr), &peers}) {
+    const server_trackers without{loads, speeds, health, &limiter};
+    const server_trackers under_control{loads, speeds, health, &limiter, 0.0, &peers, &stated, 1e6};
+    for (const auto* known : {&without, &under_control}) {
         constexpr int choices = 20000;
         std::size_t length = 0;
         const auto started_at = std::chrono::steady_clock::now();
         for (int i = 0; i < choices; ++i) {
             asked.affinity = static_cast<std::uint64_t>(i) * 0x9e3779b97f4a7c15ULL;
-            const auto* chosen = choose_server(
-                table.usable(engines),
-                asked,
-                {loads, speeds, health, &limiter, 0.0, by_pace},
-                {},
-                asked.affinity,
-                now);
+            const auto* chosen =
+                choose_server(table.usable(engines), asked, *known, {}, asked.affinity, now);
             length += chosen->id.value().size();
         }
         const auto took = std::chrono::steady_clock::now() - started_at;
         CHECK(length > 0);
-        std::cout << "METRIC choice_" << (by_pace == nullptr ? "" : "under_control_") << "ns "
+        std::cout << "METRIC choice_" << (known == &without ? "" : "under_control_") << "ns "
                   << std::chrono::duration_cast<std::chrono::nanoseconds>(took).count() / choices
                   << " ns\n";
     }
