--- a/source/unit_tests/router/slow_caller_test.cpp
+++ b/source/unit_tests/router/slow_caller_test.cpp
@@ -99,6 +99,26 @@
     CHECK(fixture.sends() == 2);
 }
 
+// Guards against a server that counts as slow because a caller reads slowly.
+TEST_CASE("pauses for a slow caller are no sample of the server's speed", "[slow_caller]")
+{
+    router_fixture fixture{bounded(1024 * kilobyte)};
+    const auto out = slow_caller();
+    auto& server = begin_stream(fixture, out);
+    const routing::server_instance sender{
+        common::server_id{server.header("Reedramp-Expect-Server")}};
+    server.chunk(event(0, 80 * kilobyte));
+    REQUIRE(server.is_paused);
+    fixture.advance(milliseconds{1900});
+    out->read(out->unread);
+    for (int id = 1; id < 10; ++id) {
+        server.chunk(event(id, 10));
+    }
+    server.end();
+    const auto& speeds = fixture.core->speeds[common::service_name{"engines"}];
+    CHECK(speeds.own_pace(sender).samples == 0.0);
+}
+
 // Guards against delaying or changing what callers get that read.
 TEST_CASE("a caller that reads is never waited for", "[slow_caller]")
 {
@@ -165,6 +185,28 @@
     CHECK(fixture.core->in_flight() == 1);
 }
 
+// Guards against giving up a request whose caller is not slow: its response arrives, but is kept
+// until it is whole.
+TEST_CASE("a response that still arrives is not idle", "[slow_caller]")
+{
+    router_fixture fixture{bounded(200 * kilobyte)};
+    const auto stopped = slow_caller();
+    begin_stream(fixture, stopped).chunk(event(0, 60 * kilobyte));
+    const auto waiting = fixture.ask(again);
+    auto& server = fixture.last();
+    server.take();
+    server.head(200);
+    for (int i = 0; i < 3; ++i) {
+        server.chunk(std::string(45 * kilobyte, 'x'));
+        fixture.advance(milliseconds{600});
+    }
+    CHECK_FALSE(stopped->is_aborted);
+    server.chunk(std::string(10 * kilobyte, 'x'));
+    CHECK(stopped->is_aborted);
+    server.end();
+    CHECK(waiting->status() == 200);
+}
+
 // Guards against a response that can't be given up any more because its server has ended it.
 TEST_CASE("a response that ended at its server is given up while it is unread", "[slow_caller]")
 {
