--- a/source/core/http/client.hpp
+++ b/source/core/http/client.hpp
@@ -18,9 +18,6 @@
 /// What happens to one call. Runs on the client's io_context thread. After `on_done` nothing more
 /// comes.
 struct call_events {
-    /// The system has taken the whole request, body included. Says nothing of what the server has
-    /// read. Does not come if the answer ends before. May be empty.
-    std::function<auto()->void> on_sent = {};
     /// Status line and headers are there. May be empty.
     std::function<auto(const response& head)->void> on_head = {};
     /// A piece of the body. May be empty: then the whole body is in the answer of `on_done`.
@@ -28,6 +25,9 @@
     /// The end. An error says by its `execution` whether the request may have been sent: `not_run`
     /// only when no byte of it was written.
     std::function<auto(common::result<response> answer)->void> on_done;
+    /// The system has taken the whole request, body included. Says nothing of what the server has
+    /// read. Does not come if the answer ends before. May be empty.
+    std::function<auto()->void> on_sent = {};
 };
 
 /// A call under way. Destroying the handle does not end the call.
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -107,17 +107,17 @@
         *where,
         make_server_request(
             this->request.original, this->core->options.names, this->make_forward_headers(server)),
-        {.on_sent =
-             [weak = std::weak_ptr(this->out)] {
-                 if (const auto stream = weak.lock()) {
-                     stream->note_request_sent();
-                 }
-             },
-         .on_head = [keep, next](const http::response& head) { keep->on_head(next, head); },
+        {.on_head = [keep, next](const http::response& head) { keep->on_head(next, head); },
          .on_chunk = [keep, next](std::string bytes) { keep->on_bytes(next, std::move(bytes)); },
          .on_done =
              [keep, next](const common::result<http::response>& answer) {
                  keep->on_done(next, answer);
+             },
+         .on_sent =
+             [weak = std::weak_ptr(this->out)] {
+                 if (const auto stream = weak.lock()) {
+                     stream->note_request_sent();
+                 }
              }});
     this->out->follow(next->call, this->request.original.body.size());
     if (this->is_stream()) {
@@ -199,7 +199,9 @@
         this->core->rollouts.note_outcome(
             this->service, of->version, this->request.route->name, outcome == server_outcome::good);
     }
-    if (outcome == server_outcome::stalled) {
+    // Requests that leave a server early do so together, behind one long prompt, which says nothing
+    // about the server's version.
+    if (outcome == server_outcome::stalled && !of->was_moved_early) {
         this->core->rollouts.note_stall(this->service, of->version, this->request.route->name, now);
     }
 }
@@ -288,15 +290,21 @@
     this->finish(common::row_of(why).name);
 }
 
-auto relay::first_event_limit(const attempt& of) -> common::duration
+auto relay::silence_limit(const attempt& of) -> common::duration
 {
     const auto& route = *this->request.route;
-    const auto& options = this->core->options;
     const auto usual = this->core->speeds[this->service].expected(of.work_ahead);
-    const auto standing = std::max<common::duration>(
+    return std::max<common::duration>(
         std::chrono::duration_cast<common::duration>(
-            route.longest_pause * options.stall_pause_factor),
+            route.longest_pause * this->core->options.stall_pause_factor),
         this->core->first_event_limit(route.name, usual));
+}
+
+auto relay::first_event_limit(const attempt& of) -> common::duration
+{
+    const auto& route = *this->request.route;
+    const auto& options = this->core->options;
+    const auto standing = this->silence_limit(of);
     const bool has_room_elsewhere = this->core->is_overload_controlled() &&
                                     this->core->pressure(this->service) < options.moves_below;
     const auto own_wait = this->core->first_events[this->service].expected(of.prompt_work);
@@ -341,6 +349,7 @@
                 common::log_level::info,
                 "stalled request=" + self->request.caller.attempt +
                     " server=" + of->server.id.value());
+            of->was_moved_early = !of->has_events && limit < self->silence_limit(*of);
             self->abandon(of, attempt_end::unknown, server_outcome::stalled);
             self->core->counters.resumed.add(self->is_streaming ? 1 : 0);
             self->send_next();
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -115,6 +115,8 @@
         unsigned load_samples = 0;
         /// Its pause between events, or its total time, has been reported to the roll-out guide.
         bool is_timed = false;
+        /// The request was sent elsewhere although the server does not count as silent yet.
+        bool was_moved_early = false;
         /// Its connection was lost before the response ended.
         bool was_lost = false;
         bool ended = false;
@@ -258,6 +260,8 @@
     auto give_up(common::result_code why) -> void;
 
     auto watch_for_stall(const std::shared_ptr<attempt>& of) -> void;
+    /// Wait for the first event after which the server counts as silent.
+    [[nodiscard]] auto silence_limit(const attempt& of) -> common::duration;
     /// How long the attempt may wait for its first event before the request is sent elsewhere.
     [[nodiscard]] auto first_event_limit(const attempt& of) -> common::duration;
     auto on_time_up() -> void;
--- a/source/unit_tests/http/fixture.hpp
+++ b/source/unit_tests/http/fixture.hpp
@@ -63,7 +63,7 @@
 {
     auto done = std::make_shared<std::promise<common::result<response>>>();
     auto answer = done->get_future();
-    with.send(where, std::move(asked), {{}, {}, {}, [done](common::result<response> got) {
+    with.send(where, std::move(asked), {{}, {}, [done](common::result<response> got) {
                                             done->set_value(std::move(got));
                                         }});
     return answer.get();
--- a/source/unit_tests/router/overload_admission_test.cpp
+++ b/source/unit_tests/router/overload_admission_test.cpp
@@ -9,6 +9,7 @@
 auto turn_on(router_fixture& fixture) -> void
 {
     fixture.core->overload_control = overload_state{{.mode = overload::control_mode::on}};
+    fixture.core->options.overload.admits_by_room = true;
 }
 
 /// Sends of a read whose route allows three, with these responses in turn.
