--- a/source/core/overload/held_bytes.cpp
+++ b/source/core/overload/held_bytes.cpp
@@ -22,20 +22,20 @@
 }
 
 auto held_bytes::update(
-    held_stream_id stream, std::size_t held, std::uint64_t taken, time_point now) -> void
+    held_stream_id stream, std::size_t held, std::uint64_t progress, time_point now) -> void
 {
     const auto found = this->streams.find(stream.value());
     if (found == this->streams.end()) {
         return;
     }
     auto& state = found->second;
-    const bool has_moved = taken != state.taken || held < state.held || state.held == 0;
-    if (has_moved) {
+    const bool has_progress = progress != state.progress || held < state.held || state.held == 0;
+    if (has_progress) {
         state.moved_at = now;
     }
     this->change_total(state.held, held);
     state.held = held;
-    state.taken = taken;
+    state.progress = progress;
     if (this->is_over_budget()) {
         this->exceeded_at = now;
     }
--- a/source/core/overload/held_bytes.hpp
+++ b/source/core/overload/held_bytes.hpp
@@ -19,7 +19,7 @@
 struct held_bytes_options {
     /// Most bytes that all streams may hold; 0 if unlimited.
     std::size_t budget = 0;
-    /// A stream whose reader has taken nothing for this long is given up before those that move.
+    /// A stream without progress for this long is given up before the others.
     std::chrono::milliseconds idle_after{1000};
     /// How long new streams are refused after the budget was exceeded. Without it, each new stream
     /// would be admitted at the expense of one that has begun.
@@ -41,9 +41,9 @@
     /// Forgets the stream with all that it holds. Unknown streams are ignored.
     auto remove(held_stream_id stream) -> void;
 
-    /// Sets what the stream holds now. `taken` counts the bytes that its reader has taken since its
-    /// start; a change shows that the reader moves. Unknown streams are ignored.
-    auto update(held_stream_id stream, std::size_t held, std::uint64_t taken, time_point now)
+    /// Sets what the stream holds now. `progress` counts bytes that its reader has taken or that
+    /// still arrive; a change shows that it is not idle. Unknown streams are ignored.
+    auto update(held_stream_id stream, std::size_t held, std::uint64_t progress, time_point now)
         -> void;
 
     /// Bytes held by all streams.
@@ -52,7 +52,7 @@
     /// Bytes held by the stream; 0 if it is unknown.
     [[nodiscard]] auto held_by(held_stream_id stream) const -> std::size_t;
 
-    /// Time since the stream's reader has taken something, or since the stream began to hold bytes.
+    /// Time since the stream's last progress, or since the stream began to hold bytes.
     [[nodiscard]] auto idle_time(held_stream_id stream, time_point now) const
         -> std::chrono::milliseconds;
 
@@ -72,8 +72,8 @@
 private:
     struct stream_state {
         std::size_t held = 0;
-        std::uint64_t taken = 0;
-        /// Last time that the reader took something, or that the stream began to hold bytes.
+        std::uint64_t progress = 0;
+        /// Time of the last progress, or at which the stream began to hold bytes.
         time_point moved_at{};
     };
 
