router: one block for peers' statements under overload control; no share lookup for deferred requests

Peers' speeds and slowdowns were applied in two blocks under the same condition. The urgency of a deferred request looked up its organisation's share and dropped the result. Behaviour is the same: router_test passes, 175 cases.

--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -74,12 +74,12 @@
     constexpr int middle = 4;
     constexpr int ahead = 3;
     constexpr int last = 9;
-    // An organisation beyond its share gives way by one step.
-    const auto rank = middle + static_cast<int>(this->rank()) + (this->excess() > 1.0 ? 1 : 0);
     if (this->admitted.is_deferred && !this->is_streaming && !this->is_resumed()) {
         constexpr int first_deferred = 7;
         return std::min(first_deferred + static_cast<int>(this->rank()), last);
     }
+    // An organisation beyond its share gives way by one step.
+    const auto rank = middle + static_cast<int>(this->rank()) + (this->excess() > 1.0 ? 1 : 0);
     const bool has_waited = this->ledger.sends() > 1 || this->is_resumed();
     return std::clamp(has_waited ? rank - ahead : rank, 0, last);
 }
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -279,15 +279,13 @@
     this->core->replace_evacuations(report->evacuations, report->host.value());
     this->apply_server_reports(*report, now);
     this->core->apply_limit_reports(report->limits, report->host.value());
-    if (this->core->is_overload_controlled()) {
-        this->core->stated_loads.apply_reports(report->slowdowns, now);
-    }
     const auto trusted_until = now + this->round() * load_report_rounds;
     this->core->loads.apply_reports(report->host, report->loads, trusted_until);
     this->core->shares.apply_reports(report->host, report->usage, now + this->silence());
     this->core->freshness.apply_report(report->freshness, now);
     this->core->health.apply_reports(report->host, report->outcomes, trusted_until, now);
     if (this->core->is_overload_controlled()) {
+        this->core->stated_loads.apply_reports(report->slowdowns, now);
         this->core->peer_speeds.apply_reports(report->host, report->speeds, now);
     }
     this->core->rollouts.apply_reports(evidence_source(*report), report->rollouts, now);
