rollouts: a version that the store says is complete is not barred any more

Cause: an entry judged the version worse 0.6 s after another one had written `complete`, and before it read that. Reverting notes the version as reverted; reading `complete` made it current and left it on that list, so that it was preferred and barred at once. Evidence: `new version judged worse ... elapsed_ms=16036` and `ended ... state=complete` 0.3 s later in the logs of just these two entries, and `no server available` from then on.

Reading `complete` takes the version off the list. All outcomes pass through this one place, and the store's word is final, so no other record disagrees.

Test: "a version that the store says is complete gets requests again" fails without the line (`CHECK_FALSE(rule.bars(new_version))`), passes with it.

--- a/source/core/routing/rollout_manager_outcomes.cpp
+++ b/source/core/routing/rollout_manager_outcomes.cpp
@@ -49,6 +49,9 @@
     auto& history = this->histories[service];
     if (state == rollout_state::complete) {
         history.current = target;
+        // This entry may have judged the version worse before it read the outcome. Barred and in
+        // force at the same time, the version would leave the service without any server.
+        history.reverted.erase(target);
     }
     else if (state == rollout_state::reverted) {
         history.reverted.insert(target);
--- a/source/unit_tests/routing/rollout_manager_test.cpp
+++ b/source/unit_tests/routing/rollout_manager_test.cpp
@@ -591,6 +591,20 @@
     CHECK(late.rule_for(engines, late_session, now).preferred == new_version);
 }
 
+TEST_CASE("a version that the store says is complete gets requests again", "[rollout]")
+{
+    // Guards against refusing all requests of a service: this entry judged the version worse just
+    // before it read that another one had declared the roll-out complete.
+    entry one;
+    one.note_outcomes(old_version, drafts, true, 100);
+    one.note_outcomes(new_version, drafts, false, 30);
+    REQUIRE(one.bars_new(start + seconds{14}));
+    one.apply_status(rollout_state::complete);
+    const auto rule = one.manager.rule_for(engines, late_session, start + seconds{15});
+    CHECK(rule.preferred == new_version);
+    CHECK_FALSE(rule.bars(new_version));
+}
+
 TEST_CASE("without servers of the new version the others serve", "[rollout]")
 {
     registration server;
