--- a/source/core/policy/regression_detector.cpp
+++ b/source/core/policy/regression_detector.cpp
@@ -39,17 +39,24 @@
     return top + std::log(sum / static_cast<double>(values.size()));
 }
 
-/// The log wealth against the version when the initial wealth is split over the signals by
-/// `weights`.
-auto mixed_log_wealth(std::span<const double> all, const std::array<double, signal_count>& weights)
-    -> double
+/// The log wealth of each signal's bets against the version when the initial wealth is split over
+/// the signals by `weights`.
+auto log_wealth_by_signal(
+    std::span<const double> all, const std::array<double, signal_count>& weights)
+    -> std::array<double, signal_count>
 {
     std::array<double, signal_count> terms{};
     for (std::size_t i = 0; i < signal_count; ++i) {
         const double weight = weights[i] * static_cast<double>(signal_count);
-        terms[i] = log_mean_exp(all.subspan(i * bet_count, bet_count)) + std::log(weight);
+        terms[i] = log_mean_exp(bets_on(all, static_cast<signal>(i))) + std::log(weight);
     }
-    return log_mean_exp(terms);
+    return terms;
+}
+
+auto mixed_log_wealth(std::span<const double> all, const std::array<double, signal_count>& weights)
+    -> double
+{
+    return log_mean_exp(log_wealth_by_signal(all, weights));
 }
 
 enum class direction : std::uint8_t { below, above };
@@ -70,6 +77,11 @@
     }
 }
 
+auto is_binary(signal what) -> bool
+{
+    return what == signal::error || what == signal::slow;
+}
+
 auto clamp_unit(double value) -> double
 {
     // A score outside [0, 1] from the external rating service would invalidate the supermartingale.
@@ -78,6 +90,21 @@
 
 } // namespace
 
+auto to_string(signal what) -> std::string_view
+{
+    switch (what) {
+    case signal::rating:
+        return "rating";
+    case signal::error:
+        return "error";
+    case signal::slow:
+        return "late_first_event";
+    case signal::latency:
+        return "time";
+    }
+    return "unknown";
+}
+
 auto combined_mean(const sample_mean& one, const sample_mean& other) -> sample_mean
 {
     const double count = one.count + other.count;
@@ -111,11 +138,14 @@
     return baseline_estimate(known).count >= this->options.min_baseline_count;
 }
 
-auto regression_evidence::baseline_error(const baseline& known) const -> double
+auto regression_evidence::baseline_error(signal what) const -> double
 {
-    const double count = baseline_estimate(known).count;
+    const auto& known = this->baselines[index_of(what)];
+    const auto [mean, count] = baseline_estimate(known);
     const bool has_own_variance = known.values.weight() >= this->options.min_baseline_count;
-    const double spread = has_own_variance ? known.values.variance() : unknown_variance;
+    // The variance of a signal that is either 0 or 1 follows from its mean.
+    const double other_spread = is_binary(what) ? mean * (1.0 - mean) : unknown_variance;
+    const double spread = has_own_variance ? known.values.variance() : other_spread;
     // The second term accounts for rates without any observed case, which need not be 0.
     return this->options.baseline_standard_errors * std::sqrt(spread / count) + 1.0 / count;
 }
@@ -165,8 +195,8 @@
     const auto first = index_of(what) * bet_count;
     const auto& known = this->baselines[index_of(what)];
     const double mean = baseline_estimate(known).value;
-    const double lower = mean - this->baseline_error(known);
-    const double upper = mean + this->baseline_error(known);
+    const double lower = mean - this->baseline_error(what);
+    const double upper = mean + this->baseline_error(what);
     using enum direction;
     switch (what) {
     case signal::rating:
@@ -249,6 +279,23 @@
     return found;
 }
 
+auto log_against(const wealth& total, signal what) -> double
+{
+    if (total.size() != wealth_size) {
+        return 0.0;
+    }
+    return log_mean_exp(bets_on(std::span<const double>(total), what));
+}
+
+auto strongest_signal(const wealth& total, const regression_detector_options& options) -> signal
+{
+    if (total.size() != wealth_size) {
+        return signal::error;
+    }
+    const auto terms = log_wealth_by_signal(total, options.weights);
+    return static_cast<signal>(std::ranges::max_element(terms) - terms.begin());
+}
+
 drift_detector::drift_detector(double run_length)
     : threshold(std::log(run_length)), minima(wealth_size, 0.0)
 {
--- a/source/core/policy/regression_detector.hpp
+++ b/source/core/policy/regression_detector.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include "policy/quality.hpp"
@@ -28,6 +29,8 @@
 
 inline constexpr std::size_t signal_count = 4;
 
+auto to_string(signal what) -> std::string_view;
+
 /// The stakes of the parallel bets, as fractions of the largest possible stake. Small stakes detect
 /// small differences late, large stakes detect large differences early; the logarithm of their mean
 /// wealth is within log(4) of the best of them.
@@ -73,6 +76,14 @@
 
 inline constexpr std::size_t wealth_size = (signal_count + 1) * bet_fractions.size();
 
+/// The part of `all`, which has `wealth_size` elements, that bets on one signal.
+template <typename Log>
+auto bets_on(std::span<Log> all, signal what) -> std::span<Log>
+{
+    constexpr auto count = bet_fractions.size();
+    return all.subspan(static_cast<std::size_t>(what) * count, count);
+}
+
 /// One process's evidence that a new version is worse than the version it replaces: a sequential
 /// test by betting (Waudby-Smith and Ramdas, "Estimating means of bounded random variables by
 /// betting", 2023).
@@ -118,7 +129,7 @@
 
     [[nodiscard]] static auto baseline_estimate(const baseline& known) -> sample_mean;
     [[nodiscard]] auto has_baseline(const baseline& known) const -> bool;
-    [[nodiscard]] auto baseline_error(const baseline& known) const -> double;
+    [[nodiscard]] auto baseline_error(signal what) const -> double;
     auto bet_on_pending(signal what) -> void;
     auto bet(signal what, double value) -> void;
 
@@ -162,6 +173,13 @@
     const wealth& total, const regression_detector_options& options, double error_probability)
     -> evaluation;
 
+/// Returns the log wealth against the version of one signal's bets, as if no other signal had a
+/// share of the initial wealth.
+auto log_against(const wealth& total, signal what) -> double;
+
+/// Returns the signal with the most wealth against the version.
+auto strongest_signal(const wealth& total, const regression_detector_options& options) -> signal;
+
 /// Detects a change in the summed drift wealth by its largest increase since any earlier time
 /// (CUSUM; Shin, Ramdas and Rinaldo, "E-detectors", 2023). Without a change, the mean number of
 /// ratings until a false alarm is at least `run_length`.
--- a/source/core/router/log_fields.cpp
+++ b/source/core/router/log_fields.cpp
@@ -43,4 +43,13 @@
     return excess > 1.0 ? " excess=" + two_decimals(excess) : std::string{};
 }
 
+auto load_field(const std::optional<routing::stated_load>& load) -> std::string
+{
+    if (!load) {
+        return {};
+    }
+    return " load=" + std::to_string(load->running) + "/" + std::to_string(load->waiting) + "/" +
+           std::to_string(load->slots);
+}
+
 } // namespace reedramp::router
--- a/source/core/router/log_fields.hpp
+++ b/source/core/router/log_fields.hpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "routing/configuration.hpp"
+#include "routing/server_load_tracker.hpp"
 
 namespace reedramp::router {
 
@@ -17,4 +18,8 @@
 /// Field ` excess=` with two decimals; empty if the organisation is within its share.
 auto excess_field(double excess) -> std::string;
 
+/// Field ` load=` with the requests that a server stated as running and waiting, and its slots;
+/// empty if it stated none.
+auto load_field(const std::optional<routing::stated_load>& load) -> std::string;
+
 } // namespace reedramp::router
--- a/source/core/router/peer_report.cpp
+++ b/source/core/router/peer_report.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <optional>
+#include <span>
 
 #include <boost/asio/ip/address_v4.hpp>
 #include <capnp/message.h>
@@ -50,6 +51,47 @@
     std::ranges::for_each(to.baseline_times, next);
 }
 
+/// Only failures are counted by occupancy, so the bets on other signals are not sent.
+constexpr unsigned high_occupancy_field_count =
+    static_cast<unsigned>(policy::bet_fractions.size()) + values_per_mean;
+
+auto fill_high_occupancy(schema::RouteEvidence::Builder to, const routing::evidence_report& from)
+    -> void
+{
+    if (from.high_occupancy_bets.size() != policy::wealth_size) {
+        return;
+    }
+    auto fields = to.initHighOccupancyFailures(high_occupancy_field_count);
+    unsigned at = 0;
+    for (const double log : policy::bets_on(
+             std::span<const double>(from.high_occupancy_bets), policy::signal::error)) {
+        fields.set(at++, static_cast<float>(log));
+    }
+    fields.set(at++, static_cast<float>(from.high_occupancy_old_failures.value));
+    fields.set(at, static_cast<float>(from.high_occupancy_old_failures.count));
+}
+
+auto read_high_occupancy(schema::RouteEvidence::Reader from, routing::evidence_report& to) -> void
+{
+    const auto fields = from.getHighOccupancyFailures();
+    // A peer of another release does not send them.
+    if (fields.size() != high_occupancy_field_count) {
+        return;
+    }
+    unsigned at = 0;
+    const auto next = [&fields, &at]() -> double {
+        const double value = fields[at++];
+        return std::isfinite(value) ? value : 0.0;
+    };
+    to.high_occupancy_bets.assign(policy::wealth_size, 0.0);
+    for (double& log :
+         policy::bets_on(std::span<double>(to.high_occupancy_bets), policy::signal::error)) {
+        log = next();
+    }
+    const double value = next();
+    to.high_occupancy_old_failures = {value, std::max(next(), 0.0)};
+}
+
 auto read_evidence(schema::RouteEvidence::Reader from) -> std::optional<routing::evidence_report>
 {
     routing::evidence_report report;
@@ -63,6 +105,7 @@
         return std::nullopt;
     }
     read_mean_fields(from.getOldMeans(), report);
+    read_high_occupancy(from, report);
     return report;
 }
 
@@ -83,8 +126,10 @@
             logs.set(i, static_cast<float>(report.bets[i]));
         }
         fill_mean_fields(one.initOldMeans(mean_field_count), report);
+        fill_high_occupancy(one, report);
     }
     to.setShare(from.share);
+    to.setLoadTestShare(from.load_test_share);
     to.setFirstShare(from.first_share);
     to.setRate(static_cast<float>(from.rate));
     to.setState(static_cast<std::uint8_t>(from.state));
@@ -118,6 +163,9 @@
     report.is_written = from.getIsWritten();
     const double share = from.getShare();
     report.share = std::isfinite(share) ? std::clamp(share, 0.0, 1.0) : 0.0;
+    const double load_test_share = from.getLoadTestShare();
+    report.load_test_share =
+        std::isfinite(load_test_share) ? std::clamp(load_test_share, 0.0, 1.0) : 0.0;
     const double first_share = from.getFirstShare();
     report.first_share = std::isfinite(first_share) ? std::clamp(first_share, 0.0, 1.0) : 0.0;
     const double rate = from.getRate();
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -61,6 +61,8 @@
   wealth @1 :List(Float32);
   # Means of the old version, as pairs of mean and count: by signal, then usual times by timed part.
   oldMeans @2 :List(Float32);
+  # Failures at servers with high occupancy: the bets on them, then the old version's mean and count.
+  highOccupancyFailures @3 :List(Float32);
 }
 
 # A session that the sender keeps on an old version, and for how long if it gets no more requests.
@@ -85,6 +87,8 @@
   firstShare @10 :Float64;
   # Requests per second for the service at the sender.
   rate @11 :Float32;
+  # Share of the sessions that fill a server, during the load test.
+  loadTestShare @12 :Float64;
 }
 
 struct OverloadReport {
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -135,7 +135,14 @@
     next->work = work.prompt + work.answer;
     next->prompt_work = work.prompt;
     next->memory = work.memory;
-    next->work_ahead = this->core->loads.total(next->server, now).work + work.prompt;
+    const auto load = this->core->loads.total(next->server, now);
+    next->requests_with_it = load.requests + 1.0;
+    next->slots = server.slots;
+    next->work_ahead = load.work + work.prompt;
+    next->reading_ahead = load.reading + work.prompt;
+    const auto rule = this->version_rule(now);
+    next->is_load_test =
+        this->load_test_server(rule, this->core->servers.usable(this->service), now) == &server;
     if (this->core->is_overload_controlled()) {
         next->cost = routing::cost_of(
             server,
@@ -155,7 +162,10 @@
     this->note_usage(next->work);
     this->core->loads.begin(next->server, next->work, next->prompt_work, next->memory);
     this->core->limiter.note_sent(server, this->cold_per_second(), now);
-    this->core->rollouts.note_sent(this->service, this->session_hash, server.version, now);
+    this->core->load_test_routes.note(
+        this->service, this->request.route->name, work.prompt, work.answer);
+    this->core->rollouts.note_sent(
+        this->service, this->session_hash, server.version, now, server.slots);
     return next;
 }
 
@@ -171,6 +181,29 @@
         this->urgency()};
 }
 
+auto relay::slots_used(const attempt& of) const -> double
+{
+    if (!of.stated_load) {
+        return of.requests_with_it;
+    }
+    const auto running = static_cast<double>(of.stated_load->running);
+    // A stream's head comes when it begins to run, and requests that still wait for their prompts
+    // to be read take no slot. A plain answer comes when others may have ended already.
+    return this->is_stream() ? running : std::max(running, of.requests_with_it);
+}
+
+auto relay::occupancy_of(const attempt& of) const -> routing::occupancy
+{
+    // That a busy server took longer than a caller had is no failure of its version. Times are
+    // compared with the effect of load removed.
+    if (of.was_timed_out) {
+        return routing::occupancy::usual;
+    }
+    const auto from = routing::high_occupancy_part * static_cast<double>(of.slots);
+    return of.slots > 0 && this->slots_used(of) >= from ? routing::occupancy::high
+                                                        : routing::occupancy::usual;
+}
+
 auto relay::end_attempt(const std::shared_ptr<attempt>& of, attempt_end end, server_outcome outcome)
     -> void
 {
@@ -197,7 +230,11 @@
     }
     else if (outcome == server_outcome::good || outcome == server_outcome::failed) {
         this->core->rollouts.note_outcome(
-            this->service, of->version, this->request.route->name, outcome == server_outcome::good);
+            this->service,
+            of->version,
+            this->request.route->name,
+            outcome == server_outcome::good,
+            this->occupancy_of(*of));
     }
     // Requests that leave a server early do so together, behind one long prompt, which says nothing
     // about the server's version.
@@ -358,6 +395,9 @@
 
 auto relay::on_time_up() -> void
 {
+    if (this->current) {
+        this->current->was_timed_out = true;
+    }
     this->stop(
         server_outcome::failed, result_code::deadline_too_near, result_code::deadline_passed);
 }
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -80,11 +80,19 @@
         /// Work still in flight; `prompt_work` of it ends with the first event.
         double work = 0.0;
         double prompt_work = 0.0;
+        /// Requests in flight at the server when it was sent, including itself, and the server's
+        /// slots.
+        double requests_with_it = 1.0;
+        unsigned slots = 0;
         /// Tokens that it holds in the server's memory.
         double memory = 0.0;
         /// Work that the server had to do before this attempt's first event, including its own
         /// prompt.
         double work_ahead = 0.0;
+        /// Prompt tokens that it had to read before, its own included.
+        double reading_ahead = 0.0;
+        /// It was sent to the server that is filled first.
+        bool is_load_test = false;
         /// Cost of the choice of its server, and the wait for its first event predicted from that;
         /// none without overload control.
         std::optional<double> cost;
@@ -95,6 +103,8 @@
         http::response head;
         /// Directives of the server in that head.
         server_directives directives;
+        /// Load that the server stated in that head.
+        std::optional<routing::stated_load> stated_load;
         std::string body;
         std::shared_ptr<http::call> call;
         std::optional<routing::event_splitter> events;
@@ -109,14 +119,15 @@
         std::int64_t first_events = 0;
         /// Its pauses are a sample of the server's speed already.
         bool is_speed_sampled = false;
-        /// Prompts being read by the server, summed over `load_samples` samples taken during the
-        /// stream.
-        double reading_sum = 0.0;
+        /// Load of the server, summed over `load_samples` samples taken during the stream.
+        routing::answer_load load_sum;
         unsigned load_samples = 0;
         /// Its pause between events, or its total time, has been reported to the roll-out guide.
         bool is_timed = false;
         /// The request was sent elsewhere although the server does not count as silent yet.
         bool was_moved_early = false;
+        /// Its time was up before it had been answered.
+        bool was_timed_out = false;
         /// Its connection was lost before the response ended.
         bool was_lost = false;
         bool ended = false;
@@ -129,6 +140,19 @@
     [[nodiscard]] auto filter_by_version(
         const routing::version_rule& rule, std::vector<const routing::registration*> usable) const
         -> std::vector<const routing::registration*>;
+    /// How well requests of its kind fill a server in a load test.
+    [[nodiscard]] auto load_test_fill() const -> routing::fill_level;
+    /// The server of a new version that is filled first; null if none is needed.
+    [[nodiscard]] auto load_test_server(
+        const routing::version_rule& rule,
+        const std::vector<const routing::registration*>& usable,
+        time_point now) const -> const routing::registration*;
+    /// Whether the request may be sent to the server that is filled first, without harm to its
+    /// caller.
+    [[nodiscard]] auto
+    has_room_for_load_test(const routing::registration& server, time_point now) const -> bool;
+    /// Whether the request should not go there while others of the version are available.
+    [[nodiscard]] auto is_out(const routing::registration& server, time_point now) const -> bool;
     [[nodiscard]] auto has_tried(const routing::registration& server) const -> bool;
     /// Servers of the request's service that the rules allow for it.
     [[nodiscard]] auto eligible_servers() const -> std::vector<const routing::registration*>;
@@ -232,6 +256,11 @@
     /// Reports the total time of an attempt that ended, or its lower bound if it was given up.
     auto note_total_time(attempt& of, routing::time_bound bound) const -> void;
     auto note_time(attempt& of, const routing::timed_answer& timed) const -> void;
+    /// Slots of the server that were in use while it worked on the attempt, as far as known.
+    [[nodiscard]] auto slots_used(const attempt& of) const -> double;
+    [[nodiscard]] auto occupancy_of(const attempt& of) const -> routing::occupancy;
+    /// Whether the server had hardly a slot left, so that requests may have waited for one.
+    [[nodiscard]] auto was_nearly_full(const attempt& of) const -> bool;
     auto log_answer(const attempt& of, std::string_view what) const -> void;
     auto log_connection_lost(const attempt& of, const common::error& why) -> void;
     auto on_connection_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void;
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::uint16_t misdirected = 421;
+constexpr std::uint16_t gateway_timeout = 504;
 constexpr std::uint16_t unavailable = 503;
 
 /// Retries that larger models leave in the budget: about those that the loss of one server needs.
@@ -87,7 +88,7 @@
         this->apply_directives(*of);
         if (of->head_verdict != verdict::untrusted) {
             const bool is_refusal = of->head_verdict == verdict::not_executed;
-            this->core->apply_load(
+            of->stated_load = this->core->apply_load(
                 {this->service, of->server, of->work},
                 head,
                 is_refusal,
@@ -151,7 +152,7 @@
         "answer " + std::string{accepted ? "accepted" : "dropped"} + " request=" +
             this->request.caller.attempt + owner_fields(this->request.owner, this->rank()) +
             " model=" + this->model + " confidence=" + std::to_string(confidence) +
-            " asked=" + std::to_string(static_cast<int>(required)) +
+            " asked=" + std::to_string(static_cast<int>(required)) + load_field(of->stated_load) +
             pressure_field(this->core->pressure(this->service)));
     // An answer is not dropped if no server would accept the request again: all may be cold or
     // evacuated by now. Asking a second model uses the retry budget like any other further send.
@@ -227,7 +228,9 @@
     if (of.is_timed) {
         return;
     }
-    of.reading_sum += this->core->loads.total(of.server, of.last_progress).reading;
+    const auto load = this->core->loads.total(of.server, of.last_progress);
+    of.load_sum.reading += load.reading;
+    of.load_sum.requests += load.requests;
     of.load_samples += 1;
     if (of.events_seen < enough_events) {
         return;
@@ -238,7 +241,10 @@
         of,
         {.part = routing::timed_part::event_pause,
          .took_ms = took.count() / pauses,
-         .reading = of.reading_sum / of.load_samples});
+         .load = {
+             of.load_sum.reading / of.load_samples,
+             of.load_sum.requests / of.load_samples,
+             of.is_load_test}});
 }
 
 auto relay::note_total_time(attempt& of, routing::time_bound bound) const -> void
@@ -248,13 +254,15 @@
     // A dropped answer of a small model ends with its head, and would count as very fast.
     const bool is_dropped =
         this->is_stream() && bound == routing::time_bound::seen && !of.has_events;
-    if (!of.is_timed && !is_dropped) {
+    const bool waited_for_slot = !this->is_stream() && this->was_nearly_full(of);
+    if (!of.is_timed && !is_dropped && !waited_for_slot) {
         this->note_time(
             of,
             {.part = this->is_stream() ? routing::timed_part::whole_answer
                                        : routing::timed_part::plain_answer,
              .took_ms = took.count(),
-             .bound = bound});
+             .bound = bound,
+             .load = {of.reading_ahead, of.requests_with_it, of.is_load_test}});
     }
 }
 
@@ -284,7 +292,12 @@
             this->core->note_first_event(route, took);
             if (!of->is_cold) {
                 this->core->rollouts.note_first_event(
-                    this->service, of->version, route, took, of->last_progress);
+                    this->service,
+                    of->version,
+                    route,
+                    took,
+                    of->last_progress,
+                    {of->reading_ahead, of->requests_with_it, of->is_load_test});
             }
         }
         if (!this->is_streaming) {
@@ -355,6 +368,7 @@
 auto relay::on_server_failure(const std::shared_ptr<attempt>& of) -> void
 {
     this->log_answer(*of, "server failed");
+    of->was_timed_out = of->head.status == gateway_timeout;
     this->end_attempt(of, attempt_end::ran, server_outcome::failed);
     // A read that fails in the same way at two servers most likely fails at all of them.
     const bool is_same_failure = this->request.route->kind == routing::request_kind::idempotent &&
@@ -376,6 +390,7 @@
         common::log_level::info,
         std::string{what} + " request=" + this->request.caller.attempt +
             " server=" + of.server.id.value() + " status=" + std::to_string(of.head.status) +
+            load_field(of.stated_load) +
             (of.directives.backoff ? " rest_ms=" + std::to_string(of.directives.backoff->count())
                                    : "") +
             (of.directives.has_malformed_backoff ? " rest=unreadable" : ""));
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -14,6 +14,9 @@
 /// in one step, so one more answer slows the others little, while processing a prompt stops them
 /// all.
 constexpr double prompt_tokens_per_answer_token = 2.0;
+/// Part of its slots from which a plain server counts as nearly full. The rest is for requests of
+/// other entries that are not known here yet.
+constexpr double nearly_full_part = 0.75;
 /// Work of a request to a plain service, in tokens; about that of a short prompt.
 constexpr double plain_work = 1000.0;
 
@@ -120,7 +123,11 @@
 
 auto relay::version_rule(time_point now) const -> routing::version_rule
 {
-    return this->core->rollouts.rule_for(this->service, this->session_hash, now);
+    const auto kind = this->request.caller.session.empty()
+                          ? routing::session_kind::single_request
+                          : routing::session_kind::several_requests;
+    return this->core->rollouts.rule_for(
+        this->service, this->session_hash, now, {kind, this->load_test_fill()});
 }
 
 auto relay::has_tried(const routing::registration& server) const -> bool
@@ -244,15 +251,86 @@
 {
     const auto now = this->core->hooks.clock();
     routing::keep_allowed(usable, rule);
-    if (rule.preferred && rule.spread < 1.0) {
+    if (!rule.preferred) {
+        return usable;
+    }
+    if (rule.spread < 1.0) {
         routing::keep_canaries(usable, rule.spread, [this, now](const auto& server) {
-            return this->has_tried(server) || this->core->limiter.is_restricted(server, now) ||
-                   this->core->health.is_ejected(server.instance(), now);
+            return this->is_out(server, now);
         });
     }
+    const auto* first = this->load_test_server(rule, usable, now);
+    if (first != nullptr && this->has_room_for_load_test(*first, now)) {
+        return {first};
+    }
+    // Long prompts would block that server for those that fill it.
+    if (usable.size() > 1) {
+        std::erase(usable, first);
+    }
     return usable;
 }
 
+auto relay::is_out(const routing::registration& server, time_point now) const -> bool
+{
+    return this->has_tried(server) || this->core->limiter.is_restricted(server, now) ||
+           this->core->health.is_ejected(server.instance(), now);
+}
+
+auto relay::load_test_server(
+    const routing::version_rule& rule,
+    const std::vector<const routing::registration*>& usable,
+    time_point now) const -> const routing::registration*
+{
+    if (!rule.needs_load_test) {
+        return nullptr;
+    }
+    return routing::load_test_server(usable, [this, &rule, now](const auto& server) {
+        return server.version != rule.preferred || this->is_out(server, now);
+    });
+}
+
+auto relay::load_test_fill() const -> routing::fill_level
+{
+    return this->is_stream()
+               ? this->core->load_test_routes.level_of(this->service, this->request.route->name)
+               : routing::fill_level::most;
+}
+
+auto relay::has_room_for_load_test(const routing::registration& server, time_point now) const
+    -> bool
+{
+    // Streams that wait for their prompts to be read take no slot.
+    const double max_occupancy = this->is_stream() ? 1.0 : nearly_full_part;
+    // Leaves time to answer in time if the prediction is too short. Requests that fill the server
+    // less well go there only while it has little to read, or they would keep it reading.
+    const auto fill = this->load_test_fill();
+    const double max_part_of_target = fill == routing::fill_level::most ? 0.5 : 0.2;
+    // A longer prompt would keep all others waiting, so that the server never fills.
+    constexpr double max_prompt_part_of_target = 0.125;
+    if (server.is_cold(now) || fill == routing::fill_level::little) {
+        return false;
+    }
+    const auto load = this->core->loads.total(server.instance(), now);
+    if (load.requests + 1.0 > max_occupancy * static_cast<double>(server.slots)) {
+        return false;
+    }
+    // A plain server runs as many requests side by side as it has slots.
+    if (!this->is_stream()) {
+        return true;
+    }
+    const auto& speeds = this->core->speeds[this->service];
+    const auto prompt = this->work().prompt;
+    const auto target =
+        std::min<common::duration>(this->request.route->target, this->give_up_at - now);
+    return speeds.expected(load.reading + prompt) <= max_part_of_target * target &&
+           speeds.expected_queueing(prompt) <= max_prompt_part_of_target * target;
+}
+
+auto relay::was_nearly_full(const attempt& of) const -> bool
+{
+    return of.slots > 0 && this->slots_used(of) > nearly_full_part * static_cast<double>(of.slots);
+}
+
 auto relay::cold_per_second() const -> double
 {
     const auto* known = this->request.rules->find_service(this->service);
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -27,6 +27,7 @@
 #include "routing/first_event_estimator.hpp"
 #include "routing/home_regions.hpp"
 #include "routing/list_freshness.hpp"
+#include "routing/load_test_routes.hpp"
 #include "routing/load_tracker.hpp"
 #include "routing/model_choice.hpp"
 #include "routing/peer_speed_table.hpp"
@@ -208,13 +209,13 @@
     auto apply_backoff(const routing::server_instance& server, std::chrono::milliseconds backoff)
         -> void;
 
-    /// Applies the load that a server stated in the head of its response to the attempt, if any. A
-    /// refusal means that the server has not run the request.
+    /// Applies and returns the load that a server stated in the head of its response to the
+    /// attempt, if any. A refusal means that the server has not run the request.
     auto apply_load(
         const answering_server& from,
         const http::response& head,
         bool is_refusal,
-        const std::string& attempt) -> void;
+        const std::string& attempt) -> std::optional<routing::stated_load>;
 
     /// Applies limits that a peer has read in servers' responses.
     auto apply_limit_reports(
@@ -263,6 +264,7 @@
     routing::evacuation_registry evacuations;
     routing::crash_tracker crashes;
     routing::rollout_manager rollouts;
+    routing::load_test_routes load_test_routes;
     metrics::registry series;
     routing::wait_gauge waits;
     router_metrics counters;
--- a/source/core/router/stated_loads.cpp
+++ b/source/core/router/stated_loads.cpp
@@ -11,7 +11,7 @@
     const answering_server& from,
     const http::response& head,
     bool is_refusal,
-    const std::string& attempt) -> void
+    const std::string& attempt) -> std::optional<routing::stated_load>
 {
     const auto read = read_server_load(head, this->options.names);
     if (read.is_malformed && this->stated_loads.note_malformed(from.server)) {
@@ -22,13 +22,14 @@
             "server's load is malformed server=" + to_string(from.server) + " request=" + attempt);
     }
     if (!read.load) {
-        return;
+        return std::nullopt;
     }
     this->stated_loads.note(
         from.service, {from.server, *read.load, this->hooks.clock(), from.work}, is_refusal);
     if (read.load->slowdown) {
         this->overload_control.note_stated_speed();
     }
+    return read.load;
 }
 
 } // namespace reedramp::router
--- a/source/core/routing/load_effect.cpp
+++ b/source/core/routing/load_effect.cpp
@@ -2,21 +2,17 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace reedramp::routing {
 
 namespace {
 
-/// Prompt tokens, of the largest model, that an engine reads in about one step. Fewer have no
-/// noticeable effect.
-constexpr double tokens_in_a_step = 300.0;
 /// Number of streams that the estimate averages over: some ten seconds at a busy entry.
 constexpr double memory = 300.0;
-/// Prior estimate, and the number of streams that it counts for. Engines that read prompts in
-/// chunks between their steps showed 0.26 to 0.49 on three services.
-constexpr double prior_slope = 0.33;
+/// Number of streams that the prior estimate counts for.
 constexpr double prior_weight = 20.0;
-/// The slope is at least 0 and at most 1: load never makes an engine faster, nor pauses longer than
+/// The slope is at least 0 and at most 1: load never makes an engine faster, nor times longer than
 /// in proportion.
 constexpr double max_slope = 1.0;
 /// Minimum weight of a route's means before they are used.
@@ -24,44 +20,67 @@
 /// Larger deviations have another cause: a server that hung, or a clock that stepped.
 constexpr double max_distance = 4.0;
 
-auto log_load(double reading) -> double
+} // namespace
+
+auto load_effect::log_load(double load) const -> double
 {
-    const double sound = std::isfinite(reading) ? std::max(reading, 0.0) : 0.0;
-    return std::log1p(sound / tokens_in_a_step);
+    const double sound = std::isfinite(load) ? std::max(load, 0.0) : 0.0;
+    return std::log1p(sound / this->settings.unit);
 }
 
-} // namespace
+auto load_effect::highest_usual_load() const -> double
+{
+    if (this->loads.weight() < prior_weight) {
+        return std::numeric_limits<double>::infinity();
+    }
+    constexpr double standard_deviations = 2.0;
+    return this->loads.mean() + standard_deviations * std::sqrt(this->loads.variance());
+}
 
-auto load_effect::note(const route_name& route, double reading, double log_pause) -> void
+auto load_effect::note(const route_name& route, double load, double log_time) -> void
 {
-    if (!std::isfinite(log_pause)) {
+    if (!std::isfinite(log_time)) {
         return;
     }
     auto& means = this->routes[route];
-    const double load = log_load(reading);
+    const double log_of_load = this->log_load(load);
     const bool is_known = means.load.weight() >= min_weight;
-    const double load_distance = load - means.load.mean();
-    const double pause_distance = log_pause - means.pause.mean();
-    if (is_known && std::abs(pause_distance) <= max_distance) {
+    const double load_distance = log_of_load - means.load.mean();
+    const double time_distance = log_time - means.time.mean();
+    if (is_known && std::abs(time_distance) <= max_distance) {
         constexpr double kept = 1.0 - 1.0 / memory;
         this->load_squares = this->load_squares * kept + load_distance * load_distance;
-        this->products = this->products * kept + load_distance * pause_distance;
+        this->products = this->products * kept + load_distance * time_distance;
         this->count = this->count * kept + 1.0;
     }
-    means.load.add(load, memory);
-    means.pause.add(log_pause, memory);
+    means.load.add(log_of_load, memory);
+    means.time.add(log_time, memory);
+    this->loads.add(log_of_load, memory);
 }
 
 auto load_effect::slope() const -> double
 {
-    const double found =
-        (this->products + prior_weight * prior_slope) / (this->load_squares + prior_weight);
+    const double found = (this->products + prior_weight * this->settings.prior_slope) /
+                         (this->load_squares + prior_weight);
     return std::clamp(found, 0.0, max_slope);
 }
 
-auto load_effect::without_load(double reading, double log_pause) const -> double
+auto load_effect::without_load(double load, double log_time) const -> double
 {
-    return log_pause - this->slope() * log_load(reading);
+    return log_time - this->slope() * this->log_load(load);
+}
+
+auto load_effect::beyond_usual(const route_name& route, double load) const -> double
+{
+    const auto known = this->routes.find(route);
+    if (known == this->routes.end()) {
+        return 0.0;
+    }
+    const double log_of_load = this->log_load(load);
+    const double usual = std::min(log_of_load, this->highest_usual_load());
+    const double slope_beyond = std::max(this->slope(), this->settings.min_slope_beyond);
+    return std::max(0.0, this->slope() * (usual - known->second.load.mean())) +
+           slope_beyond * (log_of_load - usual);
 }
 
 } // namespace reedramp::routing
--- a/source/core/routing/rollout.cpp
+++ b/source/core/routing/rollout.cpp
@@ -43,4 +43,13 @@
     return share >= 1.0 || static_cast<double>(session_hash) * scale < share;
 }
 
+auto is_in_cycle_share(std::chrono::milliseconds elapsed, double share) -> bool
+{
+    // Long compared with a plain answer and with the time by which entries' views of `elapsed`
+    // differ; several cycles fit into the first half of a short roll-out.
+    constexpr std::chrono::milliseconds cycle{2000};
+    const auto passed = elapsed % cycle;
+    return static_cast<double>(passed.count()) < share * static_cast<double>(cycle.count());
+}
+
 } // namespace reedramp::routing
--- a/source/core/routing/rollout.hpp
+++ b/source/core/routing/rollout.hpp
@@ -73,4 +73,12 @@
 /// another entry's session.
 auto is_in_share(std::uint64_t session_hash, double share) -> bool;
 
+/// Whether a request without a session is in the `share` for the new version, `elapsed` after the
+/// order: all of them in the first part of each cycle of some seconds, none in the rest of it.
+///
+/// Such requests may change their version at any time. One by one, those of a service with few
+/// requests would each find the new version's servers idle, and a version that fails under load
+/// would not show it; together they meet the load that the service's callers make.
+auto is_in_cycle_share(std::chrono::milliseconds elapsed, double share) -> bool;
+
 } // namespace reedramp::routing
--- a/source/core/routing/rollout_manager.cpp
+++ b/source/core/routing/rollout_manager.cpp
@@ -22,6 +22,19 @@
 /// Minimum request rate, per second, at which a fraction of it is meaningful.
 constexpr double min_rate = 0.5;
 
+/// Largest share of the sessions that fill a server for the load test. The rest stays with the old
+/// version, so that times can be compared.
+constexpr double max_load_test_share = 0.9;
+/// The same of those that fill it less well, each of which needs more of what a bad version may
+/// get.
+constexpr double max_share_of_some_fill = 0.5;
+/// Requests in flight on the new version, as a multiple of those that fill a server: not all of
+/// them are of the kinds that fill it.
+constexpr double load_test_margin = 2.0;
+/// Evidence from answers at high occupancy, as a logarithm, at which the version has shown itself
+/// there: some twelve answers without a failure.
+constexpr double proven_at_high_occupancy = -2.0;
+
 } // namespace
 
 auto rollout_manager::apply_order(const rollout_order& wanted, time_point now) -> void
@@ -144,7 +157,8 @@
 
 auto rollout_manager::may_move(const rollout& one, time_point now) const -> bool
 {
-    return this->share_of(one, now) > this->schedule_of(one).first_share;
+    return one.reached_load_test_share > 0.0 ||
+           this->share_of(one, now) > this->schedule_of(one).first_share;
 }
 
 auto rollout_manager::share_of(const rollout& one, time_point now) const -> double
@@ -173,6 +187,45 @@
     return schedule;
 }
 
+auto rollout_manager::share_for(const rollout& one, fill_level fill) -> double
+{
+    switch (fill) {
+    case fill_level::little:
+        return one.reached_share;
+    case fill_level::some:
+        return std::max(
+            one.reached_share, std::min(one.reached_load_test_share, max_share_of_some_fill));
+    case fill_level::most:
+        return std::max(one.reached_share, one.reached_load_test_share);
+    }
+    return one.reached_share;
+}
+
+auto rollout_manager::knows_slots(const rollout& one) const -> bool
+{
+    const auto usage = this->usages.find(one.order.service);
+    return usage != this->usages.end() && usage->second.slots > 0;
+}
+
+auto rollout_manager::load_test_share(const rollout& one, time_point now) const -> double
+{
+    const auto begins = one.order.allowed * this->settings.schedule.second_at;
+    const bool is_doubtful =
+        one.evidence.log_against().high_occupancy > this->settings.high_occupancy_doubt;
+    const bool is_due =
+        this->elapsed(one, now) >= begins && this->may_load_test(one) && !is_doubtful;
+    const auto usage = this->usages.find(one.order.service);
+    const auto rate = this->rates.find(one.order.service);
+    if (!is_due || !this->knows_slots(one) || !usage->second.has_sessions ||
+        rate == this->rates.end()) {
+        return 0.0;
+    }
+    const auto own_rate = std::max(rate->second.per_second(now), min_rate);
+    const auto used = usage->second.in_flight.mean() * this->total_rate(one, now) / own_rate;
+    const auto wanted = high_occupancy_part * static_cast<double>(usage->second.slots);
+    return std::min(used > wanted ? load_test_margin * wanted / used : 1.0, max_load_test_share);
+}
+
 auto rollout_manager::total_rate(const rollout& one, time_point now) const -> double
 {
     const auto own = this->rates.find(one.order.service);
@@ -211,16 +264,21 @@
 auto rollout_manager::is_growth_held(const rollout& one, time_point now) const -> bool
 {
     const auto latest = one.order.allowed * this->settings.schedule.latest_growth;
-    return one.evidence.log_against().overall > this->settings.growth_below &&
-           this->elapsed(one, now) < latest;
+    const auto against = one.evidence.log_against();
+    const bool is_doubtful = against.overall > this->settings.growth_below ||
+                             against.high_occupancy > this->settings.high_occupancy_doubt;
+    const bool is_unproven = needs_load_test(one) && this->knows_slots(one);
+    return (is_doubtful || is_unproven) && this->elapsed(one, now) < latest;
 }
 
 auto rollout_manager::must_revert(const rollout& one, time_point now) const -> bool
 {
     const auto latest = one.order.allowed * this->settings.schedule.doubt_until;
     const bool is_late = one.reached_share < 1.0 && this->elapsed(one, now) >= latest;
-    const auto against = one.evidence.log_against().strongest;
-    return one.evidence.is_worse() || (is_late && against >= this->settings.late_evidence_limit);
+    const auto against = one.evidence.log_against();
+    const bool is_doubtful = against.strongest_of_all >= this->settings.late_evidence_limit ||
+                             against.high_occupancy >= this->settings.high_occupancy_doubt;
+    return one.evidence.is_worse() || (is_late && is_doubtful);
 }
 
 auto rollout_manager::refresh(rollout& one, time_point now) -> void
@@ -232,6 +290,8 @@
         one.first_share = this->planned_first_share(one, now);
     }
     if (!this->must_revert(one, now)) {
+        one.reached_load_test_share =
+            std::max(one.reached_load_test_share, this->load_test_share(one, now));
         const auto share = this->share_of(one, now);
         if (share != std::exchange(one.reached_share, share)) {
             common::log(
@@ -249,9 +309,11 @@
         "new version judged worse, reverting " + this->describe(one, now));
 }
 
-auto rollout_manager::spread_of(const rollout& one, time_point now) const -> double
+auto rollout_manager::spread_of(const rollout& one, session_kind kind, time_point now) const
+    -> double
 {
-    if (one.reached_share >= 1.0) {
+    // Requests without a session come all at once in their part of a cycle.
+    if (one.reached_share >= 1.0 || kind == session_kind::single_request) {
         return 1.0;
     }
     // Sessions that stay on the old version leave the new one less than its share, so the observed
@@ -266,18 +328,41 @@
     return std::clamp(part, least, one.reached_share) * canary_room;
 }
 
+auto rollout_manager::needs_load_test(const rollout& one) -> bool
+{
+    return one.evidence.log_against().high_occupancy > proven_at_high_occupancy;
+}
+
+auto rollout_manager::may_load_test(const rollout& one) const -> bool
+{
+    const auto usage = this->usages.find(one.order.service);
+    const bool has_sessions = usage != this->usages.end() && usage->second.has_sessions;
+    // A busy server says less about how fast its version is. Plain servers answer as fast up to
+    // their slots.
+    const bool is_fast_enough = one.evidence.log_against().overall <= this->settings.growth_below;
+    return needs_load_test(one) && (!has_sessions || is_fast_enough);
+}
+
 auto rollout_manager::describe(const rollout& one, time_point now) const -> std::string
 {
     const auto against = one.evidence.log_against();
     return "service=" + one.order.service.value() + " target=" + one.order.target.value() +
            " elapsed_ms=" + std::to_string(this->elapsed(one, now).count()) +
            " share=" + std::to_string(one.reached_share) +
+           " load_test_share=" + std::to_string(one.reached_load_test_share) +
            " log_against=" + std::to_string(against.strongest) +
-           " overall=" + std::to_string(against.overall);
+           " overall=" + std::to_string(against.overall) +
+           " signal=" + std::string{policy::to_string(against.strongest_signal)} +
+           " route=" + (against.strongest_route ? against.strongest_route->value() : "all") +
+           " occupancy=" + (against.strongest_at == occupancy::high ? "high" : "any") +
+           " at_high_occupancy=" + std::to_string(against.high_occupancy);
 }
 
 auto rollout_manager::rule_for(
-    const common::service_name& service, std::uint64_t session, time_point now) -> version_rule
+    const common::service_name& service,
+    std::uint64_t session,
+    time_point now,
+    request_traits request) -> version_rule
 {
     const auto found = this->rollouts.find(service);
     if (found == this->rollouts.end()) {
@@ -286,6 +371,8 @@
     auto& one = found->second;
     const auto& target = one.order.target;
     this->settle_losses(service, now);
+    auto& has_sessions = this->usages[service].has_sessions;
+    has_sessions = has_sessions || request.kind == session_kind::several_requests;
     this->refresh(one, now);
     const auto& history = this->histories[service];
     if (one.state == rollout_state::complete) {
@@ -296,16 +383,25 @@
     if (one.state == rollout_state::reverted) {
         return stays;
     }
-    return this->uses_new_version(one, session, now)
-               ? version_rule{target, history.reverted, this->spread_of(one, now)}
-               : stays;
+    if (!this->uses_new_version(one, session, request, now)) {
+        return stays;
+    }
+    return {
+        target,
+        history.reverted,
+        this->spread_of(one, request.kind, now),
+        this->may_load_test(one)};
 }
 
 auto rollout_manager::uses_new_version(
-    const rollout& one, std::uint64_t session, time_point now) const -> bool
+    const rollout& one, std::uint64_t session, const request_traits& request, time_point now) const
+    -> bool
 {
     const auto& order = one.order;
-    const bool is_meant = is_in_share(session, one.reached_share);
+    const auto share = share_for(one, request.fill);
+    const bool is_meant = request.kind == session_kind::single_request
+                              ? is_in_cycle_share(this->elapsed(one, now), share)
+                              : is_in_share(session, share);
     const bool may_move = this->may_move(one, now);
     if (const auto used = this->sessions.version_of(order.service, session, now)) {
         return *used == order.target || (is_meant && may_move);
--- a/source/core/routing/rollout_manager.hpp
+++ b/source/core/routing/rollout_manager.hpp
@@ -9,6 +9,7 @@
 
 #include "routing/configuration.hpp"
 #include "routing/load_effect.hpp"
+#include "routing/load_test_routes.hpp"
 #include "routing/loss_tracker.hpp"
 #include "routing/request_rate.hpp"
 #include "routing/rollout.hpp"
@@ -40,6 +41,10 @@
     /// Evidence at which a roll-out is reverted if its growth has been held back for as long as
     /// there was time.
     double late_evidence_limit = 1.0;
+    /// Evidence from answers at high occupancy at which the share stops growing, and at which a
+    /// roll-out is reverted once doubtful versions have had their time: two failures among a few
+    /// answers. One alone may have another cause.
+    double high_occupancy_doubt = 1.5;
     /// Response times are compared with the old version's until an entry's request rate for the
     /// service exceeds the rate while both versions served by this factor. Beyond it, queueing
     /// would make a good version look slow.
@@ -48,6 +53,15 @@
     common::duration session_time = std::chrono::seconds{5};
 };
 
+/// Whether further requests may belong to a request's session.
+enum class session_kind : std::uint8_t { several_requests, single_request };
+
+/// What the choice of a request's version depends on, beside its session.
+struct request_traits {
+    session_kind kind = session_kind::several_requests;
+    fill_level fill = fill_level::most;
+};
+
 /// One entry's report about a roll-out, sent to its peers.
 struct rollout_report {
     common::service_name service;
@@ -60,6 +74,8 @@
     std::map<route_name, evidence_report> evidence;
     /// Share of sessions that this entry sends to the new version.
     double share = 0.0;
+    /// The same of those that fill a server, while the load test lasts.
+    double load_test_share = 0.0;
     /// Share of the first half as computed by this entry; 0 before that.
     double first_share = 0.0;
     /// Requests per second for the service at this entry.
@@ -114,27 +130,33 @@
     /// Returns the newest roll-out of each service and its progress here, for the state page.
     [[nodiscard]] auto states(time_point now) const -> std::vector<rollout_progress>;
 
-    /// Returns the version rule for a request of a session.
-    auto rule_for(const common::service_name& service, std::uint64_t session, time_point now)
-        -> version_rule;
+    /// Returns the version rule for a request of a session. A request without a session is a
+    /// session of its own.
+    auto rule_for(
+        const common::service_name& service,
+        std::uint64_t session,
+        time_point now,
+        request_traits request = {}) -> version_rule;
 
     /// Records that a caller resumes an interrupted stream of the session. The entry that served
     /// it, and that knew the session's version, may have failed.
     auto note_resumed(const common::service_name& service, std::uint64_t session, time_point now)
         -> void;
 
-    /// Records that a request of the session was sent to a server of `version`.
+    /// Records that a request of the session was sent to a server of `version` with so many slots.
     auto note_sent(
         const common::service_name& service,
         std::uint64_t session,
         const common::version_id& version,
-        time_point now) -> void;
+        time_point now,
+        unsigned slots = 0) -> void;
 
     auto note_outcome(
         const common::service_name& service,
         const common::version_id& version,
         const route_name& route,
-        bool is_good) -> void;
+        bool is_good,
+        occupancy server = occupancy::usual) -> void;
 
     /// Records that the connection to the server was lost during a request. Whether that counts
     /// against the version is known a second later; see `loss_tracker`.
@@ -149,7 +171,8 @@
         const common::version_id& version,
         const route_name& route,
         std::chrono::milliseconds took,
-        time_point now) -> void;
+        time_point now,
+        const answer_load& load = {}) -> void;
 
     /// Records how long a part of an answer took, or was waited for.
     auto note_time(
@@ -194,6 +217,8 @@
         std::map<common::host_id, peer_report> peers;
         /// The largest share so far at any entry; a session that has moved does not move back.
         double reached_share = 0.0;
+        /// The same for sessions that fill a server, during the load test and after it.
+        double reached_load_test_share = 0.0;
         /// The share of the first half: the maximum over all entries once the roll-out has started.
         /// It decides whether the share has grown, so all entries must have the same value.
         double first_share = 0.0;
@@ -214,6 +239,41 @@
         auto note_replaced(const rollout_order& one) -> void;
     };
 
+    /// How load lengthens the times of the old version's answers.
+    struct service_load_effects {
+        load_effect pause_by_reading{};
+        load_effect pause_by_requests{requests_effect};
+        load_effect wait_by_reading{reading_effect};
+        load_effect wait_by_requests{requests_effect};
+
+        /// Returns the logarithm of a time of the new version as it would be under the old
+        /// version's usual load, if the answer comes from a load test. Learns from the old
+        /// version's.
+        auto adjust_wait(
+            version_side side, const route_name& route, const answer_load& load, double log_ms)
+            -> double;
+        /// The same for pauses, from which the effect of reading is removed in any case.
+        auto adjust_pause(
+            version_side side, const route_name& route, const answer_load& load, double log_ms)
+            -> double;
+
+    private:
+        /// Prompts are read one after the other.
+        static constexpr load_effect_options reading_effect{.min_slope_beyond = 1.0};
+        /// An engine's steps take longer with more requests in its batch.
+        static constexpr load_effect_options requests_effect{
+            .unit = 4.0, .prior_slope = 0.3, .min_slope_beyond = 0.6};
+    };
+
+    /// What the load test of a new version depends on.
+    struct service_usage {
+        /// Requests in flight at this entry when a further one is sent.
+        policy::exponential_mean in_flight;
+        unsigned slots = 0;
+        /// Whether its requests belong to sessions, which keep their version in the first half.
+        bool has_sessions = false;
+    };
+
     auto settle_losses(const common::service_name& service, time_point now) -> void;
     auto apply_other_order(const rollout& ours, const rollout_report& report, time_point now)
         -> void;
@@ -223,6 +283,14 @@
         -> void;
     /// Share according to the schedule and the evidence.
     [[nodiscard]] auto share_of(const rollout& one, time_point now) const -> double;
+    /// Share of the sessions with such requests that are on the new version at present.
+    [[nodiscard]] static auto share_for(const rollout& one, fill_level fill) -> double;
+    /// Whether the slots of the service's servers are known, without which nothing tells a high
+    /// occupancy.
+    [[nodiscard]] auto knows_slots(const rollout& one) const -> bool;
+    /// Share of the sessions that fill a server with which one server of the new version reaches a
+    /// high occupancy; 0 before the second half, if it is not known, or not needed any more.
+    [[nodiscard]] auto load_test_share(const rollout& one, time_point now) const -> double;
     /// Share of the first half, from what the operators allow and the service's request rate.
     [[nodiscard]] auto planned_first_share(const rollout& one, time_point now) const -> double;
     /// Upper bound of the first share while it is not known yet.
@@ -238,10 +306,16 @@
     [[nodiscard]] auto must_revert(const rollout& one, time_point now) const -> bool;
     auto refresh(rollout& one, time_point now) -> void;
     /// Fraction of the new version's servers over which its requests are spread.
-    [[nodiscard]] auto spread_of(const rollout& one, time_point now) const -> double;
+    [[nodiscard]] auto spread_of(const rollout& one, session_kind kind, time_point now) const
+        -> double;
+    /// Whether too little is known of the new version's answers at high occupancy.
+    [[nodiscard]] static auto needs_load_test(const rollout& one) -> bool;
+    /// Whether a server may be filled now to learn it.
+    [[nodiscard]] auto may_load_test(const rollout& one) const -> bool;
     [[nodiscard]] auto describe(const rollout& one, time_point now) const -> std::string;
     /// Whether a response time of `version` may be compared.
     auto is_comparable(rollout& one, const common::version_id& version, time_point now) -> bool;
+    [[nodiscard]] auto own_in_flight(const common::service_name& service) const -> unsigned;
     /// What remains on other versions, from this entry and over all entries: requests in flight and
     /// active sessions. Once a roll-out is complete its old servers stop, so a session that is
     /// still active there would change its version when it returns, possibly during the first half
@@ -256,8 +330,11 @@
     auto baseline_evidence(const common::service_name& service, const common::version_id& version)
         -> version_evidence*;
     /// Whether a session uses the new version while the roll-out runs.
-    [[nodiscard]] auto
-    uses_new_version(const rollout& one, std::uint64_t session, time_point now) const -> bool;
+    [[nodiscard]] auto uses_new_version(
+        const rollout& one,
+        std::uint64_t session,
+        const request_traits& request,
+        time_point now) const -> bool;
     /// Whether the roll-out's share has grown beyond the first one: from then on sessions may
     /// change their version.
     [[nodiscard]] auto may_move(const rollout& one, time_point now) const -> bool;
@@ -277,7 +354,8 @@
     session_table sessions;
     std::map<std::pair<common::service_name, common::version_id>, unsigned> in_flight;
     std::map<common::service_name, loss_tracker> losses;
-    std::map<common::service_name, load_effect> load_effects;
+    std::map<common::service_name, service_load_effects> load_effects;
+    std::map<common::service_name, service_usage> usages;
     std::map<common::service_name, request_rate> rates;
     std::map<std::pair<common::service_name, common::version_id>, request_rate> version_rates;
     /// When each peer last reported, with or without a roll-out.
--- a/source/core/routing/rollout_manager_outcomes.cpp
+++ b/source/core/routing/rollout_manager_outcomes.cpp
@@ -13,6 +13,9 @@
 /// before it.
 constexpr common::duration cut_stream_known_after = std::chrono::seconds{8};
 
+/// Number of requests over which the usual number of requests in flight is averaged.
+constexpr double usage_memory = 50.0;
+
 auto side_of(const rollout_order& order, const common::version_id& version) -> version_side
 {
     return version == order.target ? version_side::new_one : version_side::old;
@@ -77,8 +80,12 @@
     const common::service_name& service,
     std::uint64_t session,
     const common::version_id& version,
-    time_point now) -> void
+    time_point now,
+    unsigned slots) -> void
 {
+    auto& usage = this->usages[service];
+    usage.in_flight.add(this->own_in_flight(service), usage_memory);
+    usage.slots = slots;
     this->in_flight[{service, version}] += 1;
     this->rates[service].note(now);
     this->version_rates[{service, version}].note(now);
@@ -100,13 +107,14 @@
     const common::service_name& service,
     const common::version_id& version,
     const route_name& route,
-    bool is_good) -> void
+    bool is_good,
+    occupancy server) -> void
 {
     if (auto* one = this->running(service)) {
-        one->evidence.add_outcome(route, side_of(one->order, version), is_good);
+        one->evidence.add_outcome(route, side_of(one->order, version), is_good, server);
     }
     else if (auto* baseline = this->baseline_evidence(service, version)) {
-        baseline->add_outcome(route, version_side::old, is_good);
+        baseline->add_outcome(route, version_side::old, is_good, server);
     }
 }
 
@@ -150,17 +158,23 @@
     const common::version_id& version,
     const route_name& route,
     std::chrono::milliseconds took,
-    time_point now) -> void
+    time_point now,
+    const answer_load& load) -> void
 {
     auto* one = this->running(service);
+    const auto side = one == nullptr ? version_side::old : side_of(one->order, version);
+    // Differences below one millisecond do not matter.
+    const auto log_ms = std::log(std::max(static_cast<double>(took.count()), 1.0));
+    const std::chrono::duration<double, std::milli> adjusted{
+        std::exp(this->load_effects[service].adjust_wait(side, route, load, log_ms))};
     // With all sessions on the new version there is nothing to compare with: the old version's
     // times belong to another load, and a burst of callers would look like a slow version.
     if (one != nullptr && this->share_of(*one, now) < 1.0) {
-        one->evidence.add_first_event(route, side_of(one->order, version), took);
+        one->evidence.add_first_event(route, side, adjusted);
     }
     auto* baseline = one == nullptr ? this->baseline_evidence(service, version) : nullptr;
     if (baseline != nullptr) {
-        baseline->add_first_event(route, version_side::old, took);
+        baseline->add_first_event(route, version_side::old, adjusted);
     }
 }
 
@@ -185,22 +199,18 @@
     time_point now) -> void
 {
     auto* one = this->running(service);
-    const bool is_new = one != nullptr && version == one->order.target;
-    const bool depends_on_load = timed.part == timed_part::event_pause;
-    auto& effect = this->load_effects[service];
+    const auto side = one == nullptr ? version_side::old : side_of(one->order, version);
     // Differences below one millisecond do not matter.
     auto log_ms = std::log(std::max(timed.took_ms, 1.0));
-    if (depends_on_load && !is_new) {
-        // The new version's streams are left out: if it is slow, its slowness would be attributed
-        // to load.
-        effect.note(route, timed.reading, log_ms);
+    auto& effects = this->load_effects[service];
+    if (timed.part == timed_part::event_pause) {
+        log_ms = effects.adjust_pause(side, route, timed.load, log_ms);
     }
-    if (depends_on_load) {
-        log_ms = effect.without_load(timed.reading, log_ms);
+    else if (timed.part == timed_part::whole_answer) {
+        log_ms = effects.adjust_wait(side, route, timed.load, log_ms);
     }
     if (one != nullptr && this->is_comparable(*one, version, now)) {
-        one->evidence.add_time(
-            route, side_of(one->order, version), timed.part, log_ms, timed.bound);
+        one->evidence.add_time(route, side, timed.part, log_ms, timed.bound);
     }
     auto* baseline = one == nullptr ? this->baseline_evidence(service, version) : nullptr;
     if (baseline != nullptr) {
@@ -208,6 +218,39 @@
     }
 }
 
+auto rollout_manager::service_load_effects::adjust_wait(
+    version_side side, const route_name& route, const answer_load& load, double log_ms) -> double
+{
+    if (side == version_side::old) {
+        this->wait_by_reading.note(route, load.reading, log_ms);
+        this->wait_by_requests.note(
+            route, load.requests, this->wait_by_reading.without_load(load.reading, log_ms));
+        return log_ms;
+    }
+    if (!load.is_load_test) {
+        return log_ms;
+    }
+    return log_ms - this->wait_by_reading.beyond_usual(route, load.reading) -
+           this->wait_by_requests.beyond_usual(route, load.requests);
+}
+
+auto rollout_manager::service_load_effects::adjust_pause(
+    version_side side, const route_name& route, const answer_load& load, double log_ms) -> double
+{
+    // The new version's streams are left out: if it is slow, its slowness would be attributed to
+    // load.
+    if (side == version_side::old) {
+        this->pause_by_reading.note(route, load.reading, log_ms);
+    }
+    const auto without_reading = this->pause_by_reading.without_load(load.reading, log_ms);
+    if (side == version_side::old) {
+        this->pause_by_requests.note(route, load.requests, without_reading);
+    }
+    const bool is_tested = side == version_side::new_one && load.is_load_test;
+    return is_tested ? without_reading - this->pause_by_requests.beyond_usual(route, load.requests)
+                     : without_reading;
+}
+
 auto rollout_manager::is_comparable(rollout& one, const common::version_id& version, time_point now)
     -> bool
 {
--- a/source/core/routing/rollout_manager_peers.cpp
+++ b/source/core/routing/rollout_manager_peers.cpp
@@ -56,6 +56,8 @@
             std::max(one.first_share, std::min(report.first_share, this->settings.max_first_share));
         one.evidence.apply_report(peer, report.evidence);
         one.reached_share = std::max(one.reached_share, std::min(report.share, 1.0));
+        one.reached_load_test_share =
+            std::max(one.reached_load_test_share, std::min(report.load_test_share, 1.0));
         this->sessions.apply_reports(report.service, report.old_sessions, now);
         if (report.is_written) {
             this->apply_status({report.service, report.target, report.state});
@@ -90,6 +92,7 @@
             this->own_left_on_old(one, now),
             {},
             this->share_of(one, now),
+            one.reached_load_test_share,
             one.first_share,
             rate == this->rates.end() ? 0.0 : rate->second.per_second(now),
             one.state,
@@ -131,6 +134,15 @@
     return count;
 }
 
+auto rollout_manager::own_in_flight(const common::service_name& service) const -> unsigned
+{
+    unsigned count = 0;
+    for (const auto& [key, requests] : this->in_flight) {
+        count += key.first == service ? requests : 0;
+    }
+    return count;
+}
+
 auto rollout_manager::own_left_on_old(const rollout& one, time_point now) const -> unsigned
 {
     const auto& order = one.order;
--- a/source/core/routing/version_evidence.cpp
+++ b/source/core/routing/version_evidence.cpp
@@ -31,7 +31,11 @@
         found = this->routes
                     .emplace(
                         route,
-                        route_evidence{policy::regression_evidence{this->settings.guard}, {}, 0.0})
+                        route_evidence{
+                            policy::regression_evidence{this->settings.guard},
+                            policy::regression_evidence{this->settings.guard},
+                            {},
+                            0.0})
                     .first;
         this->pool(route);
     }
@@ -49,18 +53,32 @@
     to.bets.add_baseline(what, value);
 }
 
-auto version_evidence::add_outcome(const route_name& route, version_side side, bool is_good) -> void
+auto version_evidence::add_outcome(
+    const route_name& route, version_side side, bool is_good, occupancy server) -> void
 {
-    this->add(this->at(route), policy::signal::error, side, is_good ? 0.0 : 1.0);
+    auto& one = this->at(route);
+    const double failed = is_good ? 0.0 : 1.0;
+    this->add(one, policy::signal::error, side, failed);
+    if (server != occupancy::high) {
+        return;
+    }
+    this->pool_high_occupancy(route);
+    if (side == version_side::new_one) {
+        one.high_occupancy_bets.add_candidate(policy::signal::error, failed);
+        return;
+    }
+    one.high_occupancy_bets.add_baseline(policy::signal::error, failed);
 }
 
 auto version_evidence::add_first_event(
-    const route_name& route, version_side side, std::chrono::milliseconds took, bool is_stalled)
-    -> void
+    const route_name& route,
+    version_side side,
+    std::chrono::duration<double, std::milli> took,
+    bool is_stalled) -> void
 {
     auto& one = this->at(route);
     auto& mean = one.old_first_event_ms;
-    const auto ms = static_cast<double>(took.count());
+    const auto ms = took.count();
     const bool is_late = mean > 0.0 && ms > mean * this->settings.slow_factor;
     this->add(one, policy::signal::slow, side, is_stalled || is_late ? 1.0 : 0.0);
     if (side == version_side::new_one || is_stalled) {
@@ -141,6 +159,26 @@
         }
         bets.set_pooled_baseline(what, sum.value, sum.count);
     }
+    this->pool_high_occupancy(route);
+}
+
+auto version_evidence::pool_high_occupancy(const route_name& route) -> void
+{
+    constexpr auto what = policy::signal::error;
+    auto& own = this->routes.at(route);
+    auto sum = own.high_occupancy_bets.baseline_mean(what);
+    auto of_all = own.bets.baseline_mean(what);
+    for (const auto& [peer, reports] : this->peers) {
+        if (const auto found = reports.find(route); found != reports.end()) {
+            sum = policy::combined_mean(sum, found->second.high_occupancy_old_failures);
+            of_all = policy::combined_mean(
+                of_all, found->second.old_means[static_cast<std::size_t>(what)]);
+        }
+    }
+    const bool is_worse_there =
+        sum.count >= this->settings.guard.min_baseline_count && sum.value > of_all.value;
+    const auto& known = is_worse_there ? sum : of_all;
+    own.high_occupancy_bets.set_pooled_baseline(what, known.value, known.count);
 }
 
 auto version_evidence::make_report() const -> std::map<route_name, evidence_report>
@@ -149,6 +187,9 @@
     for (const auto& [route, one] : this->routes) {
         evidence_report report;
         report.bets = one.bets.log_wealth();
+        report.high_occupancy_bets = one.high_occupancy_bets.log_wealth();
+        report.high_occupancy_old_failures =
+            one.high_occupancy_bets.baseline_mean(policy::signal::error);
         for (std::size_t i = 0; i < policy::signal_count; ++i) {
             report.old_means[i] = one.bets.baseline_mean(static_cast<policy::signal>(i));
         }
@@ -169,25 +210,63 @@
     return *this->cached_sums;
 }
 
+auto version_evidence::sum_of_bets(
+    const route_name& route,
+    const policy::regression_evidence& own,
+    policy::wealth evidence_report::*bets) const -> policy::wealth
+{
+    policy::wealth sum = own.log_wealth();
+    for (const auto& [peer, reports] : this->peers) {
+        if (const auto found = reports.find(route); found != reports.end()) {
+            policy::add_wealth(sum, found->second.*bets);
+        }
+    }
+    return sum;
+}
+
 auto version_evidence::sum_up() const -> sums
 {
-    policy::wealth total(policy::wealth_size, 0.0);
-    double most = -std::numeric_limits<double>::infinity();
-    const auto judged = [this](const policy::wealth& sum) {
-        return policy::evaluate(sum, this->settings.guard, doubt).log_against;
+    sums result;
+    result.strongest_of_all = -std::numeric_limits<double>::infinity();
+    result.strongest = -std::numeric_limits<double>::infinity();
+    const auto compare = [&](double against,
+                             policy::signal what,
+                             std::optional<route_name> route,
+                             occupancy server) {
+        if (against >= result.strongest) {
+            result.strongest = against;
+            result.strongest_signal = what;
+            result.strongest_route = std::move(route);
+            result.strongest_at = server;
+        }
+        return against;
     };
+    const auto judge = [&](const policy::wealth& sum, std::optional<route_name> route) {
+        return compare(
+            policy::evaluate(sum, this->settings.guard, doubt).log_against,
+            policy::strongest_signal(sum, this->settings.guard),
+            std::move(route),
+            occupancy::usual);
+    };
+    const auto judge_failures = [&](const policy::wealth& sum, std::optional<route_name> route) {
+        constexpr auto what = policy::signal::error;
+        return compare(policy::log_against(sum, what), what, std::move(route), occupancy::high);
+    };
+    policy::wealth total(policy::wealth_size, 0.0);
+    policy::wealth high_total(policy::wealth_size, 0.0);
     for (const auto& [route, one] : this->routes) {
-        policy::wealth sum = one.bets.log_wealth();
-        for (const auto& [peer, reports] : this->peers) {
-            if (const auto found = reports.find(route); found != reports.end()) {
-                policy::add_wealth(sum, found->second.bets);
-            }
-        }
+        const auto sum = this->sum_of_bets(route, one.bets, &evidence_report::bets);
+        const auto high = this->sum_of_bets(
+            route, one.high_occupancy_bets, &evidence_report::high_occupancy_bets);
         policy::add_wealth(total, sum);
-        most = std::max(most, judged(sum));
+        policy::add_wealth(high_total, high);
+        result.strongest_of_all = std::max(result.strongest_of_all, judge(sum, route));
+        judge_failures(high, route);
     }
-    const double overall = judged(total);
-    return {overall, std::max(most, overall)};
+    result.overall = judge(total, std::nullopt);
+    result.strongest_of_all = std::max(result.strongest_of_all, result.overall);
+    result.high_occupancy = judge_failures(high_total, std::nullopt);
+    return result;
 }
 
 auto version_evidence::is_worse() const -> bool
--- a/source/core/routing/version_evidence.hpp
+++ b/source/core/routing/version_evidence.hpp
@@ -16,6 +16,16 @@
 /// The side of a roll-out that an answer came from.
 enum class version_side : std::uint8_t { old, new_one };
 
+/// How much of its slots a server used while it answered.
+enum class occupancy : std::uint8_t {
+    usual,
+    /// At least `high_occupancy_part`: what each server of a service meets when callers are many.
+    high,
+};
+
+/// Part of a server's slots from which its occupancy is high.
+inline constexpr double high_occupancy_part = 0.5;
+
 /// The timed part of an answer. Each part has its own baseline time per route.
 enum class timed_part : std::uint8_t {
     /// The mean pause between a stream's events, if it had any.
@@ -32,13 +42,22 @@
 /// that and would have taken longer.
 enum class time_bound : std::uint8_t { seen, at_least };
 
+/// Load of a server while it answered, over all entries.
+struct answer_load {
+    /// Prompt tokens that it had to read: while the stream ran, or before its first event, its own
+    /// prompt included. See `load_effect`.
+    double reading = 0.0;
+    double requests = 0.0;
+    /// The server is filled on purpose, so that its load says nothing about its version.
+    bool is_load_test = false;
+};
+
 /// One observed time.
 struct timed_answer {
     timed_part part = timed_part::whole_answer;
     double took_ms = 0.0;
     time_bound bound = time_bound::seen;
-    /// Prompt tokens that waited at the server in the meantime; see `load_effect`.
-    double reading = 0.0;
+    answer_load load{};
 };
 
 /// Scale for slowness, in multiples of the baseline time.
@@ -79,6 +98,9 @@
     /// The old version's means by signal, and the logarithms of its baseline times in ms.
     std::array<policy::sample_mean, policy::signal_count> old_means{};
     std::array<policy::sample_mean, timed_part_count> baseline_times{};
+    /// Bets on failures at servers with high occupancy, and the old version's rate of them there.
+    policy::wealth high_occupancy_bets{};
+    policy::sample_mean high_occupancy_old_failures{};
 
     auto operator==(const evidence_report&) const -> bool = default;
 };
@@ -86,19 +108,27 @@
 /// Decides whether a new version is worse than the old one, per route and overall, from the
 /// evidence of all entries.
 ///
+/// Failures at servers with high occupancy are counted with all others, and once more by
+/// themselves: a version that fails only under load answers most requests well, and its failures
+/// would be outweighed by the answers that servers gave without load.
+///
 /// Entries add up their bets. They also pool what they know of the old version: one of many entries
 /// has ten answers of a route's old version only after several seconds, and can't bet before.
 class version_evidence {
 public:
     explicit version_evidence(evidence_options options) : settings(options) {}
 
-    auto add_outcome(const route_name& route, version_side side, bool is_good) -> void;
+    auto add_outcome(
+        const route_name& route,
+        version_side side,
+        bool is_good,
+        occupancy server = occupancy::usual) -> void;
 
     /// Adds a stream's first event, which took `took` or, if `is_stalled`, did not arrive in time.
     auto add_first_event(
         const route_name& route,
         version_side side,
-        std::chrono::milliseconds took,
+        std::chrono::duration<double, std::milli> took,
         bool is_stalled = false) -> void;
 
     /// `log_ms` is the logarithm of the time in ms, with the effect of load removed.
@@ -119,9 +149,19 @@
     struct sums {
         /// For all routes together. Falls below zero as answers arrive that are no worse.
         double overall = 0.0;
-        /// The maximum over the single routes and all of them together: the new version may be bad
-        /// on one route only.
+        /// The maximum over the single routes and all of them together, and over all answers and
+        /// those at servers with high occupancy: the new version may be bad on one route only, or
+        /// only under load.
         double strongest = 0.0;
+        /// The same without those at high occupancy alone.
+        double strongest_of_all = 0.0;
+        /// From failures at servers with high occupancy, over all routes.
+        double high_occupancy = 0.0;
+        /// The signal that contributes most to `strongest`, its route (none if that is the sum of
+        /// all routes), and the answers that it comes from.
+        policy::signal strongest_signal = policy::signal::error;
+        std::optional<route_name> strongest_route;
+        occupancy strongest_at = occupancy::usual;
     };
 
     [[nodiscard]] auto log_against() const -> sums;
@@ -131,6 +171,7 @@
 private:
     struct route_evidence {
         policy::regression_evidence bets;
+        policy::regression_evidence high_occupancy_bets;
         std::array<policy::exponential_mean, timed_part_count> baseline_times;
         /// Mean time to the old version's first event, in ms; 0 before the first one.
         double old_first_event_ms = 0.0;
@@ -139,6 +180,13 @@
     auto at(const route_name& route) -> route_evidence&;
     auto add(route_evidence& to, policy::signal what, version_side side, double value) -> void;
     auto pool(const route_name& route) -> void;
+    /// Sets the old version's rate of failures at high occupancy: that of all its answers, which
+    /// are many more, unless it is known to fail more often there.
+    auto pool_high_occupancy(const route_name& route) -> void;
+    [[nodiscard]] auto sum_of_bets(
+        const route_name& route,
+        const policy::regression_evidence& own,
+        policy::wealth evidence_report::*bets) const -> policy::wealth;
     [[nodiscard]] auto sum_up() const -> sums;
     [[nodiscard]] auto baseline_time(const route_name& route, timed_part part) const
         -> policy::sample_mean;
--- a/source/core/routing/version_rule.cpp
+++ b/source/core/routing/version_rule.cpp
@@ -41,4 +41,18 @@
     usable = std::move(fit);
 }
 
+auto load_test_server(
+    const std::vector<const registration*>& usable,
+    const std::function<auto(const registration&)->bool>& is_out) -> const registration*
+{
+    const registration* first = nullptr;
+    for (const auto* server : usable) {
+        const bool is_before = first == nullptr || hash_of(server->id) < hash_of(first->id);
+        if (is_before && !is_out(*server)) {
+            first = server;
+        }
+    }
+    return first;
+}
+
 } // namespace reedramp::routing
--- a/source/core/routing/version_rule.hpp
+++ b/source/core/routing/version_rule.hpp
@@ -19,6 +19,9 @@
     /// Fraction of the preferred version's servers over which requests are spread; see
     /// `keep_canaries`.
     double spread = 1.0;
+    /// Whether one of the preferred version's servers is to be filled before the others; see
+    /// `load_test_server`.
+    bool needs_load_test = false;
 
     /// Whether there is no restriction, as while no roll-out runs.
     [[nodiscard]] auto allows_all() const -> bool
@@ -47,4 +50,15 @@
     double spread,
     const std::function<auto(const registration&)->bool>& is_out) -> void;
 
+/// Returns the server that is filled first, up to a high occupancy, so that a new version meets the
+/// load that each server meets when callers are many: the same at all entries, and none for which
+/// `is_out` returns true. Null if there is none.
+///
+/// A version that fails only under load answers like a good one on servers that share a small part
+/// of the traffic. All callers were moved to it, and half of their requests failed in the next
+/// burst.
+auto load_test_server(
+    const std::vector<const registration*>& usable,
+    const std::function<auto(const registration&)->bool>& is_out) -> const registration*;
+
 } // namespace reedramp::routing
--- a/source/unit_tests/router/peer_report_test.cpp
+++ b/source/unit_tests/router/peer_report_test.cpp
@@ -27,6 +27,14 @@
         policy::wealth(policy::wealth_size, 0.5),
         {{{0.0, 0.0}, {0.25, 12.0}, {0.5, 3.0}, {0.125, 40.0}}},
         {{{4.0, 40.0}, {5.5, 9.0}}}};
+    auto& evidence = rollout.evidence[routing::route_name{"drafts"}];
+    evidence.high_occupancy_bets.assign(policy::wealth_size, 0.0);
+    for (double& log :
+         policy::bets_on(std::span<double>(evidence.high_occupancy_bets), policy::signal::error)) {
+        log = 1.5;
+    }
+    evidence.high_occupancy_old_failures = {0.25, 16.0};
+    rollout.load_test_share = 0.75;
     rollout.share = 0.5;
     rollout.old_sessions = {{5, std::chrono::milliseconds{1200}}};
     rollout.state = routing::rollout_state::reverted;
@@ -68,6 +76,7 @@
     CHECK(read->rollouts[0].elapsed == std::chrono::seconds{3});
     CHECK(read->rollouts[0].evidence == report.rollouts[0].evidence);
     CHECK(read->rollouts[0].share == 0.5);
+    CHECK(read->rollouts[0].load_test_share == 0.75);
     REQUIRE(read->rollouts[0].old_sessions.size() == 1);
     CHECK(read->rollouts[0].old_sessions[0].session == 5);
     CHECK(read->rollouts[0].old_sessions[0].left == std::chrono::milliseconds{1200});
--- a/source/unit_tests/router/relay_test.cpp
+++ b/source/unit_tests/router/relay_test.cpp
@@ -1,3 +1,5 @@
+#include <set>
+
 #include <catch2/catch.hpp>
 
 #include "router_fixture.hpp"
@@ -604,4 +606,31 @@
     CHECK(out->status() == 502);
 }
 
+TEST_CASE("one server of a new version is filled first", "[relay]")
+{
+    // Guards against a first share that is spread so thinly that no server of the new version is
+    // ever busy.
+    router_fixture fixture;
+    for (const auto* id : {"new-1", "new-2", "new-3"}) {
+        fixture.add_server(id, "v2");
+    }
+    const common::service_name engines{"engines"};
+    fixture.core->rollouts.apply_order(
+        {engines, common::version_id{"v2"}, seconds{20}}, fixture.now);
+    fixture.now += seconds{15}; // All requests use the new version.
+    std::set<std::string> servers;
+    const auto ask = [&fixture, &servers] {
+        fixture.ask(once);
+        servers.insert(fixture.last().header("Reedramp-Expect-Server"));
+    };
+    for (int i = 0; i < 6; ++i) {
+        ask();
+    }
+    REQUIRE(fixture.sends() == 6);
+    CHECK(servers.size() == 1);
+    // It has eight slots, two of which stay free for requests that are not known here.
+    ask();
+    CHECK(servers.size() == 2);
+}
+
 } // namespace reedramp::router::testing
--- a/source/unit_tests/routing/rollout_manager_test.cpp
+++ b/source/unit_tests/routing/rollout_manager_test.cpp
@@ -268,7 +268,7 @@
         return timed_answer{
             .part = timed_part::event_pause,
             .took_ms = 16.0 * times * std::pow(1.0 + reading / 300.0, 0.33),
-            .reading = reading};
+            .load = {.reading = reading}};
     };
     for (int i = 0; i < 80; ++i) {
         one.manager.note_time(engines, old_version, drafts, pause(3000.0 + 100.0 * i, 1.0), now);
@@ -285,6 +285,41 @@
     CHECK_FALSE(good.bars_new(now));
 }
 
+TEST_CASE("a good version on a busy server does not look slow", "[rollout]")
+{
+    // Guards against an alarm over first events and whole answers that waited behind other prompts
+    // on the one busy server of the new version, while the old version's servers had few to read.
+    const auto is_barred = [](double times) {
+        entry one;
+        const auto now = start + seconds{4};
+        const auto wait_ms = [](double reading) {
+            return 30.0 + reading / 40.0;
+        };
+        const auto note = [&](const common::version_id& version, double reading, double ms) {
+            const answer_load load{
+                .reading = reading,
+                .requests = reading / 1000.0,
+                .is_load_test = version == new_version};
+            one.manager.note_first_event(
+                engines, version, drafts, milliseconds{static_cast<int>(ms)}, now, load);
+            one.manager.note_time(
+                engines, version, tags, {.took_ms = ms + 20.0, .load = load}, now);
+        };
+        for (int i = 0; i < 120; ++i) {
+            const double reading = 500.0 + 250.0 * (i % 20);
+            note(old_version, reading, wait_ms(reading));
+        }
+        for (int i = 0; i < 40; ++i) {
+            const double reading = 15000.0 + 500.0 * (i % 10);
+            note(new_version, reading, times * wait_ms(reading));
+        }
+        return one.bars_new(now);
+    };
+    CHECK_FALSE(is_barred(1.0));
+    CHECK_FALSE(is_barred(1.33));
+    CHECK(is_barred(8.0));
+}
+
 TEST_CASE("a burst does not make a version look slow that serves alone", "[rollout]")
 {
     // All sessions have moved; then three times as many callers arrive and queue.
--- a/source/unit_tests/routing/version_evidence_test.cpp
+++ b/source/unit_tests/routing/version_evidence_test.cpp
@@ -224,6 +224,56 @@
     CHECK(other.log_against().strongest <= 0.0);
 }
 
+TEST_CASE("failures on busy servers are not outweighed by answers of idle ones", "[evidence]")
+{
+    // Guards against judging a version that fails under load by all of its answers together: half
+    // of the few requests on busy servers fail, and ten times as many on idle ones do not.
+    const auto play = [](double failures_when_busy, std::uint64_t seed) {
+        std::mt19937_64 random{seed};
+        std::bernoulli_distribution fails{failures_when_busy};
+        version_evidence here{evidence_options{}};
+        version_evidence there{evidence_options{}};
+        for (int i = 0; i < 200; ++i) {
+            auto& one = i % 2 == 0 ? here : there;
+            one.add_outcome(lookups, version_side::old, i % 60 != 0);
+            one.add_outcome(lookups, version_side::new_one, true);
+            if (i % 10 == 0) {
+                one.add_outcome(lookups, version_side::new_one, !fails(random), occupancy::high);
+            }
+        }
+        here.apply_report(common::host_id{"b"}, there.make_report());
+        there.apply_report(common::host_id{"a"}, here.make_report());
+        CHECK(here.is_worse() == there.is_worse());
+        return here.log_against();
+    };
+    const auto bad = play(0.5, 1);
+    CHECK(bad.strongest > 5.3);
+    CHECK(bad.strongest_of_all < 1.0);
+    CHECK(bad.strongest_at == occupancy::high);
+    CHECK(bad.strongest_signal == policy::signal::error);
+    int alarms = 0;
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        alarms += play(1.0 / 60.0, seed).strongest > 5.3 ? 1 : 0;
+    }
+    CHECK(alarms == 0);
+}
+
+TEST_CASE("an old version that fails on busy servers is the measure there", "[evidence]")
+{
+    // Guards against an alarm over a new version that fails under load no more than the old one.
+    version_evidence seen{evidence_options{}};
+    for (int i = 0; i < 100; ++i) {
+        seen.add_outcome(lookups, version_side::old, true);
+    }
+    for (int i = 0; i < 30; ++i) {
+        seen.add_outcome(lookups, version_side::old, i % 2 == 0, occupancy::high);
+    }
+    for (int i = 0; i < 30; ++i) {
+        seen.add_outcome(lookups, version_side::new_one, i % 2 == 0, occupancy::high);
+    }
+    CHECK(seen.log_against().high_occupancy < 1.0);
+}
+
 TEST_CASE("implausible reports do not break the sums", "[evidence]")
 {
     version_evidence seen{evidence_options{}};
