relay: whether a send is a load test is known from the choice of its server

begin_attempt asked for the version rule a second time for each send, and during a roll-out went through all servers of the service again, to learn whether the server that had just been chosen is the one that is filled first. The choice knows it: choose_for_send returns it beside the server.

One corner differs: for a route or organisation that is bound to regions the second search went over servers of all regions, and could name another server than the one that the request had been sent to, so that its times were compared as if the server were not filled. Now they cannot differ.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -69,8 +69,8 @@
 
 auto relay::send_next() -> void
 {
-    const auto* server = this->choose_server();
-    if (server == nullptr) {
+    const auto chosen = this->choose_for_send();
+    if (chosen.server == nullptr) {
         if (!this->wait_for_send_slot()) {
             this->give_up(result_code::outcome_unknown);
         }
@@ -80,17 +80,18 @@
         return;
     }
     this->slot_deadline = common::never;
-    this->send_to(*server);
+    this->send_to(chosen);
 }
 
-auto relay::send_to(const routing::registration& server) -> void
+auto relay::send_to(const chosen_server& chosen) -> void
 {
+    const auto& server = *chosen.server;
     const auto where = http::parse_endpoint(server.address);
     if (!where) {
         this->give_up(result_code::no_capacity);
         return;
     }
-    const auto next = this->begin_attempt(server);
+    const auto next = this->begin_attempt(chosen);
     common::log(
         common::log_part::place,
         common::log_level::info,
@@ -125,8 +126,9 @@
     }
 }
 
-auto relay::begin_attempt(const routing::registration& server) -> std::shared_ptr<attempt>
+auto relay::begin_attempt(const chosen_server& chosen) -> std::shared_ptr<attempt>
 {
+    const auto& server = *chosen.server;
     const auto now = this->core->hooks.clock();
     const auto work = this->work();
     auto next = std::make_shared<attempt>();
@@ -140,9 +142,7 @@
     next->slots = server.slots;
     next->work_ahead = load.work + work.prompt;
     next->reading_ahead = load.reading + work.prompt;
-    const auto rule = this->version_rule(now);
-    next->is_load_test =
-        this->load_test_server(rule, this->core->servers.usable(this->service), now) == &server;
+    next->is_load_test = chosen.is_load_test;
     if (this->core->is_overload_controlled()) {
         next->cost = routing::cost_of(
             server,
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -133,20 +133,32 @@
         bool ended = false;
     };
 
+    /// Servers that the version rule allows for the request.
+    struct allowed_servers {
+        std::vector<const routing::registration*> all;
+        /// The server of a new version that is filled first, which need not be among them; null if
+        /// none is needed.
+        const routing::registration* filled_first = nullptr;
+    };
+
+    struct chosen_server {
+        /// Null if none is left.
+        const routing::registration* server = nullptr;
+        /// It is the one that is filled first.
+        bool is_load_test = false;
+    };
+
     auto start() -> void;
     auto choose_target() -> void;
-    /// Chooses the server for the model in use; null if none is left.
+    /// Chooses the server for the model in use.
+    [[nodiscard]] auto choose_for_send() const -> chosen_server;
+    /// The server alone; null if none is left.
     [[nodiscard]] auto choose_server() const -> const routing::registration*;
     [[nodiscard]] auto filter_by_version(
         const routing::version_rule& rule, std::vector<const routing::registration*> usable) const
-        -> std::vector<const routing::registration*>;
+        -> allowed_servers;
     /// How well requests of its kind fill a server in a load test.
     [[nodiscard]] auto load_test_fill() const -> routing::fill_level;
-    /// The server of a new version that is filled first; null if none is needed.
-    [[nodiscard]] auto load_test_server(
-        const routing::version_rule& rule,
-        const std::vector<const routing::registration*>& usable,
-        time_point now) const -> const routing::registration*;
     /// Whether the request may be sent to the server that is filled first, without harm to its
     /// caller.
     [[nodiscard]] auto
@@ -202,9 +214,9 @@
     [[nodiscard]] auto caller_left() const -> std::chrono::milliseconds;
     /// Tells overload control that the service has given the first event or the response.
     auto note_completed() -> void;
-    auto send_to(const routing::registration& server) -> void;
-    /// Creates the attempt, and records the send to `server` in all trackers.
-    auto begin_attempt(const routing::registration& server) -> std::shared_ptr<attempt>;
+    auto send_to(const chosen_server& chosen) -> void;
+    /// Creates the attempt, and records the send to the server in all trackers.
+    auto begin_attempt(const chosen_server& chosen) -> std::shared_ptr<attempt>;
     [[nodiscard]] auto make_forward_headers(const routing::registration& server) const
         -> forward_headers;
     [[nodiscard]] auto make_placement_request() const -> routing::placement_request;
--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -111,14 +111,21 @@
     return placement;
 }
 
-auto relay::choose_server() const -> const routing::registration*
+auto relay::choose_for_send() const -> chosen_server
 {
     const auto now = this->core->hooks.clock();
     const auto rule = this->version_rule(now);
     if (rule.allows_all() && !this->has_region_limits()) {
-        return this->choose_among(this->core->servers.usable(this->service), now);
+        return {this->choose_among(this->core->servers.usable(this->service), now)};
     }
-    return this->choose_among(this->filter_by_version(rule, this->eligible_servers()), now);
+    const auto allowed = this->filter_by_version(rule, this->eligible_servers());
+    const auto* server = this->choose_among(allowed.all, now);
+    return {server, server != nullptr && server == allowed.filled_first};
+}
+
+auto relay::choose_server() const -> const routing::registration*
+{
+    return this->choose_for_send().server;
 }
 
 auto relay::version_rule(time_point now) const -> routing::version_rule
@@ -167,7 +174,7 @@
     const auto known = this->trackers();
     auto next = common::never;
     for (const auto* server :
-         this->filter_by_version(this->version_rule(now), this->eligible_servers())) {
+         this->filter_by_version(this->version_rule(now), this->eligible_servers()).all) {
         if (!this->has_tried(*server)) {
             next = std::min(next, known.limiter->next_slot(*server, known.cold_per_second, now));
         }
@@ -247,27 +254,32 @@
 
 auto relay::filter_by_version(
     const routing::version_rule& rule, std::vector<const routing::registration*> usable) const
-    -> std::vector<const routing::registration*>
+    -> allowed_servers
 {
     const auto now = this->core->hooks.clock();
     routing::keep_allowed(usable, rule);
     if (!rule.preferred) {
-        return usable;
+        return {std::move(usable)};
     }
     if (rule.spread < 1.0) {
         routing::keep_canaries(usable, rule.spread, [this, now](const auto& server) {
             return this->is_out(server, now);
         });
     }
-    const auto* first = this->load_test_server(rule, usable, now);
+    if (!rule.needs_load_test) {
+        return {std::move(usable)};
+    }
+    const auto* first = routing::load_test_server(usable, [this, &rule, now](const auto& server) {
+        return server.version != rule.preferred || this->is_out(server, now);
+    });
     if (first != nullptr && this->has_room_for_load_test(*first, now)) {
-        return {first};
+        return {{first}, first};
     }
     // Long prompts would block that server for those that fill it.
     if (usable.size() > 1) {
         std::erase(usable, first);
     }
-    return usable;
+    return {std::move(usable), first};
 }
 
 auto relay::is_out(const routing::registration& server, time_point now) const -> bool
@@ -276,19 +288,6 @@
            this->core->health.is_ejected(server.instance(), now);
 }
 
-auto relay::load_test_server(
-    const routing::version_rule& rule,
-    const std::vector<const routing::registration*>& usable,
-    time_point now) const -> const routing::registration*
-{
-    if (!rule.needs_load_test) {
-        return nullptr;
-    }
-    return routing::load_test_server(usable, [this, &rule, now](const auto& server) {
-        return server.version != rule.preferred || this->is_out(server, now);
-    });
-}
-
 auto relay::load_test_fill() const -> routing::fill_level
 {
     return this->is_stream()
