routing: id_hash_of serves wherever a server's id is ranked by hash

All call id_hash_of now, beside registration. The hashes are the same, so the order of servers is too.

--- a/source/core/routing/registration.hpp
+++ b/source/core/routing/registration.hpp
@@ -42,6 +42,12 @@
     [[nodiscard]] auto is_cold(time_point now) const -> bool { return this->cold_until > now; }
 };
 
+/// `hash_of` the server's id, without hashing its text again if it is cached.
+inline auto id_hash_of(const registration& server) -> std::uint64_t
+{
+    return server.id_hash == 0 ? hash_of(server.id) : server.id_hash;
+}
+
 /// A change of the server list: a new or updated registration, or the end of one.
 struct registration_change {
     common::server_id id;
--- a/source/core/routing/server_choice.cpp
+++ b/source/core/routing/server_choice.cpp
@@ -21,11 +21,6 @@
 /// Cost of a server whose memory would overflow: more than that of any server with room.
 constexpr double overflow_cost = 1e12;
 
-auto id_hash(const registration& server) -> std::uint64_t
-{
-    return server.id_hash == 0 ? hash_of(server.id) : server.id_hash;
-}
-
 /// Decides which servers a request may be sent to.
 class eligibility {
 public:
@@ -79,7 +74,7 @@
         usable.size(),
         key,
         count,
-        [&usable](std::size_t index) { return id_hash(*usable[index]); },
+        [&usable](std::size_t index) { return id_hash_of(*usable[index]); },
         [&](std::size_t index) { return may_go.holds(*usable[index]); });
     servers found;
     found.reserve(first.size());
--- a/source/core/routing/server_load_tracker.cpp
+++ b/source/core/routing/server_load_tracker.cpp
@@ -47,12 +47,10 @@
 /// As `hash_of` the instance, without hashing the text of the id again.
 auto instance_hash(const registration& server) -> std::uint64_t
 {
-    if (server.id_hash == 0) {
-        return hash_of(server.instance());
-    }
+    const auto id_hash = id_hash_of(server);
     return server.started_at == start_time{0}
-               ? server.id_hash
-               : placement::affinity_weight(server.id_hash, server.started_at.value());
+               ? id_hash
+               : placement::affinity_weight(id_hash, server.started_at.value());
 }
 
 /// Requests at the server. Bounded, so that one absurd statement does not dominate the mean.
--- a/source/core/routing/version_rule.cpp
+++ b/source/core/routing/version_rule.cpp
@@ -36,7 +36,7 @@
     }
     const auto middle = fit.begin() + static_cast<std::ptrdiff_t>(kept);
     std::ranges::nth_element(
-        fit, middle, {}, [](const auto* server) { return hash_of(server->id); });
+        fit, middle, {}, [](const auto* server) { return id_hash_of(*server); });
     fit.erase(middle, fit.end());
     usable = std::move(fit);
 }
@@ -47,7 +47,7 @@
 {
     const registration* first = nullptr;
     for (const auto* server : usable) {
-        const bool is_before = first == nullptr || hash_of(server->id) < hash_of(first->id);
+        const bool is_before = first == nullptr || id_hash_of(*server) < id_hash_of(*first);
         if (is_before && !is_out(*server)) {
             first = server;
         }
