rollouts: one loop over peers' reports, one count of requests in flight, one pair of load effects

- version_evidence went through peers' reports of a route in four places (two of them from the load test): for_each_report, and pooled for means.
- Requests in flight by version were counted in three loops: in_flight_of.
- What load does to waits and to pauses was learned by two functions alike but for the names of their two members: load_effect_pair.
- The usage of a service was looked up with its own check for "unknown" in three places: usage_of, whose default is that.
- A share in a message was bounded by the same line three times: valid_share.

Same behaviour: routing_test 172 cases and 39,775 assertions, router_test 176 cases pass.

--- a/source/core/router/peer_report.cpp
+++ b/source/core/router/peer_report.cpp
@@ -151,6 +151,11 @@
     return is_known ? state : routing::rollout_state::running;
 }
 
+auto valid_share(double share) -> double
+{
+    return std::isfinite(share) ? std::clamp(share, 0.0, 1.0) : 0.0;
+}
+
 auto read_rollout(schema::Rollout::Reader from) -> routing::rollout_report
 {
     routing::rollout_report report;
@@ -161,13 +166,9 @@
     report.left_on_old = from.getLeftOnOld();
     report.state = to_rollout_state(from.getState());
     report.is_written = from.getIsWritten();
-    const double share = from.getShare();
-    report.share = std::isfinite(share) ? std::clamp(share, 0.0, 1.0) : 0.0;
-    const double load_test_share = from.getLoadTestShare();
-    report.load_test_share =
-        std::isfinite(load_test_share) ? std::clamp(load_test_share, 0.0, 1.0) : 0.0;
-    const double first_share = from.getFirstShare();
-    report.first_share = std::isfinite(first_share) ? std::clamp(first_share, 0.0, 1.0) : 0.0;
+    report.share = valid_share(from.getShare());
+    report.load_test_share = valid_share(from.getLoadTestShare());
+    report.first_share = valid_share(from.getFirstShare());
     const double rate = from.getRate();
     report.rate = std::isfinite(rate) ? std::max(rate, 0.0) : 0.0;
     for (const auto one : from.getEvidence()) {
--- a/source/core/routing/rollout_manager.cpp
+++ b/source/core/routing/rollout_manager.cpp
@@ -201,10 +201,10 @@
     return one.reached_share;
 }
 
-auto rollout_manager::knows_slots(const rollout& one) const -> bool
+auto rollout_manager::usage_of(const rollout& one) const -> service_usage
 {
-    const auto usage = this->usages.find(one.order.service);
-    return usage != this->usages.end() && usage->second.slots > 0;
+    const auto found = this->usages.find(one.order.service);
+    return found == this->usages.end() ? service_usage{} : found->second;
 }
 
 auto rollout_manager::load_test_share(const rollout& one, time_point now) const -> double
@@ -212,17 +212,15 @@
     const auto begins = one.order.allowed * this->settings.schedule.second_at;
     const bool is_doubtful =
         one.evidence.log_against().high_occupancy > this->settings.high_occupancy_doubt;
-    const bool is_due =
-        this->elapsed(one, now) >= begins && this->may_load_test(one) && !is_doubtful;
-    const auto usage = this->usages.find(one.order.service);
+    const auto usage = this->usage_of(one);
     const auto rate = this->rates.find(one.order.service);
-    if (!is_due || !this->knows_slots(one) || !usage->second.has_sessions ||
-        rate == this->rates.end()) {
+    if (this->elapsed(one, now) < begins || is_doubtful || !this->may_load_test(one) ||
+        usage.slots == 0 || !usage.has_sessions || rate == this->rates.end()) {
         return 0.0;
     }
     const auto own_rate = std::max(rate->second.per_second(now), min_rate);
-    const auto used = usage->second.in_flight.mean() * this->total_rate(one, now) / own_rate;
-    const auto wanted = high_occupancy_part * static_cast<double>(usage->second.slots);
+    const auto used = usage.in_flight.mean() * this->total_rate(one, now) / own_rate;
+    const auto wanted = high_occupancy_part * static_cast<double>(usage.slots);
     return std::min(used > wanted ? load_test_margin * wanted / used : 1.0, max_load_test_share);
 }
 
@@ -267,7 +265,7 @@
     const auto against = one.evidence.log_against();
     const bool is_doubtful = against.overall > this->settings.growth_below ||
                              against.high_occupancy > this->settings.high_occupancy_doubt;
-    const bool is_unproven = needs_load_test(one) && this->knows_slots(one);
+    const bool is_unproven = needs_load_test(one) && this->usage_of(one).slots > 0;
     return (is_doubtful || is_unproven) && this->elapsed(one, now) < latest;
 }
 
@@ -335,12 +333,10 @@
 
 auto rollout_manager::may_load_test(const rollout& one) const -> bool
 {
-    const auto usage = this->usages.find(one.order.service);
-    const bool has_sessions = usage != this->usages.end() && usage->second.has_sessions;
     // A busy server says less about how fast its version is. Plain servers answer as fast up to
     // their slots.
     const bool is_fast_enough = one.evidence.log_against().overall <= this->settings.growth_below;
-    return needs_load_test(one) && (!has_sessions || is_fast_enough);
+    return needs_load_test(one) && (is_fast_enough || !this->usage_of(one).has_sessions);
 }
 
 auto rollout_manager::describe(const rollout& one, time_point now) const -> std::string
--- a/source/core/routing/rollout_manager.hpp
+++ b/source/core/routing/rollout_manager.hpp
@@ -239,16 +239,22 @@
         auto note_replaced(const rollout_order& one) -> void;
     };
 
-    /// How load lengthens the times of the old version's answers.
+    /// How load lengthens one kind of time of the old version's answers.
+    struct load_effect_pair {
+        load_effect by_reading;
+        /// Of what the prompts to read leave.
+        load_effect by_requests;
+
+        auto note(const route_name& route, const answer_load& load, double log_ms) -> void;
+    };
+
     struct service_load_effects {
-        load_effect pause_by_reading{};
-        load_effect pause_by_requests{requests_effect};
-        load_effect wait_by_reading{reading_effect};
-        load_effect wait_by_requests{requests_effect};
+        load_effect_pair pause{load_effect{}, load_effect{requests_effect}};
+        load_effect_pair wait{load_effect{reading_effect}, load_effect{requests_effect}};
 
         /// Returns the logarithm of a time of the new version as it would be under the old
         /// version's usual load, if the answer comes from a load test. Learns from the old
-        /// version's.
+        /// version's; the new one's are left out, since its slowness would be attributed to load.
         auto adjust_wait(
             version_side side, const route_name& route, const answer_load& load, double log_ms)
             -> double;
@@ -265,10 +271,17 @@
             .unit = 4.0, .prior_slope = 0.3, .min_slope_beyond = 0.6};
     };
 
+    /// Requests in flight at this entry on one version of a service, and on its others.
+    struct version_in_flight {
+        unsigned on_version = 0;
+        unsigned on_others = 0;
+    };
+
     /// What the load test of a new version depends on.
     struct service_usage {
         /// Requests in flight at this entry when a further one is sent.
         policy::exponential_mean in_flight;
+        /// Of each server; 0 while unknown, when nothing tells a high occupancy.
         unsigned slots = 0;
         /// Whether its requests belong to sessions, which keep their version in the first half.
         bool has_sessions = false;
@@ -285,9 +298,7 @@
     [[nodiscard]] auto share_of(const rollout& one, time_point now) const -> double;
     /// Share of the sessions with such requests that are on the new version at present.
     [[nodiscard]] static auto share_for(const rollout& one, fill_level fill) -> double;
-    /// Whether the slots of the service's servers are known, without which nothing tells a high
-    /// occupancy.
-    [[nodiscard]] auto knows_slots(const rollout& one) const -> bool;
+    [[nodiscard]] auto usage_of(const rollout& one) const -> service_usage;
     /// Share of the sessions that fill a server with which one server of the new version reaches a
     /// high occupancy; 0 before the second half, if it is not known, or not needed any more.
     [[nodiscard]] auto load_test_share(const rollout& one, time_point now) const -> double;
@@ -315,7 +326,9 @@
     [[nodiscard]] auto describe(const rollout& one, time_point now) const -> std::string;
     /// Whether a response time of `version` may be compared.
     auto is_comparable(rollout& one, const common::version_id& version, time_point now) -> bool;
-    [[nodiscard]] auto own_in_flight(const common::service_name& service) const -> unsigned;
+    [[nodiscard]] auto
+    in_flight_of(const common::service_name& service, const common::version_id& version) const
+        -> version_in_flight;
     /// What remains on other versions, from this entry and over all entries: requests in flight and
     /// active sessions. Once a roll-out is complete its old servers stop, so a session that is
     /// still active there would change its version when it returns, possibly during the first half
--- a/source/core/routing/rollout_manager_outcomes.cpp
+++ b/source/core/routing/rollout_manager_outcomes.cpp
@@ -84,7 +84,8 @@
     unsigned slots) -> void
 {
     auto& usage = this->usages[service];
-    usage.in_flight.add(this->own_in_flight(service), usage_memory);
+    const auto counts = this->in_flight_of(service, version);
+    usage.in_flight.add(counts.on_version + counts.on_others, usage_memory);
     usage.slots = slots;
     this->in_flight[{service, version}] += 1;
     this->rates[service].note(now);
@@ -129,14 +130,9 @@
         this->note_outcome(service, version, route, false);
         return;
     }
-    loss_tracker::loss lost{now, side_of(one->order, version), route};
-    for (const auto& [key, count] : this->in_flight) {
-        if (key.first == service) {
-            const bool is_new = key.second == one->order.target;
-            (is_new ? lost.in_flight_new : lost.in_flight_old) += count;
-        }
-    }
-    this->losses[service].note(std::move(lost));
+    const auto counts = this->in_flight_of(service, one->order.target);
+    this->losses[service].note(
+        {now, side_of(one->order, version), route, counts.on_version, counts.on_others});
 }
 
 auto rollout_manager::settle_losses(const common::service_name& service, time_point now) -> void
@@ -218,36 +214,37 @@
     }
 }
 
+auto rollout_manager::load_effect_pair::note(
+    const route_name& route, const answer_load& load, double log_ms) -> void
+{
+    this->by_reading.note(route, load.reading, log_ms);
+    this->by_requests.note(
+        route, load.requests, this->by_reading.without_load(load.reading, log_ms));
+}
+
 auto rollout_manager::service_load_effects::adjust_wait(
     version_side side, const route_name& route, const answer_load& load, double log_ms) -> double
 {
     if (side == version_side::old) {
-        this->wait_by_reading.note(route, load.reading, log_ms);
-        this->wait_by_requests.note(
-            route, load.requests, this->wait_by_reading.without_load(load.reading, log_ms));
+        this->wait.note(route, load, log_ms);
         return log_ms;
     }
     if (!load.is_load_test) {
         return log_ms;
     }
-    return log_ms - this->wait_by_reading.beyond_usual(route, load.reading) -
-           this->wait_by_requests.beyond_usual(route, load.requests);
+    return log_ms - this->wait.by_reading.beyond_usual(route, load.reading) -
+           this->wait.by_requests.beyond_usual(route, load.requests);
 }
 
 auto rollout_manager::service_load_effects::adjust_pause(
     version_side side, const route_name& route, const answer_load& load, double log_ms) -> double
 {
-    // The new version's streams are left out: if it is slow, its slowness would be attributed to
-    // load.
-    if (side == version_side::old) {
-        this->pause_by_reading.note(route, load.reading, log_ms);
-    }
-    const auto without_reading = this->pause_by_reading.without_load(load.reading, log_ms);
     if (side == version_side::old) {
-        this->pause_by_requests.note(route, load.requests, without_reading);
+        this->pause.note(route, load, log_ms);
     }
+    const auto without_reading = this->pause.by_reading.without_load(load.reading, log_ms);
     const bool is_tested = side == version_side::new_one && load.is_load_test;
-    return is_tested ? without_reading - this->pause_by_requests.beyond_usual(route, load.requests)
+    return is_tested ? without_reading - this->pause.by_requests.beyond_usual(route, load.requests)
                      : without_reading;
 }
 
--- a/source/core/routing/rollout_manager_peers.cpp
+++ b/source/core/routing/rollout_manager_peers.cpp
@@ -134,25 +134,25 @@
     return count;
 }
 
-auto rollout_manager::own_in_flight(const common::service_name& service) const -> unsigned
+auto rollout_manager::in_flight_of(
+    const common::service_name& service, const common::version_id& version) const
+    -> version_in_flight
 {
-    unsigned count = 0;
+    version_in_flight counts;
     for (const auto& [key, requests] : this->in_flight) {
-        count += key.first == service ? requests : 0;
+        if (key.first == service) {
+            (key.second == version ? counts.on_version : counts.on_others) += requests;
+        }
     }
-    return count;
+    return counts;
 }
 
 auto rollout_manager::own_left_on_old(const rollout& one, time_point now) const -> unsigned
 {
     const auto& order = one.order;
-    auto count = static_cast<unsigned>(
+    const auto sessions_left = static_cast<unsigned>(
         this->sessions.count_on_other_versions(order.service, order.target, now));
-    for (const auto& [key, requests] : this->in_flight) {
-        const bool is_old = key.first == order.service && key.second != order.target;
-        count += is_old ? requests : 0;
-    }
-    return count;
+    return sessions_left + this->in_flight_of(order.service, order.target).on_others;
 }
 
 } // namespace reedramp::routing
--- a/source/core/routing/version_evidence.cpp
+++ b/source/core/routing/version_evidence.cpp
@@ -24,6 +24,24 @@
 
 } // namespace
 
+auto version_evidence::for_each_report(const route_name& route, const auto& visit) const -> void
+{
+    for (const auto& [peer, reports] : this->peers) {
+        if (const auto found = reports.find(route); found != reports.end()) {
+            visit(found->second);
+        }
+    }
+}
+
+auto version_evidence::pooled(const route_name& route, policy::sample_mean own, const auto& mean_of)
+    const -> policy::sample_mean
+{
+    this->for_each_report(route, [&own, &mean_of](const evidence_report& report) {
+        own = policy::combined_mean(own, mean_of(report));
+    });
+    return own;
+}
+
 auto version_evidence::at(const route_name& route) -> route_evidence&
 {
     auto found = this->routes.find(route);
@@ -126,12 +144,9 @@
         const auto& times = own->second.baseline_times[index_of(part)];
         sum = {times.mean(), times.weight()};
     }
-    for (const auto& [peer, reports] : this->peers) {
-        if (const auto found = reports.find(route); found != reports.end()) {
-            sum = policy::combined_mean(sum, found->second.baseline_times[index_of(part)]);
-        }
-    }
-    return sum;
+    return this->pooled(route, sum, [part](const evidence_report& report) {
+        return report.baseline_times[index_of(part)];
+    });
 }
 
 auto version_evidence::apply_report(
@@ -151,12 +166,9 @@
     auto& bets = this->routes.at(route).bets;
     for (std::size_t i = 0; i < policy::signal_count; ++i) {
         const auto what = static_cast<policy::signal>(i);
-        auto sum = bets.baseline_mean(what);
-        for (const auto& [peer, reports] : this->peers) {
-            if (const auto found = reports.find(route); found != reports.end()) {
-                sum = policy::combined_mean(sum, found->second.old_means[i]);
-            }
-        }
+        const auto sum = this->pooled(route, bets.baseline_mean(what), [i](const auto& report) {
+            return report.old_means[i];
+        });
         bets.set_pooled_baseline(what, sum.value, sum.count);
     }
     this->pool_high_occupancy(route);
@@ -166,15 +178,13 @@
 {
     constexpr auto what = policy::signal::error;
     auto& own = this->routes.at(route);
-    auto sum = own.high_occupancy_bets.baseline_mean(what);
-    auto of_all = own.bets.baseline_mean(what);
-    for (const auto& [peer, reports] : this->peers) {
-        if (const auto found = reports.find(route); found != reports.end()) {
-            sum = policy::combined_mean(sum, found->second.high_occupancy_old_failures);
-            of_all = policy::combined_mean(
-                of_all, found->second.old_means[static_cast<std::size_t>(what)]);
-        }
-    }
+    const auto sum =
+        this->pooled(route, own.high_occupancy_bets.baseline_mean(what), [](const auto& report) {
+            return report.high_occupancy_old_failures;
+        });
+    const auto of_all = this->pooled(route, own.bets.baseline_mean(what), [](const auto& report) {
+        return report.old_means[static_cast<std::size_t>(what)];
+    });
     const bool is_worse_there =
         sum.count >= this->settings.guard.min_baseline_count && sum.value > of_all.value;
     const auto& known = is_worse_there ? sum : of_all;
@@ -216,11 +226,9 @@
     policy::wealth evidence_report::*bets) const -> policy::wealth
 {
     policy::wealth sum = own.log_wealth();
-    for (const auto& [peer, reports] : this->peers) {
-        if (const auto found = reports.find(route); found != reports.end()) {
-            policy::add_wealth(sum, found->second.*bets);
-        }
-    }
+    this->for_each_report(route, [&sum, bets](const evidence_report& report) {
+        policy::add_wealth(sum, report.*bets);
+    });
     return sum;
 }
 
--- a/source/core/routing/version_evidence.hpp
+++ b/source/core/routing/version_evidence.hpp
@@ -183,6 +183,12 @@
     /// Sets the old version's rate of failures at high occupancy: that of all its answers, which
     /// are many more, unless it is known to fail more often there.
     auto pool_high_occupancy(const route_name& route) -> void;
+    /// Calls `visit` with each peer's report on the route.
+    auto for_each_report(const route_name& route, const auto& visit) const -> void;
+    /// The mean of this process and its peers, of which `mean_of` returns the one in a report.
+    [[nodiscard]] auto
+    pooled(const route_name& route, policy::sample_mean own, const auto& mean_of) const
+        -> policy::sample_mean;
     [[nodiscard]] auto sum_of_bets(
         const route_name& route,
         const policy::regression_evidence& own,
