routing tests: names and the exchange of reports stand once

The tests of roll-outs, of the load test and its simulation each declared the same service, versions, start and time allowed, and two of them the loop in which managers report to each other. They are in rollout_names.hpp now. (rollout_manager_test loses the lines that moved.)

--- a/source/unit_tests/routing/load_test_simulation.cpp
+++ b/source/unit_tests/routing/load_test_simulation.cpp
@@ -1,21 +1,17 @@
 #include "load_test_simulation.hpp"
 
 #include <algorithm>
-#include <string>
+
+#include "rollout_names.hpp"
 
 namespace reedramp::routing::testing {
 
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 const common::service_name service{"lookups"};
-const common::version_id old_version{"v1"};
-const common::version_id new_version{"v2"};
 const route_name reads{"reads"};
-const time_point ordered{seconds{100}};
-constexpr milliseconds allowed{20000};
 constexpr milliseconds warm_up{5000};
 constexpr milliseconds report_period{100};
 
@@ -42,21 +38,21 @@
     auto play() -> load_test_result
     {
         std::exponential_distribution<double> gap_ms{this->setup.requests_per_second / 1000.0};
-        auto now = ordered - warm_up;
+        auto now = start - warm_up;
         auto next_report = now;
         bool is_ordered = false;
-        while (now < ordered + allowed) {
+        while (now < start + allowed) {
             now += std::chrono::duration_cast<common::duration>(
                 std::chrono::duration<double, std::milli>(gap_ms(this->random)));
             this->end_until(now);
-            if (!is_ordered && now >= ordered) {
+            if (!is_ordered && now >= start) {
                 is_ordered = true;
                 for (auto& one : this->managers) {
-                    one.apply_order({service, new_version, allowed}, ordered);
+                    one.apply_order({service, new_version, allowed}, start);
                 }
             }
             if (now >= next_report) {
-                this->exchange_reports(now);
+                exchange_reports(this->managers, now);
                 next_report = now + report_period;
             }
             this->send(now);
@@ -101,7 +97,7 @@
         manager.note_sent(
             service, session, is_new ? new_version : old_version, now, this->setup.slots);
         this->in_flight.push(one);
-        this->result.requests += now >= ordered ? 1 : 0;
+        this->result.requests += now >= start ? 1 : 0;
         this->result.on_new_version += is_new ? 1 : 0;
     }
 
@@ -128,19 +124,6 @@
         }
     }
 
-    auto exchange_reports(time_point now) -> void
-    {
-        for (std::size_t from = 0; from < this->managers.size(); ++from) {
-            const common::host_id name{"host-" + std::to_string(from)};
-            const auto reports = this->managers[from].make_reports(now);
-            for (std::size_t to = 0; to < this->managers.size(); ++to) {
-                if (from != to) {
-                    this->managers[to].apply_reports(name, reports, now);
-                }
-            }
-        }
-    }
-
     load_test_setup setup;
     std::mt19937_64 random;
     std::vector<rollout_manager> managers;
--- a/source/unit_tests/routing/load_test_test.cpp
+++ b/source/unit_tests/routing/load_test_test.cpp
@@ -4,8 +4,8 @@
 #include <catch2/catch.hpp>
 
 #include "load_test_simulation.hpp"
+#include "rollout_names.hpp"
 #include "routing/load_test_routes.hpp"
-#include "routing/rollout_manager.hpp"
 
 namespace reedramp::routing::testing {
 
@@ -14,13 +14,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const common::service_name engines{"engines"};
-const common::version_id old_version{"v1"};
-const common::version_id new_version{"v2"};
-const route_name drafts{"drafts"};
 const route_name questions{"questions"};
-const time_point start{seconds{100}};
-constexpr milliseconds allowed{20000};
 
 } // namespace
 
--- a/source/unit_tests/routing/rollout_manager_test.cpp
+++ b/source/unit_tests/routing/rollout_manager_test.cpp
@@ -1,4 +1,4 @@
-#include "routing/rollout_manager.hpp"
+#include "rollout_names.hpp"
 
 #include <algorithm>
 #include <array>
@@ -14,13 +14,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const common::service_name engines{"engines"};
-const common::version_id old_version{"v1"};
-const common::version_id new_version{"v2"};
-const route_name drafts{"drafts"};
 const route_name tags{"tags"};
-const time_point start{seconds{100}};
-constexpr milliseconds allowed{20000};
 /// A session that is in every share, and one that is only in the full share.
 constexpr std::uint64_t early_session = 0;
 constexpr std::uint64_t late_session = ~std::uint64_t{0};
@@ -456,22 +450,12 @@
             managers[which].rule_for(engines, early_session, now);
             return managers[which].states(now).front().share;
         };
-        const auto exchange_reports = [&managers, entries](time_point now) {
-            for (std::size_t from = 0; from < entries; ++from) {
-                for (std::size_t to = 0; to < entries; ++to) {
-                    if (from != to) {
-                        const common::host_id name{"host-" + std::to_string(from)};
-                        managers[to].apply_reports(name, managers[from].make_reports(now), now);
-                    }
-                }
-            }
-        };
-        exchange_reports(start + milliseconds{300});
+        exchange_reports(managers, start + milliseconds{300});
         const auto begun = start + milliseconds{700};
         for (std::size_t i = 0; i < entries; ++i) {
             query_share(i, begun);
         }
-        exchange_reports(begun);
+        exchange_reports(managers, begun);
         const auto share = query_share(0, begun);
         for (std::size_t i = 0; i < entries; ++i) {
             // All have the same share, so that none takes another entry's for one that has grown.
