router: a lost send names the parts of its prompt

The log couldn't tell requests that share one harmful part from requests that are lost because servers end by themselves: its line for a lost send has a fingerprint of the whole request, which differs from request to request. It now has the ids of the parts that other requests may share, and for how long events had come. A stream whose body ends in the middle of an event gets the line too.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -260,6 +260,26 @@
     return *this->cached_fingerprint;
 }
 
+auto relay::shared_parts() -> const routing::part_set&
+{
+    if (!this->cached_parts) {
+        const auto& parts = this->request.caller.parts;
+        std::vector<routing::part_id> shared;
+        // The last part is specific to this request or its session.
+        for (std::size_t i = 0; i + 1 < parts.size() && i < routing::max_prompt_parts; ++i) {
+            shared.push_back(routing::part_id_of(parts[i].id));
+        }
+        this->cached_parts = routing::make_part_set(std::move(shared));
+    }
+    return *this->cached_parts;
+}
+
+auto relay::streamed_for(const attempt& of) const -> std::chrono::milliseconds
+{
+    return of.has_events ? milliseconds_between(of.first_event, this->core->hooks.clock())
+                         : std::chrono::milliseconds{0};
+}
+
 auto relay::is_stream() const -> bool
 {
     return this->request.route->kind == routing::request_kind::stream;
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -10,6 +10,7 @@
 #include "router/router_core.hpp"
 #include "routing/attempt_ledger.hpp"
 #include "routing/event_splitter.hpp"
+#include "routing/prompt_parts.hpp"
 #include "routing/request_fingerprint.hpp"
 
 namespace reedramp::router {
@@ -275,7 +276,7 @@
     /// Whether the server had hardly a slot left, so that requests may have waited for one.
     [[nodiscard]] auto was_nearly_full(const attempt& of) const -> bool;
     auto log_answer(const attempt& of, std::string_view what) const -> void;
-    auto log_connection_lost(const attempt& of, const common::error& why) -> void;
+    auto log_lost(const attempt& of, const common::error& why) -> void;
     auto on_connection_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void;
 
     /// Records the end of the attempt in all trackers, once.
@@ -292,6 +293,10 @@
 
     /// As `router_core::fingerprint_of`, computed on first use.
     auto fingerprint() -> routing::request_fingerprint;
+    /// The parts of its prompt that other requests may share, computed on first use.
+    auto shared_parts() -> const routing::part_set&;
+    /// How long the attempt has been sending events; 0 before the first one.
+    [[nodiscard]] auto streamed_for(const attempt& of) const -> std::chrono::milliseconds;
     /// Whether the caller already has a part of the stream from an earlier connection.
     [[nodiscard]] auto is_resumed() const -> bool;
     auto retries() -> placement::retry_budget&;
@@ -338,6 +343,7 @@
 
     std::uint64_t session_hash = 0;
     std::optional<routing::request_fingerprint> cached_fingerprint;
+    std::optional<routing::part_set> cached_parts;
 
     std::shared_ptr<attempt> current;
     std::vector<routing::server_instance> tried;
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -391,7 +391,7 @@
             (of.directives.has_malformed_backoff ? " rest=unreadable" : ""));
 }
 
-auto relay::log_connection_lost(const attempt& of, const common::error& why) -> void
+auto relay::log_lost(const attempt& of, const common::error& why) -> void
 {
     common::log(
         common::log_part::place,
@@ -399,6 +399,8 @@
         "attempt lost request=" + this->request.caller.attempt + " print=" +
             to_string(this->fingerprint()) + " server=" + of.server.id.value() + " after_ms=" +
             std::to_string(milliseconds_between(of.sent, this->core->hooks.clock()).count()) +
+            " streamed_ms=" + std::to_string(this->streamed_for(of).count()) +
+            " parts=" + to_string(this->shared_parts()) +
             " head=" + (of.head_verdict == verdict::none ? "no" : "yes") +
             " run=" + std::string{common::to_string(why.run)} + " detail=" + why.detail);
 }
@@ -412,7 +414,7 @@
                                                        : attempt_end::unknown;
     of->was_lost = !unsent;
     this->end_attempt(of, end, unsent ? server_outcome::unreachable : server_outcome::failed);
-    this->log_connection_lost(*of, why);
+    this->log_lost(*of, why);
     if (unsent) {
         this->core->crashes.note_down(of->server, this->core->hooks.clock());
     }
@@ -427,6 +429,7 @@
 {
     if (of->events && of->events->has_partial_event()) {
         // The body ended normally, but in the middle of an event.
+        this->log_lost(*of, common::make_error(result_code::stream_broken));
         this->end_attempt(of, attempt_end::ran, server_outcome::failed);
         this->retry(result_code::stream_broken);
         return;
