--- a/source/unit_tests/router/crash_simulation.cpp
+++ b/source/unit_tests/router/crash_simulation.cpp
@@ -18,6 +18,7 @@
 constexpr seconds entries_settle{3};
 
 constexpr std::string_view crash_mark = "ends servers: ";
+constexpr std::string_view parts_header = "Reedramp-Prompt-Parts";
 
 } // namespace
 
@@ -70,11 +71,25 @@
         std::erase_if(headers, [&item](const auto& own) { return own.name == item.name; });
         headers.push_back(item);
     }
+    const auto parts = http::find_header(headers, parts_header).value_or("");
+    const auto cause = this->cause_in(body, parts);
     auto out = this->fleet.entries[entry]->own.ask(how.path, std::move(headers), body);
-    this->requests.push_back({entry, attempt, body, out});
+    this->requests.push_back({this->now(), entry, attempt, body, cause, out});
     return out;
 }
 
+auto crash_simulation::cause_in(const std::string& body, std::string_view parts) const
+    -> std::string
+{
+    if (body.starts_with(crash_mark)) {
+        return body;
+    }
+    const auto found = std::ranges::find_if(this->crashing_parts, [parts](const auto& part) {
+        return parts.find(part + ":") != std::string_view::npos;
+    });
+    return found == this->crashing_parts.end() ? std::string{} : *found;
+}
+
 auto crash_simulation::ask_random_entry(const std::string& body, const request_options& how)
     -> std::shared_ptr<caller>
 {
@@ -93,16 +108,17 @@
         for (; this->collected[i] < sent.size(); ++this->collected[i]) {
             const auto call = sent[this->collected[i]];
             const auto server = call->header("Reedramp-Expect-Server");
+            const auto& body = call->request.body;
+            const auto cause = this->cause_in(body, call->header(parts_header));
             this->sends.push_back(
-                {this->now(), i, server, call->header("Reedramp-Attempt-Id"), call->request.body});
-            const bool crashes = call->request.body.starts_with(crash_mark);
+                {this->now(), i, server, call->header("Reedramp-Attempt-Id"), body, cause});
             const milliseconds extra{
                 static_cast<std::int64_t>(this->random() % max_extra_answer_ms)};
             this->in_flight.push_back(
                 {call,
                  server,
-                 call->request.body,
-                 this->now() + (crashes ? crash_delay : shortest_answer + extra)});
+                 cause,
+                 this->now() + (cause.empty() ? shortest_answer + extra : crash_delay)});
         }
     }
 }
@@ -156,9 +172,9 @@
         if (!this->alive.contains(one.server)) {
             one.call->lose(common::execution::not_run);
         }
-        else if (one.body.starts_with(crash_mark)) {
+        else if (!one.cause.empty()) {
             one.call->head(200);
-            this->crashes_by_body[one.body].push_back(this->now());
+            this->crashes_by_cause[one.cause].push_back(this->now());
             this->in_flight.push_back(one);
             this->crash_now(one.server);
         }
@@ -196,7 +212,7 @@
 
 auto crash_simulation::note_barred() -> void
 {
-    for (const auto& [body, crashes] : this->crashes_by_body) {
+    for (const auto& [body, crashes] : this->crashes_by_cause) {
         const bool is_known = std::ranges::all_of(this->fleet.entries, [&body](const auto& one) {
             const auto fingerprint =
                 routing::fingerprint_of({"org", "POST", "h", "/stream/1", body});
@@ -216,18 +232,25 @@
 
 auto crash_simulation::third_crash(const std::string& body) const -> common::time_point
 {
-    constexpr std::size_t third = 2;
-    const auto found = this->crashes_by_body.find(body);
-    const bool has_three = found != this->crashes_by_body.end() && found->second.size() > third;
-    return has_three ? found->second[third] : common::never;
+    constexpr std::size_t third = 3;
+    return this->crash_number(third, body);
+}
+
+auto crash_simulation::crash_number(std::size_t number, const std::string& cause) const
+    -> common::time_point
+{
+    const auto found = this->crashes_by_cause.find(cause);
+    const bool has_so_many =
+        found != this->crashes_by_cause.end() && found->second.size() >= number;
+    return has_so_many ? found->second[number - 1] : common::never;
 }
 
-auto crash_simulation::arrivals_after(const std::string& body, common::time_point time) const
+auto crash_simulation::arrivals_after(const std::string& cause, common::time_point time) const
     -> std::size_t
 {
     return static_cast<std::size_t>(
-        std::ranges::count_if(this->sends, [&body, time](const simulated_send& one) {
-            return one.body == body && one.at > time;
+        std::ranges::count_if(this->sends, [&cause, time](const simulated_send& one) {
+            return one.cause == cause && one.at > time;
         }));
 }
 
--- a/source/unit_tests/router/crash_simulation.hpp
+++ b/source/unit_tests/router/crash_simulation.hpp
@@ -33,9 +33,12 @@
 
 /// A caller's request and its response.
 struct simulated_request {
+    common::time_point at;
     std::size_t entry = 0;
     std::string attempt;
     std::string body;
+    /// The body or the part of the prompt that crashes servers; empty for a harmless request.
+    std::string cause;
     std::shared_ptr<caller> out;
 };
 
@@ -46,11 +49,14 @@
     std::string server;
     std::string attempt;
     std::string body;
+    /// As `simulated_request::cause`.
+    std::string cause;
 };
 
-/// Servers respond to each request after a while. A request with a marked body crashes the server
-/// that starts it, together with all that this server has in flight. A crashed server refuses
-/// connections; its registration lapses, and another server starts in its place.
+/// Servers respond to each request after a while. A request with a marked body, or with one of the
+/// crashing parts in its prompt, crashes the server that starts it, together with all that this
+/// server has in flight. A crashed server refuses connections; its registration lapses, and another
+/// server starts in its place.
 class crash_simulation {
 public:
     explicit crash_simulation(const crash_simulation_options& options);
@@ -81,8 +87,12 @@
     /// When the request had crashed its third server; `never` if it has not.
     [[nodiscard]] auto third_crash(const std::string& body) const -> common::time_point;
 
-    /// Number of arrivals of the request at servers after `time`.
-    [[nodiscard]] auto arrivals_after(const std::string& body, common::time_point time) const
+    /// When the body or part had crashed its server `number`, from 1; `never` if it has not.
+    [[nodiscard]] auto crash_number(std::size_t number, const std::string& cause) const
+        -> common::time_point;
+
+    /// Number of arrivals of requests with that body or part at servers after `time`.
+    [[nodiscard]] auto arrivals_after(const std::string& cause, common::time_point time) const
         -> std::size_t;
 
     /// Live servers.
@@ -91,6 +101,8 @@
     [[nodiscard]] auto now() const -> common::time_point;
 
     entry_fleet fleet;
+    /// Parts of prompts that crash servers.
+    std::set<std::string> crashing_parts;
     std::vector<simulated_request> requests;
     std::vector<simulated_send> sends;
     std::mt19937_64 random;
@@ -99,10 +111,14 @@
     struct pending_call {
         std::shared_ptr<sent_request> call;
         std::string server;
-        std::string body;
+        std::string cause;
         common::time_point ends_at;
     };
 
+    /// The cause of crashes that a request with that body and these parts holds; empty if none.
+    [[nodiscard]] auto cause_in(const std::string& body, std::string_view parts) const
+        -> std::string;
+
     auto collect_sends() -> void;
     auto respond_due() -> void;
     auto replace_due() -> void;
@@ -118,7 +134,7 @@
     /// When the registration of a crashed server ends, and when a replacement starts.
     std::multimap<common::time_point, std::string> to_remove;
     std::multimap<common::time_point, std::string> to_start;
-    std::map<std::string, std::vector<common::time_point>> crashes_by_body;
+    std::map<std::string, std::vector<common::time_point>> crashes_by_cause;
     std::size_t started = 0;
     std::size_t attempts = 0;
 };
