--- a/source/core/routing/prompt_parts.cpp
+++ b/source/core/routing/prompt_parts.cpp
@@ -42,8 +42,7 @@
 auto make_part_set(std::vector<part_id> parts) -> part_set
 {
     std::ranges::sort(parts);
-    const auto repeated = std::ranges::unique(parts);
-    parts.erase(repeated.begin(), repeated.end());
+    parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
     return parts;
 }
 
