--- a/source/unit_tests/router/part_crash_test.cpp
+++ b/source/unit_tests/router/part_crash_test.cpp
@@ -175,6 +175,33 @@
     CHECK(refused(simulation, false) == 0);
 }
 
+/// Guards against a bar that operators lift at one entry and that its peers or the evidence
+/// restore.
+TEST_CASE("a bar lifted at one entry is lifted at all", "[part_crash]")
+{
+    crash_simulation simulation{{.entries = 4}};
+    request_mix mix{simulation};
+    mix.run(seconds{5}, 2);
+    mix.run(seconds{4}, 2, milliseconds{200});
+    const auto bars = [&simulation] {
+        return std::ranges::count_if(simulation.fleet.entries, [](const auto& one) {
+            return one->own.core->crashes.has_barred_parts();
+        });
+    };
+    REQUIRE(bars() == 4);
+    auto& first = simulation.fleet.entries.front()->own.core->crashes;
+    for (const auto& state : first.states(simulation.now())) {
+        CHECK(first.lift(state.fingerprint, simulation.now()));
+    }
+    mix.run(seconds{1}, 2);
+    CHECK(bars() == 0);
+    mix.run(seconds{3}, 2);
+    CHECK(bars() == 0);
+    // The engine is still not mended.
+    mix.run(seconds{4}, 2, milliseconds{200});
+    CHECK(bars() == 4);
+}
+
 /// Guards against copies that wait at a server, and crash it after their part was barred.
 TEST_CASE("a request that waits is withdrawn when its part is barred", "[part_crash]")
 {
