--- a/source/core/routing/crash_tracker_parts.cpp
+++ b/source/core/routing/crash_tracker_parts.cpp
@@ -197,6 +197,7 @@
     -> std::optional<barred_request>
 {
     std::vector<crash_evidence> evidence;
+    evidence.reserve(all.size());
     for (const auto* one : all) {
         evidence.push_back(this->evidence_of(*one));
     }
