routing: one way to drop the oldest, to age and to report what is barred

The loop that drops the oldest items stood twice; served parts computed their age beside age_of; the operators' view of a bar repeated the fields of the report that entries exchange. Each stands once now, and served parts are reported beside served requests. A comment said that 32 served parts fit into one datagram; a datagram holds eight.

--- a/source/core/routing/crash_tracker.cpp
+++ b/source/core/routing/crash_tracker.cpp
@@ -13,6 +13,9 @@
 /// Crashes that count within one burst: one burst alone never bars a request, two bursts do.
 constexpr std::size_t max_per_burst = 2;
 
+/// Served parts reported at once; those left out are reported when they are served again.
+constexpr std::size_t max_served_parts_reported = 32;
+
 auto age_of(time_point at, time_point now) -> std::chrono::milliseconds
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::max(at, now) - at);
@@ -364,6 +367,18 @@
     return all;
 }
 
+auto crash_tracker::take_served_parts(time_point now) -> std::vector<served_part_report>
+{
+    std::vector<served_part_report> all;
+    for (const auto& which : std::exchange(this->unsent_served_parts, {})) {
+        const auto known = this->served_parts.find(which);
+        if (known != this->served_parts.end() && all.size() < max_served_parts_reported) {
+            all.push_back({which.part, which.engine, age_of(known->second.sent, now)});
+        }
+    }
+    return all;
+}
+
 auto crash_tracker::apply_losses(const std::vector<loss_report>& losses, time_point now) -> void
 {
     for (const auto& loss : losses) {
@@ -382,6 +397,14 @@
     }
 }
 
+auto crash_tracker::apply_served_parts(
+    const std::vector<served_part_report>& reports, time_point now) -> void
+{
+    for (const auto& one : reports) {
+        this->note_part_served({one.part, one.engine}, now - one.sent_age);
+    }
+}
+
 auto crash_tracker::make_barred_reports(std::size_t most, time_point now) const
     -> std::vector<barred_report>
 {
@@ -398,13 +421,7 @@
 {
     std::vector<barred_state> all;
     for (const auto& [fingerprint, since] : this->barred) {
-        const auto set = this->barred_sets.find(fingerprint);
-        all.push_back(
-            {fingerprint,
-             set == this->barred_sets.end() ? barred_parts{} : set->second,
-             age_of(since.at, now),
-             age_of(since.last_seen, now),
-             since.refused});
+        all.push_back({this->make_barred_report(fingerprint, since, now), since.refused});
     }
     return all;
 }
@@ -417,6 +434,9 @@
         this->barred, [oldest](const auto& item) { return item.second.last_seen < oldest; });
     std::erase_if(this->served, [oldest](const auto& item) { return item.second < oldest; });
     std::erase_if(this->crashes, [oldest](const auto& item) { return item.second.at < oldest; });
+    std::erase_if(this->suspect_parts, [oldest](const auto& item) { return item.second < oldest; });
+    std::erase_if(
+        this->served_parts, [oldest](const auto& item) { return item.second.sent < oldest; });
     const auto drop_oldest = [this](auto& items, auto time_of) {
         while (items.size() > this->settings.max_kept) {
             items.erase(std::ranges::min_element(items, {}, time_of));
@@ -425,9 +445,10 @@
     drop_oldest(this->barred, [](const auto& item) { return item.second.last_seen; });
     drop_oldest(this->served, [](const auto& item) { return item.second; });
     drop_oldest(this->crashes, [](const auto& item) { return item.second.at; });
+    drop_oldest(this->suspect_parts, [](const auto& item) { return item.second; });
+    drop_oldest(this->served_parts, [](const auto& item) { return item.second.sent; });
     std::erase_if(
         this->barred_sets, [this](const auto& item) { return !this->barred.contains(item.first); });
-    this->expire_parts(oldest);
 }
 
 } // namespace reedramp::routing
--- a/source/core/routing/crash_tracker.hpp
+++ b/source/core/routing/crash_tracker.hpp
@@ -120,10 +120,7 @@
 
 /// What is known of a barred request or of barred parts, for operators.
 struct barred_state {
-    request_fingerprint fingerprint;
-    barred_parts what;
-    std::chrono::milliseconds age{0};
-    std::chrono::milliseconds unseen{0};
+    barred_report report;
     /// Requests that this entry refused for it.
     std::uint64_t refused = 0;
 };
@@ -335,7 +332,6 @@
     auto bar_parts(time_point now) -> std::vector<barred_request>;
     auto note_part_served(engine_part which, time_point sent) -> served_part*;
     auto forget_evidence(const barred_parts& against) -> void;
-    auto expire_parts(time_point oldest) -> void;
 
     crash_options settings;
     /// By `hash_of` the server instance.
--- a/source/core/routing/crash_tracker_parts.cpp
+++ b/source/core/routing/crash_tracker_parts.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <utility>
 
 #include "routing/crash_tracker.hpp"
 
@@ -11,22 +10,11 @@
 /// Interval between reports that the same part was served by the same kind of engine. A part that
 /// many requests share is served all the time, and others serve it too.
 constexpr std::chrono::seconds served_report_interval{1};
-/// Served parts reported at once, so that they fit into one datagram.
-constexpr std::size_t max_served_parts_reported = 32;
 /// Served requests that are kept for each service.
 constexpr std::size_t max_served_sends = 256;
 /// Parts that may be newly barred at once.
 constexpr std::size_t max_barred_at_once = 4;
 
-/// Erases the oldest items until `most` are left.
-template <typename Items, typename TimeOf>
-auto drop_oldest(Items& items, std::size_t most, TimeOf time_of) -> void
-{
-    while (items.size() > most) {
-        items.erase(std::ranges::min_element(items, {}, time_of));
-    }
-}
-
 } // namespace
 
 auto crash_tracker::note_received(const prompt_traits& prompt) -> void
@@ -85,29 +73,6 @@
     }
 }
 
-auto crash_tracker::take_served_parts(time_point now) -> std::vector<served_part_report>
-{
-    std::vector<served_part_report> all;
-    for (const auto& which : std::exchange(this->unsent_served_parts, {})) {
-        const auto known = this->served_parts.find(which);
-        if (known != this->served_parts.end() && all.size() < max_served_parts_reported) {
-            all.push_back(
-                {which.part,
-                 which.engine,
-                 std::chrono::duration_cast<std::chrono::milliseconds>(now - known->second.sent)});
-        }
-    }
-    return all;
-}
-
-auto crash_tracker::apply_served_parts(
-    const std::vector<served_part_report>& reports, time_point now) -> void
-{
-    for (const auto& one : reports) {
-        this->note_part_served({one.part, one.engine}, now - one.sent_age);
-    }
-}
-
 auto crash_tracker::find_barred_parts(const prompt_traits& prompt) const
     -> std::optional<request_fingerprint>
 {
@@ -239,14 +204,4 @@
     }
 }
 
-auto crash_tracker::expire_parts(time_point oldest) -> void
-{
-    const auto most = this->settings.max_kept;
-    std::erase_if(this->suspect_parts, [oldest](const auto& item) { return item.second < oldest; });
-    std::erase_if(
-        this->served_parts, [oldest](const auto& item) { return item.second.sent < oldest; });
-    drop_oldest(this->suspect_parts, most, [](const auto& item) { return item.second; });
-    drop_oldest(this->served_parts, most, [](const auto& item) { return item.second.sent; });
-}
-
 } // namespace reedramp::routing
--- a/source/router/state_page.cpp
+++ b/source/router/state_page.cpp
@@ -74,10 +74,10 @@
 auto barred_row(const routing::barred_state& one) -> json::object
 {
     return {
-        {"print", to_string(one.fingerprint)},
-        {"parts", to_string(one.what.parts)},
-        {"barred_ms", one.age.count()},
-        {"unseen_ms", one.unseen.count()},
+        {"print", to_string(one.report.fingerprint)},
+        {"parts", to_string(one.report.what.parts)},
+        {"barred_ms", one.report.age.count()},
+        {"unseen_ms", one.report.unseen.count()},
         {"refused", one.refused}};
 }
 
--- a/source/unit_tests/router/part_crash_test.cpp
+++ b/source/unit_tests/router/part_crash_test.cpp
@@ -191,7 +191,7 @@
     REQUIRE(bars() == 4);
     auto& first = simulation.fleet.entries.front()->own.core->crashes;
     for (const auto& state : first.states(simulation.now())) {
-        CHECK(first.lift(state.fingerprint, simulation.now()));
+        CHECK(first.lift(state.report.fingerprint, simulation.now()));
     }
     mix.run(seconds{1}, 2);
     CHECK(bars() == 0);
