router: a barred request's fingerprint is computed once

While anything was barred, each request's body was hashed at its arrival, and again when its relay looked for a bar before the first send. The relay now gets the fingerprint with the request.

--- a/source/core/router/crash_broadcaster.cpp
+++ b/source/core/router/crash_broadcaster.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "router/log_fields.hpp"
 
 namespace reedramp::router {
 
@@ -140,13 +141,9 @@
         common::log(
             common::log_part::place,
             common::log_level::warning,
-            one.what.parts.empty() ? "request barred print=" + to_string(one.fingerprint) +
-                                         " crashes=" + std::to_string(one.crashes) +
-                                         " others=" + std::to_string(one.others)
-                                   : "prompt parts barred print=" + to_string(one.fingerprint) +
-                                         " parts=" + to_string(one.what.parts) +
-                                         " crashes=" + std::to_string(one.crashes) +
-                                         " evidence=" + std::to_string(one.evidence));
+            barred_text(one.fingerprint, one.what) + " crashes=" + std::to_string(one.crashes) +
+                (one.what.parts.empty() ? " others=" + std::to_string(one.others)
+                                        : " evidence=" + std::to_string(one.evidence)));
         this->core->withdraw_barred();
     }
     if (is_own) {
--- a/source/core/router/log_fields.cpp
+++ b/source/core/router/log_fields.cpp
@@ -59,4 +59,12 @@
            " shared=" + two_decimals(state.shared) + " entries=" + std::to_string(state.entries);
 }
 
+auto barred_text(routing::request_fingerprint fingerprint, const routing::barred_parts& what)
+    -> std::string
+{
+    return what.parts.empty() ? "request barred print=" + to_string(fingerprint)
+                              : "prompt parts barred print=" + to_string(fingerprint) +
+                                    " parts=" + to_string(what.parts);
+}
+
 } // namespace reedramp::router
--- a/source/core/router/log_fields.hpp
+++ b/source/core/router/log_fields.hpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "placement/retry_budget.hpp"
+#include "routing/barred_parts.hpp"
 #include "routing/configuration.hpp"
 #include "routing/server_load_tracker.hpp"
 
@@ -28,4 +29,9 @@
 /// that share.
 auto retry_budget_fields(const placement::retry_budget_state& state) -> std::string;
 
+/// Start of the log line on a barred request, or on barred parts: what is barred, and its
+/// fingerprint.
+auto barred_text(routing::request_fingerprint fingerprint, const routing::barred_parts& what)
+    -> std::string;
+
 } // namespace reedramp::router
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -30,6 +30,8 @@
     const routing::organisation* owner = nullptr;
     /// Start of all times and limits of the request.
     time_point received;
+    /// None if it has not been computed.
+    std::optional<routing::request_fingerprint> fingerprint = std::nullopt;
 };
 
 /// Relays one request: sends it to servers until one has responded or no more attempts are allowed,
@@ -356,7 +358,6 @@
     std::size_t model_index = 0;
 
     std::uint64_t session_hash = 0;
-    std::optional<routing::request_fingerprint> cached_fingerprint;
     std::optional<routing::part_set> cached_parts;
 
     std::shared_ptr<attempt> current;
--- a/source/core/router/relay_crashes.cpp
+++ b/source/core/router/relay_crashes.cpp
@@ -20,11 +20,11 @@
 
 auto relay::fingerprint() -> routing::request_fingerprint
 {
-    if (!this->cached_fingerprint) {
-        this->cached_fingerprint =
+    if (!this->request.fingerprint) {
+        this->request.fingerprint =
             this->core->fingerprint_of(this->request.original, this->request.caller);
     }
-    return *this->cached_fingerprint;
+    return *this->request.fingerprint;
 }
 
 auto relay::shared_parts() -> const routing::part_set&
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -65,12 +65,15 @@
         this->refuse(found.error(), caller->attempt, *out, owner_fields(owner, rank));
         return;
     }
-    if (const auto barred = this->find_barred(request, *caller)) {
+    const auto fingerprint = this->fingerprint_if_needed(request, *caller);
+    if (fingerprint && this->crashes.is_barred(*fingerprint)) {
+        this->crashes.note_refused(*fingerprint, this->hooks.clock());
         this->refuse(
             common::make_error(common::result_code::ends_servers),
             caller->attempt,
             *out,
-            owner_fields(owner, this->rank_of(**found, owner)) + " print=" + to_string(*barred));
+            owner_fields(owner, this->rank_of(**found, owner)) +
+                " print=" + to_string(*fingerprint));
         return;
     }
     if (this->streams->refuses_new()) {
@@ -86,69 +89,16 @@
     }
     relay::begin(
         this->shared_from_this(),
-        {std::move(request), std::move(*caller), this->rules_in_force, *found, owner, received},
+        {std::move(request),
+         std::move(*caller),
+         this->rules_in_force,
+         *found,
+         owner,
+         received,
+         fingerprint},
         std::move(out));
 }
 
-auto router_core::fingerprint_of(const http::request& request, const caller_request& caller) const
-    -> routing::request_fingerprint
-{
-    const auto* owner = this->rules_in_force->owner_of(caller.key);
-    return routing::fingerprint_of(
-        {owner == nullptr ? std::string_view{} : owner->name.value(),
-         request.method,
-         http::find_header(request.headers, "Host").value_or(""),
-         request.target,
-         request.body});
-}
-
-auto router_core::apply_barred_report(
-    const routing::barred_report& report, const std::string& source) -> void
-{
-    if (this->crashes.apply_barred(report, this->hooks.clock())) {
-        common::log(
-            common::log_part::place,
-            common::log_level::warning,
-            (report.what.parts.empty() ? "request barred print=" : "prompt parts barred print=") +
-                to_string(report.fingerprint) +
-                (report.what.parts.empty() ? "" : " parts=" + to_string(report.what.parts)) +
-                " told_by=" + source);
-        this->withdraw_barred();
-    }
-}
-
-auto router_core::note_lost(const run_evidence& run) -> void
-{
-    auto prompt = run.prompt;
-    if (run.is_harmless) {
-        prompt.parts.clear();
-    }
-    this->crashes.note_lost(run.fingerprint, run.server, run.sent, this->hooks.clock(), prompt);
-}
-
-auto router_core::note_served(const run_evidence& run) -> void
-{
-    const auto now = this->hooks.clock();
-    this->crashes.note_served(run.fingerprint, run.server, now);
-    this->crashes.note_parts_served(run.prompt, run.sent, now);
-}
-
-auto router_core::withdraw_barred() -> void
-{
-    for (const auto& one : this->copy_open_requests()) {
-        one->on_barred();
-    }
-}
-
-auto router_core::copy_open_requests() const -> std::vector<std::shared_ptr<relay>>
-{
-    std::vector<std::shared_ptr<relay>> open;
-    for (auto* one : this->open_requests) {
-        open.push_back(one->shared_from_this());
-    }
-    return open;
-}
-
 auto router_core::apply_limit(
     const routing::server_instance& server,
     const server_directives& directives,
@@ -232,20 +182,6 @@
             " per_second=" + (per_second ? std::to_string(*per_second) : "any") + source);
 }
 
-auto router_core::find_barred(const http::request& request, const caller_request& caller)
-    -> std::optional<routing::request_fingerprint>
-{
-    if (!this->crashes.has_barred()) {
-        return std::nullopt;
-    }
-    const auto fingerprint = this->fingerprint_of(request, caller);
-    if (!this->crashes.is_barred(fingerprint)) {
-        return std::nullopt;
-    }
-    this->crashes.note_refused(fingerprint, this->hooks.clock());
-    return fingerprint;
-}
-
 auto router_core::refuse(
     const common::error& why,
     const std::string& attempt,
@@ -327,6 +263,15 @@
     }
 }
 
+auto router_core::copy_open_requests() const -> std::vector<std::shared_ptr<relay>>
+{
+    std::vector<std::shared_ptr<relay>> open;
+    for (auto* one : this->open_requests) {
+        open.push_back(one->shared_from_this());
+    }
+    return open;
+}
+
 auto router_core::end_all_requests() -> void
 {
     for (const auto& one : std::exchange(this->held, {})) {
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -322,8 +322,9 @@
     [[nodiscard]] auto should_go_elsewhere(const routing::route& on) const -> bool;
     /// Time after which a caller that is refused for `why` should return.
     [[nodiscard]] auto retry_after(common::result_code why) const -> std::chrono::milliseconds;
-    /// Returns the request's fingerprint if it is barred because it crashes servers.
-    auto find_barred(const http::request& request, const caller_request& caller)
+    /// The request's fingerprint, which is costly, while any request is barred.
+    [[nodiscard]] auto
+    fingerprint_if_needed(const http::request& request, const caller_request& caller) const
         -> std::optional<routing::request_fingerprint>;
     auto check(const http::request& request, const caller_request& caller) const
         -> common::result<const routing::route*>;
