router tests: faults, bounds and the count of refusals stand once

The tests of parts that crash servers had copied from those of requests that do: four ways in which servers crash for other reasons, the bounds on late arrivals, and the count of refused requests. They stand in the simulation now; the bounds and assertions are unchanged, and so is each test's list of faults. A request counts as crashing by what it holds instead of by its body's mark, which is the same for the tests of bodies.

--- a/source/unit_tests/router/crash_simulation.cpp
+++ b/source/unit_tests/router/crash_simulation.cpp
@@ -260,9 +260,52 @@
         }));
 }
 
+auto crash_simulation::refused(bool crashing) const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->requests, [crashing](const simulated_request& one) {
+            return !one.cause.empty() == crashing && one.out->answer &&
+                   one.out->answer->body.find("ends_servers") != std::string::npos;
+        }));
+}
+
 auto crash_simulation::live_servers() const -> std::vector<std::string>
 {
     return {this->alive.begin(), this->alive.end()};
 }
 
+auto independent_faults() -> std::vector<crash_fault>
+{
+    return {
+        {"rack",
+         [](crash_simulation& simulation, int round) {
+             const auto live_servers = simulation.live_servers();
+             for (std::size_t i = 0; round % 8 == 0 && i < live_servers.size() / 3; ++i) {
+                 simulation.crash(live_servers[i]);
+             }
+         }},
+        {"one_by_one",
+         [](crash_simulation& simulation, int) {
+             const auto live_servers = simulation.live_servers();
+             if (!live_servers.empty()) {
+                 simulation.crash(live_servers.front());
+             }
+         }},
+        // The same server again and again; it has restarted two rounds later.
+        {"one_again",
+         [](crash_simulation& simulation, int round) {
+             if (round % 2 == 0) {
+                 simulation.crash("s-1");
+             }
+         }},
+        // A bad version runs on a quarter of the servers, one of which crashes twice per second.
+        {"bad_version", [](crash_simulation& simulation, int) {
+             const auto live_servers = simulation.live_servers();
+             if (!live_servers.empty()) {
+                 simulation.crash(
+                     live_servers[simulation.random() % (live_servers.size() / 4 + 1)]);
+             }
+         }}};
+}
+
 } // namespace reedramp::router::testing
--- a/source/unit_tests/router/crash_simulation.hpp
+++ b/source/unit_tests/router/crash_simulation.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -14,6 +15,11 @@
 /// Simulates entries, servers that some requests crash, and callers, without a network.
 namespace reedramp::router::testing {
 
+/// Entries in contact for this long know what the others have observed.
+inline constexpr seconds contact{3};
+/// Arrivals at servers after that time which the operators accept.
+inline constexpr std::size_t max_late = 3;
+
 struct crash_simulation_options {
     std::size_t entries = 4;
     std::size_t servers = 16;
@@ -98,6 +104,9 @@
     [[nodiscard]] auto arrivals_after(const std::string& cause, common::time_point time) const
         -> std::size_t;
 
+    /// Number of harmless or crashing requests that were refused as ones that crash servers.
+    [[nodiscard]] auto refused(bool crashing) const -> std::size_t;
+
     /// Live servers.
     [[nodiscard]] auto live_servers() const -> std::vector<std::string>;
 
@@ -142,4 +151,12 @@
     std::size_t attempts = 0;
 };
 
+/// A reason for which servers crash whatever they run, applied once in each round.
+struct crash_fault {
+    const char* name;
+    std::function<auto(crash_simulation& simulation, int round)->void> apply;
+};
+
+auto independent_faults() -> std::vector<crash_fault>;
+
 } // namespace reedramp::router::testing
--- a/source/unit_tests/router/crash_test.cpp
+++ b/source/unit_tests/router/crash_test.cpp
@@ -10,22 +10,6 @@
 
 namespace {
 
-/// Entries in contact for this long know what the others have observed.
-constexpr seconds contact{3};
-/// Arrivals at servers after that time which the operators accept.
-constexpr std::size_t max_late = 3;
-
-/// Callers whose request was refused as one that crashes servers.
-auto refused(const crash_simulation& simulation, bool crashing) -> std::size_t
-{
-    return static_cast<std::size_t>(
-        std::ranges::count_if(simulation.requests, [crashing](const simulated_request& one) {
-            const bool is_crashing = one.body.starts_with(crash_simulation::crashing_body(""));
-            return is_crashing == crashing && one.out->answer &&
-                   one.out->answer->body.find("ends_servers") != std::string::npos;
-        }));
-}
-
 /// Sends different harmless requests, `at_once` of them twenty times per second.
 auto send_harmless(crash_simulation& simulation, milliseconds time, std::size_t at_once = 1) -> void
 {
@@ -66,8 +50,8 @@
         REQUIRE(third != common::never);
         INFO(entries << " entries");
         CHECK(simulation.arrivals_after(body, third + contact) <= max_late);
-        CHECK(refused(simulation, true) > 0);
-        CHECK(refused(simulation, false) == 0);
+        CHECK(simulation.refused(true) > 0);
+        CHECK(simulation.refused(false) == 0);
     }
 }
 
@@ -102,7 +86,7 @@
             }
         }
         INFO("seed " << seed);
-        CHECK(refused(simulation, false) == 0);
+        CHECK(simulation.refused(false) == 0);
     }
 }
 
@@ -124,7 +108,7 @@
         REQUIRE(third != common::never);
         INFO("seed " << seed);
         CHECK(simulation.arrivals_after(body, third + contact) <= max_late);
-        CHECK(refused(simulation, false) == 0);
+        CHECK(simulation.refused(false) == 0);
     }
 }
 
@@ -154,7 +138,7 @@
         REQUIRE(third != common::never);
         INFO("seed " << seed);
         CHECK(simulation.arrivals_after(body, third + contact) <= max_late);
-        CHECK(refused(simulation, false) == 0);
+        CHECK(simulation.refused(false) == 0);
     }
 }
 
@@ -231,7 +215,7 @@
                 }
             }
             const auto third = simulation.third_crash(body);
-            harmless_refused += refused(simulation, false);
+            harmless_refused += simulation.refused(false);
             late += simulation.arrivals_after(body, third + contact);
             most_after = std::max(most_after, simulation.arrivals_after(body, third));
             const auto known = simulation.barred_everywhere_at(body);
@@ -252,36 +236,7 @@
 TEST_CASE(
     "harmless requests while servers crash for other reasons, over many seeds", "[.crash_seeds]")
 {
-    struct fault {
-        const char* name;
-        std::function<auto(crash_simulation& simulation, int round)->void> apply;
-    };
-
-    const std::vector<fault> faults = {
-        {"rack",
-         [](crash_simulation& simulation, int round) {
-             const auto live_servers = simulation.live_servers();
-             for (std::size_t i = 0; round % 8 == 0 && i < live_servers.size() / 3; ++i) {
-                 simulation.crash(live_servers[i]);
-             }
-         }},
-        {"one_by_one",
-         [](crash_simulation& simulation, int) {
-             simulation.crash(simulation.live_servers().front());
-         }},
-        // The same server again and again; it has restarted two rounds later.
-        {"one_again",
-         [](crash_simulation& simulation, int round) {
-             if (round % 2 == 0) {
-                 simulation.crash("s-1");
-             }
-         }},
-        // A bad version runs on a quarter of the servers, one of which crashes twice per second.
-        {"bad_version", [](crash_simulation& simulation, int) {
-             const auto live_servers = simulation.live_servers();
-             simulation.crash(live_servers[simulation.random() % (live_servers.size() / 4 + 1)]);
-         }}};
-    for (const auto& one : faults) {
+    for (const auto& one : independent_faults()) {
         std::size_t barred = 0;
         std::size_t requests = 0;
         for (std::uint64_t seed = 1; seed <= 75; ++seed) {
@@ -294,7 +249,7 @@
                 send_harmless(simulation, milliseconds{400}, load_of(seed));
                 one.apply(simulation, round);
             }
-            barred += refused(simulation, false);
+            barred += simulation.refused(false);
             requests += simulation.requests.size();
         }
         std::cout << "METRIC harmless_refused_" << one.name << " " << barred << " requests of "
--- a/source/unit_tests/router/part_crash_test.cpp
+++ b/source/unit_tests/router/part_crash_test.cpp
@@ -11,11 +11,8 @@
 
 namespace {
 
-/// Entries in contact for this long know what the others have observed.
-constexpr seconds contact{3};
 /// Crashes under one part after which the operators allow `max_late` further arrivals.
 constexpr std::size_t allowed_crashes = 5;
-constexpr std::size_t max_late = 3;
 
 /// Interval between the steps in which the tests send requests.
 constexpr milliseconds between{50};
@@ -96,16 +93,6 @@
     return all == 0 ? 0.0 : static_cast<double>(served) / static_cast<double>(all);
 }
 
-/// Sound or crashing requests that were refused as ones that crash servers.
-auto refused(const crash_simulation& simulation, bool crashing) -> std::size_t
-{
-    return static_cast<std::size_t>(
-        std::ranges::count_if(simulation.requests, [crashing](const simulated_request& one) {
-            return !one.cause.empty() == crashing && one.out->answer &&
-                   one.out->answer->body.find("ends_servers") != std::string::npos;
-        }));
-}
-
 } // namespace
 
 /// Guards against servers that crash one after the other under different requests that share one
@@ -125,8 +112,8 @@
         simulation.run(seconds{3});
         INFO(entries << " entries");
         CHECK(simulation.arrivals_after(crashing_part, fifth + contact) <= max_late);
-        CHECK(refused(simulation, true) > 0);
-        CHECK(refused(simulation, false) == 0);
+        CHECK(simulation.refused(true) > 0);
+        CHECK(simulation.refused(false) == 0);
         const auto before = served_share(simulation, began - seconds{4}, began);
         CHECK(served_share(simulation, fifth + 2 * contact, until) >= before / 2);
     }
@@ -152,7 +139,7 @@
         mix.run(seconds{1}, 2);
     }
     simulation.run(seconds{2});
-    CHECK(refused(simulation, false) == 0);
+    CHECK(simulation.refused(false) == 0);
     const auto last = simulation.ask(0, "sound", prompt({"a2", "b1"}));
     simulation.run(seconds{2});
     CHECK(last->is_finished);
@@ -172,7 +159,7 @@
         mix.run(seconds{1}, 2, milliseconds{200});
     }
     CHECK(simulation.arrivals_after(crashing_part, fifth + contact) <= max_late);
-    CHECK(refused(simulation, false) == 0);
+    CHECK(simulation.refused(false) == 0);
 }
 
 /// Guards against a bar that operators lift at one entry and that its peers or the evidence
@@ -247,7 +234,7 @@
             }
         }
         INFO("seed " << seed);
-        CHECK(refused(simulation, false) == 0);
+        CHECK(simulation.refused(false) == 0);
     }
 }
 
@@ -283,7 +270,7 @@
                 const auto late_now = simulation.arrivals_after(crashing_part, fifth + contact);
                 late += late_now;
                 plans_late += late_now > max_late ? 1 : 0;
-                harmless_refused += refused(simulation, false);
+                harmless_refused += simulation.refused(false);
                 crashes += simulation.crashes_of(crashing_part);
                 const auto until = simulation.now();
                 simulation.run(seconds{3});
@@ -310,54 +297,21 @@
     "no part is barred while servers crash for other reasons, over many seeds",
     "[.part_crash_seeds]")
 {
-    struct fault {
-        const char* name;
-        std::function<auto(crash_simulation& simulation, int round)->void> apply;
-    };
-
-    const std::vector<fault> faults = {
-        {"rack",
-         [](crash_simulation& simulation, int round) {
-             const auto live_servers = simulation.live_servers();
-             for (std::size_t i = 0; round % 8 == 0 && i < live_servers.size() / 3; ++i) {
-                 simulation.crash(live_servers[i]);
-             }
-         }},
-        {"power",
-         [](crash_simulation& simulation, int round) {
-             for (const auto& server : simulation.live_servers()) {
-                 if (round % 12 == 0) {
-                     simulation.crash(server);
-                 }
-             }
-         }},
-        {"one_by_one",
-         [](crash_simulation& simulation, int) {
-             const auto live_servers = simulation.live_servers();
-             if (!live_servers.empty()) {
-                 simulation.crash(live_servers.front());
-             }
-         }},
-        {"in_waves",
-         [](crash_simulation& simulation, int round) {
+    auto faults = independent_faults();
+    faults.push_back({"power", [](crash_simulation& simulation, int round) {
+                          for (const auto& server : simulation.live_servers()) {
+                              if (round % 12 == 0) {
+                                  simulation.crash(server);
+                              }
+                          }
+                      }});
+    faults.push_back(
+        {"in_waves", [](crash_simulation& simulation, int round) {
              const auto live_servers = simulation.live_servers();
              for (std::size_t i = 0; round % 20 < 8 && i < 2 && i < live_servers.size(); ++i) {
                  simulation.crash(live_servers[(simulation.random() + i) % live_servers.size()]);
              }
-         }},
-        {"one_again",
-         [](crash_simulation& simulation, int round) {
-             if (round % 2 == 0) {
-                 simulation.crash("s-1");
-             }
-         }},
-        {"bad_version", [](crash_simulation& simulation, int) {
-             const auto live_servers = simulation.live_servers();
-             if (!live_servers.empty()) {
-                 simulation.crash(
-                     live_servers[simulation.random() % (live_servers.size() / 4 + 1)]);
-             }
-         }}};
+         }});
     for (const auto& one : faults) {
         std::size_t barred = 0;
         std::size_t sets = 0;
@@ -374,7 +328,7 @@
                 mix.run(milliseconds{400}, sound);
                 one.apply(simulation, round);
             }
-            barred += refused(simulation, false);
+            barred += simulation.refused(false);
             sets += simulation.fleet.entries.front()->own.core->crashes.has_barred_parts() ? 1 : 0;
             requests += simulation.requests.size();
         }
