--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,9 @@
+#!/bin/bash
+# Builds the stand-ins of all cases, into review/bin. Needs g++ only.
+set -eu
+cd "$(dirname "$0")"
+mkdir -p bin
+for source in */case.cpp; do
+    name=$(dirname "$source")
+    g++ -std=c++20 -O1 -pthread -o "bin/case-$name" "$source"
+done
