--- a/review/2/case.cpp
+++ b/review/2/case.cc
@@ -1,5 +1,5 @@
 // Case 2: users upload large bodies at the same time. Usage: case ROUTER FOLDER
-#include "../standin/stage.hpp"
+#include "../standin/stage.h"
 
 using namespace stage;
 
@@ -41,10 +41,11 @@
 
 auto headers_of(const std::string& attempt) -> header_list
 {
-    return {{"Host", "app.example"},
-            {"X-Reedramp-Attempt-Id", attempt},
-            {"X-Reedramp-Deadline-Ms", "4000"},
-            {"X-Reedramp-Key", "key-a"}};
+    return {
+        {"Host", "app.example"},
+        {"X-Reedramp-Attempt-Id", attempt},
+        {"X-Reedramp-Deadline-Ms", "4000"},
+        {"X-Reedramp-Key", "key-a"}};
 }
 
 /// Sends one request with a large body on a new channel, piece by piece.
@@ -144,7 +145,8 @@
             for (int number = 0; !stops; ++number) {
                 const auto attempt = "small" + std::to_string(i) + "-" + std::to_string(number);
                 const auto got = ask(
-                    to.ip, routers.front_port,
+                    to.ip,
+                    routers.front_port,
                     request_text("POST", "/lookup/1", headers_of(attempt), std::string(600, 's')),
                     4500);
                 small += 1;
@@ -165,8 +167,8 @@
         std::vector<std::thread> open;
         for (const auto& one : routers.entries) {
             for (int user = 0; user < users; ++user) {
-                const auto attempt = "w" + std::to_string(wave) + "-" + one.host + "-" +
-                                     std::to_string(user);
+                const auto attempt =
+                    "w" + std::to_string(wave) + "-" + one.host + "-" + std::to_string(user);
                 const auto after = has_trouble ? 0 : user * wave_ms / users;
                 open.emplace_back([&routers, one, attempt, after] {
                     sleep_ms(after);
@@ -185,12 +187,12 @@
         one.join();
     }
     record.line(
-        "result trouble=" + std::string{has_trouble ? "1" : "0"} + " uploads=" +
-        std::to_string(uploads) + " ends_over_memory=" + std::to_string(ends[0]) + "," +
-        std::to_string(ends[1]) + " other_ends=" + std::to_string(ends_otherwise) +
+        "result trouble=" + std::string{has_trouble ? "1" : "0"} +
+        " uploads=" + std::to_string(uploads) + " ends_over_memory=" + std::to_string(ends[0]) +
+        "," + std::to_string(ends[1]) + " other_ends=" + std::to_string(ends_otherwise) +
         " most_memory_kib=" + std::to_string(most[0]) + "," + std::to_string(most[1]) +
-        " small_requests=" + std::to_string(small) + " of_these_without_answer=" +
-        std::to_string(small_without_answer));
+        " small_requests=" + std::to_string(small) +
+        " of_these_without_answer=" + std::to_string(small_without_answer));
     routers.end_all();
     std::_Exit(ends_otherwise > 0 ? 2 : (ends[0] >= 3 && ends[1] >= 3 ? 1 : 0));
 }
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
-for source in */case.cpp; do
+for source in */case.cc; do
     name=$(dirname "$source")
     g++ -std=c++20 -O1 -pthread -o "bin/case-$name" "$source"
 done
