--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,74 +1,40 @@
-// Case 2: users upload large bodies at the same time. Usage: case ROUTER FOLDER
+// Case 2: the operator's topic gives no answer for 4.3 s. Usage: case ROUTER FOLDER
 #include "../standin/stage.h"
 
 using namespace stage;
 
 namespace {
 
-/// limits.memory_mb = 110, in KiB.
-constexpr long memory_kib = 110L * 1000 * 1000 / 1024;
-/// Within max_body_bytes of the config.
-constexpr std::size_t body_bytes = 4'000'000;
-constexpr std::size_t piece_bytes = 40'000;
-/// A client's link: 2 MB a second.
-constexpr std::int64_t piece_pause_ms = 20;
-/// In each wave, at each node: usually these come one after the other over wave_ms.
-constexpr int usual_users = 17;
-constexpr std::int64_t wave_ms = 5000;
-/// In a burst they are 1.65 times as many, and come at once.
-constexpr int burst_users = 28;
-constexpr int waves = 5;
+constexpr std::int64_t config_apply_ms = 2000;
+constexpr std::int64_t contact_ms = 3000;
+constexpr std::int64_t outage_ms = 4300;
 
-const std::string config =
-    R"({"version":4,"routes":[{"name":"lookup","host":"app.example","path_prefix":"/lookup/",)"
-    R"("kind":"non_idempotent","timeout_ms":4000,"target_latency_ms":300,"priority":2,)"
-    R"("service":"app","max_attempts":1,"anonymous":false}],"services":[{"name":"app",)"
-    R"("health_path":"/health","max_connections":96}],"limits":{"max_header_bytes":16384,)"
-    R"("max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},)"
-    R"("tenants":[{"name":"tenant-a","api_keys":["key-a"],"priority":1}]})";
-
-/// The memory of a process in KiB, as its VmRSS says.
-auto memory_of(pid_t pid) -> long
-{
-    std::ifstream from("/proc/" + std::to_string(pid) + "/status");
-    for (std::string line; std::getline(from, line);) {
-        if (line.rfind("VmRSS:", 0) == 0) {
-            return std::atol(line.c_str() + 6);
-        }
-    }
-    return 0;
-}
-
-auto headers_of(const std::string& attempt) -> header_list
+auto config(int version, const std::string& service, const std::string& keys, bool has_idle)
+    -> std::string
 {
-    return {
-        {"Host", "app.example"},
-        {"X-Reedramp-Attempt-Id", attempt},
-        {"X-Reedramp-Deadline-Ms", "4000"},
-        {"X-Reedramp-Key", "key-a"}};
+    const std::string idle =
+        R"(,{"name":"idle","host":"app.example","path_prefix":"/idle/","kind":"idempotent",)"
+        R"("timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"old-app",)"
+        R"("max_attempts":2,"anonymous":false})";
+    return R"({"version":)" + std::to_string(version) +
+           R"(,"routes":[{"name":"status","host":"app.example","path_prefix":"/status/",)"
+           R"("kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,)"
+           R"("service":")" +
+           service + R"(","max_attempts":2,"anonymous":false})" + (has_idle ? idle : "") +
+           R"(],"services":[{"name":"old-app","health_path":"/health","max_connections":96},)"
+           R"({"name":"new-app","health_path":"/health","max_connections":96}],)"
+           R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,)"
+           R"("header_timeout_ms":3000,"idle_timeout_ms":15000},)"
+           R"("tenants":[{"name":"tenant-a","api_keys":[)" +
+           keys + R"(],"priority":1}]})";
 }
 
-/// Sends one request with a large body on a new channel, piece by piece.
-auto upload(const entry& to, std::uint16_t port, const std::string& attempt) -> void
-{
-    const auto text =
-        request_text("POST", "/lookup/1", headers_of(attempt), std::string(body_bytes, 'b'));
-    const int fd = connect_to(to.ip, port);
+struct sent_request {
+    std::string attempt;
+    std::string key;
+    std::int64_t at = 0;
     int status = 0;
-    bool is_sent = fd >= 0;
-    for (std::size_t at = 0; is_sent && at < text.size(); at += piece_bytes) {
-        is_sent = send_all(fd, text.substr(at, piece_bytes));
-        sleep_ms(piece_pause_ms);
-    }
-    if (fd >= 0) {
-        const auto got = reader(fd).read(true, now_ms() + 4500);
-        status = got.first_line.empty() ? 0 : got.status();
-        ::close(fd);
-    }
-    record.line(
-        "upload attempt=" + attempt + " host=" + to.host + " sent=" + (is_sent ? "whole" : "part") +
-        " status=" + std::to_string(status));
-}
+};
 
 } // namespace
 
@@ -79,22 +45,29 @@
     }
     const char* trouble_text = std::getenv("TROUBLE");
     const bool has_trouble = trouble_text == nullptr || std::string{trouble_text} != "0";
+    const std::string folder = arguments[2];
     record.open("record.txt");
 
+    std::atomic<bool> is_down{false};
     store platform("127.0.0.1");
+    platform.judge = [&](const store::call& one) {
+        const bool is_meant = is_down && one.topic == "keyed.op";
+        return is_meant ? store::fate::lose : store::fate::answer;
+    };
+    replica old_1("i-old1", "old-app", "zone-a", "127.0.0.1");
+    replica old_2("i-old2", "old-app", "zone-a", "127.0.0.1");
+    replica new_1("i-new1", "new-app", "zone-a", "127.0.0.1");
+    replica new_2("i-new2", "new-app", "zone-a", "127.0.0.1");
     heartbeats beats(platform);
-    std::vector<std::unique_ptr<replica>> replicas;
-    for (const auto* id : {"i-app1", "i-app2", "i-app3"}) {
-        replicas.push_back(std::make_unique<replica>(id, "app", "zone-a", "127.0.0.1"));
-        replicas.back()->work_ms = 60;
-        beats.add(*replicas.back());
+    for (auto* one : {&old_1, &old_2, &new_1, &new_2}) {
+        beats.add(*one);
     }
     beats.begin();
-    platform.put("keyed.op", "config", config);
+    platform.put("keyed.op", "config", config(3, "old-app", R"("key-kept","key-taken")", false));
 
-    deployment routers(arguments[1], arguments[2], platform.port());
-    routers.add("front-a-1", "zone-a", "127.0.0.51");
-    routers.add("front-a-2", "zone-a", "127.0.0.52");
+    deployment routers(arguments[1], folder, platform.port());
+    routers.add("front-a-1", "zone-a", "127.0.0.11");
+    routers.add("front-a-2", "zone-a", "127.0.0.12");
     routers.choose_ports();
     for (auto& one : routers.entries) {
         routers.start(one);
@@ -104,95 +77,104 @@
         routers.end_all();
         std::_Exit(2);
     }
-    sleep_ms(2000);
+    sleep_ms(3000);
 
-    // The platform kills a process that exceeds memory_mb, and restarts it after a short delay.
+    std::mutex lock;
+    std::vector<sent_request> requests;
     std::atomic<bool> stops{false};
-    std::array<int, 2> ends{0, 0};
-    std::array<long, 2> most{0, 0};
-    std::atomic<int> ends_otherwise{0};
-    std::vector<std::thread> threads;
-    for (std::size_t i = 0; i < 2; ++i) {
-        threads.emplace_back([&, i] {
-            auto& one = routers.entries[i];
-            while (!stops) {
-                const auto used = memory_of(one.pid);
-                most[i] = std::max(most[i], used);
-                if (used > memory_kib) {
-                    ends[i] += 1;
+    std::vector<std::thread> clients;
+    for (const auto& one : routers.entries) {
+        for (const std::string key : {"key-kept", "key-taken"}) {
+            clients.emplace_back([&, one, key] {
+                for (int number = 0; !stops; ++number) {
+                    const auto attempt = one.host + "-" + key + "-" + std::to_string(number);
+                    const auto got =
+                        ask(one.ip,
+                            routers.front_port,
+                            request_text(
+                                "GET",
+                                "/status/1",
+                                {{"Host", "app.example"},
+                                 {"X-Reedramp-Attempt-Id", attempt},
+                                 {"X-Reedramp-Deadline-Ms", "4000"},
+                                 {"X-Reedramp-Key", key}},
+                                ""),
+                            4000);
                     record.line(
-                        "killed host=" + one.host + " memory_kib=" + std::to_string(used) +
-                        " limit_kib=" + std::to_string(memory_kib));
-                    deployment::kill_and_wait(one, SIGKILL);
-                }
-                else if (!deployment::is_running(one)) {
-                    ends_otherwise += 1;
+                        "answered attempt=" + attempt + " sent_at=" + std::to_string(got.sent_at) +
+                        " status=" + std::to_string(got.status));
+                    {
+                        const std::lock_guard guard(lock);
+                        requests.push_back({attempt, key, got.sent_at, got.status});
+                    }
+                    sleep_ms(80);
                 }
-                if (one.pid < 0) {
-                    sleep_ms(500);
-                    routers.start(one);
-                }
-                sleep_ms(10);
-            }
-        });
+            });
+        }
     }
-    // Small requests of other users, one after the other at each node.
-    std::atomic<int> small{0};
-    std::atomic<int> small_without_answer{0};
-    for (std::size_t i = 0; i < 2; ++i) {
-        threads.emplace_back([&, i] {
-            const auto to = routers.entries[i];
-            for (int number = 0; !stops; ++number) {
-                const auto attempt = "small" + std::to_string(i) + "-" + std::to_string(number);
-                const auto got = ask(
-                    to.ip,
-                    routers.front_port,
-                    request_text("POST", "/lookup/1", headers_of(attempt), std::string(600, 's')),
-                    4500);
-                small += 1;
-                small_without_answer += got.whole ? 0 : 1;
-                record.line(
-                    "small attempt=" + attempt + " host=" + to.host +
-                    " status=" + std::to_string(got.status));
-                sleep_ms(50);
-            }
-        });
+    sleep_ms(1000);
+
+    platform.put("keyed.op", "config", config(4, "old-app", R"("key-kept","key-taken")", false));
+    record.line("config 4 acknowledged: nothing changes but its version");
+    sleep_ms(100);
+    // The disruption: one partition, that of the operator's topic, gives the entries no answer. The
+    // operator's own calls and all other topics work.
+    const auto trouble_at = now_ms();
+    is_down = has_trouble;
+    sleep_until_ms(trouble_at + 3400);
+    platform.put("keyed.op", "config", config(5, "old-app", R"("key-kept","key-taken")", true));
+    record.line("config 5 acknowledged: adds an idle route");
+    sleep_until_ms(trouble_at + outage_ms);
+    is_down = false;
+    // From here on the store works. It counts as stable, and the machines as in touch, contact_ms
+    // later.
+    sleep_until_ms(trouble_at + outage_ms + contact_ms + 200);
+    platform.put("keyed.op", "config", config(8, "new-app", R"("key-kept")", true));
+    const auto acknowledged = now_ms();
+    record.line("config 8 acknowledged: takes key-taken away, moves the route to new-app");
+    sleep_until_ms(acknowledged + config_apply_ms + 3000);
+    stops = true;
+    for (auto& one : clients) {
+        one.join();
     }
 
-    const int users = has_trouble ? burst_users : usual_users;
-    int uploads = 0;
-    for (int wave = 0; wave < waves; ++wave) {
-        record.line(
-            "wave " + std::to_string(wave) + ": " + std::to_string(users) + " users at each node");
-        std::vector<std::thread> open;
-        for (const auto& one : routers.entries) {
-            for (int user = 0; user < users; ++user) {
-                const auto attempt =
-                    "w" + std::to_string(wave) + "-" + one.host + "-" + std::to_string(user);
-                const auto after = has_trouble ? 0 : user * wave_ms / users;
-                open.emplace_back([&routers, one, attempt, after] {
-                    sleep_ms(after);
-                    upload(one, routers.front_port, attempt);
-                });
-                uploads += 1;
-            }
+    std::map<std::string, std::string> run_by;
+    for (auto* one : {&old_1, &old_2, &new_1, &new_2}) {
+        for (const auto& run : one->runs()) {
+            run_by[run.attempt] = one->service();
         }
-        for (auto& one : open) {
-            one.join();
+    }
+    int judged = 0;
+    int with_taken_key = 0;
+    int by_old_service = 0;
+    std::int64_t last = 0;
+    for (const auto& one : requests) {
+        if (one.at <= acknowledged + config_apply_ms) {
+            continue;
         }
-        sleep_ms(5000);
+        judged += 1;
+        const auto run = run_by.find(one.attempt);
+        const bool has_run = run != run_by.end();
+        const bool is_stale_key = one.key == "key-taken" && has_run;
+        const bool is_stale_route = has_run && run->second == "old-app";
+        with_taken_key += is_stale_key ? 1 : 0;
+        by_old_service += is_stale_route ? 1 : 0;
+        last = is_stale_key || is_stale_route ? std::max(last, one.at) : last;
     }
-    stops = true;
-    for (auto& one : threads) {
-        one.join();
+    bool all_running = true;
+    for (auto& one : routers.entries) {
+        all_running = deployment::is_running(one) && all_running;
     }
     record.line(
-        "result trouble=" + std::string{has_trouble ? "1" : "0"} +
-        " uploads=" + std::to_string(uploads) + " ends_over_memory=" + std::to_string(ends[0]) +
-        "," + std::to_string(ends[1]) + " other_ends=" + std::to_string(ends_otherwise) +
-        " most_memory_kib=" + std::to_string(most[0]) + "," + std::to_string(most[1]) +
-        " small_requests=" + std::to_string(small) +
-        " of_these_without_answer=" + std::to_string(small_without_answer));
+        "result trouble=" + std::string{has_trouble ? "1" : "0"} + " answers_lost=" +
+        std::to_string(platform.lost) + " answers_given=" + std::to_string(platform.answered) +
+        " judged=" + std::to_string(judged) + " run_with_taken_key=" +
+        std::to_string(with_taken_key) + " run_by_old_service=" + std::to_string(by_old_service) +
+        " last_stale_ms_after_acknowledgement=" +
+        std::to_string(last == 0 ? 0 : last - acknowledged));
     routers.end_all();
-    std::_Exit(ends_otherwise > 0 ? 2 : (ends[0] >= 3 && ends[1] >= 3 ? 1 : 0));
+    if (!all_running || judged < 50) {
+        std::_Exit(2);
+    }
+    std::_Exit(with_taken_key + by_old_service > 0 ? 1 : 0);
 }
