router: a process that stood still says so

An entry that was stopped, suspended or starved leaves no trace in its log but a gap, so that a burst of reading after it can't be told from a burst of its callers. The periodic exchange with peers now notices that it is late by half a second or more: one warning with the time, and two counters.

--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -59,6 +59,10 @@
           "Queries to neighbours for missing changes of the server list.")),
       list_rejected(registry.counter_of(
           "router_list_rejected_total", "Server list updates that were rejected.")),
+      stalls(registry.counter_of(
+          "router_process_stalls_total", "Times that the process stood still for 0.5 s or more.")),
+      stalled_ms(registry.counter_of(
+          "router_process_stalled_ms_total", "Time for which the process stood still, in ms.")),
       beyond_share(registry.gauge_of(
           "router_organisations_beyond_share",
           "Organisations that use more than their fair share, summed over services.")),
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -41,6 +41,10 @@
     /// Updates of the server list from neighbours that were malformed, or ahead of the store.
     metrics::counter& list_rejected;
 
+    /// Times that the process stood still, and how long altogether.
+    metrics::counter& stalls;
+    metrics::counter& stalled_ms;
+
     /// Organisations beyond their fair share, summed over services.
     metrics::gauge& beyond_share;
     /// Requests of organisations that were beyond their fair share at the first send.
--- a/source/router/process_implementation.hpp
+++ b/source/router/process_implementation.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include "daemon/stall_monitor.hpp"
 #include "daemon/timer_queue.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
@@ -67,6 +68,8 @@
     auto receive() -> void;
     auto every(milliseconds period, std::function<auto()->void> action) -> void;
     auto follow_store() -> void;
+    /// Logs and counts that the process stood still.
+    auto note_stall() -> void;
     auto shut_down() -> void;
     auto check_shutdown(common::time_point balancer_done, common::time_point last) -> void;
 
@@ -102,6 +105,7 @@
     platform_parts platform;
     asio::io_context context{1};
     std::shared_ptr<daemon::timer_queue> timers;
+    daemon::stall_monitor stalls;
     asio::ip::udp::socket datagrams;
     std::array<char, max_datagram_bytes> datagram{};
     store_clients store_http;
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -80,7 +80,7 @@
     router_settings settings_to_use, platform_parts parts_of_platform)
     : settings(std::move(settings_to_use)), platform(std::move(parts_of_platform)),
       timers(std::make_shared<daemon::timer_queue>(this->context, daemon::boot_time)),
-      datagrams(this->context),
+      stalls(daemon::boot_time, this->settings.peer_period), datagrams(this->context),
       store_http{
           http::client::create(this->context, store_client_options(waiting_silence)),
           http::client::create(this->context, store_client_options(quick_silence))}
@@ -279,11 +279,25 @@
     }
     this->receive();
     this->every(this->settings.peer_period, [this] {
+        this->note_stall();
         this->crash_updates->tick();
         this->peers->send_reports();
     });
 }
 
+auto router_process::implementation::note_stall() -> void
+{
+    const auto stall = this->stalls.tick();
+    if (!stall) {
+        return;
+    }
+    const auto ms = std::chrono::duration_cast<milliseconds>(*stall).count();
+    this->core->counters.stalls.add();
+    this->core->counters.stalled_ms.add(static_cast<std::uint64_t>(ms));
+    common::log(
+        log_part::entry, log_level::warning, "process stood still ms=" + std::to_string(ms));
+}
+
 auto router_process::implementation::open_crash_updates() -> void
 {
     router::crash_broadcaster_hooks hooks;
