--- a/source/unit_tests/router/response_simulation.cpp
+++ b/source/unit_tests/router/response_simulation.cpp
@@ -41,13 +41,43 @@
 }
 
 auto response_simulation::ask() -> void
+{
+    this->asked_at.push_back(this->now());
+    if (this->are_entries_stopped) {
+        this->unread += 1;
+        return;
+    }
+    this->deliver();
+}
+
+auto response_simulation::stop_entries() -> void
+{
+    this->are_entries_stopped = true;
+    for (auto& one : this->fleet.entries) {
+        one->is_frozen = true;
+    }
+}
+
+auto response_simulation::resume_entries() -> void
+{
+    this->are_entries_stopped = false;
+    for (auto& one : this->fleet.entries) {
+        one->is_frozen = false;
+    }
+    // Their clocks go on first: the entries read what waited for them now.
+    this->fleet.run(step);
+    for (; this->unread > 0; --this->unread) {
+        this->deliver();
+    }
+}
+
+auto response_simulation::deliver() -> void
 {
     auto entry = this->random() % this->fleet.entries.size();
     while (this->fleet.entries[entry]->is_frozen) {
         entry = this->random() % this->fleet.entries.size();
     }
     const auto attempt = "attempt-" + std::to_string(this->callers.size());
-    this->asked_at.push_back(this->now());
     this->callers.push_back(
         this->fleet.entries[entry]->own.ask("/again/1", {{"Reedramp-Attempt-Id", attempt}}));
 }
@@ -81,7 +111,8 @@
 {
     // A response may lead to another send, which is collected in the next step.
     for (const auto& one : std::exchange(this->in_flight, {})) {
-        if (one.ends_at > this->now()) {
+        const bool is_frozen = this->fleet.entries[one.arrived.entry]->is_frozen;
+        if (is_frozen || one.ends_at > this->now()) {
             this->in_flight.push_back(one);
             continue;
         }
--- a/source/unit_tests/router/response_simulation.hpp
+++ b/source/unit_tests/router/response_simulation.hpp
@@ -58,6 +58,10 @@
     /// Starts a new process on an entry's host.
     auto restart(std::size_t entry) -> void;
 
+    /// All entries stand still until `resume_entries`; callers go on meanwhile.
+    auto stop_entries() -> void;
+    auto resume_entries() -> void;
+
     [[nodiscard]] auto now() const -> common::time_point { return this->fleet.now; }
 
     [[nodiscard]] auto server_name(std::size_t server) const -> std::string;
@@ -101,6 +105,8 @@
     };
 
     auto ask() -> void;
+    /// Gives a caller's request to an entry that runs.
+    auto deliver() -> void;
     auto collect_sends() -> void;
     auto respond_due() -> void;
 
@@ -109,6 +115,9 @@
     std::vector<std::size_t> processes;
     std::vector<pending_call> in_flight;
     common::time_point next_request;
+    bool are_entries_stopped = false;
+    /// Requests that were sent to entries which stand still.
+    std::size_t unread = 0;
 };
 
 } // namespace reedramp::router::testing
--- a/source/unit_tests/router/retry_budget_test.cpp
+++ b/source/unit_tests/router/retry_budget_test.cpp
@@ -81,4 +81,28 @@
     }
 }
 
+// Guards against retries beyond the allowance because entries that stood still read what waited for
+// them at once, and earn retries for it beside those of the requests of that time.
+TEST_CASE(
+    "retries stay within the deployment's budget after all entries stood still",
+    "[retry_budget][!shouldfail]")
+{
+    constexpr reedramp::testing::retry_allowance most{0.9, seconds{10}, 52.0};
+    for (const std::size_t entries : {3, 28}) {
+        INFO("entries " << entries);
+        response_simulation simulation{
+            {.entries = entries, .retries = {most.ratio, most.extra, most.window}}};
+        simulation.run(seconds{11});
+        fail_all(simulation);
+        simulation.run(seconds{4});
+        simulation.stop_entries();
+        simulation.run(milliseconds{4500});
+        simulation.resume_entries();
+        simulation.run(seconds{11});
+        const auto seen = simulation.history();
+        CHECK(seen.repeats.size() > 500);
+        CHECK(reedramp::testing::worst_excess(seen, most) <= 0.0);
+    }
+}
+
 } // namespace reedramp::router::testing
