placement: retries that may still arrive are part of the window

What callers would see is the same as before: servers that fail get more repeats in a window than the deployment allows. The budget counted a retry when it was granted; the deployment counts it when a server receives it. Servers that stand still receive the retries of several windows at once when they go on, also of requests that the entries have given up.

Each process now limits the retries that servers may receive within one window: a retry counts from its grant until a window after its arrival is known (its response, its connection's end), and, if its server has not answered when the entry leaves it, until a window after the request's time limit. Of the retries that arrive in any window, none has left the count when the last one is granted, so the limit holds however long they were on their way. It is 0.9 of the ratio of what the mean rate, or the last window if that is less, has in a window, and the share of the extra. A denied retry's log line has both figures.

--- a/source/core/placement/arrival_smoother.cpp
+++ b/source/core/placement/arrival_smoother.cpp
@@ -51,6 +51,17 @@
     return static_cast<double>(this->remembered) / seconds_of(sample);
 }
 
+auto arrival_smoother::count_within(common::time_point now, common::duration time) -> std::uint32_t
+{
+    this->drop_expired(this->slot_number(now));
+    std::uint32_t count = 0;
+    const auto slots = std::min<std::int64_t>(time / this->slot_length(), slot_count);
+    for (std::int64_t i = 0; i < slots; ++i) {
+        count += this->arrivals[static_cast<std::size_t>(this->newest_slot - i) % slot_count];
+    }
+    return count;
+}
+
 auto arrival_smoother::record(common::time_point now) -> double
 {
     if (this->first == common::never) {
--- a/source/core/placement/arrival_smoother.hpp
+++ b/source/core/placement/arrival_smoother.hpp
@@ -34,6 +34,9 @@
     /// Mean rate.
     [[nodiscard]] auto per_second(common::time_point now) -> double;
 
+    /// Arrivals of the last `time`, which the memory covers.
+    [[nodiscard]] auto count_within(common::time_point now, common::duration time) -> std::uint32_t;
+
 private:
     static constexpr std::size_t slot_count = 60;
 
--- a/source/core/placement/retry_budget.cpp
+++ b/source/core/placement/retry_budget.cpp
@@ -10,6 +10,9 @@
 /// Part of the ratio that first attempts earn. With what was earned in the time before it, a window
 /// has 1.2 times that; the rest is for traffic that is uneven.
 constexpr double earned_part = 0.78;
+/// Part of the ratio that servers may receive within a window. The rest is for rates that are known
+/// from requests which were read late.
+constexpr double received_part = 0.9;
 /// Time over which the rate is taken at which first attempts earn, in windows.
 constexpr double rate_memory = 3.0;
 /// Time for which an earned retry may be used, as a part of the window.
@@ -35,7 +38,8 @@
 
 retry_budget::retry_budget(retry_budget_settings initial, retry_budget_hooks hooks_to_use)
     : settings(initial), hooks(std::move(hooks_to_use)),
-      arrivals(smoother_settings(initial.window)), accrued_until(this->hooks.clock())
+      arrivals(smoother_settings(initial.window)), in_window(initial.window),
+      accrued_until(this->hooks.clock())
 {
     // A process that has just started may not know the other entries yet, and would take the whole
     // extra for itself.
@@ -52,6 +56,7 @@
     if (changed.window != this->settings.window) {
         this->slots = {}; // Their numbers depend on the window.
         this->arrivals = arrival_smoother{smoother_settings(changed.window)};
+        this->in_window = retry_window{changed.window};
     }
     this->settings = changed;
     this->shared = std::min(this->shared, this->max_share());
@@ -147,6 +152,27 @@
     return std::max(0.0, earned - reserved) + std::max(0.0, this->shared - reserved_share);
 }
 
+auto retry_budget::window_limit(common::time_point now) -> double
+{
+    const auto window_s = std::chrono::duration<double>(this->settings.window).count();
+    // The last window alone has too many requests where the backlog of a stop has been read in it
+    // and the stop is over; the mean rate has too many of a process that has just started.
+    const auto first = std::min(
+        this->arrivals.per_second(now) * window_s,
+        static_cast<double>(this->arrivals.count_within(now, this->settings.window)));
+    const auto share =
+        this->settings.extra * (accrued_part + saved_part) / static_cast<double>(this->max_entries);
+    return received_part * this->settings.ratio * first + share;
+}
+
+auto retry_budget::receivable(common::time_point now) -> double
+{
+    // Retries are counted whole, so the limit is rounded: over many processes, that evens out.
+    constexpr double rounding = 0.5;
+    const auto counted = static_cast<double>(this->in_window.count(now));
+    return this->window_limit(now) + rounding - counted;
+}
+
 auto retry_budget::use(double retries) -> void
 {
     // The oldest first, as they expire first.
@@ -161,22 +187,35 @@
     this->shared = std::max(0.0, this->shared - retries);
 }
 
-auto retry_budget::try_acquire_retry(retry_need need) -> bool
+auto retry_budget::try_acquire_retry(retry_need need, common::time_point latest_arrival)
+    -> std::optional<retry_permit>
 {
     const auto values = this->read_hooks();
     const auto draw = common::random_unit(this->hooks.random);
     const std::lock_guard guard(this->lock);
     this->refresh(values);
-    const auto usable = this->usable_for(need);
+    const auto usable = std::min(this->usable_for(need), this->receivable(values.now));
     if (usable <= 0.0) {
-        return false;
+        return std::nullopt;
     }
     // Less than a whole retry is used up for a chance of that size. Otherwise a process with few
     // requests, whose parts of a retry expire one by one, could never send one again.
     const bool is_granted = usable >= 1.0 || draw < usable;
     this->use(std::min(usable, 1.0));
-    this->granted += is_granted ? 1 : 0;
-    return is_granted;
+    if (!is_granted) {
+        return std::nullopt;
+    }
+    const retry_permit permit{std::max(latest_arrival, values.now)};
+    this->in_window.add(permit.latest_arrival);
+    this->granted += 1;
+    return permit;
+}
+
+auto retry_budget::note_arrived(const retry_permit& permit) -> void
+{
+    const auto now = this->hooks.clock();
+    const std::lock_guard guard(this->lock);
+    this->in_window.move(permit.latest_arrival, std::min(now, permit.latest_arrival));
 }
 
 auto retry_budget::state() -> retry_budget_state
@@ -185,7 +224,13 @@
     const std::lock_guard guard(this->lock);
     this->refresh(values);
     return {
-        this->first_attempts, this->granted, this->earned_left(), this->shared, this->max_entries};
+        .first_attempts = this->first_attempts,
+        .granted = this->granted,
+        .earned = this->earned_left(),
+        .shared = this->shared,
+        .entries = this->max_entries,
+        .in_window = this->in_window.count(values.now),
+        .window_limit = this->window_limit(values.now)};
 }
 
 } // namespace reedramp::placement
--- a/source/core/placement/retry_budget.hpp
+++ b/source/core/placement/retry_budget.hpp
@@ -5,10 +5,12 @@
 #include <cstdint>
 #include <functional>
 #include <mutex>
+#include <optional>
 
 #include "common/hooks.hpp"
 #include "common/units.hpp"
 #include "placement/arrival_smoother.hpp"
+#include "placement/retry_window.hpp"
 
 namespace reedramp::placement {
 
@@ -36,6 +38,12 @@
     optional,
 };
 
+/// A granted retry.
+struct retry_permit {
+    /// It arrives at a server by then, unless the budget is told otherwise.
+    common::time_point latest_arrival;
+};
+
 /// What a budget has counted since the process started, and what is left.
 struct retry_budget_state {
     std::uint64_t first_attempts = 0;
@@ -45,6 +53,9 @@
     double shared = 0.0;
     /// The largest number of entries known so far.
     std::size_t entries = 1;
+    /// Retries that servers may receive within one window, and how many these may be.
+    std::size_t in_window = 0;
+    double window_limit = 0.0;
 };
 
 /// One entry's part of the retries of a service, chosen so that all entries together stay within
@@ -59,8 +70,10 @@
 /// The extra retries are divided by the number of entries. Each entry's share accrues over time, so
 /// that a restart brings none either.
 ///
-/// The deployment counts requests when callers send them. They may be read late, all at once, and
-/// therefore earn little faster than their mean rate.
+/// The deployment counts requests when callers send them and retries when servers receive them.
+/// Requests may be read late, all at once: they earn no faster than their mean rate. Retries may be
+/// received late, all at once: those that may still arrive, or arrived within the window, are
+/// limited to what the mean rate pays for in a window.
 ///
 /// Thread-safe.
 class retry_budget {
@@ -72,9 +85,14 @@
 
     auto record_first_attempt() -> void;
 
-    /// Uses one retry; false if too little is left. An optional retry leaves a part for required
-    /// ones.
-    [[nodiscard]] auto try_acquire_retry(retry_need need = retry_need::required) -> bool;
+    /// Uses one retry, which arrives at a server by `latest_arrival`, or at once by default. Empty
+    /// if too little is left. An optional retry leaves a part for required ones.
+    [[nodiscard]] auto try_acquire_retry(
+        retry_need need = retry_need::required, common::time_point latest_arrival = {})
+        -> std::optional<retry_permit>;
+
+    /// Records that a retry has arrived by now, or never will.
+    auto note_arrived(const retry_permit& permit) -> void;
 
     [[nodiscard]] auto state() -> retry_budget_state;
 
@@ -103,12 +121,17 @@
     [[nodiscard]] auto earned_left() const -> double;
     [[nodiscard]] auto earned_lately() const -> double;
     [[nodiscard]] auto usable_for(retry_need need) const -> double;
+    /// How many retries servers may receive within one window.
+    [[nodiscard]] auto window_limit(common::time_point now) -> double;
+    /// How many of these are left.
+    [[nodiscard]] auto receivable(common::time_point now) -> double;
     auto use(double retries) -> void;
 
     std::mutex lock;
     retry_budget_settings settings;
     retry_budget_hooks hooks;
     arrival_smoother arrivals;
+    retry_window in_window;
     std::array<earned_slot, slot_count> slots;
     double shared = 0.0;
     /// The share has accrued until then.
--- a/source/core/router/log_fields.cpp
+++ b/source/core/router/log_fields.cpp
@@ -56,7 +56,9 @@
 {
     return " first=" + std::to_string(state.first_attempts) +
            " granted=" + std::to_string(state.granted) + " earned=" + two_decimals(state.earned) +
-           " shared=" + two_decimals(state.shared) + " entries=" + std::to_string(state.entries);
+           " shared=" + two_decimals(state.shared) + " entries=" + std::to_string(state.entries) +
+           " in_window=" + std::to_string(state.in_window) +
+           " window_limit=" + two_decimals(state.window_limit);
 }
 
 auto barred_text(routing::request_fingerprint fingerprint, const routing::barred_parts& what)
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -162,6 +162,7 @@
     next->is_cold = server.is_cold(now);
     next->sent = now;
     next->last_progress = now;
+    next->permit = std::exchange(this->next_permit, std::nullopt);
     this->current = next;
     this->tried.push_back(next->server);
     this->ledger.note_sent();
@@ -253,6 +254,9 @@
 auto relay::abandon(const std::shared_ptr<attempt>& of, attempt_end end, server_outcome outcome)
     -> void
 {
+    const bool is_silent =
+        !of->ended && (of->head_verdict == verdict::none || of->head_verdict == verdict::untrusted);
+    this->has_silent_send = this->has_silent_send || is_silent;
     this->cancel_call();
     this->end_attempt(of, end, outcome);
 }
@@ -423,6 +427,7 @@
 auto relay::finish(std::string_view how) -> void
 {
     this->ended = true;
+    this->settle_retry(this->next_permit);
     const auto took = milliseconds_between(this->received, this->core->hooks.clock());
     this->core->counters.count_end(std::string{how});
     this->core->counters.answer_ms.record(static_cast<double>(took.count()));
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -138,6 +138,8 @@
         /// Its connection was lost before the response ended.
         bool was_lost = false;
         bool ended = false;
+        /// Set if it is a retry whose arrival the retry budget does not know yet.
+        std::optional<placement::retry_permit> permit;
     };
 
     /// Servers that the version rule allows for the request.
@@ -320,6 +322,8 @@
     /// the budget denies it.
     auto acquire_retry(
         std::string_view why, placement::retry_need need = placement::retry_need::required) -> bool;
+    /// Tells the retry budget that the attempt has arrived at its server, or never will.
+    auto settle_retry(std::optional<placement::retry_permit>& permit) -> void;
     auto retry(common::result_code why) -> void;
     [[nodiscard]] auto may_send_again() const -> bool;
     /// Whether the attempt in flight may be abandoned for another one.
@@ -362,6 +366,10 @@
 
     std::shared_ptr<attempt> current;
     std::vector<routing::server_instance> tried;
+    /// Granted for the next send.
+    std::optional<placement::retry_permit> next_permit;
+    /// A send was abandoned before its server had responded, and may arrive later than all others.
+    bool has_silent_send = false;
     routing::attempt_ledger ledger;
     /// A server's failure response, which the caller gets if no later attempt succeeds.
     std::optional<http::response> failure_response;
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -69,6 +69,9 @@
         return;
     }
     const bool is_own = !this->is_for_other_request(head);
+    if (is_own) {
+        this->settle_retry(of->permit);
+    }
     of->head_verdict = is_own ? this->classify_head(head) : verdict::untrusted;
     if (of->head_verdict == verdict::success) {
         const auto took = milliseconds_between(of->sent, this->core->hooks.clock());
@@ -413,6 +416,7 @@
                      : this->is_stream()               ? attempt_end::unknown_in_queue
                                                        : attempt_end::unknown;
     of->was_lost = !unsent;
+    this->settle_retry(of->permit);
     this->end_attempt(of, end, unsent ? server_outcome::unreachable : server_outcome::failed);
     this->log_lost(*of, why);
     if (unsent) {
--- a/source/core/router/relay_retries.cpp
+++ b/source/core/router/relay_retries.cpp
@@ -1,4 +1,5 @@
 #include <string>
+#include <utility>
 
 #include "common/log.hpp"
 #include "router/log_fields.hpp"
@@ -16,7 +17,8 @@
 
 auto relay::acquire_retry(std::string_view why, placement::retry_need need) -> bool
 {
-    if (this->retries().try_acquire_retry(need)) {
+    this->next_permit = this->retries().try_acquire_retry(need, this->give_up_at);
+    if (this->next_permit) {
         this->core->counters.count_retry(this->service.value(), std::string{why});
         return true;
     }
@@ -30,6 +32,15 @@
     return false;
 }
 
+auto relay::settle_retry(std::optional<placement::retry_permit>& permit) -> void
+{
+    const auto settled = std::exchange(permit, std::nullopt);
+    // Servers count whichever send arrives last as the retry.
+    if (settled && !this->has_silent_send) {
+        this->retries().note_arrived(*settled);
+    }
+}
+
 auto relay::retry(result_code why) -> void
 {
     if (this->ended) {
--- a/source/unit_tests/router/retry_budget_test.cpp
+++ b/source/unit_tests/router/retry_budget_test.cpp
@@ -104,4 +104,30 @@
     }
 }
 
+// Guards against a retry that leaves the window before a server that stands still has received it.
+TEST_CASE("a retry without a response counts until its time limit and a window", "[retry_budget]")
+{
+    for (const bool is_answered : {true, false}) {
+        INFO("answered " << is_answered);
+        router_fixture fixture;
+        const auto out = fixture.ask("/again/1");
+        auto& budget = fixture.core->retries_of(common::service_name{"engines"});
+        fixture.last().answer(500, "failed");
+        REQUIRE(fixture.sends() == 2);
+        fixture.advance(seconds{1});
+        if (is_answered) {
+            fixture.last().answer(200, "whole");
+        }
+        else {
+            out->leave_action();
+        }
+        fixture.advance(milliseconds{9500});
+        CHECK(budget.state().in_window == 1);
+        fixture.advance(milliseconds{1200});
+        CHECK(budget.state().in_window == (is_answered ? 0 : 1));
+        fixture.advance(seconds{9});
+        CHECK(budget.state().in_window == 0);
+    }
+}
+
 } // namespace reedramp::router::testing
