http: bytes without end that are no answer end a call

A server's bytes that are no answer may come without end. Of what a server can send before or between the pieces of an answer, interim answers, chunk lines and trailers had no bound: the first kept a call for as long as they came, the others gathered in the input buffer. And an answer that is taken whole, as the store's, other entries' and status checks are, was waited for as long as a byte came now and then.

The client now gives up an answer whose framing takes more than 64 KB without a line's end, or that has more than ten interim answers before it, and one that is taken whole if it has no end 30 s after its first byte. The call fails as if its connection was lost after the request had been sent, so that the request goes on elsewhere where its route allows it.

Before: of the rows of "bytes without end that are no answer end the call" the interim answers, the chunk line and the trailers were taken for whole answers (a status line and a header of 1 MB were refused already; the rows after these were not reached); the answer of "a whole answer that trickles is given up" was waited for until its server ended it. The client's other tests are unchanged.

--- a/source/core/http/client.hpp
+++ b/source/core/http/client.hpp
@@ -55,6 +55,9 @@
     /// A peer that does not even acknowledge bytes or probes for this long is gone: its host has
     /// lost power or the network, and nothing else would ever tell. 0: not looked for.
     std::chrono::milliseconds dead_peer_time{0};
+    /// The longest time from the first byte of an answer to its end when it is not taken piece by
+    /// piece: a byte now and then would keep the call for ever.
+    std::chrono::milliseconds answer_time{30000};
     /// Bound of an answer's body when it is not taken piece by piece.
     std::size_t body_limit_bytes = 16UL * 1024UL * 1024UL;
 };
--- a/source/core/http/client_link.cpp
+++ b/source/core/http/client_link.cpp
@@ -22,6 +22,11 @@
 constexpr std::size_t smallest_read = 4096;
 constexpr std::size_t largest_read = 64UL * 1024UL;
 constexpr std::size_t largest_write = 256UL * 1024UL;
+/// Bytes of an answer that the reader may leave because their line has not ended. Without it, a
+/// chunk line or trailers without end would fill the memory.
+constexpr std::size_t largest_unread = 64UL * 1024UL;
+/// Servers send one or two, each without a bound on how many follow.
+constexpr unsigned most_interim_answers = 10;
 
 /// Probes an idle connection each second, and gives up on unacknowledged bytes after `time`.
 auto watch_for_dead_peer(int socket, std::chrono::milliseconds time) -> void
@@ -147,6 +152,8 @@
     this->output = serialise_request(this->call->asked, this->target);
     this->reader.emplace(this->call->asked.method == "HEAD");
     this->head_delivered = false;
+    this->interim_answers = 0;
+    this->answer_due.reset();
     this->writing = true;
     const auto piece_limit = [this](error_code problem, std::size_t) -> std::size_t {
         this->timer.expires_after(this->options.idle_timeout);
@@ -236,10 +243,25 @@
     if (size == this->read_size && this->read_size < largest_read) {
         this->read_size *= 2;
     }
-    this->timer.expires_after(this->options.idle_timeout);
+    this->restart_silence();
     this->read_answer();
 }
 
+auto client_link::restart_silence() -> void
+{
+    const bool is_taken_whole = this->call != nullptr && !this->call->events.on_chunk;
+    if (!is_taken_whole) {
+        this->timer.expires_after(this->options.idle_timeout);
+        return;
+    }
+    const auto time = std::chrono::steady_clock::now();
+    this->answer_due = this->answer_due.value_or(time + this->options.answer_time);
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(*this->answer_due - time);
+    this->timer.expires_after(
+        std::clamp(left, std::chrono::milliseconds{0}, this->options.idle_timeout));
+}
+
 auto client_link::on_input_end(error_code problem) -> void
 {
     const bool ends_by_close =
@@ -261,6 +283,10 @@
         this->fail(common::result_code::server_lost, "answer: " + problem.message());
         return;
     }
+    if (this->input.size() > largest_unread || this->interim_answers > most_interim_answers) {
+        this->fail(common::result_code::server_lost, "answer: no end of its framing");
+        return;
+    }
     if (!this->reader->is_header_done()) {
         this->start_read();
         return;
@@ -284,7 +310,7 @@
             return {};
         }
         if (this->reader->is_done()) {
-            this->reader.emplace(this->call->asked.method == "HEAD");
+            this->skip_interim();
         }
         error_code problem;
         const auto used = this->reader->put(this->input.data(), problem);
@@ -294,11 +320,17 @@
         }
     }
     if (this->reader->is_done() && this->reader->is_interim()) {
-        this->reader.emplace(this->call->asked.method == "HEAD");
+        this->skip_interim();
     }
     return {};
 }
 
+auto client_link::skip_interim() -> void
+{
+    this->interim_answers += 1;
+    this->reader.emplace(this->call->asked.method == "HEAD");
+}
+
 /// False when the call has ended.
 auto client_link::deliver_head() -> bool
 {
--- a/source/core/http/client_link.hpp
+++ b/source/core/http/client_link.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -74,7 +75,11 @@
     auto on_read(error_code problem, std::size_t size) -> void;
     auto on_input_end(error_code problem) -> void;
     auto read_answer() -> void;
+    /// Extends the silence that the server may keep from now.
+    auto restart_silence() -> void;
     auto parse() -> error_code;
+    /// Begins anew after an interim answer.
+    auto skip_interim() -> void;
     auto deliver_head() -> bool;
     auto deliver_piece() -> bool;
     auto finish() -> void;
@@ -105,6 +110,10 @@
     bool reading = false;
     std::optional<response_reader> reader;
     bool head_delivered = false;
+    /// Interim answers (1xx) to the request in flight.
+    unsigned interim_answers = 0;
+    /// When the answer has to be whole; set with its first byte.
+    std::optional<std::chrono::steady_clock::time_point> answer_due;
 };
 
 /// Ends the call: its events never come again, `on_done` comes once with `answer`.
--- a/source/unit_tests/http/client_test.cpp
+++ b/source/unit_tests/http/client_test.cpp
@@ -64,6 +64,47 @@
     std::thread runner;
 };
 
+/// Answers one request with a header and then a byte of the body every 20 ms, until the client
+/// closes.
+class trickling_server {
+public:
+    trickling_server()
+        : acceptor(this->context, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+          runner([this] { this->serve(); })
+    {
+    }
+
+    ~trickling_server() { this->runner.join(); }
+
+    trickling_server(const trickling_server&) = delete;
+    trickling_server(trickling_server&&) = delete;
+    auto operator=(const trickling_server&) -> trickling_server& = delete;
+    auto operator=(trickling_server&&) -> trickling_server& = delete;
+
+    [[nodiscard]] auto where() const -> endpoint
+    {
+        return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+    }
+
+private:
+    auto serve() -> void
+    {
+        constexpr int most_bytes = 500;
+        auto socket = this->acceptor.accept();
+        boost::system::error_code ended;
+        boost::asio::write(
+            socket, boost::asio::buffer(std::string{"HTTP/1.1 200 OK\r\n\r\n"}), ended);
+        for (int i = 0; i < most_bytes && !ended; ++i) {
+            std::this_thread::sleep_for(20ms);
+            boost::asio::write(socket, boost::asio::buffer("x", 1), ended);
+        }
+    }
+
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::thread runner;
+};
+
 const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 struct answer_row {
@@ -127,6 +168,57 @@
     }
 }
 
+// Guards against a server that fills the entry's memory, or keeps a call for ever, with bytes that
+// are no answer. Each row ends as a whole answer, so that only a bound can end its call.
+TEST_CASE("bytes without end that are no answer end the call", "[endless]")
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string many(1UL << 20U, 'x');
+    std::string interim;
+    std::string trailers;
+    for (int i = 0; i < 2000; ++i) {
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+        trailers += "X-Trailer: " + std::string(100, 'x') + "\r\n";
+    }
+    const auto rows = std::vector<answer_row>{
+        {"status line", "HTTP/1.1 200 " + many + "\r\n\r\n", std::nullopt},
+        {"header", "HTTP/1.1 200 OK\r\nX: " + many + "\r\n\r\n", std::nullopt},
+        {"interim answers", interim + whole, std::nullopt},
+        {"chunk line", chunked + "2;x=" + many + "\r\nok\r\n0\r\n\r\n", std::nullopt},
+        {"trailers", chunked + "2\r\nok\r\n0\r\n" + trailers + "\r\n", std::nullopt},
+        {"length",
+         "HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775808\r\n\r\n" + many,
+         std::nullopt},
+        {"no length", "HTTP/1.1 200 OK\r\n\r\n" + many, std::nullopt},
+    };
+    loop client_loop;
+    client_options options;
+    options.body_limit_bytes = 100;
+    const auto with = client::create(client_loop.context, options);
+    for (const auto& row : rows) {
+        INFO(row.name);
+        const scripted_server serving{{{row.bytes}}};
+        const auto answer = fetch(*with, serving.where(), get("/"));
+        REQUIRE_FALSE(answer.has_value());
+        CHECK(answer.error().run == common::execution::unknown);
+    }
+}
+
+// Guards against an answer that keeps its reader for ever because a byte of it comes now and then.
+TEST_CASE("a whole answer that trickles is given up", "[endless]")
+{
+    loop client_loop;
+    client_options options;
+    options.idle_timeout = 200ms;
+    options.answer_time = 400ms;
+    const auto with = client::create(client_loop.context, options);
+    trickling_server serving;
+    const auto began = std::chrono::steady_clock::now();
+    const auto answer = fetch(*with, serving.where(), get("/"));
+    REQUIRE_FALSE(answer.has_value());
+    CHECK(std::chrono::steady_clock::now() - began < 5s);
+}
+
 // What happens: the server closes a kept connection after its answer. The client sees the end
 // before it writes, and takes a new connection; nothing of the second request was sent twice.
 TEST_CASE("a kept connection that was closed is not used again")
