routing: a stream's bytes without events end it, and are no progress

A stream's server could send one event without end up to 1 MB, so that 200 such streams may hold 200 MB where an entry has 110 (computed, not measured); and events without an id for ever, which went to the caller and counted as progress, so that the stream was never found silent and stayed there until its time limit.

At most 256 KB may come without an event that has an id, 51 MB for 200 streams by the same sum; the stream then fails at that server and goes on elsewhere after its last event. Only an event with a new id is progress of a stream.

Before: "events without an id that never end are rejected" and "a stream that gets bytes without events is resumed at another server" fail on the code before. "an event that never ends is rejected" asks for the smaller bound, 4 pieces of 64 KB in place of 16.

--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -173,11 +173,11 @@
     if (of->ended) {
         return;
     }
-    of->last_progress = this->core->hooks.clock();
     if (of->events) {
         this->on_events(of, bytes);
         return;
     }
+    of->last_progress = this->core->hooks.clock();
     of->body += bytes;
     this->out->note_buffered(of->body.size());
     if (of->body.size() > this->core->options.max_buffered_response) {
@@ -276,7 +276,11 @@
 auto relay::on_events(const std::shared_ptr<attempt>& of, const std::string& bytes) -> void
 {
     std::string whole;
+    const auto last_id = of->events->last_id();
     const bool in_order = of->events->add(bytes, whole);
+    if (of->events->last_id() != last_id) {
+        of->last_progress = this->core->hooks.clock();
+    }
     if (!whole.empty()) {
         if (!of->has_events) {
             of->has_events = true;
--- a/source/core/routing/event_splitter.cpp
+++ b/source/core/routing/event_splitter.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// Maximum size of an event. Engines' events have some hundred bytes; a server that never ends an
-/// event would otherwise fill the entry's memory.
-constexpr std::size_t max_event_bytes = 1024UL * 1024UL;
+/// Maximum size of an event, and of what may come without one that has an id. Engines' events have
+/// some hundred bytes; servers that never end their events would otherwise fill the entry's memory.
+constexpr std::size_t max_event_bytes = 256UL * 1024UL;
 
 /// Position and length of the blank line that ends an event.
 struct event_end {
@@ -55,6 +55,7 @@
 auto event_splitter::add(std::string_view bytes, std::string& out) -> bool
 {
     this->partial += bytes;
+    this->without_id += bytes.size();
     std::string_view unread = this->partial;
     bool in_order = true;
     while (in_order) {
@@ -70,7 +71,7 @@
         }
     }
     this->partial.erase(0, this->partial.size() - unread.size());
-    return in_order && this->partial.size() <= max_event_bytes;
+    return in_order && this->without_id <= max_event_bytes;
 }
 
 auto event_splitter::accept_event(std::string_view event) -> bool
@@ -85,6 +86,7 @@
     const bool follows = this->newest_id < 0 || is_next;
     if (follows) {
         this->newest_id = *id;
+        this->without_id = 0;
     }
     return follows;
 }
--- a/source/core/routing/event_splitter.hpp
+++ b/source/core/routing/event_splitter.hpp
@@ -18,8 +18,8 @@
     explicit event_splitter(std::int64_t last_id) : newest_id(last_id) {}
 
     /// Adds received bytes, and appends complete events to `out`. Returns false when an id is out
-    /// of order, since the caller must receive no repeated event and miss none, or when an event
-    /// exceeds 1 MB.
+    /// of order, since the caller must receive no repeated event and miss none, or when 256 KB
+    /// have come without an event that has an id.
     auto add(std::string_view bytes, std::string& out) -> bool;
 
     /// Id of the newest complete event.
@@ -33,6 +33,8 @@
 
     std::int64_t newest_id;
     std::string partial;
+    /// Bytes since the newest event that had an id.
+    std::size_t without_id = 0;
 };
 
 } // namespace reedramp::routing
--- a/source/unit_tests/router/relay_test.cpp
+++ b/source/unit_tests/router/relay_test.cpp
@@ -284,6 +284,22 @@
     CHECK(out->events == event(0));
 }
 
+// Guards against a server that keeps a stream for its whole time with bytes that are no events.
+TEST_CASE("a stream that gets bytes without events is resumed at another server", "[relay]")
+{
+    router_fixture fixture;
+    const auto out = fixture.ask(stream);
+    const auto first = fixture.client->sent.front();
+    first->head(200, {{"Reedramp-Confidence", "90"}});
+    first->chunk(event(0));
+    for (int i = 0; i < 20 && fixture.sends() == 1; ++i) {
+        fixture.advance(milliseconds{100});
+        first->chunk(": nothing\n\n");
+    }
+    CHECK(fixture.sends() == 2);
+    CHECK(first->is_cancelled);
+}
+
 TEST_CASE("a silent stream stays at its server if no further send is allowed", "[relay]")
 {
     // All callers of a killed entry return at once, the servers are busy with their prompts, and
--- a/source/unit_tests/routing/event_splitter_test.cpp
+++ b/source/unit_tests/routing/event_splitter_test.cpp
@@ -63,10 +63,23 @@
     while (splitter.add(piece, out) && taken < 1000) {
         taken += 1;
     }
-    CHECK(taken == 16);
+    CHECK(taken == 4);
     CHECK(out.empty());
 }
 
+// Guards against a stream whose events never have an id, which its caller would get for ever.
+TEST_CASE("events without an id that never end are rejected", "[event_splitter]")
+{
+    event_splitter splitter{-1};
+    std::string out;
+    REQUIRE(splitter.add("id: 0\ndata: a\n\n", out));
+    int taken = 0;
+    while (splitter.add(": nothing\n\n", out) && taken < 100'000) {
+        taken += 1;
+    }
+    CHECK(taken < 25'000);
+}
+
 TEST_CASE("for arbitrary bytes, only whole events in order are passed on", "[event_splitter]")
 {
     // Streams with bytes changed, dropped and repeated at random positions, split into random
