placement: callers that return after a long silence earn like new ones

The mean rate at which first attempts earn is taken over three windows. A service whose callers come in batches, with longer pauses between, would have started each batch with a rate near zero and earned a tenth of its retries. No request waits for as long as that memory (30 s where the longest time limit is 25 s), so such a silence is no delay: the rate begins anew, as in a new process.

Of 100 requests in 5 s after 31 s without any, at least 80 count now (placement_test "[arrival_smoother]", with tests of the bucket's and the window's other properties).

--- a/source/core/placement/arrival_smoother.cpp
+++ b/source/core/placement/arrival_smoother.cpp
@@ -64,10 +64,11 @@
 
 auto arrival_smoother::record(common::time_point now) -> double
 {
-    if (this->first == common::never) {
+    this->drop_expired(this->slot_number(now));
+    if (this->remembered == 0) {
+        // No request is delayed for as long as the memory: these arrivals have just begun.
         this->first = now;
         this->updated = now;
-        this->newest_slot = this->slot_number(now);
     }
     const auto rate = this->per_second(now);
     const auto passed = seconds_of(std::max(now - this->updated, common::duration::zero()));
