placement tests: one loop over deployments for all stops; wording

Four tests of delayed requests and retries each had the loop over deployments and seeds and the sums of random times; these stand once now.

No behaviour changes.

--- a/source/core/http/client_link.cpp
+++ b/source/core/http/client_link.cpp
@@ -25,7 +25,7 @@
 /// Bytes of an answer that the reader may leave because their line has not ended. Without it, a
 /// chunk line or trailers without end would fill the memory.
 constexpr std::size_t largest_unread = 64UL * 1024UL;
-/// Servers send one or two, each without a bound on how many follow.
+/// Servers send one or two; the protocol has no bound.
 constexpr unsigned most_interim_answers = 10;
 
 /// Probes an idle connection each second, and gives up on unacknowledged bytes after `time`.
--- a/source/unit_tests/placement/retry_delay_test.cpp
+++ b/source/unit_tests/placement/retry_delay_test.cpp
@@ -1,6 +1,8 @@
 #include "placement/retry_budget.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <initializer_list>
 #include <memory>
 #include <random>
 #include <utility>
@@ -95,6 +97,13 @@
         }
     }
 
+    /// Runs for a random time of at least `least` and less than `limit`.
+    auto run_random(std::chrono::milliseconds least, std::chrono::milliseconds limit) -> void
+    {
+        const auto range = static_cast<std::uint64_t>((limit - least).count());
+        this->run(least + std::chrono::milliseconds{this->random() % range});
+    }
+
     [[nodiscard]] auto excess() const -> double
     {
         return worst_excess(this->seen, this->options.allowed);
@@ -199,96 +208,98 @@
         .seed = seed};
 }
 
+/// Runs one deployment, then several stops, each as `stop` does it.
+auto check_stops(
+    const delay_options& options,
+    int stops,
+    const std::function<auto(delayed_fleet& fleet)->void>& stop) -> void
+{
+    INFO("entries " << options.entries << ", seed " << options.seed);
+    delayed_fleet fleet{options};
+    fleet.run(12s);
+    for (int i = 0; i < stops; ++i) {
+        stop(fleet);
+    }
+    CHECK(fleet.excess() <= 0.0);
+}
+
+/// The same for deployments with so many entries, each with three seeds.
+auto check_deployments(
+    std::initializer_list<std::size_t> entries,
+    const std::function<auto(delayed_fleet& fleet)->void>& stop) -> void
+{
+    constexpr int stops = 6;
+    for (const auto count : entries) {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            check_stops(delay_options_for(count, seed), stops, stop);
+        }
+    }
+}
+
 } // namespace
 
 // Guards against retries beyond the allowance because what waited for entries that stood still
 // earns when it is read, beside the requests of that time.
 TEST_CASE("entries that stood still keep the deployment's allowance", "[retry_budget]")
 {
-    for (const std::size_t entries : {1, 3, 28, 103}) {
-        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-            INFO("entries " << entries << ", seed " << seed);
-            delayed_fleet fleet{delay_options_for(entries, seed)};
-            fleet.run(12s);
-            for (int stops = 0; stops < 6; ++stops) {
-                fleet.stop();
-                fleet.run(std::chrono::milliseconds{1500 + fleet.random() % 6500});
-                fleet.resume();
-                fleet.run(std::chrono::milliseconds{1000 + fleet.random() % 14000});
-                if (fleet.random() % 3 == 0) {
-                    fleet.restart_all();
-                    fleet.run(std::chrono::milliseconds{500 + fleet.random() % 3000});
-                }
-            }
-            CHECK(fleet.excess() <= 0.0);
+    check_deployments({1, 3, 28, 103}, [](delayed_fleet& fleet) {
+        fleet.stop();
+        fleet.run_random(1500ms, 8000ms);
+        fleet.resume();
+        fleet.run_random(1000ms, 15000ms);
+        if (fleet.random() % 3 == 0) {
+            fleet.restart_all();
+            fleet.run_random(500ms, 3500ms);
         }
-    }
+    });
 }
 
 // Guards against retries beyond the allowance because servers that stood still receive those of
 // several windows at once, also those that entries had given up.
 TEST_CASE("servers that stood still receive no more than the allowance", "[retry_budget]")
 {
-    for (const std::size_t entries : {1, 3, 28, 103}) {
-        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-            INFO("entries " << entries << ", seed " << seed);
-            delayed_fleet fleet{delay_options_for(entries, seed)};
-            fleet.run(12s);
-            for (int stops = 0; stops < 6; ++stops) {
-                fleet.stop_servers();
-                fleet.run(std::chrono::milliseconds{1500 + fleet.random() % 9500});
-                fleet.resume_servers();
-                fleet.run(std::chrono::milliseconds{200 + fleet.random() % 14000});
-            }
-            CHECK(fleet.excess() <= 0.0);
-        }
-    }
+    check_deployments({1, 3, 28, 103}, [](delayed_fleet& fleet) {
+        fleet.stop_servers();
+        fleet.run_random(1500ms, 11000ms);
+        fleet.resume_servers();
+        fleet.run_random(200ms, 14200ms);
+    });
 }
 
 // Guards against the sum of both delays, where each alone keeps the allowance.
 TEST_CASE("entries and servers that stand still in turn keep the allowance", "[retry_budget]")
 {
-    for (const std::size_t entries : {1, 3, 28}) {
-        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-            INFO("entries " << entries << ", seed " << seed);
-            delayed_fleet fleet{delay_options_for(entries, seed)};
-            fleet.run(12s);
-            for (int stops = 0; stops < 6; ++stops) {
-                fleet.stop_servers();
-                fleet.run(std::chrono::milliseconds{500 + fleet.random() % 4500});
-                fleet.stop();
-                fleet.run(std::chrono::milliseconds{500 + fleet.random() % 4500});
-                if (fleet.random() % 2 == 0) {
-                    fleet.resume();
-                    fleet.run(std::chrono::milliseconds{fleet.random() % 3000});
-                }
-                fleet.resume_servers();
-                fleet.resume();
-                fleet.run(std::chrono::milliseconds{200 + fleet.random() % 12000});
-            }
-            CHECK(fleet.excess() <= 0.0);
+    check_deployments({1, 3, 28}, [](delayed_fleet& fleet) {
+        fleet.stop_servers();
+        fleet.run_random(500ms, 5000ms);
+        fleet.stop();
+        fleet.run_random(500ms, 5000ms);
+        if (fleet.random() % 2 == 0) {
+            fleet.resume();
+            fleet.run_random(0ms, 3000ms);
         }
-    }
+        fleet.resume_servers();
+        fleet.resume();
+        fleet.run_random(200ms, 12200ms);
+    });
 }
 
 // Guards against a backlog that a slow link or a busy entry hands over little by little, and that
 // therefore looks like more callers.
 TEST_CASE("a backlog that is read slowly keeps the allowance", "[retry_budget]")
 {
+    constexpr int stops = 4;
     for (const double speed : {1.1, 1.3, 1.6, 2.5}) {
+        INFO("read at " << speed << " times the usual rate");
         for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-            INFO("read at " << speed << " times the usual rate, seed " << seed);
             auto options = delay_options_for(3, seed);
             options.reads_per_second = speed * options.per_second / 3.0;
-            delayed_fleet fleet{options};
-            fleet.run(12s);
-            for (int stops = 0; stops < 4; ++stops) {
+            check_stops(options, stops, [](delayed_fleet& fleet) {
                 fleet.stop();
-                fleet.run(std::chrono::milliseconds{1500 + fleet.random() % 3500});
+                fleet.run_random(1500ms, 5000ms);
                 fleet.resume();
-                fleet.run(std::chrono::milliseconds{1000 + fleet.random() % 19000});
-            }
-            CHECK(fleet.excess() <= 0.0);
+                fleet.run_random(1000ms, 20000ms);
+            });
         }
     }
 }
