routing: a late write of a replaced order no longer brings it back

Cause: the store may do a write of the operator a second time, seconds later and after the next order. An order's record says service, target and time, and nothing says which order it is, so that the entries took the older order, which they had reverted, for a new one. The newest order counted as replaced and its version as an old one, which nothing guards. Class: a record is taken as newer because it arrived later.

Ruled out: entries that differ (all logged the same), slow evidence (the version was never tried again after it was replaced).

Now: order_history judges each record by its position and by the orders before it. One that repeats an order that was replaced, and that can have been written within ten seconds of that, is held. It is carried out if servers of its version start, more than stragglers of the first start can be: an order that is given starts servers, a late write starts none. The same holds for the newest order once it was reverted, which was ignored before when given again. An entry that starts and sees only the newest record of the key reads the operators' last records back; one that is young yields to any entry that has judged the same record. Reports name the positions for that. A version whose order is replaced before it was proven gets no requests.

Why it holds: the rule needs nothing from the record itself and no clock of another host. Where it errs, no version goes unguarded: the unproven one is excluded, the repeated one is tried like new.

--- a/source/core/router/peer_report.cpp
+++ b/source/core/router/peer_report.cpp
@@ -134,6 +134,8 @@
     to.setRate(static_cast<float>(from.rate));
     to.setState(static_cast<std::uint8_t>(from.state));
     to.setIsWritten(from.is_written);
+    to.setOrderedAt(from.ordered_at.value());
+    to.setJudgedTo(from.judged_to.value());
     auto sessions = to.initOldSessions(static_cast<unsigned>(from.old_sessions.size()));
     for (unsigned i = 0; i < from.old_sessions.size(); ++i) {
         sessions[i].setSession(from.old_sessions[i].session);
@@ -166,6 +168,8 @@
     report.left_on_old = from.getLeftOnOld();
     report.state = to_rollout_state(from.getState());
     report.is_written = from.getIsWritten();
+    report.ordered_at = routing::stream_position{from.getOrderedAt()};
+    report.judged_to = routing::stream_position{from.getJudgedTo()};
     report.share = valid_share(from.getShare());
     report.load_test_share = valid_share(from.getLoadTestShare());
     report.first_share = valid_share(from.getFirstShare());
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -89,6 +89,10 @@
   rate @11 :Float32;
   # Share of the sessions that fill a server, during the load test.
   loadTestShare @12 :Float64;
+  # Positions of the order's record and of the newest order of the service that was judged; 0 from
+  # earlier releases.
+  orderedAt @13 :UInt64;
+  judgedTo @14 :UInt64;
 }
 
 struct OverloadReport {
--- a/source/core/router/rules_follower.cpp
+++ b/source/core/router/rules_follower.cpp
@@ -1,5 +1,6 @@
 #include "router/rules_follower.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/log.hpp"
@@ -16,6 +17,10 @@
 /// Interval of peer reports, from which it is known whether an entry's readers are alive.
 constexpr std::chrono::milliseconds check_interval{100};
 
+/// Operators' records that an entry reads back at its start: more than are written within the time
+/// in which a late write may arrive.
+constexpr std::uint64_t history_records = 64;
+
 } // namespace
 
 auto pause_after_failure(const router_core& core, const follower_options& options)
@@ -82,14 +87,17 @@
         this->position,
         wait,
         [self = this->shared_from_this(),
-         number = this->newest_read](common::result<stream_reading<rules_document>> reading) {
+         number = this->newest_read,
+         asked_at =
+             this->core->hooks.clock()](common::result<stream_reading<rules_document>> reading) {
             if (number == self->newest_read) {
-                self->on_reading(std::move(reading));
+                self->on_reading(std::move(reading), asked_at);
             }
         });
 }
 
-auto rules_follower::on_reading(common::result<stream_reading<rules_document>> reading) -> void
+auto rules_follower::on_reading(
+    common::result<stream_reading<rules_document>> reading, time_point asked_at) -> void
 {
     const auto now = this->core->hooks.clock();
     if (!reading) {
@@ -117,6 +125,7 @@
     const bool is_copy = reading->is_whole && this->era && *this->era != reading->end.era();
     this->era = reading->end.era();
     std::vector<routing::evacuation_order> evacuations;
+    order_list orders;
     for (auto& document : reading->documents) {
         if (auto* rules = std::get_if<published_rules>(&document)) {
             this->core->apply_rules(std::move(*rules));
@@ -124,21 +133,77 @@
         else if (const auto* evacuation = std::get_if<routing::evacuation_order>(&document)) {
             evacuations.push_back(*evacuation);
         }
-        else if (const auto& order = std::get<routing::rollout_order>(document); is_copy) {
-            this->core->rollouts.apply_restored_order(order, now);
-        }
         else {
-            this->core->rollouts.apply_order(order, now);
+            orders.push_back(std::get<routing::rollout_order>(document));
         }
     }
+    const bool is_start = !this->position && this->core->rollouts.orders_applied() == 0;
+    this->apply_rollout_orders(orders, reading->is_whole, is_copy);
     this->apply_evacuations(evacuations, reading->is_whole, reading->end);
     this->position = reading->end;
+    this->read_at = asked_at;
+    if (is_start && this->core->rollouts.needs_history()) {
+        const auto offset = reading->end.offset();
+        const auto first = offset - std::min(offset, history_records);
+        this->read_history(stream_position::at(reading->end.era(), first), reading->end, {});
+    }
     if (this->on_read) {
         this->on_read();
     }
     this->read_when_reader();
 }
 
+auto rules_follower::apply_rollout_orders(const order_list& orders, bool is_whole, bool is_copy)
+    -> void
+{
+    const auto now = this->core->hooks.clock();
+    routing::order_origin origin;
+    origin.written_after = this->read_at;
+    origin.is_newest_only = is_whole;
+    for (const auto& order : orders) {
+        if (is_copy) {
+            this->core->rollouts.apply_restored_order(order, now);
+        }
+        else {
+            this->core->rollouts.apply_order(order, now, origin);
+        }
+    }
+    if (!orders.empty()) {
+        this->core->rollouts.apply_servers(this->core->servers, now);
+    }
+}
+
+auto rules_follower::read_history(stream_position from, stream_position end, order_list earlier)
+    -> void
+{
+    this->store.read_rules(
+        from,
+        at_once,
+        [self = this->shared_from_this(), from, end, earlier = std::move(earlier)](
+            const common::result<stream_reading<rules_document>>& reading) mutable {
+            if (!reading || reading->end <= from) {
+                common::log(
+                    log_part::rollout,
+                    log_level::warning,
+                    "earlier orders not read what=" +
+                        (reading ? std::string{"no records"} : reading.error().detail));
+                return;
+            }
+            for (const auto& document : reading->documents) {
+                if (const auto* order = std::get_if<routing::rollout_order>(&document)) {
+                    earlier.push_back(*order);
+                }
+            }
+            if (reading->end < end) {
+                self->read_history(reading->end, end, std::move(earlier));
+                return;
+            }
+            const auto now = self->core->hooks.clock();
+            self->core->rollouts.apply_history(earlier, now);
+            self->core->rollouts.apply_servers(self->core->servers, now);
+        });
+}
+
 auto rules_follower::apply_evacuations(
     const std::vector<routing::evacuation_order>& orders, bool is_whole, stream_position end)
     -> void
--- a/source/core/router/rules_follower.hpp
+++ b/source/core/router/rules_follower.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "router/router_core.hpp"
 
@@ -51,6 +52,8 @@
     auto refresh() -> void;
 
 private:
+    using order_list = std::vector<routing::rollout_order>;
+
     auto read_rollout_states() -> void;
     /// Reads new documents, waiting for them up to `wait`.
     auto read_next(std::chrono::milliseconds wait) -> void;
@@ -61,7 +64,12 @@
     auto apply_evacuations(
         const std::vector<routing::evacuation_order>& orders, bool is_whole, stream_position end)
         -> void;
-    auto on_reading(common::result<stream_reading<rules_document>> reading) -> void;
+    auto on_reading(common::result<stream_reading<rules_document>> reading, time_point asked_at)
+        -> void;
+    auto apply_rollout_orders(const order_list& orders, bool is_whole, bool is_copy) -> void;
+    /// Reads the operators' records from `from` to `end`, and applies the roll-out orders among
+    /// them after those in `earlier`.
+    auto read_history(stream_position from, stream_position end, order_list earlier) -> void;
 
     std::shared_ptr<router_core> core;
     shared_store store;
@@ -69,6 +77,8 @@
     std::function<auto()->bool> is_reader;
     std::function<auto()->void> on_read;
     std::optional<stream_position> position;
+    /// When the last successful reading was asked for.
+    time_point read_at{};
     /// Era of the store at the last reading.
     std::optional<std::uint64_t> era;
 
--- a/source/core/router/servers_list.cpp
+++ b/source/core/router/servers_list.cpp
@@ -134,6 +134,7 @@
 
 auto servers_list::after_change(time_point now) -> void
 {
+    this->core->rollouts.apply_servers(this->core->servers, now);
     this->core->handle_held();
     this->check_lapsed();
     this->remove_stale_state(now);
--- a/source/core/router/store_era.cpp
+++ b/source/core/router/store_era.cpp
@@ -29,7 +29,7 @@
     this->freshness.note_new_era(now);
     // Records written by this product are written again by the entries that know them, after the
     // copy's contents have been read.
-    this->rollouts.forget_written();
+    this->rollouts.note_new_era();
     this->crashes.forget_recorded();
     if (this->hooks.on_new_era) {
         this->hooks.on_new_era();
--- a/source/core/routing/rollout.hpp
+++ b/source/core/routing/rollout.hpp
@@ -6,6 +6,7 @@
 
 #include "common/ids.hpp"
 #include "common/units.hpp"
+#include "routing/stream_position.hpp"
 
 namespace reedramp::routing {
 
@@ -15,8 +16,15 @@
     common::version_id target;
     /// Time that the roll-out may take, from the order on.
     std::chrono::milliseconds allowed{0};
+    /// Position of its record in the operators' stream; 0 if unknown, as from earlier releases.
+    stream_position at{};
 
-    auto operator==(const rollout_order&) const -> bool = default;
+    /// Whether both records ask for the same. They may be one order that was written twice.
+    [[nodiscard]] auto asks_same_as(const rollout_order& other) const -> bool
+    {
+        return this->service == other.service && this->target == other.target &&
+               this->allowed == other.allowed;
+    }
 };
 
 enum class rollout_state : std::uint8_t { running, complete, reverted };
--- a/source/core/routing/rollout_manager.cpp
+++ b/source/core/routing/rollout_manager.cpp
@@ -37,105 +37,6 @@
 
 } // namespace
 
-auto rollout_manager::apply_order(const rollout_order& wanted, time_point now) -> void
-{
-    const auto found = this->rollouts.find(wanted.service);
-    if (found != this->rollouts.end() && found->second.order == wanted) {
-        return;
-    }
-    this->orders += 1;
-    this->losses.erase(wanted.service);
-    if (found != this->rollouts.end()) {
-        this->infer_end(found->second, now);
-        this->histories[wanted.service].note_replaced(found->second.order);
-    }
-    const auto baseline = this->baselines.extract(wanted.service);
-    rollout fresh{
-        wanted,
-        now,
-        rollout_state::running,
-        std::nullopt,
-        baseline.empty() ? version_evidence{this->settings.evidence} : baseline.mapped(),
-        {},
-        0.0,
-        0.0,
-        0.0};
-    const auto known = this->early_states.find(wanted.service);
-    if (known != this->early_states.end() && known->second.target == wanted.target) {
-        fresh.state = known->second.state;
-        fresh.written = known->second.state;
-    }
-    this->histories[wanted.service].reverted.erase(wanted.target);
-    common::log(
-        common::log_part::rollout,
-        common::log_level::info,
-        "ordered service=" + wanted.service.value() + " target=" + wanted.target.value() +
-            " allowed_ms=" + std::to_string(wanted.allowed.count()) +
-            " state=" + std::string{to_string(fresh.state)});
-    this->rollouts.insert_or_assign(wanted.service, std::move(fresh));
-}
-
-auto rollout_manager::service_history::note_replaced(const rollout_order& one) -> void
-{
-    // More orders than the few seconds missing from an older copy can contain.
-    constexpr std::size_t max_replaced = 8;
-    this->replaced.push_back(one);
-    if (this->replaced.size() > max_replaced) {
-        this->replaced.pop_front();
-    }
-}
-
-auto rollout_manager::apply_restored_order(const rollout_order& wanted, time_point now) -> void
-{
-    const auto& past = this->histories[wanted.service].replaced;
-    if (std::ranges::find(past, wanted) == past.end()) {
-        this->apply_order(wanted, now);
-        return;
-    }
-    common::log(
-        common::log_part::rollout,
-        common::log_level::info,
-        "ignored an order that a later one replaced service=" + wanted.service.value() +
-            " target=" + wanted.target.value());
-}
-
-auto rollout_manager::forget_written() -> void
-{
-    for (auto& [service, one] : this->rollouts) {
-        one.written.reset();
-    }
-}
-
-auto rollout_manager::infer_end(const rollout& one, time_point now) -> void
-{
-    // The store holds the outcome, but it may become known here only after the next order. If all
-    // sessions had moved to the new version, they stay on it.
-    if (one.state == rollout_state::running && this->share_of(one, now) >= 1.0) {
-        this->note_end(one.order.service, one.order.target, rollout_state::complete);
-    }
-}
-
-auto rollout_manager::apply_status(const rollout_status& status) -> void
-{
-    this->early_states.insert_or_assign(status.service, status);
-    this->note_end(status.service, status.target, status.state);
-    const auto found = this->rollouts.find(status.service);
-    if (found == this->rollouts.end() || found->second.order.target != status.target) {
-        return;
-    }
-    auto& one = found->second;
-    one.written = status.state;
-    // The outcome in the store is final, whatever this entry would have decided.
-    if (status.state != rollout_state::running && one.state != status.state) {
-        one.state = status.state;
-        common::log(
-            common::log_part::rollout,
-            common::log_level::info,
-            "ended service=" + status.service.value() + " target=" + status.target.value() +
-                " state=" + std::string{to_string(status.state)});
-    }
-}
-
 auto rollout_manager::states(time_point now) const -> std::vector<rollout_progress>
 {
     std::vector<rollout_progress> all;
@@ -145,7 +46,8 @@
             {{service, one.order.target, one.state},
              this->share_of(one, now),
              passed,
-             this->left_on_old(one, now)});
+             this->left_on_old(one, now),
+             this->held_target(service)});
     }
     return all;
 }
@@ -372,9 +274,9 @@
     this->refresh(one, now);
     const auto& history = this->histories[service];
     if (one.state == rollout_state::complete) {
-        return {target, history.reverted, 1.0};
+        return {target, history.excluded, 1.0};
     }
-    version_rule stays{history.current, history.reverted, 1.0};
+    version_rule stays{history.current, history.excluded, 1.0};
     stays.barred.insert(target);
     if (one.state == rollout_state::reverted) {
         return stays;
@@ -384,7 +286,7 @@
     }
     return {
         target,
-        history.reverted,
+        history.excluded,
         this->spread_of(one, request.kind, now),
         this->may_load_test(one)};
 }
--- a/source/core/routing/rollout_manager.hpp
+++ b/source/core/routing/rollout_manager.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -11,6 +10,7 @@
 #include "routing/load_effect.hpp"
 #include "routing/load_test_routes.hpp"
 #include "routing/loss_tracker.hpp"
+#include "routing/order_history.hpp"
 #include "routing/request_rate.hpp"
 #include "routing/rollout.hpp"
 #include "routing/server_table.hpp"
@@ -83,6 +83,10 @@
     rollout_state state = rollout_state::running;
     /// Whether the store holds this state.
     bool is_written = false;
+    /// Position of the order's record, and of the newest order of the service that was judged; 0
+    /// from earlier releases.
+    stream_position ordered_at{};
+    stream_position judged_to{};
     /// Sessions in the first share that this entry keeps on another version; only during the first
     /// half.
     std::vector<session_report> old_sessions;
@@ -94,6 +98,8 @@
     double share = 0.0;
     std::chrono::milliseconds elapsed{0};
     unsigned left_on_old = 0;
+    /// Target of an order that is held, since it may be a late write of a past one.
+    std::optional<common::version_id> held_target = std::nullopt;
 };
 
 /// Moves services' traffic between versions: decides which sessions use the new version, evaluates
@@ -109,17 +115,33 @@
     {
     }
 
-    auto apply_order(const rollout_order& wanted, time_point now) -> void;
+    /// Carries out an order, unless it is the present one, is older than the newest known one, or
+    /// may be a late write of a past one. That one is held until servers show that it was given
+    /// again.
+    auto apply_order(const rollout_order& wanted, time_point now, const order_origin& origin = {})
+        -> void;
 
     /// As `apply_order`, for an order read from a store restored from an older copy: an order that
     /// another one has replaced is no longer in force.
     auto apply_restored_order(const rollout_order& wanted, time_point now) -> void;
 
-    /// Marks all states as not written, since the store may have lost them.
-    auto forget_written() -> void;
+    /// Whether an order was read as the newest record only, and the state in the store is of
+    /// another target: which of the two is newer is not known.
+    [[nodiscard]] auto needs_history() const -> bool;
+
+    /// Applies the operators' records of the last orders, oldest first, to services whose order was
+    /// read as the newest record only.
+    auto apply_history(const std::vector<rollout_order>& orders, time_point now) -> void;
+
+    /// Records which servers the versions in force have, and carries out held orders whose servers
+    /// have started. Called when the server list or the orders have changed.
+    auto apply_servers(const server_table& servers, time_point now) -> void;
+
+    /// Records that the store was restored from an older copy, which may lack written states.
+    auto note_new_era() -> void;
 
     /// Number of orders that this entry has applied; grows with each one that is new to it.
-    [[nodiscard]] auto orders_applied() const -> std::uint64_t { return this->orders; }
+    [[nodiscard]] auto orders_applied() const -> std::uint64_t { return this->order_count; }
 
     auto apply_status(const rollout_status& status) -> void;
     auto apply_reports(
@@ -224,6 +246,13 @@
         double first_share = 0.0;
         /// Requests per second at this entry while both versions served.
         double baseline_rate = 0.0;
+        /// This entry has not known the orders for long enough to tell a late write; it takes the
+        /// judgement of any entry that has judged the same record.
+        bool is_guess = false;
+        /// The order was carried out before, and ended. A final state belongs to that time until
+        /// the state of this one has been written.
+        bool is_given_again = false;
+        bool awaits_own_state = false;
     };
 
     /// Outcome of a service's earlier roll-outs. Servers of a version that was replaced or reverted
@@ -232,11 +261,9 @@
     struct service_history {
         /// The target of the newest completed roll-out.
         std::optional<common::version_id> current;
-        std::set<common::version_id> reverted;
-        /// Orders that were replaced by later ones, newest last.
-        std::deque<rollout_order> replaced;
-
-        auto note_replaced(const rollout_order& one) -> void;
+        /// Versions that were reverted, or whose order was replaced before they were proven.
+        std::set<common::version_id> excluded;
+        order_history orders;
     };
 
     /// How load lengthens one kind of time of the old version's answers.
@@ -287,10 +314,21 @@
         bool has_sessions = false;
     };
 
+    /// Starts the roll-out of an order.
+    auto begin(const rollout_order& wanted, time_point now, bool is_guess) -> void;
+    auto hold(const rollout_order& wanted, time_point now) -> void;
+    [[nodiscard]] auto held_target(const common::service_name& service) const
+        -> std::optional<common::version_id>;
+    /// Whether the order of a service is a guess that the state in the store does not confirm.
+    [[nodiscard]] auto is_unconfirmed(const rollout& one) const -> bool;
+    /// Ends the roll-out of an order that another one replaces.
+    auto replace(const rollout& one, time_point now) -> void;
+    /// Whether the peer has judged the record of a guessed order to be a late write.
+    [[nodiscard]] static auto is_corrected_by(const rollout& ours, const rollout_report& report)
+        -> bool;
     auto settle_losses(const common::service_name& service, time_point now) -> void;
     auto apply_other_order(const rollout& ours, const rollout_report& report, time_point now)
         -> void;
-    auto infer_end(const rollout& one, time_point now) -> void;
     auto note_end(
         const common::service_name& service, const common::version_id& target, rollout_state state)
         -> void;
@@ -355,7 +393,9 @@
         -> std::vector<session_report>;
 
     rollout_options settings;
-    std::uint64_t orders = 0;
+    std::uint64_t order_count = 0;
+    /// When this entry first learned of an order, a state or a peer's roll-outs.
+    std::optional<time_point> known_since;
     std::map<common::service_name, rollout> rollouts;
     std::map<common::service_name, service_history> histories;
     /// Usual results of the current version, collected while no roll-out runs. A roll-out starts
--- a/source/core/routing/rollout_manager_outcomes.cpp
+++ b/source/core/routing/rollout_manager_outcomes.cpp
@@ -37,9 +37,9 @@
     const auto history = this->histories.find(service);
     const bool is_in_use = history == this->histories.end() || !history->second.current ||
                            *history->second.current == version;
-    const bool is_reverted =
-        history != this->histories.end() && history->second.reverted.contains(version);
-    if (!is_in_use || is_reverted) {
+    const bool is_excluded =
+        history != this->histories.end() && history->second.excluded.contains(version);
+    if (!is_in_use || is_excluded) {
         return nullptr;
     }
     return &this->baselines.try_emplace(service, this->settings.evidence).first->second;
@@ -54,10 +54,10 @@
         history.current = target;
         // This entry may have judged the version worse before it read the outcome. Barred and in
         // force at the same time, the version would leave the service without any server.
-        history.reverted.erase(target);
+        history.excluded.erase(target);
     }
     else if (state == rollout_state::reverted) {
-        history.reverted.insert(target);
+        history.excluded.insert(target);
     }
 }
 
--- a/source/core/routing/rollout_manager_peers.cpp
+++ b/source/core/routing/rollout_manager_peers.cpp
@@ -23,11 +23,17 @@
 /// entry.
 constexpr std::size_t max_reported_sessions = 96;
 
+auto order_of(const rollout_report& report) -> rollout_order
+{
+    return {report.service, report.target, report.allowed, report.ordered_at};
+}
+
 } // namespace
 
 auto rollout_manager::apply_reports(
     const common::host_id& peer, const std::vector<rollout_report>& reports, time_point now) -> void
 {
+    this->known_since = this->known_since.value_or(now);
     this->peers_last_heard[peer] = now;
     std::erase_if(this->peers_last_heard, [now](const auto& item) {
         return now - item.second > forgotten_after;
@@ -36,17 +42,21 @@
         auto found = this->rollouts.find(report.service);
         if (found == this->rollouts.end()) {
             // This entry can't read the store, but the peer has read an order there.
-            this->apply_order({report.service, report.target, report.allowed}, now);
+            this->apply_order(order_of(report), now);
             found = this->rollouts.find(report.service);
         }
         if (found == this->rollouts.end()) {
             continue;
         }
-        auto& one = found->second;
-        if (one.order.target != report.target) {
-            this->apply_other_order(one, report, now);
+        if (found->second.order.target != report.target) {
+            this->apply_other_order(found->second, report, now);
             continue;
         }
+        if (report.ordered_at > found->second.order.at) {
+            // The same again: judged as if this entry had read it.
+            this->apply_order(order_of(report), now);
+        }
+        auto& one = this->rollouts.at(report.service);
         // An entry that started later, or learned of the order later, adopts the earlier start.
         one.began = std::min(one.began, now - report.elapsed);
         one.peers[peer] = {now, report.left_on_old, std::max(report.rate, 0.0)};
@@ -59,18 +69,32 @@
         one.reached_load_test_share =
             std::max(one.reached_load_test_share, std::min(report.load_test_share, 1.0));
         this->sessions.apply_reports(report.service, report.old_sessions, now);
-        if (report.is_written) {
+        const bool is_of_earlier_order = one.is_given_again && report.ordered_at < one.order.at;
+        if (report.is_written && !is_of_earlier_order) {
             this->apply_status({report.service, report.target, report.state});
         }
     }
 }
 
+auto rollout_manager::is_corrected_by(const rollout& ours, const rollout_report& report) -> bool
+{
+    return ours.is_guess && report.ordered_at < ours.order.at && report.judged_to >= ours.order.at;
+}
+
 auto rollout_manager::apply_other_order(
     const rollout& ours, const rollout_report& report, time_point now) -> void
 {
     const auto began = now - report.elapsed;
-    if (report.state == rollout_state::running && began > ours.began + order_distance) {
-        this->apply_order({report.service, report.target, report.allowed}, began);
+    if (is_corrected_by(ours, report)) {
+        const auto guessed = ours.order;
+        this->begin(order_of(report), began, false);
+        this->hold(guessed, now);
+        if (report.is_written) {
+            this->apply_status({report.service, report.target, report.state});
+        }
+    }
+    else if (report.state == rollout_state::running && began > ours.began + order_distance) {
+        this->apply_order(order_of(report), began);
     }
     else if (report.is_written && ours.state == rollout_state::running && began < ours.began) {
         // The outcome of the previous roll-out, which this entry may not have read before the next
@@ -97,6 +121,8 @@
             rate == this->rates.end() ? 0.0 : rate->second.per_second(now),
             one.state,
             one.written == one.state,
+            one.order.at,
+            this->histories.at(service).orders.judged_to(),
             this->sessions_to_report(one, now)};
         if (report.is_written && report.state != rollout_state::running) {
             all.push_back(std::move(report)); // The evidence no longer matters.
--- a/source/router/state_page.cpp
+++ b/source/router/state_page.cpp
@@ -48,7 +48,9 @@
         {"state", std::string{to_string(one.status.state)}},
         {"share", one.share},
         {"elapsed_ms", one.elapsed.count()},
-        {"left_on_old", one.left_on_old}};
+        {"left_on_old", one.left_on_old},
+        {"held_target",
+         one.held_target ? json::value(one.held_target->value()) : json::value(nullptr)}};
 }
 
 auto list_row(
--- /dev/null
+++ b/source/unit_tests/router/late_order_test.cpp
@@ -0,0 +1,119 @@
+#include <catch2/catch.hpp>
+
+#include "queued_store.hpp"
+#include "router/rules_follower.hpp"
+
+namespace reedramp::router::testing {
+
+namespace {
+
+const common::version_id first_version{"v2"};
+const common::version_id second_version{"v3"};
+const routing::rollout_order first_order{engines, first_version, seconds{20}};
+const routing::rollout_order second_order{engines, second_version, seconds{20}};
+
+/// An entry whose follower has read an order of the first version, which was reverted, and then an
+/// order of the second one.
+struct ordered_entry {
+    router_fixture fixture;
+    queued_store store;
+    std::shared_ptr<rules_follower> follower = std::make_shared<rules_follower>(
+        this->fixture.core, this->store.hooks(), follower_options{});
+
+    ordered_entry()
+    {
+        this->follower->start();
+        queued_store::next_call(this->store.outcomes)(
+            reading<routing::rollout_status>({}, 0, true));
+        this->read({rules_of(2)}, true);
+        this->fixture.advance(seconds{20});
+        this->read({first_order});
+        this->fixture.advance(seconds{3});
+        this->fixture.core->rollouts.apply_status(
+            {engines, first_version, routing::rollout_state::reverted});
+        this->fixture.advance(seconds{1});
+        this->read({second_order});
+    }
+
+    auto read(std::vector<rules_document> documents, bool whole = false) -> void
+    {
+        this->end += documents.size();
+        queued_store::next_call(this->store.rules)
+            .second(reading<rules_document>(std::move(documents), this->end, whole));
+    }
+
+    auto target() -> std::string
+    {
+        return this->fixture.core->rollouts.states(this->fixture.now).front().status.target.value();
+    }
+
+    auto rule() -> routing::version_rule
+    {
+        return this->fixture.core->rollouts.rule_for(engines, 0, this->fixture.now);
+    }
+
+    std::uint64_t end = 0;
+};
+
+} // namespace
+
+// Guards against a bad version that goes unguarded since the store performed an older order again.
+TEST_CASE("a late write of a replaced order leaves the newest one in force", "[late_order]")
+{
+    ordered_entry one;
+    SECTION("in a reading of its own")
+    {
+        one.fixture.advance(seconds{2});
+        one.read({first_order});
+    }
+    SECTION("in one reading with a repeated newest order")
+    {
+        one.read({second_order, first_order});
+    }
+    CHECK(one.target() == "v3");
+    CHECK(one.rule().barred.contains(first_version));
+    one.fixture.core->rollouts.apply_status(
+        {engines, second_version, routing::rollout_state::reverted});
+    CHECK(one.rule().barred.contains(second_version));
+}
+
+// Guards against a version that gets requests like an old one, though it was never proven.
+TEST_CASE(
+    "a version whose order was replaced before it was proven gets no requests", "[late_order]")
+{
+    ordered_entry one;
+    one.read({routing::rollout_order{engines, common::version_id{"v4"}, seconds{20}}});
+    CHECK(one.target() == "v4");
+    CHECK(one.rule().barred.contains(second_version));
+}
+
+// Guards against an entry that starts between and takes a late write for the newest order.
+TEST_CASE("an entry that starts reads back which order is in force", "[late_order]")
+{
+    router_fixture fixture;
+    queued_store store;
+    std::make_shared<rules_follower>(fixture.core, store.hooks(), follower_options{})->start();
+    queued_store::next_call(store.outcomes)(reading<routing::rollout_status>(
+        {{engines, second_version, routing::rollout_state::running}}, 4, true));
+    auto again = first_order;
+    again.at = stream_position::at(0, 103);
+    queued_store::next_call(store.rules)
+        .second(reading<rules_document>({rules_of(2), again}, 104, true));
+    const auto history = queued_store::next_call(store.rules);
+    const auto waiting = queued_store::next_call(store.rules);
+    CHECK(waiting.first == stream_position{104});
+    CHECK(history.first == stream_position{40});
+    auto first = first_order;
+    first.at = stream_position::at(0, 60);
+    auto second = second_order;
+    second.at = stream_position::at(0, 80);
+    history.second(reading<rules_document>({first}, 70, false));
+    const auto rest = queued_store::next_call(store.rules);
+    CHECK(rest.first == stream_position{70});
+    rest.second(reading<rules_document>({second, again}, 104, false));
+    const auto known = fixture.core->rollouts.states(fixture.now).front();
+    CHECK(known.status.target == second_version);
+    CHECK(known.held_target == first_version);
+}
+
+} // namespace reedramp::router::testing
