routing: an order that is done late for the first time does not displace the next one

Cause: two more ways into the same state. (1) The store does an order's write for the first time after the operators have given up on it and ordered the next version: it is no repeat, and it replaced the order that is under way. Its version has no servers. (2) Entries that all start anew read the newest record only. They read the history back only where the state in the store was of another target; a late write of an order whose "reverted" is the newest state hid the next order.

Now: an order that follows on one under way is held until its version has servers, which each order that is given starts; an entry that starts from the store reads the last 16 records of the operators back whenever an order is among them. After a restore operators write again what is in force, so nothing is held on account of older records.

"an order without servers does not replace one that is under way" and "the history shows an order that the newest record hides" cover both; the second reading of the history takes one call at a start without neighbours. late_order_test's own case of a replaced version now lists a server of it, as an order that is given has one.

--- a/source/core/router/rules_follower.cpp
+++ b/source/core/router/rules_follower.cpp
@@ -19,7 +19,7 @@
 
 /// Operators' records that an entry reads back at its start: more than are written within the time
 /// in which a late write may arrive.
-constexpr std::uint64_t history_records = 64;
+constexpr std::uint64_t history_records = 16;
 
 } // namespace
 
@@ -221,10 +221,11 @@
     this->apply_evacuations(evacuations, reading.is_whole, reading.end);
     this->position = reading.end;
     this->read_at = asked_at;
-    if (is_start && this->core->rollouts.needs_history()) {
-        const auto offset = reading.end.offset();
-        const auto first = offset - std::min(offset, history_records);
-        this->read_history(stream_position::at(reading.end.era(), first), reading.end, {});
+    const auto offset = reading.end.offset();
+    const auto first =
+        stream_position::at(reading.end.era(), offset - std::min(offset, history_records));
+    if (is_start && this->core->rollouts.needs_history(first)) {
+        this->read_history(first, reading.end, {});
     }
     if (this->on_read) {
         this->on_read();
@@ -276,9 +277,8 @@
                 self->read_history(reading->end, end, std::move(earlier));
                 return;
             }
-            const auto now = self->core->hooks.clock();
-            self->core->rollouts.apply_history(earlier, now);
-            self->core->rollouts.apply_servers(self->core->servers, now);
+            self->core->rollouts.apply_history(
+                earlier, self->core->servers, self->core->hooks.clock());
         });
 }
 
--- a/source/core/routing/order_history.cpp
+++ b/source/core/routing/order_history.cpp
@@ -70,4 +70,12 @@
     return started > 0 && started * 2 > std::max(known, servers_in_force);
 }
 
+auto order_history::hold(const held_order& one) -> void
+{
+    const bool is_new_one_held = this->waiting && this->waiting->why == hold_reason::has_no_servers;
+    if (!is_new_one_held || one.why == hold_reason::has_no_servers) {
+        this->waiting = one;
+    }
+}
+
 } // namespace reedramp::routing
--- a/source/core/routing/order_history.hpp
+++ b/source/core/routing/order_history.hpp
@@ -26,18 +26,28 @@
     bool is_newest_only = false;
 };
 
-/// An order that is not carried out unless servers show that it was given again.
+/// Why an order is held.
+enum class hold_reason : std::uint8_t {
+    /// It repeats a past one. It is carried out when new servers of its version have started.
+    repeats_past,
+    /// It would replace one that is under way. It is carried out when its version has servers.
+    has_no_servers,
+};
+
+/// An order that is not carried out unless servers show that it was given.
 struct held_order {
     rollout_order order;
     time_point since;
+    hold_reason why = hold_reason::repeats_past;
 };
 
 /// The past orders of one service, by which a new order is told from a late write of a past one.
 ///
-/// An order's record does not say which order it is. The store may perform an operator's write a
-/// second time, seconds later and after the next order: its newest record is then an order that is
-/// over. But operators may also give a past order again. What tells them apart are the servers:
-/// each order that is given starts servers of its version, a late write starts none.
+/// An order's record does not say which order it is. The store may perform an operator's write
+/// seconds late, a second time or for the first, and after the next order: its newest record is
+/// then an order that is over. But operators may also give a past order again, or replace one that
+/// is under way. What tells them apart are the servers: each order that is given starts servers of
+/// its version, a late write starts none.
 class order_history {
 public:
     /// Whether the record at this position, or a later one, was judged before. Unknown positions
@@ -82,10 +92,9 @@
         const std::vector<server_instance>& now,
         std::size_t servers_in_force) const -> bool;
 
-    auto hold(const rollout_order& order, time_point since) -> void
-    {
-        this->waiting = {order, since};
-    }
+    /// Holds an order in place of the one that is held. One that repeats a past order does not
+    /// replace a new one.
+    auto hold(const held_order& one) -> void;
 
     auto drop_held() -> void { this->waiting.reset(); }
 
--- a/source/core/routing/rollout_manager.hpp
+++ b/source/core/routing/rollout_manager.hpp
@@ -125,13 +125,15 @@
     /// another one has replaced is no longer in force.
     auto apply_restored_order(const rollout_order& wanted, time_point now) -> void;
 
-    /// Whether an order was read as the newest record only, and the state in the store is of
-    /// another target: which of the two is newer is not known.
-    [[nodiscard]] auto needs_history() const -> bool;
+    /// Whether an order at `first` or later was read as the newest record only, so that it may be a
+    /// late write of an order that is over.
+    [[nodiscard]] auto needs_history(stream_position first) const -> bool;
 
     /// Applies the operators' records of the last orders, oldest first, to services whose order was
     /// read as the newest record only.
-    auto apply_history(const std::vector<rollout_order>& orders, time_point now) -> void;
+    auto apply_history(
+        const std::vector<rollout_order>& orders, const server_table& servers, time_point now)
+        -> void;
 
     /// Records which servers the versions in force have, and carries out held orders whose servers
     /// have started. Called when the server list or the orders have changed.
@@ -253,6 +255,11 @@
         /// the state of this one has been written.
         bool is_given_again = false;
         bool awaits_own_state = false;
+        /// The store has been restored since from a copy that may lack the order, so that operators
+        /// write again what is in force.
+        bool is_of_earlier_era = false;
+        /// Whether the target has usable servers; empty while the list is not known.
+        std::optional<bool> has_servers = std::nullopt;
     };
 
     /// Outcome of a service's earlier roll-outs. Servers of a version that was replaced or reverted
@@ -264,6 +271,8 @@
         /// Versions that were reverted, or whose order was replaced before they were proven.
         std::set<common::version_id> excluded;
         order_history orders;
+        /// Whether the server list has servers of the service, of any version.
+        bool has_servers = false;
     };
 
     /// How load lengthens one kind of time of the old version's answers.
@@ -316,11 +325,17 @@
 
     /// Starts the roll-out of an order.
     auto begin(const rollout_order& wanted, time_point now, bool is_guess) -> void;
-    auto hold(const rollout_order& wanted, time_point now) -> void;
+    auto hold(const rollout_order& wanted, time_point now, hold_reason why) -> void;
+    /// Whether an order that follows on one under way has to wait until its version has servers:
+    /// the store may perform it for the first time after the next one was given.
+    [[nodiscard]] auto must_show_servers(const rollout_order& wanted, const rollout& present) const
+        -> bool;
+    /// Whether servers show that the held order was given.
+    [[nodiscard]] auto
+    is_confirmed(const held_order& held, const rollout& in_force, const server_table& servers) const
+        -> bool;
     [[nodiscard]] auto held_target(const common::service_name& service) const
         -> std::optional<common::version_id>;
-    /// Whether the order of a service is a guess that the state in the store does not confirm.
-    [[nodiscard]] auto is_unconfirmed(const rollout& one) const -> bool;
     /// Ends the roll-out of an order that another one replaces.
     auto replace(const rollout& one, time_point now) -> void;
     /// Whether the peer has judged the record of a guessed order to be a late write.
--- a/source/core/routing/rollout_manager_orders.cpp
+++ b/source/core/routing/rollout_manager_orders.cpp
@@ -53,19 +53,35 @@
         return;
     }
     if (is_present || orders.may_be_late_write(wanted, origin.written_after.value_or(now))) {
-        this->hold(wanted, now);
+        this->hold(wanted, now, hold_reason::repeats_past);
+        return;
+    }
+    if (found != this->rollouts.end() && this->must_show_servers(wanted, found->second)) {
+        this->hold(wanted, now, hold_reason::has_no_servers);
         return;
     }
     const bool is_young = now - *this->known_since < late_write_time;
     this->begin(wanted, now, origin.is_newest_only || is_young);
 }
 
-auto rollout_manager::hold(const rollout_order& wanted, time_point now) -> void
+auto rollout_manager::must_show_servers(const rollout_order& wanted, const rollout& present) const
+    -> bool
+{
+    const auto known = this->early_states.find(wanted.service);
+    const bool is_begun_elsewhere =
+        known != this->early_states.end() && known->second.target == wanted.target;
+    return present.state == rollout_state::running && !present.is_of_earlier_era &&
+           this->histories.at(wanted.service).has_servers && !is_begun_elsewhere;
+}
+
+auto rollout_manager::hold(const rollout_order& wanted, time_point now, hold_reason why) -> void
 {
-    this->histories[wanted.service].orders.hold(wanted, now);
+    this->histories[wanted.service].orders.hold({wanted, now, why});
     log_order(
         common::log_level::warning,
-        "order held until servers of its version start, as it repeats a past one",
+        why == hold_reason::repeats_past
+            ? "order held until servers of its version start, as it repeats a past one"
+            : "order held until its version has servers, as another one is under way",
         wanted);
 }
 
@@ -132,7 +148,7 @@
         // The store holds the outcome, but it may become known here only after the next order. If
         // all sessions had moved to the new version, they stay on it. If not, it was not proven,
         // and would get requests like an old version.
-        if (this->share_of(one, now) >= 1.0) {
+        if (this->share_of(one, now) >= 1.0 && one.has_servers.value_or(true)) {
             this->note_end(one.order.service, one.order.target, rollout_state::complete);
         }
         else {
@@ -158,28 +174,21 @@
     }
 }
 
-auto rollout_manager::is_unconfirmed(const rollout& one) const -> bool
-{
-    const auto known = this->early_states.find(one.order.service);
-    return one.is_guess && known != this->early_states.end() &&
-           known->second.target != one.order.target;
-}
-
-auto rollout_manager::needs_history() const -> bool
+auto rollout_manager::needs_history(stream_position first) const -> bool
 {
-    return std::ranges::any_of(
-        this->rollouts, [this](const auto& item) { return this->is_unconfirmed(item.second); });
+    return std::ranges::any_of(this->rollouts, [first](const auto& item) {
+        return item.second.is_guess && item.second.order.at >= first;
+    });
 }
 
-auto rollout_manager::apply_history(const std::vector<rollout_order>& past, time_point now) -> void
+auto rollout_manager::apply_history(
+    const std::vector<rollout_order>& past, const server_table& servers, time_point now) -> void
 {
     std::set<common::service_name> affected;
-    for (const auto& [service, one] : this->rollouts) {
-        const auto is_of_service = [&service = service](const rollout_order& order) {
-            return order.service == service;
-        };
-        if (this->is_unconfirmed(one) && std::ranges::any_of(past, is_of_service)) {
-            affected.insert(service);
+    for (const auto& order : past) {
+        const auto found = this->rollouts.find(order.service);
+        if (found != this->rollouts.end() && found->second.is_guess) {
+            affected.insert(order.service);
         }
     }
     for (const auto& service : affected) {
@@ -189,43 +198,62 @@
     for (const auto& order : past) {
         if (affected.contains(order.service)) {
             this->apply_order(order, now);
+            this->apply_servers(servers, now);
         }
     }
 }
 
+auto rollout_manager::is_confirmed(
+    const held_order& held, const rollout& in_force, const server_table& servers) const -> bool
+{
+    const auto& service = held.order.service;
+    const auto of_held = instances_of(servers, service, held.order.target);
+    if (held.why == hold_reason::has_no_servers) {
+        return !of_held.empty();
+    }
+    const bool is_same = held.order.asks_same_as(in_force.order);
+    const auto to_exceed =
+        is_same ? 0 : instances_of(servers, service, in_force.order.target).size();
+    return this->histories.at(service).orders.has_new_servers(
+        held.order.target, of_held, to_exceed);
+}
+
 auto rollout_manager::apply_servers(const server_table& servers, time_point now) -> void
 {
-    for (const auto& [service, one] : this->rollouts) {
-        auto& orders = this->histories[service].orders;
+    std::vector<held_order> confirmed;
+    for (auto& [service, one] : this->rollouts) {
+        auto& history = this->histories[service];
         const auto& target = one.order.target;
         const auto in_force = instances_of(servers, service, target);
+        history.has_servers = !servers.usable(service).empty();
+        one.has_servers = history.has_servers ? std::optional{!in_force.empty()} : std::nullopt;
         const bool is_published = one.state != rollout_state::running && one.written == one.state;
-        if (!is_published || !orders.has_seen(target)) {
-            orders.note_servers(target, in_force);
+        if (!is_published || !history.orders.has_seen(target)) {
+            history.orders.note_servers(target, in_force);
         }
-        const auto held = orders.held();
+        const auto held = history.orders.held();
         if (!held) {
             continue;
         }
-        const auto wanted = held->order;
-        const auto started = instances_of(servers, service, wanted.target);
-        if (!orders.has_seen(wanted.target)) {
-            orders.note_servers(wanted.target, started);
+        const auto& wanted = held->order.target;
+        if (!history.orders.has_seen(wanted)) {
+            history.orders.note_servers(wanted, instances_of(servers, service, wanted));
         }
-        const auto to_exceed = wanted.asks_same_as(one.order) ? 0 : in_force.size();
-        if (orders.has_new_servers(wanted.target, started, to_exceed)) {
-            log_order(common::log_level::info, "held order was given again", wanted);
-            this->begin(wanted, std::min(held->since, now), false);
-            // The roll-outs have changed, and the next list change is a second away at most.
-            return;
+        if (this->is_confirmed(*held, one, servers)) {
+            confirmed.push_back(*held);
         }
     }
+    for (const auto& held : confirmed) {
+        log_order(common::log_level::info, "held order was given", held.order);
+        this->begin(held.order, std::min(held.since, now), false);
+    }
 }
 
 auto rollout_manager::note_new_era() -> void
 {
     for (auto& [service, one] : this->rollouts) {
         one.written.reset();
+        one.is_of_earlier_era = true;
     }
     for (auto& [service, history] : this->histories) {
         history.orders.note_new_era();
--- a/source/core/routing/rollout_manager_peers.cpp
+++ b/source/core/routing/rollout_manager_peers.cpp
@@ -88,7 +88,7 @@
     if (is_corrected_by(ours, report)) {
         const auto guessed = ours.order;
         this->begin(order_of(report), began, false);
-        this->hold(guessed, now);
+        this->hold(guessed, now, hold_reason::repeats_past);
         if (report.is_written) {
             this->apply_status({report.service, report.target, report.state});
         }
--- a/source/unit_tests/router/late_order_test.cpp
+++ b/source/unit_tests/router/late_order_test.cpp
@@ -82,7 +82,13 @@
     "a version whose order was replaced before it was proven gets no requests", "[late_order]")
 {
     ordered_entry one;
-    one.read({routing::rollout_order{engines, common::version_id{"v4"}, seconds{20}}});
+    const common::version_id third_version{"v4"};
+    routing::registration server;
+    server.id = common::server_id{"of-the-third"};
+    server.service = engines;
+    server.version = third_version;
+    one.fixture.core->servers.apply_registration(server, one.fixture.now);
+    one.read({routing::rollout_order{engines, third_version, seconds{20}}});
     CHECK(one.target() == "v4");
     CHECK(one.rule().barred.contains(second_version));
 }
@@ -102,14 +108,14 @@
     const auto history = queued_store::next_call(store.rules);
     const auto waiting = queued_store::next_call(store.rules);
     CHECK(waiting.first == stream_position{104});
-    CHECK(history.first == stream_position{40});
+    CHECK(history.first == stream_position{88});
     auto first = first_order;
-    first.at = stream_position::at(0, 60);
+    first.at = stream_position::at(0, 90);
     auto second = second_order;
-    second.at = stream_position::at(0, 80);
-    history.second(reading<rules_document>({first}, 70, false));
+    second.at = stream_position::at(0, 97);
+    history.second(reading<rules_document>({first}, 95, false));
     const auto rest = queued_store::next_call(store.rules);
-    CHECK(rest.first == stream_position{70});
+    CHECK(rest.first == stream_position{95});
     rest.second(reading<rules_document>({second, again}, 104, false));
     const auto known = fixture.core->rollouts.states(fixture.now).front();
     CHECK(known.status.target == second_version);
--- a/source/unit_tests/routing/rollout_orders_test.cpp
+++ b/source/unit_tests/routing/rollout_orders_test.cpp
@@ -171,11 +171,14 @@
     order_origin newest_only;
     newest_only.is_newest_only = true;
     manager.apply_order(order_of(new_version, 3), start, newest_only);
-    CHECK(manager.needs_history());
+    CHECK(manager.needs_history(stream_position::at(0, 2)));
+    CHECK_FALSE(manager.needs_history(stream_position::at(0, 4)));
     SECTION("from the store")
     {
         manager.apply_history(
-            {order_of(new_version, 1), order_of(next_version, 2), order_of(new_version, 3)}, start);
+            {order_of(new_version, 1), order_of(next_version, 2), order_of(new_version, 3)},
+            server_table{},
+            start);
         CHECK(target_of(manager, start) == next_version);
     }
     SECTION("from an entry that has judged the record")
@@ -194,6 +197,49 @@
     }
 }
 
+// Guards against an order that the store does for the first time after the next one was given.
+TEST_CASE("an order without servers does not replace one that is under way", "[rollout_orders]")
+{
+    ordered_twice one;
+    const common::version_id late_version{"v4"};
+    one.manager.apply_order(order_of(late_version, 3), one.now);
+    one.see_servers();
+    CHECK(target_of(one.manager, one.now) == next_version);
+    SECTION("a late write of a past order does not displace it")
+    {
+        one.read_again(4, one.now);
+        CHECK(one.manager.states(one.now).front().held_target == late_version);
+    }
+    SECTION("it was given, so that servers of it start")
+    {
+        add_servers(one.servers, late_version, "first", 1);
+        one.see_servers();
+        CHECK(target_of(one.manager, one.now) == late_version);
+        CHECK(one.manager.rule_for(engines, 0, one.now).barred.contains(next_version));
+    }
+}
+
+// Guards against an entry that starts after an order was done late, and after its end was written.
+TEST_CASE("the history shows an order that the newest record hides", "[rollout_orders]")
+{
+    rollout_manager manager{rollout_options{}};
+    manager.apply_status({engines, new_version, rollout_state::reverted});
+    order_origin newest_only;
+    newest_only.is_newest_only = true;
+    manager.apply_order(order_of(new_version, 3), start, newest_only);
+    CHECK(state_of(manager, start) == rollout_state::reverted);
+    REQUIRE(manager.needs_history(stream_position{0}));
+    server_table servers;
+    add_servers(servers, next_version, "first", 4);
+    manager.apply_history(
+        {order_of(new_version, 1), order_of(next_version, 2), order_of(new_version, 3)},
+        servers,
+        start);
+    CHECK(target_of(manager, start) == next_version);
+    CHECK(state_of(manager, start) == rollout_state::running);
+    CHECK(manager.rule_for(engines, 0, start).barred.contains(new_version));
+}
+
 // Guards against entries that differ for good, depending on how each learned of a late write.
 TEST_CASE("all entries come to the same view of a late write", "[rollout_orders]")
 {
