routing: a version without servers is never published as complete

"Complete" stops the servers of the old version, which are the only ones then.

Cause: a roll-out completes when its share is reached and nothing is left on other versions, or at the end of its time; whether its version has servers was not asked. Related to the late orders, which brought it about, but not the same fault: servers may also be lost, or never start.

Now: without a usable server of the version it does not complete, and ends as reverted when its time is over. While the server list is unknown, all is as before.

Before: "a version without servers is not published as complete" fails (complete where reverted is due). After: it passes.

--- a/source/core/routing/rollout_manager.cpp
+++ b/source/core/routing/rollout_manager.cpp
@@ -317,13 +317,15 @@
         const auto part =
             passed / std::max<double>(1.0, static_cast<double>(one.order.allowed.count()));
         const auto& schedule = this->settings.schedule;
-        const bool is_moved = part >= schedule.full_at && this->share_of(one, now) >= 1.0 &&
-                              this->left_on_old(one, now) == 0;
+        // "Complete" stops the old version's servers, which are the only ones then.
+        const bool has_servers = one.has_servers.value_or(true);
+        const bool is_moved = has_servers && part >= schedule.full_at &&
+                              this->share_of(one, now) >= 1.0 && this->left_on_old(one, now) == 0;
         if (state == rollout_state::running && this->must_revert(one, now)) {
             state = rollout_state::reverted;
         }
         else if (state == rollout_state::running && (is_moved || part >= schedule.complete_at)) {
-            state = rollout_state::complete;
+            state = has_servers ? rollout_state::complete : rollout_state::reverted;
         }
         const bool is_over = one.written && *one.written != rollout_state::running;
         if (!is_over && (!one.written || *one.written != state)) {
--- a/source/unit_tests/routing/rollout_orders_test.cpp
+++ b/source/unit_tests/routing/rollout_orders_test.cpp
@@ -240,6 +240,21 @@
     CHECK(manager.rule_for(engines, 0, start).barred.contains(new_version));
 }
 
+// Guards against a state that makes operators stop the only servers of a service.
+TEST_CASE("a version without servers is not published as complete", "[rollout_orders]")
+{
+    rollout_manager manager{rollout_options{}};
+    server_table servers;
+    add_servers(servers, old_version, "first", 4);
+    manager.apply_order(order_of(new_version, 1), start);
+    manager.apply_servers(servers, start);
+    const auto late = start + allowed * 95 / 100;
+    CHECK(manager.due_states(late).front().state == rollout_state::reverted);
+    add_servers(servers, new_version, "first", 4);
+    manager.apply_servers(servers, start);
+    CHECK(manager.due_states(late).front().state == rollout_state::complete);
+}
+
 // Guards against entries that differ for good, depending on how each learned of a late write.
 TEST_CASE("all entries come to the same view of a late write", "[rollout_orders]")
 {
