routing: an entry follows a held order that others have completed

Read, not seen: an entry that has just started, judges a new order differently from its neighbours and then yields to them holds the order as a repeat. Where the others carry it out and publish it as complete, it would keep to versions whose servers are stopped then, and refuse that service.

Cause: an order that is held was left only on servers' evidence. Now a published "complete" of a later record ends that, as it ends the other versions' servers.

"a held order that others have completed is followed" fails without the change (running, version barred), passes with it.

--- a/source/core/routing/rollout_manager_peers.cpp
+++ b/source/core/routing/rollout_manager_peers.cpp
@@ -93,6 +93,14 @@
             this->apply_status({report.service, report.target, report.state});
         }
     }
+    else if (
+        report.is_written && report.state == rollout_state::complete &&
+        report.ordered_at > ours.order.at) {
+        // Published, whatever was held here: the servers of all other versions stop now.
+        this->begin(order_of(report), began, false);
+        this->rollouts.at(report.service).awaits_own_state = false;
+        this->apply_status({report.service, report.target, report.state});
+    }
     else if (report.state == rollout_state::running && began > ours.began + order_distance) {
         this->apply_order(order_of(report), began);
     }
--- a/source/unit_tests/routing/rollout_orders_test.cpp
+++ b/source/unit_tests/routing/rollout_orders_test.cpp
@@ -255,6 +255,29 @@
     CHECK(manager.due_states(late).front().state == rollout_state::complete);
 }
 
+// Guards against an entry that keeps to versions whose servers are stopped, since it holds an
+// order.
+TEST_CASE("a held order that others have completed is followed", "[rollout_orders]")
+{
+    ordered_twice one;
+    one.read_again(3, one.now);
+    rollout_report report;
+    report.service = engines;
+    report.target = new_version;
+    report.allowed = allowed;
+    report.ordered_at = stream_position::at(0, 3);
+    report.judged_to = report.ordered_at;
+    report.state = rollout_state::running;
+    report.is_written = true;
+    one.manager.apply_reports(common::host_id{"peer"}, {report}, one.now);
+    CHECK(target_of(one.manager, one.now) == next_version);
+    report.state = rollout_state::complete;
+    one.manager.apply_reports(common::host_id{"peer"}, {report}, one.now);
+    CHECK(target_of(one.manager, one.now) == new_version);
+    CHECK(state_of(one.manager, one.now) == rollout_state::complete);
+    CHECK_FALSE(one.manager.rule_for(engines, 0, one.now).barred.contains(new_version));
+}
+
 // Guards against entries that differ for good, depending on how each learned of a late write.
 TEST_CASE("all entries come to the same view of a late write", "[rollout_orders]")
 {
