router: each response's echo, silent second connections and bytes without a request are logged

For the incident of requests that run twice: the logs couldn't tell what a refusal proved, nor that the HTTP client had sent again by itself. The verdict on a response's head moves into a module of its own, response_judgement, unchanged; its evidence is logged and counted. No logic changes.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -19,7 +19,10 @@
 /// The idle links of a client, on its context's thread.
 class idle_links final : public link_owner {
 public:
-    explicit idle_links(std::size_t limit_per_endpoint) : limit(limit_per_endpoint) {}
+    idle_links(std::size_t limit_per_endpoint, client_hooks hooks_to_use)
+        : limit(limit_per_endpoint), hooks(std::move(hooks_to_use))
+    {
+    }
 
     auto keep_idle(const std::shared_ptr<client_link>& link) -> void override
     {
@@ -43,6 +46,13 @@
         }
     }
 
+    auto note_unrequested_bytes(const client_link& link) -> void override
+    {
+        if (this->hooks.on_unrequested_bytes) {
+            this->hooks.on_unrequested_bytes(link.where());
+        }
+    }
+
     /// The most recently used one that is still open, which leaves the others to their timeout.
     auto take(const endpoint& where) -> std::shared_ptr<client_link>
     {
@@ -75,6 +85,7 @@
 
 private:
     std::size_t limit;
+    client_hooks hooks;
     std::map<endpoint, std::vector<std::shared_ptr<client_link>>> by_endpoint;
 };
 
@@ -124,9 +135,10 @@
 
 class pooled_client final : public client {
 public:
-    pooled_client(asio::io_context& context_to_use, client_options options_to_use)
+    pooled_client(
+        asio::io_context& context_to_use, client_options options_to_use, client_hooks hooks)
         : context(context_to_use), options(options_to_use),
-          links(std::make_shared<idle_links>(options_to_use.idle_connections))
+          links(std::make_shared<idle_links>(options_to_use.idle_connections, std::move(hooks)))
     {
     }
 
@@ -186,9 +198,10 @@
 
 } // namespace
 
-auto client::create(asio::io_context& context, client_options options) -> std::shared_ptr<client>
+auto client::create(asio::io_context& context, client_options options, client_hooks hooks)
+    -> std::shared_ptr<client>
 {
-    return std::make_shared<pooled_client>(context, options);
+    return std::make_shared<pooled_client>(context, options, std::move(hooks));
 }
 
 } // namespace reedramp::http
--- a/source/core/http/client.hpp
+++ b/source/core/http/client.hpp
@@ -28,6 +28,9 @@
     /// The system has taken the whole request, body included. Says nothing of what the server has
     /// read. Does not come if the answer ends before. May be empty.
     std::function<auto()->void> on_sent = {};
+    /// The kept connection was closed before any byte of the request was written, which goes out on
+    /// a new one. Comes once at most. May be empty.
+    std::function<auto()->void> on_reconnect = {};
 };
 
 /// A call under way. Destroying the handle does not end the call.
@@ -62,6 +65,12 @@
     std::size_t body_limit_bytes = 16UL * 1024UL * 1024UL;
 };
 
+/// What concerns no call. Runs on the client's io_context thread.
+struct client_hooks {
+    /// A server sent bytes that no request on their connection asked for. May be empty.
+    std::function<auto(const endpoint& from)->void> on_unrequested_bytes = {};
+};
+
 /// Keeps connections alive for each endpoint. All members may be called from any thread. Its
 /// context is run by one thread, and outlives the client.
 ///
@@ -69,7 +78,8 @@
 /// before any byte of the request was written.
 class client {
 public:
-    static auto create(boost::asio::io_context& context, client_options options)
+    static auto
+    create(boost::asio::io_context& context, client_options options, client_hooks hooks = {})
         -> std::shared_ptr<client>;
 
     virtual ~client() = default;
--- a/source/core/http/client_link.cpp
+++ b/source/core/http/client_link.cpp
@@ -103,6 +103,9 @@
     char byte = 0;
     const auto size =
         ::recv(this->socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    if (size > 0) {
+        this->note_unrequested_bytes();
+    }
     // 0 is the end of the input; a byte that nobody asked for makes the next answer untrustworthy.
     return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
@@ -187,6 +190,9 @@
             const auto fresh =
                 std::make_shared<client_link>(this->context, this->options, this->owner);
             this->close();
+            if (again->events.on_reconnect) {
+                again->events.on_reconnect();
+            }
             fresh->open(again);
             return;
         }
@@ -228,6 +234,9 @@
     }
     if (this->now == stage::idle) {
         // Closed by the server, or bytes that nobody asked for.
+        if (!problem) {
+            this->note_unrequested_bytes();
+        }
         this->close();
         return;
     }
@@ -370,6 +379,9 @@
     auto answer = std::move(this->reader->message);
     const bool reusable = this->reader->is_done() && this->reader->keep_alive() && !this->writing &&
                           !this->write_failed && this->input.size() == 0;
+    if (this->input.size() > 0) {
+        this->note_unrequested_bytes();
+    }
     this->reader.reset();
     const auto keeper = this->owner.lock();
     const auto named = named_idle_time(answer);
@@ -433,6 +445,13 @@
     }
 }
 
+auto client_link::note_unrequested_bytes() -> void
+{
+    if (const auto keeper = this->owner.lock()) {
+        keeper->note_unrequested_bytes(*this);
+    }
+}
+
 auto client_link::call_is_live() const -> bool
 {
     return this->call != nullptr && !this->call->finished;
--- a/source/core/http/client_link.hpp
+++ b/source/core/http/client_link.hpp
@@ -26,6 +26,7 @@
     virtual ~link_owner() = default;
     virtual auto keep_idle(const std::shared_ptr<client_link>& link) -> void = 0;
     virtual auto forget_idle(const client_link& link) -> void = 0;
+    virtual auto note_unrequested_bytes(const client_link& link) -> void = 0;
 };
 
 /// One call, from `send` to `on_done`.
@@ -86,6 +87,8 @@
     auto fail(common::result_code code, const std::string& detail) -> void;
     auto on_timeout() -> void;
     auto close() -> void;
+    /// The server sent bytes beyond its answers.
+    auto note_unrequested_bytes() -> void;
     [[nodiscard]] auto call_is_live() const -> bool;
 
     boost::asio::io_context& context;
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -126,6 +126,10 @@
                  if (const auto stream = weak.lock()) {
                      stream->note_request_sent();
                  }
+             },
+         .on_reconnect =
+             [keep, next] {
+                 keep->note_reconnect(*next);
              }});
     this->out->follow(next->call, this->request.original.body.size());
     if (this->is_stream()) {
@@ -133,6 +137,16 @@
     }
 }
 
+auto relay::note_reconnect(const attempt& of) const -> void
+{
+    this->core->counters.reconnects.add();
+    common::log(
+        common::log_part::place,
+        common::log_level::info,
+        "connected anew request=" + this->request.caller.attempt +
+            " server=" + of.server.id.value() + " send=" + std::to_string(this->ledger.sends()));
+}
+
 auto relay::begin_attempt(const chosen_server& chosen) -> std::shared_ptr<attempt>
 {
     const auto& server = *chosen.server;
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "router/held_stream.hpp"
+#include "router/response_judgement.hpp"
 #include "router/router_core.hpp"
 #include "routing/attempt_ledger.hpp"
 #include "routing/event_splitter.hpp"
@@ -66,20 +67,6 @@
     auto operator=(relay&&) -> relay& = delete;
 
 private:
-    /// What the head of a response says about the attempt.
-    enum class verdict : std::uint8_t {
-        /// No head has been received yet.
-        none,
-        /// The server ran this attempt successfully.
-        success,
-        /// The server ran it and failed.
-        server_failure,
-        /// The server has not run it and never will.
-        not_executed,
-        /// The response can't be trusted.
-        untrusted,
-    };
-
     /// One send to one server.
     struct attempt {
         routing::server_instance server;
@@ -107,6 +94,8 @@
         time_point sent;
         time_point last_progress;
         verdict head_verdict = verdict::none;
+        /// Whose attempt id that head repeats.
+        echoed_attempt echoed = echoed_attempt::none;
         http::response head;
         /// Directives of the server in that head.
         server_directives directives;
@@ -224,6 +213,8 @@
     /// Tells overload control that the service has given the first event or the response.
     auto note_completed() -> void;
     auto send_to(const chosen_server& chosen) -> void;
+    /// Records that the send goes out on a new connection, since the kept one had been closed.
+    auto note_reconnect(const attempt& of) const -> void;
     /// Creates the attempt, and records the send to the server in all trackers.
     auto begin_attempt(const chosen_server& chosen) -> std::shared_ptr<attempt>;
     [[nodiscard]] auto make_forward_headers(const routing::registration& server) const
@@ -253,8 +244,6 @@
     auto on_head(const std::shared_ptr<attempt>& of, const http::response& head) -> void;
     /// Applies the directives that the server stated in the response.
     auto apply_directives(const attempt& of) const -> void;
-    /// Whether the response belongs to another request, because the connection held a stale one.
-    [[nodiscard]] auto is_for_other_request(const http::response& head) const -> bool;
     auto on_bytes(const std::shared_ptr<attempt>& of, std::string bytes) -> void;
     auto on_events(const std::shared_ptr<attempt>& of, const std::string& bytes) -> void;
     auto on_done(const std::shared_ptr<attempt>& of, const common::result<http::response>& answer)
@@ -264,8 +253,6 @@
     /// Asks a larger model if the answer is not confident enough. Returns whether the answer was
     /// dropped for that.
     auto ask_larger_model(const std::shared_ptr<attempt>& of) -> bool;
-    /// Classifies a head that does not belong to another request.
-    [[nodiscard]] auto classify_head(const http::response& head) const -> verdict;
 
     /// Compares the wait for the first event with its prediction.
     auto note_predicted_wait(const attempt& of) const -> void;
@@ -283,6 +270,7 @@
     /// Whether the server had hardly a slot left, so that requests may have waited for one.
     [[nodiscard]] auto was_nearly_full(const attempt& of) const -> bool;
     auto log_answer(const attempt& of, std::string_view what) const -> void;
+    auto log_untrusted(const attempt& of, const response_judgement& judged) const -> void;
     auto log_lost(const attempt& of, const common::error& why) -> void;
     auto on_connection_lost(const std::shared_ptr<attempt>& of, const common::error& why) -> void;
 
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -4,6 +4,7 @@
 #include "common/log.hpp"
 #include "router/log_fields.hpp"
 #include "router/relay.hpp"
+#include "router/status_codes.hpp"
 #include "routing/model_choice.hpp"
 
 /// Part of `relay` that handles servers' responses.
@@ -16,15 +17,6 @@
 
 namespace {
 
-constexpr std::uint16_t misdirected = 421;
-constexpr std::uint16_t gateway_timeout = 504;
-constexpr std::uint16_t unavailable = 503;
-
-auto is_success(std::uint16_t status) -> bool
-{
-    return status >= 200 && status < 300; // NOLINT(readability-magic-numbers): the 2xx class
-}
-
 /// Returns -1 for text that does not start with a number.
 auto parse_confidence(std::string_view text) -> int
 {
@@ -38,41 +30,18 @@
 
 } // namespace
 
-auto relay::classify_head(const http::response& head) const -> verdict
-{
-    const auto& names = this->core->options.names;
-    const bool not_run = http::find_header(head.headers, names.not_executed).has_value();
-    if (not_run || head.status == misdirected) {
-        return verdict::not_executed;
-    }
-    if (http::find_header(head.headers, "Content-Encoding")) {
-        // No encoding was requested, so these are not the server's bytes.
-        return verdict::untrusted;
-    }
-    const bool is_signed = http::find_header(head.headers, names.signature).has_value();
-    if (is_success(head.status)) {
-        const bool echoed = http::find_header(head.headers, names.attempt).has_value();
-        return is_signed && echoed ? verdict::success : verdict::untrusted;
-    }
-    return is_signed ? verdict::server_failure : verdict::untrusted;
-}
-
-auto relay::is_for_other_request(const http::response& head) const -> bool
-{
-    const auto echoed = http::find_header(head.headers, this->core->options.names.attempt);
-    return echoed && *echoed != this->request.caller.attempt;
-}
-
 auto relay::on_head(const std::shared_ptr<attempt>& of, const http::response& head) -> void
 {
     if (of->ended) {
         return;
     }
-    const bool is_own = !this->is_for_other_request(head);
+    const auto judged = judge_head(head, this->core->options.names, this->request.caller.attempt);
+    const bool is_own = judged.echoed != echoed_attempt::other;
     if (is_own) {
         this->settle_retry(of->permit);
     }
-    of->head_verdict = is_own ? this->classify_head(head) : verdict::untrusted;
+    of->head_verdict = judged.what;
+    of->echoed = judged.echoed;
     if (of->head_verdict == verdict::success) {
         const auto took = milliseconds_between(of->sent, this->core->hooks.clock());
         this->core->speeds[this->service].note(of->server, took, of->work_ahead);
@@ -81,7 +50,7 @@
             this->core->first_events[this->service].note(of->prompt_work, took);
         }
     }
-    if (is_own && head.status != misdirected) {
+    if (is_own && head.status != status::misdirected) {
         of->directives = read_server_directives(head, this->core->options.names);
         this->apply_directives(*of);
         if (of->head_verdict != verdict::untrusted) {
@@ -97,16 +66,12 @@
     of->last_progress = this->core->hooks.clock();
     if (of->head_verdict == verdict::untrusted) {
         // Further bytes could belong to yet another request.
-        common::log(
-            common::log_part::place,
-            common::log_level::warning,
-            "answer not trusted request=" + this->request.caller.attempt +
-                " server=" + of->server.id.value() + " status=" + std::to_string(head.status));
+        this->log_untrusted(*of, judged);
         this->abandon(of, attempt_end::unknown, server_outcome::failed);
         this->retry(result_code::outcome_unknown);
         return;
     }
-    if (of->head_verdict == verdict::not_executed && head.status == misdirected) {
+    if (of->head_verdict == verdict::not_executed && head.status == status::misdirected) {
         // Another server has the address now, so the intended one has ended.
         this->core->servers.remove_replaced(of->server, this->core->hooks.clock());
     }
@@ -350,7 +315,7 @@
         if (of->directives.backoff) {
             this->ledger.note_backoff_asked();
         }
-        else if (of->head.status == unavailable && !of->directives.is_leaving) {
+        else if (of->head.status == status::unavailable && !of->directives.is_leaving) {
             this->core->admission_of(this->service)
                 .throttle.note_refused(of->server, this->core->hooks.clock());
         }
@@ -370,7 +335,7 @@
 auto relay::on_server_failure(const std::shared_ptr<attempt>& of) -> void
 {
     this->log_answer(*of, "server failed");
-    of->was_timed_out = of->head.status == gateway_timeout;
+    of->was_timed_out = of->head.status == status::gateway_timeout;
     this->end_attempt(of, attempt_end::ran, server_outcome::failed);
     // A read that fails in the same way at two servers most likely fails at all of them.
     const bool is_same_failure = this->request.route->kind == routing::request_kind::idempotent &&
@@ -392,12 +357,24 @@
         common::log_level::info,
         std::string{what} + " request=" + this->request.caller.attempt +
             " server=" + of.server.id.value() + " status=" + std::to_string(of.head.status) +
-            load_field(of.stated_load) +
+            " echo=" + std::string{to_string(of.echoed)} + load_field(of.stated_load) +
             (of.directives.backoff ? " rest_ms=" + std::to_string(of.directives.backoff->count())
                                    : "") +
             (of.directives.has_malformed_backoff ? " rest=unreadable" : ""));
 }
 
+auto relay::log_untrusted(const attempt& of, const response_judgement& judged) const -> void
+{
+    this->core->counters.count_untrusted(std::string{judged.distrust});
+    common::log(
+        common::log_part::place,
+        common::log_level::warning,
+        "answer not trusted request=" + this->request.caller.attempt +
+            " server=" + of.server.id.value() + " status=" + std::to_string(of.head.status) +
+            " why=" + std::string{judged.distrust} + " echo=" +
+            std::string{to_string(judged.echoed)} + " signed=" + (judged.is_signed ? "yes" : "no"));
+}
+
 auto relay::log_lost(const attempt& of, const common::error& why) -> void
 {
     common::log(
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -163,6 +163,15 @@
     this->counters.backoffs.add();
 }
 
+auto router_core::note_unrequested_bytes(const http::endpoint& from) const -> void
+{
+    this->counters.unrequested_bytes.add();
+    common::log(
+        common::log_part::place,
+        common::log_level::info,
+        "bytes without a request from=" + http::to_string(from));
+}
+
 auto router_core::apply_limit_reports(
     const std::vector<routing::limit_report>& reports, const std::string& source) -> void
 {
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -239,6 +239,9 @@
         bool is_refusal,
         const std::string& attempt) -> std::optional<routing::stated_load>;
 
+    /// Records that a server sent bytes that no request on their connection had asked for.
+    auto note_unrequested_bytes(const http::endpoint& from) const -> void;
+
     /// Applies limits that a peer has read in servers' responses.
     auto apply_limit_reports(
         const std::vector<routing::limit_report>& reports, const std::string& source) -> void;
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -15,6 +15,12 @@
     : all(registry),
       requests(registry.counter_of("router_requests_total", "Requests received from callers.")),
       sends(registry.counter_of("router_sends_total", "Requests sent to backend servers.")),
+      reconnects(registry.counter_of(
+          "router_reconnects_total",
+          "Sends whose kept connection had been closed, and that went out on a new one.")),
+      unrequested_bytes(registry.counter_of(
+          "router_unrequested_bytes_total",
+          "Times that a server sent bytes that no request had asked for.")),
       resumed(registry.counter_of(
           "router_resumed_total", "Streams that were resumed at another server before their end.")),
       larger_models(registry.counter_of(
@@ -151,6 +157,16 @@
         .add();
 }
 
+auto router_metrics::count_untrusted(const std::string& reason) const -> void
+{
+    this->all
+        .counter_of(
+            "router_untrusted_total",
+            "Responses that do not speak for the request that they came for.",
+            {{"reason", reason}})
+        .add();
+}
+
 auto router_metrics::count_store_call(const std::string& call) const -> void
 {
     this->all
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -14,6 +14,10 @@
     metrics::registry& all;
     metrics::counter& requests;
     metrics::counter& sends;
+    /// Sends whose kept connection had been closed, and that went out on a new one.
+    metrics::counter& reconnects;
+    /// Times that a server sent bytes that no request had asked for.
+    metrics::counter& unrequested_bytes;
     metrics::counter& resumed;
     metrics::counter& larger_models;
     metrics::histogram& first_event_ms;
@@ -62,6 +66,9 @@
     count_admission(const std::string& decision, const std::string& reason, unsigned rank) const
         -> void;
 
+    /// Counts a response that does not speak for the request that it came for.
+    auto count_untrusted(const std::string& reason) const -> void;
+
     /// Counts a request of a caller for the service.
     auto count_first_attempt(const std::string& service) const -> void;
 
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -119,7 +119,12 @@
     this->core = std::make_shared<router::router_core>(
         std::move(hooks),
         this->settings.router,
-        http::client::create(this->context, server_client_options()));
+        http::client::create(
+            this->context,
+            server_client_options(),
+            {.on_unrequested_bytes = [this](const http::endpoint& from) {
+                this->core->note_unrequested_bytes(from);
+            }}));
     this->store = router::with_call_counts(
         this->platform.open_store(this->store_http, this->settings.store), this->core->counters);
 }
