router: only a refusal of the same attempt proves that a request has not run

What callers saw: a request that may run once ran at a second server, or was refused with 503 or 421 ("not run, come again") although it ran.

Cause: a response without an attempt id was taken as the request's own, and a claim not to have executed was believed on any status. Bytes that belong to no request, or a failure that bears that header as well, sent the request to the next server while the first one ran it.

Evidence: run_once_test, an entry's program before raw servers on real sockets, odd bytes on a kept connection ahead of the server's own response. That a true refusal still leads to another server is a test of its own.

Why it holds: a response speaks only for the attempt whose id it repeats, and a claim not to have executed only with a status that says the same (4xx, 503). What is not believed counts as possibly run.

--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -36,7 +36,7 @@
         return;
     }
     const auto judged = judge_head(head, this->core->options.names, this->request.caller.attempt);
-    const bool is_own = judged.echoed != echoed_attempt::other;
+    const bool is_own = judged.echoed == echoed_attempt::own;
     if (is_own) {
         this->settle_retry(of->permit);
     }
--- a/source/core/router/response_judgement.cpp
+++ b/source/core/router/response_judgement.cpp
@@ -23,6 +23,11 @@
     return *echoed == attempt ? echoed_attempt::own : echoed_attempt::other;
 }
 
+auto claims_no_execution(const http::response& head, const header_names& names) -> bool
+{
+    return has_header(head, names.not_executed) || head.status == status::misdirected;
+}
+
 } // namespace
 
 auto to_string(echoed_attempt echoed) -> std::string_view
@@ -49,10 +54,13 @@
         found.distrust = why;
         return found;
     };
-    if (found.echoed == echoed_attempt::other) {
-        return distrust("other_attempt");
+    if (found.echoed != echoed_attempt::own) {
+        return distrust(found.echoed == echoed_attempt::other ? "other_attempt" : "no_attempt");
     }
-    if (has_header(head, names.not_executed) || head.status == status::misdirected) {
+    if (claims_no_execution(head, names)) {
+        if (!status::is_refusal(head.status)) {
+            return distrust("contradictory");
+        }
         found.what = verdict::not_executed;
         return found;
     }
@@ -63,14 +71,7 @@
     if (!found.is_signed) {
         return distrust("unsigned");
     }
-    if (!status::is_success(head.status)) {
-        found.what = verdict::server_failure;
-        return found;
-    }
-    if (found.echoed == echoed_attempt::none) {
-        return distrust("no_attempt");
-    }
-    found.what = verdict::success;
+    found.what = status::is_success(head.status) ? verdict::success : verdict::server_failure;
     return found;
 }
 
--- a/source/core/router/response_judgement.hpp
+++ b/source/core/router/response_judgement.hpp
@@ -37,6 +37,10 @@
 };
 
 /// Judges the head of the response that came for `attempt`.
+///
+/// A response speaks only for the attempt whose id it repeats: a server may send bytes that belong
+/// to no request, or the response to another one late. A claim not to have executed the request
+/// holds only with a status that says the same.
 auto judge_head(const http::response& head, const header_names& names, std::string_view attempt)
     -> response_judgement;
 
