http: bytes that came before a request are never read as its answer

Cause: an idle connection had a read under way, so bytes that came on it were taken out of the socket before anybody looked at it. is_usable then asked the socket, which was empty, and the queued read was delivered as the answer of the next request.

Why it holds: an idle connection is watched for input without reading it. What has come since the last answer is still in the socket when the connection is taken, and ends it.

--- a/source/core/http/client_link.cpp
+++ b/source/core/http/client_link.cpp
@@ -226,20 +226,37 @@
         });
 }
 
+auto client_link::watch_idle() -> void
+{
+    if (std::exchange(this->watching_idle, true)) {
+        return;
+    }
+    this->socket.async_wait(
+        asio::socket_base::wait_read, [this, keep = this->shared_from_this()](error_code) {
+            this->watching_idle = false;
+            this->on_idle_input();
+        });
+}
+
+auto client_link::on_idle_input() -> void
+{
+    if (this->now != stage::idle) {
+        return;
+    }
+    // A wait that began before the last request ends with that request's answer.
+    if (this->is_usable()) {
+        this->watch_idle();
+        return;
+    }
+    this->close();
+}
+
 auto client_link::on_read(error_code problem, std::size_t size) -> void
 {
     this->reading = false;
     if (this->now == stage::closed) {
         return;
     }
-    if (this->now == stage::idle) {
-        // Closed by the server, or bytes that nobody asked for.
-        if (!problem) {
-            this->note_unrequested_bytes();
-        }
-        this->close();
-        return;
-    }
     if (problem && this->writing) {
         this->ended_early = problem;
         return;
@@ -390,7 +407,7 @@
     if (reusable && keeper != nullptr && idle_time.count() > 0) {
         this->now = stage::idle;
         this->timer.expires_after(idle_time);
-        this->start_read();
+        this->watch_idle();
         keeper->keep_idle(this->shared_from_this());
     }
     else {
--- a/source/core/http/client_link.hpp
+++ b/source/core/http/client_link.hpp
@@ -73,6 +73,10 @@
     auto send() -> void;
     auto on_sent(error_code problem, std::size_t size) -> void;
     auto start_read() -> void;
+    /// Waits for input without reading it, so that `is_usable` sees what came since the last
+    /// answer.
+    auto watch_idle() -> void;
+    auto on_idle_input() -> void;
     auto on_read(error_code problem, std::size_t size) -> void;
     auto on_input_end(error_code problem) -> void;
     auto read_answer() -> void;
@@ -111,6 +115,7 @@
     boost::beast::flat_buffer input;
     std::size_t read_size;
     bool reading = false;
+    bool watching_idle = false;
     std::optional<response_reader> reader;
     bool head_delivered = false;
     /// Interim answers (1xx) to the request in flight.
