router: no send of a request begins while another is in flight

Four places go on with a request (admission, the wait for a send slot, the stall watch, a retry), and each asked only whether the request had ended.

Change: the ledger counts the send in flight, and send_to asks it before each send. One that would be a second in flight, or another run of a request that may run once, is withheld, logged as an error and counted.

Evidence: read, not provoked: no path was found that has two pending. The client's own second connection is now also ruled out once a byte of an answer has come on the first.

--- a/source/core/http/client_link.cpp
+++ b/source/core/http/client_link.cpp
@@ -183,7 +183,8 @@
     }
     if (problem && size == 0) {
         this->call->maybe_sent = false;
-        if (this->was_reused) {
+        const bool has_input = this->head_delivered || this->input.size() > 0;
+        if (this->was_reused && !has_input) {
             // The server closed the kept connection. Nothing of the request is out, so that a new
             // connection cannot run it twice.
             const auto again = std::exchange(this->call, nullptr);
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -90,8 +90,30 @@
     this->send_to(chosen);
 }
 
+auto relay::is_second_send() -> bool
+{
+    if (this->ledger.may_begin_send(*this->request.route)) {
+        return false;
+    }
+    this->core->counters.withheld_sends.add();
+    common::log(
+        common::log_part::place,
+        common::log_level::error,
+        "send withheld request=" + this->request.caller.attempt +
+            " sends=" + std::to_string(this->ledger.sends()));
+    // The send in flight, if there is one, still ends the request.
+    const bool is_in_flight = this->current != nullptr && !this->current->ended;
+    if (!is_in_flight) {
+        this->give_up(result_code::outcome_unknown);
+    }
+    return true;
+}
+
 auto relay::send_to(const chosen_server& chosen) -> void
 {
+    if (this->is_second_send()) {
+        return;
+    }
     const auto& server = *chosen.server;
     const auto where = http::parse_endpoint(server.address);
     if (!where) {
--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -213,6 +213,9 @@
     /// Tells overload control that the service has given the first event or the response.
     auto note_completed() -> void;
     auto send_to(const chosen_server& chosen) -> void;
+    /// Whether a send now could run the request a second time against its route; the send is
+    /// withheld then.
+    auto is_second_send() -> bool;
     /// Records that the send goes out on a new connection, since the kept one had been closed.
     auto note_reconnect(const attempt& of) const -> void;
     /// Creates the attempt, and records the send to the server in all trackers.
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -18,6 +18,9 @@
       reconnects(registry.counter_of(
           "router_reconnects_total",
           "Sends whose kept connection had been closed, and that went out on a new one.")),
+      withheld_sends(registry.counter_of(
+          "router_withheld_sends_total",
+          "Sends that were withheld because they could have run a request a second time.")),
       unrequested_bytes(registry.counter_of(
           "router_unrequested_bytes_total",
           "Times that a server sent bytes that no request had asked for.")),
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -16,6 +16,8 @@
     metrics::counter& sends;
     /// Sends whose kept connection had been closed, and that went out on a new one.
     metrics::counter& reconnects;
+    /// Sends that were withheld because they could have run a request a second time: a defect.
+    metrics::counter& withheld_sends;
     /// Times that a server sent bytes that no request had asked for.
     metrics::counter& unrequested_bytes;
     metrics::counter& resumed;
--- a/source/core/routing/attempt_ledger.cpp
+++ b/source/core/routing/attempt_ledger.cpp
@@ -16,6 +16,7 @@
 
 auto attempt_ledger::note_end(attempt_end how) -> void
 {
+    this->in_flight -= std::min(this->in_flight, 1U);
     switch (how) {
     case attempt_end::not_sent:
     case attempt_end::not_executed:
@@ -31,6 +32,11 @@
     }
 }
 
+auto attempt_ledger::may_begin_send(const route& on) const -> bool
+{
+    return this->in_flight == 0 && (!this->may_have_run || is_repeatable(on));
+}
+
 auto attempt_ledger::leaves_room(
     const route& on, unsigned max_sends, unsigned more_runs, unsigned more_sends) const -> bool
 {
@@ -42,10 +48,7 @@
 
 auto attempt_ledger::may_send_again(const route& on, unsigned max_sends) const -> bool
 {
-    if (this->may_have_run && !is_repeatable(on)) {
-        return false;
-    }
-    return this->leaves_room(on, max_sends, 1, 1);
+    return this->may_begin_send(on) && this->leaves_room(on, max_sends, 1, 1);
 }
 
 auto attempt_ledger::may_abandon_send(const route& on, unsigned max_sends) const -> bool
--- a/source/core/routing/attempt_ledger.hpp
+++ b/source/core/routing/attempt_ledger.hpp
@@ -28,10 +28,20 @@
     /// Number of sends, refused ones included.
     [[nodiscard]] auto sends() const -> unsigned { return this->sent; }
 
-    auto note_sent() -> void { this->sent += 1; }
+    auto note_sent() -> void
+    {
+        this->sent += 1;
+        this->in_flight += 1;
+    }
 
+    /// Records how the send in flight ended.
     auto note_end(attempt_end how) -> void;
 
+    /// Whether a send may begin now: none is in flight, and the route allows another run if there
+    /// may have been one. Holds whatever led to the send, so that a second continuation of a
+    /// request cannot run it twice.
+    [[nodiscard]] auto may_begin_send(const route& on) const -> bool;
+
     /// Records that a server refused the request and asked for a backoff. The request can't return
     /// to that server soon, so the send does not count towards `max_sends`; at most `max_sends`
     /// refusals are exempt in this way.
@@ -59,6 +69,7 @@
         -> bool;
 
     unsigned sent = 0;
+    unsigned in_flight = 0;
     /// How many of these were refused by servers that asked for a backoff.
     unsigned backoffs = 0;
     /// Sends known to have been executed, or assumed to be; they count against the route's limit.
--- a/source/unit_tests/routing/attempt_ledger_test.cpp
+++ b/source/unit_tests/routing/attempt_ledger_test.cpp
@@ -57,6 +57,25 @@
     }
 }
 
+// Guards against a second send of a request by a timer or a retry while the first is in flight.
+TEST_CASE("no send begins while another is in flight", "[ledger]")
+{
+    for (const auto kind :
+         {request_kind::idempotent, request_kind::non_idempotent, request_kind::stream}) {
+        const auto on = route_of(kind, true, 3);
+        attempt_ledger ledger;
+        CHECK(ledger.may_begin_send(on));
+        ledger.note_sent();
+        CHECK_FALSE(ledger.may_begin_send(on));
+        CHECK_FALSE(ledger.may_send_again(on, max_sends));
+        ledger.note_end(attempt_end::not_executed);
+        CHECK(ledger.may_begin_send(on));
+        ledger.note_sent();
+        ledger.note_end(attempt_end::unknown);
+        CHECK(ledger.may_begin_send(on) == (kind != request_kind::non_idempotent));
+    }
+}
+
 TEST_CASE("executions and sends are limited", "[ledger]")
 {
     const auto again = route_of(request_kind::idempotent, false, 2);
