--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include "common/log.hpp"
+#include "connection_options.hpp"
 #include "daemon/clock.hpp"
 #include "daemon/line_log.hpp"
 #include "daemon/signals.hpp"
@@ -26,21 +27,6 @@
 constexpr std::string_view state_path = "/state";
 /// Path of the operators' command to admit a barred request or barred parts again.
 constexpr std::string_view lift_path = "/barred/lift?print=";
-/// Time after which a dead server host is detected; two thirds of the shortest time limit.
-constexpr milliseconds dead_peer_time{2000};
-/// A connection to a server in the same region opens within a few ms. A lost first packet is sent
-/// again only after a second, so that another server is faster.
-constexpr milliseconds server_connect_time{300};
-constexpr std::size_t idle_connections_per_server = 12;
-constexpr milliseconds server_idle_time{4000};
-/// Longer than any pause that routes allow; streams have their own limits.
-constexpr milliseconds server_silence{60000};
-/// Longer than any read waits at the store.
-constexpr milliseconds waiting_silence{11000};
-/// The store responds within some ms, or some tens of times that under load.
-constexpr milliseconds quick_silence{1500};
-constexpr milliseconds store_idle_time{4000};
-constexpr milliseconds store_connect_time{1000};
 /// Time before the end of the grace at which the process ends itself, before it is killed.
 constexpr milliseconds kill_margin{400};
 /// Part of that time in which the last responses are transmitted.
@@ -53,37 +39,16 @@
 /// is below the second after which callers give up an unread request.
 constexpr milliseconds accept_delay{600};
 
-auto server_client_options() -> http::client_options
-{
-    http::client_options options;
-    options.connect_timeout = server_connect_time;
-    options.idle_timeout = server_silence;
-    options.idle_connections = idle_connections_per_server;
-    options.keep_idle_time = server_idle_time;
-    options.dead_peer_time = dead_peer_time;
-    return options;
-}
-
-auto store_client_options(milliseconds silence) -> http::client_options
-{
-    http::client_options options;
-    options.connect_timeout = store_connect_time;
-    options.idle_timeout = silence;
-    options.keep_idle_time = store_idle_time;
-    options.dead_peer_time = dead_peer_time;
-    return options;
-}
-
 } // namespace
 
 router_process::implementation::implementation(
     router_settings settings_to_use, platform_parts parts_of_platform)
     : settings(std::move(settings_to_use)), platform(std::move(parts_of_platform)),
       timers(std::make_shared<daemon::timer_queue>(this->context, daemon::boot_time)),
-      stalls(daemon::boot_time, this->settings.peer_period), datagrams(this->context),
-      store_http{
-          http::client::create(this->context, store_client_options(waiting_silence)),
-          http::client::create(this->context, store_client_options(quick_silence))}
+      stalls(daemon::boot_time, this->settings.peer_period),
+      datagrams(this->context), store_http{
+                                    http::client::create(this->context, waiting_store_options()),
+                                    http::client::create(this->context, quick_store_options())}
 {
     this->settings.router.names = this->platform.names;
     this->settings.router.overload.is_declared =
@@ -121,7 +86,7 @@
         this->settings.router,
         http::client::create(
             this->context,
-            server_client_options(),
+            server_connection_options(),
             {.on_unrequested_bytes = [this](const http::endpoint& from) {
                 this->core->note_unrequested_bytes(from);
             }}));
@@ -318,7 +283,11 @@
     };
     hooks.is_reachable = [this](const routing::registration& server, auto done) {
         if (const auto where = http::parse_endpoint(server.address)) {
-            http::check_connection(this->context, *where, server_connect_time, std::move(done));
+            http::check_connection(
+                this->context,
+                *where,
+                server_connection_options().connect_timeout,
+                std::move(done));
         }
     };
     this->crash_updates = std::make_shared<router::crash_broadcaster>(
