routing: whether a send is in flight stands in the ledger alone

The ledger counted sends in flight although there is one at most, and the relay derived the same from its current attempt. Now the ledger has one flag and the relay asks it. No behaviour changes.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -102,8 +102,7 @@
         "send withheld request=" + this->request.caller.attempt +
             " sends=" + std::to_string(this->ledger.sends()));
     // The send in flight, if there is one, still ends the request.
-    const bool is_in_flight = this->current != nullptr && !this->current->ended;
-    if (!is_in_flight) {
+    if (!this->ledger.is_in_flight()) {
         this->give_up(result_code::outcome_unknown);
     }
     return true;
--- a/source/core/routing/attempt_ledger.cpp
+++ b/source/core/routing/attempt_ledger.cpp
@@ -16,7 +16,7 @@
 
 auto attempt_ledger::note_end(attempt_end how) -> void
 {
-    this->in_flight -= std::min(this->in_flight, 1U);
+    this->has_send_in_flight = false;
     switch (how) {
     case attempt_end::not_sent:
     case attempt_end::not_executed:
@@ -34,7 +34,7 @@
 
 auto attempt_ledger::may_begin_send(const route& on) const -> bool
 {
-    return this->in_flight == 0 && (!this->may_have_run || is_repeatable(on));
+    return !this->has_send_in_flight && (!this->may_have_run || is_repeatable(on));
 }
 
 auto attempt_ledger::leaves_room(
--- a/source/core/routing/attempt_ledger.hpp
+++ b/source/core/routing/attempt_ledger.hpp
@@ -31,12 +31,14 @@
     auto note_sent() -> void
     {
         this->sent += 1;
-        this->in_flight += 1;
+        this->has_send_in_flight = true;
     }
 
     /// Records how the send in flight ended.
     auto note_end(attempt_end how) -> void;
 
+    [[nodiscard]] auto is_in_flight() const -> bool { return this->has_send_in_flight; }
+
     /// Whether a send may begin now: none is in flight, and the route allows another run if there
     /// may have been one. Holds whatever led to the send, so that a second continuation of a
     /// request cannot run it twice.
@@ -69,7 +71,7 @@
         -> bool;
 
     unsigned sent = 0;
-    unsigned in_flight = 0;
+    bool has_send_in_flight = false;
     /// How many of these were refused by servers that asked for a backoff.
     unsigned backoffs = 0;
     /// Sends known to have been executed, or assumed to be; they count against the route's limit.
