router: an attempt id that comes again, a send's caller and connection are logged; lines outlive a kill

What callers saw: requests that may run once ran twice, and no line of the kept logs tells whether the entry read the request twice, or sent it twice.

- 'attempt came again request=ID caller=ADDRESS after_ms=N' (a warning) and router_repeated_attempts_total, when an id comes to an entry a second time within 30 s.
- 'sent' names the caller's address and port, 'attempt lost' the connection (new or kept) and how many bytes of the request the system had taken: what run=not_run rests on.
- Lines are written each time that nothing else is to be done.
Until now they waited for 4 KB or the next report to peers, and a killed process lost them.

--- a/source/core/daemon/line_log.hpp
+++ b/source/core/daemon/line_log.hpp
@@ -19,8 +19,8 @@
 auto start_line_log(common::log_level lowest, day_clock clock = std::chrono::system_clock::now)
     -> void;
 
-/// Writes what has gathered, as far as standard output takes it. Call it some times a second, and
-/// at the end.
+/// Writes what has gathered, as far as standard output takes it. Call it when nothing else is to be
+/// done, and at the end. What has not been written is lost if the process is killed.
 auto flush_line_log() -> void;
 
 } // namespace reedramp::daemon
--- a/source/core/http/client_link.cpp
+++ b/source/core/http/client_link.cpp
@@ -158,7 +158,9 @@
     this->interim_answers = 0;
     this->answer_due.reset();
     this->writing = true;
-    const auto piece_limit = [this](error_code problem, std::size_t) -> std::size_t {
+    this->written = 0;
+    const auto piece_limit = [this](error_code problem, std::size_t size) -> std::size_t {
+        this->written = size;
         this->timer.expires_after(this->options.idle_timeout);
         return problem ? 0 : largest_write;
     };
@@ -177,6 +179,7 @@
 auto client_link::on_sent(error_code problem, std::size_t size) -> void
 {
     this->writing = false;
+    this->written = size;
     this->output.clear();
     if (this->now != stage::busy || this->call == nullptr) {
         return;
@@ -427,11 +430,17 @@
     if (ended == nullptr || ended->finished) {
         return;
     }
-    auto error = common::make_error(code, detail);
+    auto error = common::make_error(code, detail + this->describe_connection());
     error.run = ended->maybe_sent ? common::execution::unknown : common::execution::not_run;
     finish_call(this->context, *ended, tl::unexpected(std::move(error)));
 }
 
+auto client_link::describe_connection() const -> std::string
+{
+    return std::string{" connection="} + (this->was_reused ? "kept" : "new") +
+           " written=" + std::to_string(this->written);
+}
+
 auto client_link::on_timeout() -> void
 {
     if (this->now == stage::connecting) {
--- a/source/core/http/client_link.hpp
+++ b/source/core/http/client_link.hpp
@@ -89,6 +89,8 @@
     auto deliver_piece() -> bool;
     auto finish() -> void;
     auto fail(common::result_code code, const std::string& detail) -> void;
+    /// What an error's detail says of the connection: what "not run" rests on.
+    [[nodiscard]] auto describe_connection() const -> std::string;
     auto on_timeout() -> void;
     auto close() -> void;
     /// The server sent bytes beyond its answers.
@@ -107,6 +109,8 @@
     std::string output;
     bool writing = false;
     bool write_failed = false;
+    /// Bytes of the request that the system has taken.
+    std::size_t written = 0;
     bool was_reused = false;
     /// Set when the input ended while the request was still being written; the number of bytes
     /// written then decides what is known about the outcome.
--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -123,8 +123,8 @@
     common::log(
         common::log_part::place,
         common::log_level::info,
-        "sent request=" + this->request.caller.attempt + " route=" +
-            this->request.route->name.value() + owner_fields(this->request.owner, this->rank()) +
+        "sent request=" + this->request.caller.attempt + " caller=" + this->request.original.peer +
+            " route=" + this->request.route->name.value() + owner_fields(this->request.owner, this->rank()) +
             " session=" + this->request.caller.session + " server=" + server.id.value() +
             " version=" + server.version.value() + " model=" + this->model +
             " work=" + std::to_string(static_cast<std::int64_t>(next->work)) + " ahead=" +
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -98,6 +98,7 @@
             caller->deadline);
         return;
     }
+    this->note_arrival(caller->attempt, request.peer);
     relay::begin(
         this->shared_from_this(),
         {std::move(request),
@@ -110,6 +111,21 @@
         std::move(out));
 }
 
+auto router_core::note_arrival(const std::string& attempt, const std::string& peer) -> void
+{
+    const auto now = this->hooks.clock();
+    const auto before = this->attempts.note_arrival(attempt, now);
+    if (!before) {
+        return;
+    }
+    this->counters.repeated_attempts.add();
+    common::log(
+        common::log_part::entry,
+        common::log_level::warning,
+        "attempt came again request=" + attempt + " caller=" + peer +
+            " after_ms=" + std::to_string(milliseconds_between(*before, now).count()));
+}
+
 auto router_core::apply_limit(
     const routing::server_instance& server,
     const server_directives& directives,
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -31,6 +31,7 @@
 #include "routing/load_tracker.hpp"
 #include "routing/model_choice.hpp"
 #include "routing/peer_speed_table.hpp"
+#include "routing/recent_attempts.hpp"
 #include "routing/rollout_manager.hpp"
 #include "routing/server_choice.hpp"
 #include "routing/server_health.hpp"
@@ -313,6 +314,8 @@
     auto hold(http::request request, std::shared_ptr<http::responder> out, time_point received)
         -> void;
     auto refuse_held(const std::shared_ptr<held_request>& one) -> void;
+    /// Records that the attempt came, from `peer`.
+    auto note_arrival(const std::string& attempt, const std::string& peer) -> void;
     /// A request that ends removes itself from `open_requests`.
     [[nodiscard]] auto copy_open_requests() const -> std::vector<std::shared_ptr<relay>>;
     /// Refuses the request. `logged` is appended to the log line. With a `deadline` the response
@@ -348,6 +351,7 @@
         -> void;
 
     std::vector<std::shared_ptr<held_request>> held;
+    routing::recent_attempts attempts;
     std::uint64_t evacuation_change_count = 0;
     std::uint64_t server_directive_changes = 0;
     time_point last_limit_report{};
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -24,6 +24,8 @@
       unrequested_bytes(registry.counter_of(
           "router_unrequested_bytes_total",
           "Times that a server sent bytes that no request had asked for.")),
+      repeated_attempts(registry.counter_of(
+          "router_repeated_attempts_total", "Attempt ids that came again from a caller.")),
       resumed(registry.counter_of(
           "router_resumed_total", "Streams that were resumed at another server before their end.")),
       larger_models(registry.counter_of(
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -20,6 +20,8 @@
     metrics::counter& withheld_sends;
     /// Times that a server sent bytes that no request had asked for.
     metrics::counter& unrequested_bytes;
+    /// Attempt ids that came again from a caller.
+    metrics::counter& repeated_attempts;
     metrics::counter& resumed;
     metrics::counter& larger_models;
     metrics::histogram& first_event_ms;
--- /dev/null
+++ b/source/core/routing/recent_attempts.cpp
@@ -0,0 +1,40 @@
+#include "routing/recent_attempts.hpp"
+
+#include "placement/affinity.hpp"
+
+namespace reedramp::routing {
+
+namespace {
+
+/// Longer than callers wait for any response.
+constexpr std::chrono::seconds kept_for{30};
+/// 30 s at a hundred times the load of an entry at full size.
+constexpr std::size_t most_kept = 32768;
+
+} // namespace
+
+auto recent_attempts::note_arrival(std::string_view attempt, common::time_point now)
+    -> std::optional<common::time_point>
+{
+    this->forget_old(now);
+    const auto hash = placement::affinity_hash(attempt);
+    const auto [known, is_new] = this->arrived.emplace(hash, now);
+    if (!is_new) {
+        return known->second;
+    }
+    this->oldest_first.push_back({now, hash});
+    return std::nullopt;
+}
+
+auto recent_attempts::forget_old(common::time_point now) -> void
+{
+    const auto is_old = [this, now](const arrival& one) {
+        return now - one.at > kept_for || this->oldest_first.size() >= most_kept;
+    };
+    while (!this->oldest_first.empty() && is_old(this->oldest_first.front())) {
+        this->arrived.erase(this->oldest_first.front().attempt);
+        this->oldest_first.pop_front();
+    }
+}
+
+} // namespace reedramp::routing
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -356,7 +356,6 @@
     this->every(this->settings.peer_period, [this] {
         this->rollouts->tick();
         this->barred->tick();
-        daemon::flush_line_log();
     });
     this->query_neighbours();
 }
@@ -444,7 +443,11 @@
         }
         this->apply(*changed);
     });
-    this->impl->context.run();
+    while (this->impl->context.run_one() > 0) {
+        this->impl->context.poll();
+        // A process that is killed loses the lines that have not been written.
+        daemon::flush_line_log();
+    }
 }
 
 auto router_process::apply(const router_settings& changed) -> void
