http: a pipelined request is handled once, and as it was sent

What callers saw: with a request sent before the answer to the one before it, and a third one after that answer, the second ran twice and the third was lost; its caller got the second's answer once more. If the second came in pieces, bytes of its own header took the place of its body's end.

Cause: while an answer is made, a read is under way whose bytes go behind those that wait in the input buffer. Parsing these emptied the buffer and moved its start back, so that the read's bytes lay elsewhere than the buffer counted them: it showed the bytes of the request before once more. The ledger of sends can't see it, since each handling of the request has its own.

Why it holds: a read puts its bytes into memory of its own; they are appended when it has ended, on the same thread that parses. The client's side never parses while a read is under way (read, no change).

--- a/source/core/http/stream_connection.hpp
+++ b/source/core/http/stream_connection.hpp
@@ -77,6 +77,8 @@
 
     auto start_read() -> void;
     auto on_read(error_code problem, std::size_t size) -> void;
+    /// Moves the bytes of a read to those that wait to be parsed.
+    auto append_input(std::size_t size) -> void;
     auto on_input_end(error_code problem) -> void;
     auto read_request() -> void;
     auto parse() -> error_code;
@@ -105,6 +107,9 @@
     std::string peer;
     stage now = stage::handshake;
     boost::beast::flat_buffer input;
+    /// Where the read under way puts its bytes. Not a part of `input`, which is parsed, and so
+    /// moved, while a read waits for what follows a pipelined request.
+    std::string incoming;
     std::size_t read_size = smallest_read;
     bool reading = false;
     bool input_ended = false;
--- a/source/core/http/stream_connection_input.hpp
+++ b/source/core/http/stream_connection_input.hpp
@@ -79,8 +79,9 @@
         return;
     }
     this->reading = true;
+    this->incoming.resize(this->read_size);
     this->stream.async_read_some(
-        this->input.prepare(this->read_size),
+        boost::asio::buffer(this->incoming),
         [this, keep = this->shared_from_this()](error_code problem, std::size_t size) {
             this->on_read(problem, size);
         });
@@ -97,15 +98,11 @@
         this->on_input_end(problem);
         return;
     }
-    this->input.commit(size);
-    if (size == this->read_size && this->read_size < largest_read) {
-        this->read_size *= 2;
-    }
     if (this->now == stage::lingering) {
-        this->input.consume(this->input.size());
         this->start_read();
         return;
     }
+    this->append_input(size);
     if (this->now == stage::reading_request) {
         this->read_request();
         return;
@@ -113,6 +110,16 @@
     this->start_read();
 }
 
+template <typename Stream>
+auto stream_connection<Stream>::append_input(std::size_t size) -> void
+{
+    const auto bytes = boost::asio::buffer(this->incoming, size);
+    this->input.commit(boost::asio::buffer_copy(this->input.prepare(size), bytes));
+    if (size == this->read_size && this->read_size < largest_read) {
+        this->read_size *= 2;
+    }
+}
+
 template <typename Stream>
 auto stream_connection<Stream>::on_input_end(error_code problem) -> void
 {
@@ -240,6 +247,7 @@
     // that wait for their streams would else keep the buffers of their large requests.
     if (this->input.size() == 0 && !this->reading) {
         this->input.shrink_to_fit();
+        this->incoming = {};
         this->read_size = smallest_read;
     }
     // Before the handler, which may answer at once and so end the exchange inside its call.
