router: an attempt that comes again is not run again on a route that allows one run

What callers saw: a proxy or library that sends an attempt again by itself, after its connection closed or beside it, had it run twice; the servers saw two sends that were each in order.

Cause: the ledger of sends belongs to one handling of a request, and nothing looked at the attempt's id when it came again.

On a route that allows one run, a copy of an attempt that is under way or may have run is told 502, which promises nothing; one of an attempt that was refused is refused again (503, already_refused), since its caller was told that it never will run; one that left before it was sent is served. Routes that may repeat are as before.

In the tests' fixture each request has an id of its own now, as callers' have.

Not covered: a copy that comes to another entry, or to the next process of the same one.

--- a/source/core/router/relay.cpp
+++ b/source/core/router/relay.cpp
@@ -124,7 +124,8 @@
         common::log_part::place,
         common::log_level::info,
         "sent request=" + this->request.caller.attempt + " caller=" + this->request.original.peer +
-            " route=" + this->request.route->name.value() + owner_fields(this->request.owner, this->rank()) +
+            " route=" + this->request.route->name.value() +
+            owner_fields(this->request.owner, this->rank()) +
             " session=" + this->request.caller.session + " server=" + server.id.value() +
             " version=" + server.version.value() + " model=" + this->model +
             " work=" + std::to_string(static_cast<std::int64_t>(next->work)) + " ahead=" +
@@ -336,6 +337,10 @@
     else {
         const auto wait = why == result_code::ends_servers ? this->core->options.crashes.barred_for
                                                            : this->retry_after();
+        if (is_not_run) {
+            this->core->attempts.note_fate(
+                this->request.caller.attempt, routing::attempt_fate::refused);
+        }
         this->out->send(make_own_response(common::make_error(why), wait));
     }
     this->finish(common::row_of(why).name);
@@ -448,6 +453,10 @@
         // The interruption says nothing about the server.
         this->abandon(this->current, attempt_end::unknown, server_outcome::refused);
     }
+    if (this->ledger.is_not_run()) {
+        this->core->attempts.note_fate(
+            this->request.caller.attempt, routing::attempt_fate::not_run);
+    }
     this->out->abort();
     this->finish("caller_left");
 }
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -291,6 +291,7 @@
     routing::server_limiter limiter;
     routing::evacuation_registry evacuations;
     routing::crash_tracker crashes;
+    routing::recent_attempts attempts;
     routing::rollout_manager rollouts;
     routing::load_test_routes load_test_routes;
     metrics::registry series;
@@ -314,8 +315,9 @@
     auto hold(http::request request, std::shared_ptr<http::responder> out, time_point received)
         -> void;
     auto refuse_held(const std::shared_ptr<held_request>& one) -> void;
-    /// Records that the attempt came, from `peer`.
-    auto note_arrival(const std::string& attempt, const std::string& peer) -> void;
+    /// Records that the attempt came, from `peer`. Returns what became of it if it came before.
+    auto note_arrival(const std::string& attempt, const std::string& peer)
+        -> std::optional<routing::attempt_fate>;
     /// A request that ends removes itself from `open_requests`.
     [[nodiscard]] auto copy_open_requests() const -> std::vector<std::shared_ptr<relay>>;
     /// Refuses the request. `logged` is appended to the log line. With a `deadline` the response
@@ -351,7 +353,6 @@
         -> void;
 
     std::vector<std::shared_ptr<held_request>> held;
-    routing::recent_attempts attempts;
     std::uint64_t evacuation_change_count = 0;
     std::uint64_t server_directive_changes = 0;
     time_point last_limit_report{};
--- a/source/core/routing/attempt_ledger.cpp
+++ b/source/core/routing/attempt_ledger.cpp
@@ -4,16 +4,6 @@
 
 namespace reedramp::routing {
 
-namespace {
-
-auto is_repeatable(const route& on) -> bool
-{
-    return on.kind == request_kind::idempotent ||
-           (on.kind == request_kind::stream && on.is_resumable);
-}
-
-} // namespace
-
 auto attempt_ledger::note_end(attempt_end how) -> void
 {
     this->has_send_in_flight = false;
--- a/source/core/routing/configuration.cpp
+++ b/source/core/routing/configuration.cpp
@@ -60,6 +60,12 @@
     return found == this->content.services.end() ? nullptr : &*found;
 }
 
+auto is_repeatable(const route& on) -> bool
+{
+    return on.kind == request_kind::idempotent ||
+           (on.kind == request_kind::stream && on.is_resumable);
+}
+
 auto choose_service(const route& from, double draw) -> const common::service_name&
 {
     std::uint64_t total = 0;
--- a/source/core/routing/configuration.hpp
+++ b/source/core/routing/configuration.hpp
@@ -148,6 +148,9 @@
     std::unordered_map<std::string, const organisation*> by_key;
 };
 
+/// Whether the route's requests may be executed more than once.
+auto is_repeatable(const route& on) -> bool;
+
 /// Chooses the service of a request by the weights. `draw` is uniform in [0, 1).
 auto choose_service(const route& from, double draw) -> const common::service_name&;
 
--- a/source/core/routing/recent_attempts.cpp
+++ b/source/core/routing/recent_attempts.cpp
@@ -14,11 +14,11 @@
 } // namespace
 
 auto recent_attempts::note_arrival(std::string_view attempt, common::time_point now)
-    -> std::optional<common::time_point>
+    -> std::optional<earlier_arrival>
 {
     this->forget_old(now);
     const auto hash = placement::affinity_hash(attempt);
-    const auto [known, is_new] = this->arrived.emplace(hash, now);
+    const auto [known, is_new] = this->arrived.emplace(hash, earlier_arrival{now});
     if (!is_new) {
         return known->second;
     }
@@ -26,6 +26,14 @@
     return std::nullopt;
 }
 
+auto recent_attempts::note_fate(std::string_view attempt, attempt_fate fate) -> void
+{
+    const auto known = this->arrived.find(placement::affinity_hash(attempt));
+    if (known != this->arrived.end()) {
+        known->second.fate = fate;
+    }
+}
+
 auto recent_attempts::forget_old(common::time_point now) -> void
 {
     const auto is_old = [this, now](const arrival& one) {
--- a/source/unit_tests/router/cold_test.cpp
+++ b/source/unit_tests/router/cold_test.cpp
@@ -117,6 +117,19 @@
     CHECK(fixture.sends() == before);
 }
 
+TEST_CASE("an attempt whose caller left before it was sent is served when it comes again", "[cold]")
+{
+    cold_fixture fixture{1};
+    fixture.send_requests(20);
+    const auto sends = fixture.sends();
+    fixture.ask("/once/1", {{"Reedramp-Attempt-Id", "repeated"}})->leave_action();
+    fixture.advance(std::chrono::duration_cast<milliseconds>(cold_time));
+    const auto again = fixture.ask("/once/1", {{"Reedramp-Attempt-Id", "repeated"}});
+    CHECK(fixture.sends() > sends);
+    fixture.last().answer(200, "answer");
+    CHECK(again->status() == 200);
+}
+
 TEST_CASE("a service without a rate has no limit for cold servers", "[cold]")
 {
     cold_fixture fixture{390};
--- a/source/unit_tests/router/router_fixture.cpp
+++ b/source/unit_tests/router/router_fixture.cpp
@@ -217,7 +217,7 @@
     request.body = body;
     request.headers = {
         {"Host", "h"},
-        {"Reedramp-Attempt-Id", "attempt-1"},
+        {"Reedramp-Attempt-Id", "attempt-" + std::to_string(++this->attempts)},
         {"Reedramp-Deadline-Ms", "5000"},
         {"Reedramp-Key", "key"},
         {"Reedramp-Model", "*"}};
--- a/source/unit_tests/router/router_fixture.hpp
+++ b/source/unit_tests/router/router_fixture.hpp
@@ -191,6 +191,8 @@
     std::multimap<common::time_point, std::function<auto()->void>> timers;
     std::shared_ptr<fake_client> client = std::make_shared<fake_client>();
     std::shared_ptr<router_core> core;
+    /// Number of requests asked; each has an attempt id of its own.
+    int attempts = 0;
 };
 
 /// The fixture's rules as version `version`.
