router: a connection on which an address's next server refused is not used again

What callers saw: where a server had ended and another had its address, a request was refused by that one (421), went to it again under its own name, on the same connection, and ran there; a second copy of the refusal, late, was taken for its answer. So the request ran once more at another server, or its caller was told 503 though it ran; and the address's server was taken out of the list, so that later requests found no server at all.

Cause: the attempt id tells whose request a response is for, not which send. A request was never to be sent twice on one connection; after 421 it was, since the address stays and only the server differs.

Why it holds: the connection ends with the refusal, and with it all that may still come for that send. All other ways to send a request again go to another address or had closed the connection (routing's list of servers that were asked; lost, abandoned and untrusted sends). It costs a new connection for each 421.

Class: evidence that names the request is taken for evidence on one of its sends.

--- a/source/core/router/relay.hpp
+++ b/source/core/router/relay.hpp
@@ -252,6 +252,8 @@
     auto on_done(const std::shared_ptr<attempt>& of, const common::result<http::response>& answer)
         -> void;
     auto on_success(const std::shared_ptr<attempt>& of, const http::response& answer) -> void;
+    /// The server states that it has not executed the request.
+    auto on_refusal(const std::shared_ptr<attempt>& of) -> void;
     auto on_server_failure(const std::shared_ptr<attempt>& of) -> void;
     /// Asks a larger model if the answer is not confident enough. Returns whether the answer was
     /// dropped for that.
--- a/source/core/router/relay_answers.cpp
+++ b/source/core/router/relay_answers.cpp
@@ -74,6 +74,11 @@
     if (of->head_verdict == verdict::not_executed && head.status == status::misdirected) {
         // Another server has the address now, so the intended one has ended.
         this->core->servers.remove_replaced(of->server, this->core->hooks.clock());
+        // The request may go to the address's present server next. On the same connection, a second
+        // copy of this response would be taken for that server's.
+        this->cancel_call();
+        this->on_refusal(of);
+        return;
     }
     if (of->head_verdict == verdict::success && this->is_stream() && !this->ask_larger_model(of)) {
         of->events.emplace(this->last_event);
@@ -310,16 +315,7 @@
         this->on_success(of, *answer);
         return;
     case verdict::not_executed:
-        this->log_answer(*of, "server refused");
-        this->end_attempt(of, attempt_end::not_executed, server_outcome::refused);
-        if (of->directives.backoff) {
-            this->ledger.note_backoff_asked();
-        }
-        else if (of->head.status == status::unavailable && !of->directives.is_leaving) {
-            this->core->admission_of(this->service)
-                .throttle.note_refused(of->server, this->core->hooks.clock());
-        }
-        this->retry(result_code::no_capacity);
+        this->on_refusal(of);
         return;
     case verdict::server_failure:
         this->on_server_failure(of);
@@ -332,6 +328,20 @@
     }
 }
 
+auto relay::on_refusal(const std::shared_ptr<attempt>& of) -> void
+{
+    this->log_answer(*of, "server refused");
+    this->end_attempt(of, attempt_end::not_executed, server_outcome::refused);
+    if (of->directives.backoff) {
+        this->ledger.note_backoff_asked();
+    }
+    else if (of->head.status == status::unavailable && !of->directives.is_leaving) {
+        this->core->admission_of(this->service)
+            .throttle.note_refused(of->server, this->core->hooks.clock());
+    }
+    this->retry(result_code::no_capacity);
+}
+
 auto relay::on_server_failure(const std::shared_ptr<attempt>& of) -> void
 {
     this->log_answer(*of, "server failed");
