router: a copy of an attempt is never refused with a promise that its first breaks

What callers would have seen: a copy of an attempt under way, which came while the entry was ending, was told 503, not run and never will be, beside its first that ran; and after a copy that was refused for a reason of its own (401, 404) a third one ran.

The copy is now looked at before all other checks, and one that may run after all counts as under way again.

Evidence: router_test [repeated], two cases more; routing_test [repeated].

--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -9,7 +9,6 @@
 #include "http/codec.hpp"
 #include "router/log_fields.hpp"
 #include "router/relay.hpp"
-#include "router/status_codes.hpp"
 
 namespace reedramp::router {
 
@@ -68,7 +67,9 @@
         this->refuse(caller.error(), "-", *out);
         return;
     }
-    const auto before = this->note_arrival(caller->attempt, request.peer);
+    if (this->refuse_copy(request, *caller, *out)) {
+        return;
+    }
     const auto* owner = this->rules_in_force->owner_of(caller->key);
     const auto found = this->check(request, *caller);
     if (!found) {
@@ -78,17 +79,6 @@
         this->refuse(found.error(), caller->attempt, *out, owner_fields(owner, rank));
         return;
     }
-    if (before && *before != routing::attempt_fate::not_run && !routing::is_repeatable(**found)) {
-        const bool was_refused = *before == routing::attempt_fate::refused;
-        this->refuse(
-            common::make_error(
-                was_refused ? common::result_code::already_refused
-                            : common::result_code::outcome_unknown),
-            caller->attempt,
-            *out,
-            owner_fields(owner, this->rank_of(**found, owner)));
-        return;
-    }
     const auto fingerprint = this->fingerprint_if_needed(request, *caller);
     if (fingerprint && this->crashes.is_barred(*fingerprint)) {
         this->crashes.note_refused(*fingerprint, this->hooks.clock());
@@ -123,23 +113,6 @@
         std::move(out));
 }
 
-auto router_core::note_arrival(const std::string& attempt, const std::string& peer)
-    -> std::optional<routing::attempt_fate>
-{
-    const auto now = this->hooks.clock();
-    const auto before = this->attempts.note_arrival(attempt, now);
-    if (!before) {
-        return std::nullopt;
-    }
-    this->counters.repeated_attempts.add();
-    common::log(
-        common::log_part::entry,
-        common::log_level::warning,
-        "attempt came again request=" + attempt + " caller=" + peer +
-            " after_ms=" + std::to_string(milliseconds_between(before->at, now).count()));
-    return before->fate;
-}
-
 auto router_core::apply_limit(
     const routing::server_instance& server,
     const server_directives& directives,
@@ -241,11 +214,7 @@
 {
     const auto& row = common::row_of(why.code);
     const auto name = std::string{row.name};
-    if (row.default_execution == common::execution::not_run) {
-        const bool is_promise = row.http_status == status::unavailable;
-        this->attempts.note_fate(
-            attempt, is_promise ? routing::attempt_fate::refused : routing::attempt_fate::not_run);
-    }
+    this->note_refused(attempt, row);
     this->counters.count_end(name);
     common::log(
         common::log_part::entry,
--- a/source/core/router/router_core.hpp
+++ b/source/core/router/router_core.hpp
@@ -315,9 +315,13 @@
     auto hold(http::request request, std::shared_ptr<http::responder> out, time_point received)
         -> void;
     auto refuse_held(const std::shared_ptr<held_request>& one) -> void;
-    /// Records that the attempt came, from `peer`. Returns what became of it if it came before.
-    auto note_arrival(const std::string& attempt, const std::string& peer)
-        -> std::optional<routing::attempt_fate>;
+    /// Records that the attempt came. Refuses it if it is a copy of one that may not run again, and
+    /// returns whether it was.
+    auto
+    refuse_copy(const http::request& request, const caller_request& caller, http::responder& out)
+        -> bool;
+    /// Records that the attempt's caller is given the result `what`.
+    auto note_refused(const std::string& attempt, const common::result_row& what) -> void;
     /// A request that ends removes itself from `open_requests`.
     [[nodiscard]] auto copy_open_requests() const -> std::vector<std::shared_ptr<relay>>;
     /// Refuses the request. `logged` is appended to the log line. With a `deadline` the response
--- a/source/core/routing/recent_attempts.cpp
+++ b/source/core/routing/recent_attempts.cpp
@@ -20,7 +20,11 @@
     const auto hash = placement::affinity_hash(attempt);
     const auto [known, is_new] = this->arrived.emplace(hash, earlier_arrival{now});
     if (!is_new) {
-        return known->second;
+        const auto before = known->second;
+        if (before.fate == attempt_fate::not_run) {
+            known->second.fate = attempt_fate::may_have_run;
+        }
+        return before;
     }
     this->oldest_first.push_back({now, hash});
     return std::nullopt;
--- a/source/core/routing/recent_attempts.hpp
+++ b/source/core/routing/recent_attempts.hpp
@@ -31,7 +31,8 @@
         attempt_fate fate = attempt_fate::may_have_run;
     };
 
-    /// Records an arrival. Returns the first one of the same id, if it is remembered.
+    /// Records an arrival. Returns the first one of the same id, if it is remembered. One that has
+    /// not run may run now, and counts as under way.
     auto note_arrival(std::string_view attempt, common::time_point now)
         -> std::optional<earlier_arrival>;
 
--- a/source/unit_tests/router/repeated_attempt_test.cpp
+++ b/source/unit_tests/router/repeated_attempt_test.cpp
@@ -58,6 +58,36 @@
     CHECK(fixture.sends() == sends);
 }
 
+// Guards against a copy that is told "not run" while its first is under way, and against a further
+// copy that runs because the one before it was refused for its own reasons.
+TEST_CASE("a copy is not refused for its own reasons while the attempt is under way", "[repeated]")
+{
+    router_fixture fixture;
+    ask_again(fixture, "/once/1");
+    const auto without_key =
+        fixture.ask("/once/1", {{"Reedramp-Attempt-Id", "repeated"}, {"Reedramp-Key", "unknown"}});
+    CHECK(without_key->status() == unknown_outcome);
+    CHECK(ask_again(fixture, "/nowhere/1")->status() == unknown_outcome);
+    fixture.core->announce_end(fixture.now);
+    CHECK(ask_again(fixture, "/once/1")->status() == unknown_outcome);
+    CHECK(fixture.sends() == 1);
+}
+
+// Guards against losing a request whose first copy was not let in.
+TEST_CASE("an attempt that was not let in is served when it comes with its key", "[repeated]")
+{
+    router_fixture fixture;
+    const auto without_key =
+        fixture.ask("/once/1", {{"Reedramp-Attempt-Id", "repeated"}, {"Reedramp-Key", "unknown"}});
+    CHECK(without_key->status() == 401);
+    const auto asked = ask_again(fixture, "/once/1");
+    CHECK(fixture.sends() == 1);
+    CHECK(ask_again(fixture, "/once/1")->status() == unknown_outcome);
+    fixture.last().answer(200, "answer");
+    CHECK(asked->status() == 200);
+    CHECK(fixture.sends() == 1);
+}
+
 TEST_CASE("an attempt that may be repeated is served each time that it comes", "[repeated]")
 {
     router_fixture fixture;
--- a/source/unit_tests/routing/recent_attempts_test.cpp
+++ b/source/unit_tests/routing/recent_attempts_test.cpp
@@ -31,6 +31,9 @@
     attempts.note_fate("unknown", attempt_fate::refused);
     CHECK(attempts.note_arrival("a", now)->fate == attempt_fate::refused);
     CHECK(attempts.note_arrival("b", now)->fate == attempt_fate::may_have_run);
+    attempts.note_fate("b", attempt_fate::not_run);
+    CHECK(attempts.note_arrival("b", now)->fate == attempt_fate::not_run);
+    CHECK(attempts.note_arrival("b", now)->fate == attempt_fate::may_have_run);
     CHECK_FALSE(attempts.note_arrival("unknown", now));
 }
 
