http: an idle connection keeps no memory of its last large message

What callers saw: a process of 110 MB that exceeds its memory is killed, and all requests that it has are cut; it fills with what idle connections keep.

Cause: a string that is cleared or assigned `{}` keeps its room.

Why it holds: the room is swapped away at the end of each message; a body beyond 16 KB is written from where the request has it, instead of from a copy.

--- a/source/core/http/client_link.cpp
+++ b/source/core/http/client_link.cpp
@@ -1,6 +1,7 @@
 #include "http/client_link.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -22,6 +23,8 @@
 constexpr std::size_t smallest_read = 4096;
 constexpr std::size_t largest_read = 64UL * 1024UL;
 constexpr std::size_t largest_write = 256UL * 1024UL;
+/// Bodies up to this size are copied behind the head: one piece is cheaper to write than two.
+constexpr std::size_t copied_body_bytes = 16UL * 1024UL;
 /// Bytes of an answer that the reader may leave because their line has not ended. Without it, a
 /// chunk line or trailers without end would fill the memory.
 constexpr std::size_t largest_unread = 64UL * 1024UL;
@@ -152,7 +155,7 @@
 auto client_link::send() -> void
 {
     this->now = stage::busy;
-    this->output = serialise_request(this->call->asked, this->target);
+    this->output = serialise_request_head(this->call->asked, this->target);
     this->reader.emplace(this->call->asked.method == "HEAD");
     this->head_delivered = false;
     this->interim_answers = 0;
@@ -164,13 +167,21 @@
         this->timer.expires_after(this->options.idle_timeout);
         return problem ? 0 : largest_write;
     };
-    asio::async_write(
-        this->socket,
-        asio::buffer(this->output),
-        piece_limit,
-        [this, keep = this->shared_from_this()](error_code problem, std::size_t size) {
-            this->on_sent(problem, size);
-        });
+    // The call stays until its body is out, also if it is cancelled.
+    const auto done = [this, keep = this->shared_from_this(), sending = this->call](
+                          error_code problem, std::size_t size) {
+        this->on_sent(problem, size);
+    };
+    const auto& body = this->call->asked.body;
+    if (body.size() <= copied_body_bytes) {
+        this->output += body;
+        asio::async_write(this->socket, asio::buffer(this->output), piece_limit, done);
+    }
+    else {
+        const std::array<asio::const_buffer, 2> pieces{
+            asio::buffer(this->output), asio::buffer(body)};
+        asio::async_write(this->socket, pieces, piece_limit, done);
+    }
     // Until the write reports, a part of the request may be on its way.
     this->call->maybe_sent = true;
     this->start_read();
@@ -180,7 +191,7 @@
 {
     this->writing = false;
     this->written = size;
-    this->output.clear();
+    this->release_output();
     if (this->now != stage::busy || this->call == nullptr) {
         return;
     }
@@ -205,6 +216,10 @@
     // The write fails then, but the answer may still be read.
     this->write_failed = static_cast<bool>(problem);
     const auto running = this->call;
+    if (!problem) {
+        // An answer may take long, and a connection that is kept afterwards even longer.
+        std::string{}.swap(running->asked.body);
+    }
     if (!problem && running->events.on_sent) {
         running->events.on_sent();
     }
@@ -216,6 +231,14 @@
     }
 }
 
+auto client_link::release_output() -> void
+{
+    if (this->output.capacity() > smallest_read) {
+        std::string{}.swap(this->output);
+    }
+    this->output.clear();
+}
+
 auto client_link::start_read() -> void
 {
     const bool is_paused = this->call != nullptr && this->call->paused;
--- a/source/core/http/client_link.hpp
+++ b/source/core/http/client_link.hpp
@@ -72,6 +72,7 @@
     auto on_connected(error_code problem) -> void;
     auto send() -> void;
     auto on_sent(error_code problem, std::size_t size) -> void;
+    auto release_output() -> void;
     auto start_read() -> void;
     /// Waits for input without reading it, so that `is_usable` sees what came since the last
     /// answer.
--- a/source/core/http/codec.cpp
+++ b/source/core/http/codec.cpp
@@ -269,7 +269,7 @@
     return header_bytes(head);
 }
 
-auto serialise_request(const request& asked, const endpoint& where) -> std::string
+auto serialise_request_head(const request& asked, const endpoint& where) -> std::string
 {
     beast_http::request<beast_http::empty_body> head;
     head.version(http_1_1);
@@ -282,9 +282,7 @@
     if (!asked.body.empty() || takes_body(asked.method)) {
         head.content_length(asked.body.size());
     }
-    auto bytes = header_bytes(head);
-    bytes += asked.body;
-    return bytes;
+    return header_bytes(head);
 }
 
 } // namespace reedramp::http
--- a/source/core/http/codec.hpp
+++ b/source/core/http/codec.hpp
@@ -112,8 +112,9 @@
 /// line.
 auto serialise_head(const response& answer, const head_format& format) -> std::string;
 
-/// The whole request. `where` becomes the Host header when there is none.
-auto serialise_request(const request& asked, const endpoint& where) -> std::string;
+/// The head of the request, up to its blank line. `where` becomes the Host header when there is
+/// none.
+auto serialise_request_head(const request& asked, const endpoint& where) -> std::string;
 
 /// An answer with an RFC 9457 problem for an error that the HTTP layer itself found.
 auto problem_answer(const common::error& found) -> response;
--- a/source/core/http/stream_connection_input.hpp
+++ b/source/core/http/stream_connection_input.hpp
@@ -247,7 +247,7 @@
     // that wait for their streams would else keep the buffers of their large requests.
     if (this->input.size() == 0 && !this->reading) {
         this->input.shrink_to_fit();
-        this->incoming = {};
+        std::string{}.swap(this->incoming);
         this->read_size = smallest_read;
     }
     // Before the handler, which may answer at once and so end the exchange inside its call.
--- a/source/core/http/stream_connection_output.hpp
+++ b/source/core/http/stream_connection_output.hpp
@@ -163,6 +163,7 @@
     const auto ended = std::move(this->current);
     this->current = nullptr;
     ended->closed();
+    this->release_output();
     if (!this->keep_alive) {
         this->linger();
         return;
@@ -173,6 +174,16 @@
     this->read_request();
 }
 
+/// An idle connection must not keep the memory of a large answer.
+template <typename Stream>
+auto stream_connection<Stream>::release_output() -> void
+{
+    std::string{}.swap(this->output_body);
+    if (this->output.capacity() > smallest_read) {
+        std::string{}.swap(this->output);
+    }
+}
+
 template <typename Stream>
 auto stream_connection<Stream>::linger() -> void
 {
--- a/source/core/router/held_stream.cpp
+++ b/source/core/router/held_stream.cpp
@@ -6,13 +6,6 @@
 
 namespace reedramp::router {
 
-namespace {
-
-/// The HTTP client keeps a request for a second connection beside the bytes that it writes.
-constexpr std::size_t copies_of_unsent_body = 2;
-
-} // namespace
-
 held_streams::held_streams(
     common::clock_hook clock_to_use,
     common::timer_hook timer_to_use,
@@ -202,7 +195,7 @@
     this->server = std::move(call);
     this->paused = false;
     this->buffered = 0;
-    this->unsent = copies_of_unsent_body * request_body;
+    this->unsent = request_body;
     this->owner.note(*this);
 }
 
