http, router: the bytes of requests are counted and bounded from their first one on

Cause: bytes of a body that still arrives counted nowhere, nor those of a request that waits for its server's answer, which the entry keeps to send it again. What was counted began with the write to the server, and ended with it.

Why it holds: each connection states what its request needs as soon as its head is known, and keeps it until the answer is out. Beyond `overload.request_memory` (a quarter) of `process.memory_mb` a request is refused by its head, with 503, `memory_full` and Retry-After, and is true to it: nothing has been passed on. What still arrives of it is read and dropped, since a reset could destroy the refusal under a caller who is still writing. A body's room is reserved at once, instead of by doubling. The balancer's and the peers' port take no body beyond 4 KB.

Sight: `router_request_bytes`; refusals are in `router_memory_refusals_total`.

--- a/source/core/common/result.cpp
+++ b/source/core/common/result.cpp
@@ -107,7 +107,7 @@
      "memory_full",
      503,
      not_run,
-     "The process holds too much data for callers and servers that read slowly."},
+     "The process holds too much data of requests, or for callers and servers that read slowly."},
     {outcome_unknown,
      "outcome_unknown",
      502,
--- a/source/core/http/codec.cpp
+++ b/source/core/http/codec.cpp
@@ -165,8 +165,10 @@
 }
 
 auto request_reader::on_body_init_impl(
-    const boost::optional<std::uint64_t>& /*length*/, error_code& /*error*/) -> void
+    const boost::optional<std::uint64_t>& length, error_code& /*error*/) -> void
 {
+    // Growing by doubling would take up to three times the body's size for a moment.
+    this->message.body.reserve(static_cast<std::size_t>(length.value_or(0)));
 }
 
 auto request_reader::on_body_impl(text piece, error_code& /*error*/) -> std::size_t
--- a/source/core/http/connection.hpp
+++ b/source/core/http/connection.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ssl/context.hpp>
 
 #include "http/exchange.hpp"
+#include "http/request_memory.hpp"
 #include "http/server.hpp"
 
 /// One connection of the server.
@@ -32,6 +33,7 @@
     std::atomic<bool> announces_close{false};
     std::atomic<std::size_t> busy{0};
     std::atomic<std::size_t> open{0};
+    request_memory memory;
 };
 
 /// Reads requests and writes answers, one exchange after the other. Lives on one io_context.
--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -253,6 +253,11 @@
         return this->shared->busy;
     }
 
+    [[nodiscard]] auto request_bytes() const -> std::size_t override
+    {
+        return this->shared->memory.total();
+    }
+
     [[nodiscard]] auto open_connections() const -> std::size_t override
     {
         return this->shared->open;
@@ -286,6 +291,7 @@
     }
     const auto text = to_string(options.listen);
     const bool accepts_at_once = options.accepts_at_once;
+    shared->memory.set_limit(options.request_memory_bytes);
     shared->options = std::move(options);
     shared->handler = std::move(handler);
     auto entrance = std::make_shared<listener>(contexts, shared);
--- a/source/core/http/server.hpp
+++ b/source/core/http/server.hpp
@@ -78,6 +78,12 @@
     std::optional<tls_files> tls = std::nullopt;
     /// False leaves new connections waiting in the system's queue until `accept`.
     bool accepts_at_once = true;
+    /// Most bytes of requests, from their first byte until they are answered, over all connections;
+    /// 0 if unlimited. A request beyond it is refused with `memory_full` before the rest of it is
+    /// read.
+    std::size_t request_memory_bytes = 0;
+    /// Called for each request that is refused so.
+    std::function<auto()->void> on_memory_full = {};
 };
 
 /// Serves HTTP/1.1 with keep-alive on the given contexts, one of which each connection stays on.
@@ -118,6 +124,9 @@
     /// Connections with an answer under way.
     [[nodiscard]] virtual auto busy_connections() const -> std::size_t = 0;
 
+    /// Bytes of requests that still arrive or are not answered yet.
+    [[nodiscard]] virtual auto request_bytes() const -> std::size_t = 0;
+
     /// Open connections, busy or idle.
     [[nodiscard]] virtual auto open_connections() const -> std::size_t = 0;
 };
--- a/source/core/http/stream_connection.hpp
+++ b/source/core/http/stream_connection.hpp
@@ -5,8 +5,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <type_traits>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -36,7 +38,11 @@
         this->shared->open.fetch_add(1, std::memory_order_relaxed);
     }
 
-    ~stream_connection() override { this->shared->open.fetch_sub(1, std::memory_order_relaxed); }
+    ~stream_connection() override
+    {
+        this->note_request_bytes(0);
+        this->shared->open.fetch_sub(1, std::memory_order_relaxed);
+    }
 
     stream_connection(const stream_connection&) = delete;
     stream_connection(stream_connection&&) = delete;
@@ -67,6 +73,8 @@
     /// Bodies up to this size are copied behind the head: one piece is cheaper to write than three.
     static constexpr std::size_t copied_body_bytes = 16UL * 1024UL;
     static constexpr std::chrono::milliseconds linger_time{1000};
+    /// Seconds after which a request that was refused for memory may come back: about an upload.
+    static constexpr std::string_view memory_retry_after = "1";
     /// After the listener has closed, an idle connection waits this long for a last request. Closed
     /// at once, it would cross a request that is on its way, and its sender could not tell whether
     /// that ran.
@@ -83,9 +91,17 @@
     auto read_request() -> void;
     auto parse() -> error_code;
     auto on_need_more() -> void;
+    /// Bytes that the request needs, as far as is known.
+    [[nodiscard]] auto request_size() const -> std::size_t;
+    /// Takes the memory that the request needs; refuses the request and returns false if there is
+    /// none.
+    auto take_request_memory() -> bool;
+    /// Sets what this connection's request holds of the server's memory.
+    auto note_request_bytes(std::size_t bytes) -> void;
     auto send_continue() -> void;
     auto begin_exchange() -> void;
-    auto refuse(const common::error& why) -> void;
+    auto refuse(const common::error& why, std::vector<header> more = {}) -> void;
+    auto refuse_for_memory() -> void;
     auto on_timeout() -> void;
 
     auto flush() -> void;
@@ -116,6 +132,9 @@
     bool input_ended = false;
     std::optional<request_reader> reader;
     bool continue_sent = false;
+    std::size_t request_bytes = 0;
+    /// The request was refused while its body was still arriving.
+    bool refused_in_body = false;
 
     std::shared_ptr<exchange> current;
     bool is_head_request = false;
--- a/source/core/http/stream_connection_input.hpp
+++ b/source/core/http/stream_connection_input.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <exception>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <utility>
@@ -169,7 +171,9 @@
         this->refuse(parse_failure(problem));
         return;
     }
-    this->begin_exchange();
+    if (this->take_request_memory()) {
+        this->begin_exchange();
+    }
 }
 
 /// Feeds the reader until the request is whole. Gives `need_more` when it is not.
@@ -204,6 +208,9 @@
         this->refuse(common::make_error(common::result_code::header_too_large));
         return;
     }
+    if (!this->take_request_memory()) {
+        return;
+    }
     const bool sender_waits = this->reader->is_header_done() && this->reader->expects_continue;
     if (sender_waits && !this->continue_sent) {
         this->send_continue();
@@ -211,6 +218,34 @@
     this->start_read();
 }
 
+template <typename Stream>
+auto stream_connection<Stream>::request_size() const -> std::size_t
+{
+    const auto arrived = this->reader->message.body.size() + this->input.size();
+    const auto stated =
+        this->reader->is_header_done() ? this->reader->content_length() : boost::none;
+    return std::max(arrived, static_cast<std::size_t>(stated.value_or(0)));
+}
+
+template <typename Stream>
+auto stream_connection<Stream>::take_request_memory() -> bool
+{
+    const auto size = this->request_size();
+    if (!this->shared->memory.has_room(this->request_bytes, size)) {
+        this->refuse_for_memory();
+        return false;
+    }
+    this->note_request_bytes(size);
+    return true;
+}
+
+template <typename Stream>
+auto stream_connection<Stream>::note_request_bytes(std::size_t bytes) -> void
+{
+    this->shared->memory.change(this->request_bytes, bytes);
+    this->request_bytes = bytes;
+}
+
 template <typename Stream>
 auto stream_connection<Stream>::send_continue() -> void
 {
@@ -234,6 +269,7 @@
 auto stream_connection<Stream>::begin_exchange() -> void
 {
     auto asked = std::move(this->reader->message);
+    this->note_request_bytes(asked.body.size());
     this->keep_alive = this->reader->keep_alive();
     this->minor_version = this->reader->minor_version;
     this->is_head_request = asked.method == "HEAD";
@@ -268,9 +304,24 @@
     }
 }
 
+/// Its sender may come back, since nothing of the request has run. What still arrives of the body
+/// is read and dropped: a reset could destroy the answer before its sender, who is still writing,
+/// reads it.
+template <typename Stream>
+auto stream_connection<Stream>::refuse_for_memory() -> void
+{
+    if (this->shared->options.on_memory_full) {
+        this->shared->options.on_memory_full();
+    }
+    this->refused_in_body = !this->reader->is_done();
+    this->refuse(
+        common::make_error(common::result_code::memory_full),
+        {{"Retry-After", std::string{memory_retry_after}}});
+}
+
 /// Answers what the handler never sees, and closes.
 template <typename Stream>
-auto stream_connection<Stream>::refuse(const common::error& why) -> void
+auto stream_connection<Stream>::refuse(const common::error& why, std::vector<header> more) -> void
 {
     common::log(
         common::log_part::http,
@@ -281,11 +332,14 @@
     this->is_head_request = false;
     this->keep_alive = false;
     this->reader.reset();
+    this->note_request_bytes(0);
     this->now = stage::answering;
     this->timer.suspend();
     this->shared->busy.fetch_add(1, std::memory_order_relaxed);
     this->current = std::make_shared<exchange>(this->weak_from_this());
-    this->current->send(problem_answer(why));
+    auto answer = problem_answer(why);
+    std::ranges::move(more, std::back_inserter(answer.headers));
+    this->current->send(std::move(answer));
 }
 
 template <typename Stream>
--- a/source/core/http/stream_connection_output.hpp
+++ b/source/core/http/stream_connection_output.hpp
@@ -163,6 +163,7 @@
     const auto ended = std::move(this->current);
     this->current = nullptr;
     ended->closed();
+    this->note_request_bytes(0);
     this->release_output();
     if (!this->keep_alive) {
         this->linger();
@@ -192,7 +193,8 @@
         return;
     }
     this->now = stage::lingering;
-    this->timer.expires_after(linger_time);
+    this->timer.expires_after(
+        this->refused_in_body ? this->shared->options.read_timeout : linger_time);
     this->input.consume(this->input.size());
     if constexpr (is_tls) {
         // Tells the other side that the end is no truncation. The read under way goes on.
@@ -226,6 +228,7 @@
     }
     this->now = stage::closed;
     this->timer.stop();
+    this->note_request_bytes(0);
     error_code ignored;
     this->socket().close(ignored);
     if (this->current != nullptr) {
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -51,6 +51,8 @@
           "router_rests_total", "Refusals in which a server asked this entry to back off.")),
       held_bytes(registry.gauge_of(
           "router_held_bytes", "Bytes held for callers and servers that read slowly.")),
+      request_bytes(registry.gauge_of(
+          "router_request_bytes", "Bytes of requests that still arrive or are not answered yet.")),
       pauses(registry.counter_of(
           "router_pauses_total",
           "Pauses in reading a server's response because its caller reads slowly.")),
@@ -59,7 +61,7 @@
           "Requests given up because the entry held too much for slow readers.")),
       memory_refusals(registry.counter_of(
           "router_memory_refusals_total",
-          "Requests refused because the entry held too much for slow readers.")),
+          "Requests refused because the entry held too much for slow readers, or of requests.")),
       evacuated(
           registry.gauge_of("router_evacuated_data_centres", "Data centres that are evacuated.")),
       list_age_ms(registry.gauge_of(
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -35,6 +35,8 @@
     metrics::counter& backoffs;
     /// Bytes held for callers and servers that read slowly.
     metrics::gauge& held_bytes;
+    /// Bytes of requests that still arrive or are not answered yet.
+    metrics::gauge& request_bytes;
     /// Pauses in reading a server's response because its caller reads slowly.
     metrics::counter& pauses;
     /// Streams that were given up, and requests that were refused, beyond the bound on held bytes.
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -38,6 +38,8 @@
 /// store is unavailable: requests are read, and held for another `router_options::startup_hold`. It
 /// is below the second after which callers give up an unread request.
 constexpr milliseconds accept_delay{600};
+/// Largest request body at the ports of the balancer and of peers, whose requests have none.
+constexpr std::size_t largest_body_of_others = 4096;
 
 } // namespace
 
@@ -96,22 +98,28 @@
 
 auto router_process::implementation::listen() -> common::result<void>
 {
-    const auto open = [this](
-                          const http::endpoint& where,
-                          http::request_handler handler,
-                          bool accepts_at_once =
-                              true) -> common::result<std::unique_ptr<http::server>> {
-        http::server_options options;
+    const auto open =
+        [this](
+            const http::endpoint& where,
+            http::request_handler handler,
+            http::server_options options) -> common::result<std::unique_ptr<http::server>> {
         options.listen = where;
-        options.accepts_at_once = accepts_at_once;
-        return http::server::open({&this->context}, options, std::move(handler));
+        return http::server::open({&this->context}, std::move(options), std::move(handler));
+    };
+    http::server_options for_others;
+    for_others.body_limit_bytes = largest_body_of_others;
+    http::server_options for_callers;
+    for_callers.accepts_at_once = false;
+    for_callers.request_memory_bytes = this->settings.request_memory_bytes;
+    for_callers.on_memory_full = [this] {
+        this->core->counters.memory_refusals.add();
     };
     auto callers = open(
         this->settings.callers,
         [this](http::request request, std::shared_ptr<http::responder> out) {
             this->core->handle(std::move(request), std::move(out));
         },
-        false);
+        std::move(for_callers));
     if (!callers) {
         return tl::unexpected(callers.error());
     }
@@ -120,7 +128,8 @@
         this->settings.ready,
         [this](const http::request& request, const std::shared_ptr<http::responder>& out) {
             this->answer_ready(request, *out);
-        });
+        },
+        for_others);
     if (!balancer) {
         return tl::unexpected(balancer.error());
     }
@@ -129,7 +138,8 @@
         this->settings.peers,
         [this](const http::request& request, const std::shared_ptr<http::responder>& out) {
             out->send(this->answer_peer(request));
-        });
+        },
+        for_others);
     if (!others) {
         return tl::unexpected(others.error());
     }
@@ -162,6 +172,8 @@
         this->core->counters.in_flight.set(static_cast<std::int64_t>(this->core->in_flight()));
         this->core->counters.held_bytes.set(
             static_cast<std::int64_t>(this->core->streams->total()));
+        this->core->counters.request_bytes.set(
+            static_cast<std::int64_t>(this->callers_server->request_bytes()));
         const auto now = daemon::boot_time();
         this->core->counters.list_age_ms.set(this->core->freshness.make_report(now).age.count());
         this->core->counters.rules_age_ms.set(
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -38,6 +38,14 @@
          .fallback = 0.25,
          .lowest = 0.01,
          .highest = 1.0},
+        {.path = "overload.request_memory",
+         .type = settings::value_type::real,
+         .doc =
+             "Share of process.memory_mb that requests may hold, from their first byte until they "
+             "are answered. Beyond it, new ones are refused before their bodies are read.",
+         .fallback = 0.25,
+         .lowest = 0.01,
+         .highest = 1.0},
     };
 }
 
@@ -53,8 +61,11 @@
     read.features = values.texts("deployment.features");
     read.memory_mb = static_cast<std::uint64_t>(values.integer("process.memory_mb"));
     constexpr double bytes_per_mb = 1e6;
-    read.router.streams.held.budget = static_cast<std::size_t>(
-        static_cast<double>(read.memory_mb) * bytes_per_mb * values.real("overload.held_memory"));
+    const auto memory_bytes = static_cast<double>(read.memory_mb) * bytes_per_mb;
+    read.router.streams.held.budget =
+        static_cast<std::size_t>(memory_bytes * values.real("overload.held_memory"));
+    read.request_memory_bytes =
+        static_cast<std::size_t>(memory_bytes * values.real("overload.request_memory"));
     return {};
 }
 
--- a/source/router/settings.hpp
+++ b/source/router/settings.hpp
@@ -31,6 +31,8 @@
     std::vector<std::string> features;
     /// 0 if unlimited.
     std::uint64_t memory_mb = 0;
+    /// Most bytes of requests at a time; 0 if unlimited.
+    std::size_t request_memory_bytes = 0;
     router::follower_options follower;
     router::router_options router;
 };
