daemon: a process goes on when the reader of its log has gone

What callers saw: an entry ends in the middle of its requests, and all connections are closed.

Cause: the log is written to standard output. If that is a pipe whose reader has ended, the write raises SIGPIPE, whose default ends the process. Sockets are not concerned, their writes ask for no signal.

Why it holds: the signal is ignored from the first statement of `main` on. The write fails instead; lines wait in their bounded buffer, and those beyond it are dropped and counted, as before a full pipe.

--- a/source/agent/main.cpp
+++ b/source/agent/main.cpp
@@ -50,6 +50,7 @@
 
 auto main(int argument_count, char** arguments) -> int
 {
+    daemon::ignore_broken_pipes();
     const daemon::program about{
         "reedramp-agent",
         "The agent of a backend server: checks, queues and runs its requests",
--- a/source/core/daemon/signals.cpp
+++ b/source/core/daemon/signals.cpp
@@ -63,6 +63,11 @@
     std::function<auto()->void> action;
 };
 
+auto ignore_broken_pipes() -> void
+{
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
 shutdown_signals::shutdown_signals(
     boost::asio::io_context& context, std::function<auto()->void> action)
     : waiter(signal_waiter::start(
--- a/source/core/daemon/signals.hpp
+++ b/source/core/daemon/signals.hpp
@@ -12,6 +12,10 @@
 /// Waits for signals on a context; shared with the wait that is under way.
 class signal_waiter;
 
+/// Lets a write to a pipe fail whose reader has gone, such as the one of the log. The signal's
+/// default ends the process.
+auto ignore_broken_pipes() -> void;
+
 /// Waits for SIGTERM and SIGINT while it lives.
 class shutdown_signals {
 public:
--- a/source/entry/main.cpp
+++ b/source/entry/main.cpp
@@ -52,6 +52,7 @@
 
 auto main(int argument_count, char** arguments) -> int
 {
+    daemon::ignore_broken_pipes();
     const daemon::program about{
         "reedramp-entry",
         "Accepts requests from callers and routes them to backend servers",
