daemon: settings that change while a process starts or stops do not end it

What callers saw: an entry that has just been started is gone again, or ends with signal 1 instead of its exit code when it has finished.

Cause: changed settings are announced by SIGHUP, whose default ends a process. It was taken only once the process ran its loop, after its settings were read and its sockets opened, and no longer once the loop had ended.

Evidence: `signals_test` "changed settings that are announced before a process waits for them are read" (the function that it calls is new; without it the signal ends the test).

At the end it is blocked again.

--- a/source/core/daemon/signals.cpp
+++ b/source/core/daemon/signals.cpp
@@ -15,6 +15,17 @@
 
 constexpr int interrupted_exit_code = 130;
 
+/// `how` is SIG_BLOCK or SIG_UNBLOCK.
+auto change_mask(int how, std::initializer_list<int> numbers) -> void
+{
+    sigset_t set{};
+    ::sigemptyset(&set);
+    for (const int number : numbers) {
+        ::sigaddset(&set, number);
+    }
+    ::pthread_sigmask(how, &set, nullptr);
+}
+
 } // namespace
 
 class signal_waiter : public std::enable_shared_from_this<signal_waiter> {
@@ -30,6 +41,8 @@
             made->signals.add(number);
         }
         made->wait();
+        // They may be held, also by whoever started this process.
+        change_mask(SIG_UNBLOCK, numbers);
         return made;
     }
 
@@ -63,6 +76,11 @@
     std::function<auto()->void> action;
 };
 
+auto hold_reload_signal() -> void
+{
+    change_mask(SIG_BLOCK, {SIGHUP});
+}
+
 auto ignore_broken_pipes() -> void
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -92,6 +110,7 @@
 
 reload_signal::~reload_signal()
 {
+    hold_reload_signal();
     this->waiter->stop();
 }
 
--- a/source/core/daemon/signals.hpp
+++ b/source/core/daemon/signals.hpp
@@ -12,6 +12,10 @@
 /// Waits for signals on a context; shared with the wait that is under way.
 class signal_waiter;
 
+/// Keeps SIGHUP pending until a `reload_signal` waits for it. Without it, settings that change
+/// while the process starts would end it. Call it first in `main`, before other threads start.
+auto hold_reload_signal() -> void;
+
 /// Lets a write to a pipe fail whose reader has gone, such as the one of the log. The signal's
 /// default ends the process.
 auto ignore_broken_pipes() -> void;
@@ -32,7 +36,8 @@
     std::shared_ptr<signal_waiter> waiter;
 };
 
-/// Waits for SIGHUP while it lives. Without it, the signal ends a process.
+/// Waits for SIGHUP while it lives, and for one that `hold_reload_signal` has kept pending. Holds
+/// it again at its end.
 class reload_signal {
 public:
     /// `action` runs on the context at each signal.
--- /dev/null
+++ b/source/unit_tests/daemon/signals_test.cpp
@@ -0,0 +1,29 @@
+#include <csignal>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "daemon/signals.hpp"
+
+using namespace reedramp;
+using namespace reedramp::daemon;
+using namespace std::chrono_literals;
+
+// Guards against a process that ends since its settings change while it starts or stops.
+TEST_CASE("changed settings that are announced before a process waits for them are read")
+{
+    hold_reload_signal();
+    boost::asio::io_context context{1};
+    int reloads = 0;
+    std::raise(SIGHUP);
+    {
+        const reload_signal signal{context, [&] {
+                                       reloads += 1;
+                                       context.stop();
+                                   }};
+        context.run_for(5s);
+    }
+    CHECK(reloads == 1);
+    std::raise(SIGHUP);
+}
+
