daemon: a process that is asked twice to stop still answers what it has

What callers saw: requests cut without an answer in a planned stop, among them such as may run once.

Cause: a second SIGTERM ended the process at once with exit code 130. That is meant for an operator who presses Ctrl-C again; who stops processes, by a group and by a process, or once more after some seconds, sends SIGTERM.

Why it holds: only a second SIGINT ends the process at once. The platform's SIGKILL bounds the rest.

--- a/source/core/daemon/signals.cpp
+++ b/source/core/daemon/signals.cpp
@@ -34,7 +34,7 @@
     static auto start(
         boost::asio::io_context& context,
         std::initializer_list<int> numbers,
-        std::function<auto()->void> action) -> std::shared_ptr<signal_waiter>
+        std::function<auto(int number)->void> action) -> std::shared_ptr<signal_waiter>
     {
         auto made = std::make_shared<signal_waiter>(context, std::move(action));
         for (const int number : numbers) {
@@ -46,7 +46,8 @@
         return made;
     }
 
-    signal_waiter(boost::asio::io_context& context, std::function<auto()->void> action_to_run)
+    signal_waiter(
+        boost::asio::io_context& context, std::function<auto(int number)->void> action_to_run)
         : signals(context), action(std::move(action_to_run))
     {
     }
@@ -63,17 +64,17 @@
 private:
     auto wait() -> void
     {
-        this->signals.async_wait(
-            [keep = this->shared_from_this()](const boost::system::error_code& stopped, int) {
-                if (!stopped) {
-                    keep->wait();
-                    keep->action();
-                }
-            });
+        this->signals.async_wait([keep = this->shared_from_this()](
+                                     const boost::system::error_code& stopped, int number) {
+            if (!stopped) {
+                keep->wait();
+                keep->action(number);
+            }
+        });
     }
 
     boost::asio::signal_set signals;
-    std::function<auto()->void> action;
+    std::function<auto(int number)->void> action;
 };
 
 auto hold_reload_signal() -> void
@@ -89,11 +90,16 @@
 shutdown_signals::shutdown_signals(
     boost::asio::io_context& context, std::function<auto()->void> action)
     : waiter(signal_waiter::start(
-          context, {SIGTERM, SIGINT}, [action = std::move(action), asked_before = false]() mutable {
-              if (std::exchange(asked_before, true)) {
+          context,
+          {SIGTERM, SIGINT},
+          [action = std::move(action), asked_before = false](int number) mutable {
+              const bool is_first = !std::exchange(asked_before, true);
+              if (is_first) {
+                  action();
+              }
+              else if (number == SIGINT) {
                   std::_Exit(interrupted_exit_code);
               }
-              action();
           }))
 {
 }
@@ -104,7 +110,8 @@
 }
 
 reload_signal::reload_signal(boost::asio::io_context& context, std::function<auto()->void> action)
-    : waiter(signal_waiter::start(context, {SIGHUP}, std::move(action)))
+    : waiter(
+          signal_waiter::start(context, {SIGHUP}, [action = std::move(action)](int) { action(); }))
 {
 }
 
--- a/source/core/daemon/signals.hpp
+++ b/source/core/daemon/signals.hpp
@@ -23,8 +23,9 @@
 /// Waits for SIGTERM and SIGINT while it lives.
 class shutdown_signals {
 public:
-    /// `action` runs on the context at the first signal. A second one ends the process at once with
-    /// exit code 130, for an operator who does not want to wait for streams to finish.
+    /// `action` runs on the context at the first signal. A second SIGINT ends the process at once
+    /// with exit code 130, for an operator who does not want to wait for streams to finish. Further
+    /// SIGTERMs change nothing: who stops processes may send it again while requests finish.
     shutdown_signals(boost::asio::io_context& context, std::function<auto()->void> action);
     ~shutdown_signals();
     shutdown_signals(const shutdown_signals&) = delete;
--- a/source/unit_tests/daemon/signals_test.cpp
+++ b/source/unit_tests/daemon/signals_test.cpp
@@ -27,3 +27,18 @@
     std::raise(SIGHUP);
 }
 
+// Guards against a stop that cuts requests since it is asked for twice.
+TEST_CASE("a second signal to stop changes nothing")
+{
+    boost::asio::io_context context{1};
+    int asked = 0;
+    const shutdown_signals signals{context, [&asked] {
+                                       asked += 1;
+                                   }};
+    std::raise(SIGTERM);
+    context.run_for(50ms);
+    std::raise(SIGTERM);
+    context.run_for(50ms);
+    CHECK(asked == 1);
+}
+
