daemon: a process that starts while its settings are written waits for the rest of them

What callers saw: the system does not start, or an entry that was restarted ends at once, and again.

Cause: a settings file that ended inside its JSON, or was missing for a moment, ended the start with code 2. The platform writes the file at every start and whenever settings change; the two may meet.

Why it holds: a file that is incomplete (not one that is wrong) is read again for up to a second.

--- a/source/core/daemon/front.cpp
+++ b/source/core/daemon/front.cpp
@@ -1,10 +1,12 @@
 #include "daemon/front.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <fstream>
 #include <iterator>
 #include <ostream>
 #include <sstream>
+#include <thread>
 #include <vector>
 
 #include <tclap/CmdLine.h>
@@ -98,14 +100,29 @@
     return text;
 }
 
-} // namespace
+/// Waits up to `longest` for a file that is being written: one that is missing, or ends inside its
+/// JSON.
+auto read_finished_file(const std::string& path, std::chrono::milliseconds longest)
+    -> std::optional<std::string>
+{
+    constexpr std::chrono::milliseconds pause{20};
+    const auto latest = std::chrono::steady_clock::now() + longest;
+    auto text = read_file(path);
+    while ((!text || settings::is_incomplete(*text)) && std::chrono::steady_clock::now() < latest) {
+        std::this_thread::sleep_for(pause);
+        text = read_file(path);
+    }
+    return text;
+}
 
-auto read_command_line(
+/// `file_time` is how long to wait for the rest of the settings file.
+auto read_given(
     const program& which,
     int argument_count,
     const char* const* arguments,
     std::ostream& out,
-    std::ostream& errors) -> std::variant<settings::values, exit_code>
+    std::ostream& errors,
+    std::chrono::milliseconds file_time) -> std::variant<settings::values, exit_code>
 {
     const auto parsed = parse_options(which, argument_count, arguments, out, errors);
     if (const auto* end = std::get_if<exit_code>(&parsed)) {
@@ -116,7 +133,9 @@
         out << settings::markdown_table(which.keys);
         return exit_code::success;
     }
-    const auto text = read_file(wanted.settings_file);
+    const bool may_wait = !wanted.check_only && !wanted.settings_file.empty();
+    const auto text = read_finished_file(
+        wanted.settings_file, may_wait ? file_time : std::chrono::milliseconds{0});
     if (!text) {
         errors << "settings: cannot read file \"" << wanted.settings_file << "\"\n";
         return exit_code::bad_settings;
@@ -135,12 +154,27 @@
     return std::move(*read);
 }
 
+} // namespace
+
+auto read_command_line(
+    const program& which,
+    int argument_count,
+    const char* const* arguments,
+    std::ostream& out,
+    std::ostream& errors) -> std::variant<settings::values, exit_code>
+{
+    constexpr std::chrono::milliseconds file_time{1000};
+    return read_given(which, argument_count, arguments, out, errors, file_time);
+}
+
 auto read_settings_again(const program& which, int argument_count, const char* const* arguments)
     -> common::result<settings::values>
 {
     std::ostringstream unused;
     std::ostringstream problems;
-    auto read = read_command_line(which, argument_count, arguments, unused, problems);
+    // The process is serving and must not wait.
+    constexpr std::chrono::milliseconds at_once{0};
+    auto read = read_given(which, argument_count, arguments, unused, problems, at_once);
     if (auto* values = std::get_if<settings::values>(&read)) {
         return std::move(*values);
     }
--- a/source/core/settings/schema.cpp
+++ b/source/core/settings/schema.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <boost/json/parse.hpp>
+#include <boost/json/stream_parser.hpp>
 
 #include "settings/check.hpp"
 
@@ -169,6 +170,14 @@
     return this->get<text_map>(path);
 }
 
+auto is_incomplete(std::string_view json_text) -> bool
+{
+    boost::json::stream_parser parser;
+    boost::json::error_code problem;
+    parser.write(json_text.data(), json_text.size(), problem);
+    return !problem && !parser.done();
+}
+
 auto parse(const schema& keys, std::string_view json_text)
     -> tl::expected<values, std::vector<problem>>
 {
--- a/source/core/settings/schema.hpp
+++ b/source/core/settings/schema.hpp
@@ -106,6 +106,9 @@
 auto parse(const schema& keys, std::string_view json_text)
     -> tl::expected<values, std::vector<problem>>;
 
+/// Whether the text ends inside its JSON, as that of a file does which is still being written.
+auto is_incomplete(std::string_view json_text) -> bool;
+
 /// A Markdown table of the keys with type, unit, range, default and doc.
 auto markdown_table(const schema& keys) -> std::string;
 
