http, router: a process that starts while a port is taken waits for it

What callers saw: the system does not start, or an entry that was restarted ends at once.

Cause: a port that was still taken, by the process before that is just being killed or by a connection of another program, ended the start with code 1. For the port of datagrams it was worse: the entry went on without them, so that it heard nothing of its peers until it was restarted.

Why it holds: binding is tried again for up to two seconds, before the process serves anything.

--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "common/log.hpp"
+#include "http/bind.hpp"
 #include "http/codec.hpp"
 #include "http/connection.hpp"
 
@@ -89,6 +90,7 @@
     auto listen(const asio::ip::tcp::endpoint& where) -> error_code
     {
         error_code problem;
+        this->acceptor.close(problem);
         this->acceptor.open(where.protocol(), problem);
         if (!problem) {
             this->acceptor.set_option(asio::socket_base::reuse_address(true), problem);
@@ -291,11 +293,12 @@
     }
     const auto text = to_string(options.listen);
     const bool accepts_at_once = options.accepts_at_once;
+    const auto bind_time = options.bind_time;
     shared->memory.set_limit(options.request_memory_bytes);
     shared->options = std::move(options);
     shared->handler = std::move(handler);
     auto entrance = std::make_shared<listener>(contexts, shared);
-    problem = entrance->listen(where);
+    problem = bind_when_free([&] { return entrance->listen(where); }, bind_time);
     if (problem) {
         return setup_failure("listen on " + text, problem);
     }
--- a/source/core/http/server.hpp
+++ b/source/core/http/server.hpp
@@ -84,6 +84,8 @@
     std::size_t request_memory_bytes = 0;
     /// Called for each request that is refused so.
     std::function<auto()->void> on_memory_full = {};
+    /// How long `server::open` waits for a port that is taken.
+    std::chrono::milliseconds bind_time{0};
 };
 
 /// Serves HTTP/1.1 with keep-alive on the given contexts, one of which each connection stays on.
--- a/source/router/process_implementation.hpp
+++ b/source/router/process_implementation.hpp
@@ -61,6 +61,8 @@
     auto accept_when_ready(common::time_point latest) -> void;
     auto answer_peer(const http::request& request) -> http::response;
     auto lift_barred(std::string_view print) -> http::response;
+    /// Opens the socket on which peers' datagrams arrive.
+    auto open_datagrams() -> common::result<void>;
     auto open_peers() -> void;
     auto open_crash_updates() -> void;
     [[nodiscard]] auto own_address() const -> http::endpoint;
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -10,6 +10,7 @@
 #include "daemon/clock.hpp"
 #include "daemon/line_log.hpp"
 #include "daemon/signals.hpp"
+#include "http/bind.hpp"
 #include "http/connection_check.hpp"
 #include "process_implementation.hpp"
 #include "router/counted_store.hpp"
@@ -40,6 +41,8 @@
 constexpr milliseconds accept_delay{600};
 /// Largest request body at the ports of the balancer and of peers, whose requests have none.
 constexpr std::size_t largest_body_of_others = 4096;
+/// How long a starting process waits for a port that is still taken.
+constexpr milliseconds port_wait{2000};
 
 } // namespace
 
@@ -104,6 +107,7 @@
             http::request_handler handler,
             http::server_options options) -> common::result<std::unique_ptr<http::server>> {
         options.listen = where;
+        options.bind_time = port_wait;
         return http::server::open({&this->context}, std::move(options), std::move(handler));
     };
     http::server_options for_others;
@@ -144,6 +148,31 @@
         return tl::unexpected(others.error());
     }
     this->peers_server = std::move(*others);
+    return this->open_datagrams();
+}
+
+auto router_process::implementation::open_datagrams() -> common::result<void>
+{
+    const asio::ip::udp::endpoint own{
+        asio::ip::make_address(this->settings.peers.address), this->peers_server->port()};
+    const auto bind = [this, &own] {
+        boost::system::error_code problem;
+        this->datagrams.close(problem);
+        this->datagrams.open(own.protocol(), problem);
+        if (!problem) {
+            this->datagrams.bind(own, problem);
+        }
+        if (!problem) {
+            this->datagrams.non_blocking(true, problem);
+        }
+        return problem;
+    };
+    // Without its peers, an entry would neither follow leaving servers nor share budgets.
+    if (const auto problem = http::bind_when_free(bind, port_wait)) {
+        return common::failure(
+            common::result_code::invalid_settings,
+            "datagrams on " + http::to_string(this->own_address()) + ": " + problem.message());
+    }
     return {};
 }
 
@@ -238,16 +267,6 @@
 
 auto router_process::implementation::open_peers() -> void
 {
-    const asio::ip::udp::endpoint own{
-        asio::ip::make_address(this->settings.peers.address), this->peers_server->port()};
-    boost::system::error_code problem;
-    this->datagrams.open(own.protocol(), problem);
-    this->datagrams.bind(own, problem);
-    this->datagrams.non_blocking(true, problem);
-    if (problem) {
-        common::log(
-            log_part::members, log_level::warning, "peer socket failed what=" + problem.message());
-    }
     this->peers = std::make_unique<peer_group>(
         this->core,
         this->settings.host,
