daemon, router: a handler that fails ends neither the process nor its timers

What callers saw: would be an entry that ends by signal 6 and cuts all requests, again and again while whatever made it fail stays.

Cause: an exception that left a handler left the loop, and with it `main`.

Why it holds: each turn of the loop, each timer's action and each periodic task is guarded. A timer queue that is left by an exception would never be armed again, so that the process went on without timers, which is worse than an end. Each failure is logged as an error and counted in `router_handler_failures`: it is a defect. What remains: a chain of readings, each of which starts the next, would end there.

--- a/source/core/daemon/timer_queue.cpp
+++ b/source/core/daemon/timer_queue.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/dispatch.hpp>
 
+#include "daemon/guarded_run.hpp"
+
 namespace reedramp::daemon {
 
 namespace {
@@ -74,7 +76,8 @@
 auto timer_queue::run_due() -> void
 {
     for (const auto& action : this->take_due()) {
-        action();
+        // An exception here would end all timers, not this one alone.
+        run_guarded(action);
     }
     this->arm();
 }
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -81,6 +81,8 @@
           "router_process_stalls_total", "Times that the process stood still for 0.5 s or more.")),
       stalled_ms(registry.counter_of(
           "router_process_stalled_ms_total", "Time for which the process stood still, in ms.")),
+      handler_failures(registry.gauge_of(
+          "router_handler_failures", "Failures of a handler that nothing else caught.")),
       beyond_share(registry.gauge_of(
           "router_organisations_beyond_share",
           "Organisations that use more than their fair share, summed over services.")),
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -58,6 +58,9 @@
     metrics::counter& stalls;
     metrics::counter& stalled_ms;
 
+    /// Failures of a handler that nothing else caught; each is a defect.
+    metrics::gauge& handler_failures;
+
     /// Organisations beyond their fair share, summed over services.
     metrics::gauge& beyond_share;
     /// Requests of organisations that were beyond their fair share at the first send.
--- a/source/router/process_implementation.hpp
+++ b/source/router/process_implementation.hpp
@@ -73,6 +73,9 @@
     auto follow_store() -> void;
     /// Logs and counts that the process stood still.
     auto note_stall() -> void;
+    /// Waits for the next event and runs the handlers that are due. False once the process is to
+    /// end.
+    auto run_handlers() -> bool;
     auto shut_down() -> void;
     auto check_shutdown(common::time_point balancer_done, common::time_point last) -> void;
 
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -8,6 +8,7 @@
 #include "common/log.hpp"
 #include "connection_options.hpp"
 #include "daemon/clock.hpp"
+#include "daemon/guarded_run.hpp"
 #include "daemon/line_log.hpp"
 #include "daemon/signals.hpp"
 #include "http/bind.hpp"
@@ -203,6 +204,8 @@
             static_cast<std::int64_t>(this->core->streams->total()));
         this->core->counters.request_bytes.set(
             static_cast<std::int64_t>(this->callers_server->request_bytes()));
+        this->core->counters.handler_failures.set(
+            static_cast<std::int64_t>(daemon::handler_failures()));
         const auto now = daemon::boot_time();
         this->core->counters.list_age_ms.set(this->core->freshness.make_report(now).age.count());
         this->core->counters.rules_age_ms.set(
@@ -350,7 +353,7 @@
     -> void
 {
     this->timers->add(daemon::boot_time() + period, [this, period, action]() {
-        action();
+        daemon::run_guarded(action);
         this->every(period, action);
     });
 }
@@ -391,6 +394,16 @@
     this->query_neighbours();
 }
 
+auto router_process::implementation::run_handlers() -> bool
+{
+    bool goes_on = true;
+    daemon::run_guarded([this, &goes_on] {
+        goes_on = this->context.run_one() > 0;
+        this->context.poll();
+    });
+    return goes_on;
+}
+
 auto router_process::implementation::shut_down() -> void
 {
     if (std::exchange(this->is_leaving, true)) {
@@ -474,8 +487,7 @@
         }
         this->apply(*changed);
     });
-    while (this->impl->context.run_one() > 0) {
-        this->impl->context.poll();
+    while (this->impl->run_handlers()) {
         // A process that is killed loses the lines that have not been written.
         daemon::flush_line_log();
     }
--- a/source/unit_tests/daemon/signals_test.cpp
+++ b/source/unit_tests/daemon/signals_test.cpp
@@ -1,9 +1,12 @@
 #include <csignal>
+#include <stdexcept>
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include "daemon/guarded_run.hpp"
 #include "daemon/signals.hpp"
+#include "daemon/timer_queue.hpp"
 
 using namespace reedramp;
 using namespace reedramp::daemon;
@@ -42,3 +45,25 @@
     CHECK(asked == 1);
 }
 
+// Guards against a process that goes on without its timers since the action of one has failed.
+TEST_CASE("a timer whose action fails leaves the others")
+{
+    boost::asio::io_context context{1};
+    common::time_point now{};
+    const auto timers = std::make_shared<timer_queue>(context, [&now] { return now; });
+    std::string order;
+    const auto failures = handler_failures();
+    timers->add(common::time_point{1ms}, [] { throw std::runtime_error("odd"); });
+    timers->add(common::time_point{1ms}, [&order] { order += "a"; });
+    timers->add(common::time_point{2ms}, [&] {
+        order += "b";
+        timers->add(common::time_point{3ms}, [&order] { order += "c"; });
+    });
+    now = common::time_point{2ms};
+    context.run_for(50ms);
+    now = common::time_point{5ms};
+    context.restart();
+    context.run_for(50ms);
+    CHECK(order == "abc");
+    CHECK(handler_failures() == failures + 1);
+}
