http: an answer that is reset under its upload is not whole

What callers saw: a server answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is still being written. The caller gets that part as a whole answer, signed.

Cause: a socket reports a reset once. Here the write that is under way gets it; the read that follows sees the end of the input, as after an orderly close, which ends a body without a length.

Why it holds: the end of the input ends a body only if the write has not failed. An answer that comes early, without a length, and whose upload is then read to its end is still whole (tested). All answers, of servers, the store, peers and agents, are read by this client; with a length or in chunks a body never ended so.

--- a/source/core/http/client_link.cpp
+++ b/source/core/http/client_link.cpp
@@ -317,8 +317,11 @@
 
 auto client_link::on_input_end(error_code problem) -> void
 {
+    // After a reset that the write reported, the read ends as if the server had closed in good
+    // order.
+    const bool is_orderly = problem == asio::error::eof && !this->write_failed;
     const bool ends_by_close =
-        problem == asio::error::eof && this->reader->is_header_done() && this->reader->need_eof();
+        is_orderly && this->reader->is_header_done() && this->reader->need_eof();
     if (ends_by_close) {
         this->reader->message.ended_by_close = true;
         this->finish();
