http: an answer whose status is none of HTTP's is an error

What callers saw: a server in trouble answers with status 600 or 999: its caller gets 500, with the server's signature and body, which the server never gave. With 000 to 099, or 101, the answer is skipped as an interim one, and what comes next on the connection is taken for the answer.

Cause: any three digits were taken for a status; all below 200 counted as interim.

Why it holds: the reader refuses a status outside of 100 to 599, and 101, since no request asks for another protocol. Real interim answers are skipped as before (tested).

--- a/source/core/http/codec.cpp
+++ b/source/core/http/codec.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t longest_field_bytes = 60000; // Beast's fields throw above 64 KiB.
 constexpr unsigned highest_status = 599;
 constexpr unsigned lowest_status = 200;
+constexpr unsigned lowest_interim_status = 100;
+constexpr unsigned switching_protocols = 101;
 constexpr unsigned no_content = 204;
 constexpr unsigned not_modified = 304;
 
@@ -210,9 +212,16 @@
 {
 }
 
-auto response_reader::on_response_impl(
-    int code, text /*reason*/, int /*version*/, error_code& /*error*/) -> void
+auto response_reader::on_response_impl(int code, text /*reason*/, int version, error_code& error)
+    -> void
 {
+    const auto status = static_cast<unsigned>(code);
+    const bool is_known = status >= lowest_interim_status && status <= highest_status;
+    // No request asks for another protocol.
+    if (!is_known || status == switching_protocols) {
+        error = beast_http::error::bad_status;
+        return;
+    }
     this->message.status = static_cast<std::uint16_t>(code);
 }
 
--- a/source/core/http/codec.hpp
+++ b/source/core/http/codec.hpp
@@ -58,6 +58,8 @@
 
 /// Reads one response. The body gathers in `message.body`, from where the owner may take it away
 /// between calls of `put`.
+///
+/// Besides what Beast refuses, it refuses a status that HTTP does not know, and 101.
 class response_reader final : public boost::beast::http::basic_parser<false> {
 public:
     explicit response_reader(bool without_body);
--- a/source/unit_tests/http/odd_answer_test.cpp
+++ b/source/unit_tests/http/odd_answer_test.cpp
@@ -64,6 +64,19 @@
 /// Long enough for the client to read what was sent.
 constexpr auto read_time = 50ms;
 
+/// What the client makes of `bytes`, which the server sends before it closes in good order.
+auto answer_of(const std::string& bytes) -> common::result<response>
+{
+    const raw_server serving{1, [&bytes](raw_socket& socket) {
+                                 write_text(socket, bytes);
+                             }};
+    loop on;
+    const auto with = client::create(on.context, {});
+    return fetch(*with, serving.where(), get("/"));
+}
+
+const std::string framed_rest = "\r\nContent-Length: 2\r\n\r\nok";
+
 } // namespace
 
 // Guards against the first part of an answer that passes for a whole one: the reset of its
@@ -112,3 +125,29 @@
     CHECK(got->body == "whole");
 }
 
+// Guards against an answer with a status that HTTP does not know: passed on, it gets another one on
+// the way; taken for an interim answer, it is skipped and what comes next takes its place.
+TEST_CASE("an answer whose status is none of HTTP's is an error", "[odd_answer]")
+{
+    const std::string next = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext";
+    for (const std::string status : {"000", "001", "099", "101", "600", "700", "999"}) {
+        INFO(status);
+        CHECK_FALSE(answer_of("HTTP/1.1 " + status + " Odd" + framed_rest));
+        CHECK_FALSE(answer_of("HTTP/1.1 " + status + " Odd\r\n\r\n" + next));
+        CHECK_FALSE(answer_of("HTTP/1.1 " + status + " Odd\r\n\r\n"));
+    }
+    for (const std::string status : {"00", "0200", "2 0", "-20", "+20", "2x0", ""}) {
+        INFO(status);
+        CHECK_FALSE(answer_of("HTTP/1.1 " + status + " Odd" + framed_rest));
+    }
+    for (const std::string interim : {"100", "102", "103", "199"}) {
+        INFO(interim);
+        const auto got = answer_of("HTTP/1.1 " + interim + " Wait\r\n\r\n" + next);
+        REQUIRE(got);
+        CHECK(got->body == "next");
+    }
+    for (const std::string known : {"200", "299", "404", "500", "599"}) {
+        CHECK(answer_of("HTTP/1.1 " + known + " Known" + framed_rest));
+    }
+}
+
