http: an answer with a folded line or an unknown transfer coding is an error

What callers saw: a server in trouble sends a head in which a line begins with a blank. The caller gets the answer, with that line as a part of the field before it; if it was the length, with a body that ends by the close. With a transfer coding that is not plain chunks, the caller gets coded bytes as the body.

Cause: the parser joins a line that begins with a blank to the one before it (obsolete line folding), and leaves codings that it doesn't know to its owner, who didn't look. Other malformed names of fields (a blank or control byte inside, before the colon, none at all) were errors before; 15 of them are in the test now.

Why it holds: a proxy may refuse folded lines, and the bytes of the head are looked at once, when it is whole. Requests are refused for such codings already; both readers ask one function.

--- a/source/core/http/client_link.cpp
+++ b/source/core/http/client_link.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <string_view>
 #include <utility>
 
 #include <netinet/in.h>
@@ -369,7 +370,13 @@
             this->skip_interim();
         }
         error_code problem;
-        const auto used = this->reader->put(this->input.data(), problem);
+        const bool awaits_head = !this->reader->is_header_done();
+        const auto bytes = this->input.data();
+        const auto used = this->reader->put(bytes, problem);
+        const std::string_view head{static_cast<const char*>(bytes.data()), awaits_head ? used : 0};
+        if (!problem && has_folded_line(head)) {
+            problem = boost::beast::http::error::bad_field;
+        }
         this->input.consume(used);
         if (problem) {
             return problem;
--- a/source/core/http/codec.cpp
+++ b/source/core/http/codec.cpp
@@ -109,6 +109,12 @@
     return status >= lowest_status && status <= highest_status ? status : server_error;
 }
 
+/// The only transfer coding that is read here. HTTP/1.0 has none.
+auto is_plain_chunked(boost::beast::string_view coding, unsigned minor_version) -> bool
+{
+    return minor_version == 1 && boost::beast::iequals(coding, "chunked");
+}
+
 auto takes_body(std::string_view method) -> bool
 {
     return method == "POST" || method == "PUT" || method == "PATCH";
@@ -149,8 +155,7 @@
     if (which == field::expect && boost::beast::iequals(value, "100-continue")) {
         this->expects_continue = true;
     }
-    const bool plain_chunked = boost::beast::iequals(value, "chunked") && this->minor_version == 1;
-    if (which == field::transfer_encoding && !plain_chunked) {
+    if (which == field::transfer_encoding && !is_plain_chunked(value, this->minor_version)) {
         error = beast_http::error::bad_transfer_encoding;
         return;
     }
@@ -223,11 +228,15 @@
         return;
     }
     this->message.status = static_cast<std::uint16_t>(code);
+    this->minor_version = minor_of(version);
 }
 
-auto response_reader::on_field_impl(field /*which*/, text name, text value, error_code& /*error*/)
-    -> void
+auto response_reader::on_field_impl(field which, text name, text value, error_code& error) -> void
 {
+    if (which == field::transfer_encoding && !is_plain_chunked(value, this->minor_version)) {
+        error = beast_http::error::bad_transfer_encoding;
+        return;
+    }
     if (!this->header_read) {
         this->message.headers.push_back({to_text(name), to_text(value)});
     }
@@ -263,6 +272,13 @@
 
 auto response_reader::on_finish_impl(error_code& /*error*/) -> void {}
 
+auto has_folded_line(std::string_view bytes) -> bool
+{
+    const auto head = bytes.substr(0, bytes.find("\r\n\r\n"));
+    return head.find("\r\n ") != std::string_view::npos ||
+           head.find("\r\n\t") != std::string_view::npos;
+}
+
 auto serialise_head(const response& answer, const head_format& format) -> std::string
 {
     beast_http::response<beast_http::empty_body> head;
--- a/source/core/http/codec.hpp
+++ b/source/core/http/codec.hpp
@@ -59,7 +59,8 @@
 /// Reads one response. The body gathers in `message.body`, from where the owner may take it away
 /// between calls of `put`.
 ///
-/// Besides what Beast refuses, it refuses a status that HTTP does not know, and 101.
+/// Besides what Beast refuses, it refuses a status that HTTP does not know, 101, and transfer
+/// codings as `request_reader` does. `has_folded_line` is left to the owner, which has the bytes.
 class response_reader final : public boost::beast::http::basic_parser<false> {
 public:
     explicit response_reader(bool without_body);
@@ -88,9 +89,15 @@
         -> std::size_t override;
     auto on_finish_impl(error_code& error) -> void override;
 
+    unsigned minor_version = 1;
     bool header_read = false;
 };
 
+/// Whether a line of the head that begins `bytes` is continued on the next one (obsolete line
+/// folding). Readers differ in whether the next one is a part of a value or a field of its own, so
+/// that a field that frames the body may be seen by one alone.
+auto has_folded_line(std::string_view bytes) -> bool;
+
 /// How the end of an answer's body is marked.
 enum class framing : std::uint8_t {
     /// By its length, which is known.
--- a/source/unit_tests/http/odd_answer_test.cpp
+++ b/source/unit_tests/http/odd_answer_test.cpp
@@ -151,3 +151,58 @@
     }
 }
 
+// Guards against a field that readers of one answer take for different ones, or not for a field:
+// the caller would get a line that is not the server's, or a body that ends where none should.
+TEST_CASE("an answer with a malformed field name is an error", "[odd_answer]")
+{
+    using namespace std::string_literals;
+    for (const auto& line :
+         {"X Id: 1"s,
+          "X-Id : 1"s,
+          "X-Id\t: 1"s,
+          " X-Id: 1"s,
+          "\tX-Id: 1"s,
+          "X-\x01Id: 1"s,
+          "X-\0Id: 1"s,
+          "X-Id\x7f: 1"s,
+          "X-\x1fId: 1"s,
+          "X-Id\r: 1"s,
+          "X-\xe9: 1"s,
+          "X(Id): 1"s,
+          "X-Id"s,
+          ": 1"s,
+          "Content-Length : 1"s,
+          "Content Length: 1"s,
+          "Transfer-Encoding : chunked"s}) {
+        INFO(line);
+        CHECK_FALSE(answer_of("HTTP/1.1 200 OK\r\n" + line + framed_rest));
+        CHECK_FALSE(answer_of("HTTP/1.1 200 OK\r\nX-Before: 1\r\n" + line + framed_rest));
+        CHECK_FALSE(answer_of("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\nby close"));
+        CHECK_FALSE(answer_of(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line +
+            "\r\n\r\n"));
+    }
+}
+
+// Guards against a field's value that ends the line for one reader and goes on for another.
+TEST_CASE("an answer with a control byte in a field's value is an error", "[odd_answer]")
+{
+    using namespace std::string_literals;
+    for (const auto& value : {"1\x01"s, "1\0 2"s, "\x7f"s, "1\r2"s, "1\n2"s, "\x0b"s}) {
+        INFO(value);
+        CHECK_FALSE(answer_of("HTTP/1.1 200 OK\r\nX-Id: " + value + framed_rest));
+    }
+}
+
+// Guards against a body that is passed on with a coding that its reader is not told of.
+TEST_CASE("an answer with another transfer coding than chunks is an error", "[odd_answer]")
+{
+    const std::string chunks = "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+    for (const std::string coding :
+         {"gzip", "identity", "gzip, chunked", "chunked, gzip", "chunky"}) {
+        INFO(coding);
+        CHECK_FALSE(answer_of("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + chunks));
+    }
+    CHECK_FALSE(answer_of("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" + chunks));
+    CHECK(answer_of("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked" + chunks));
+}
