http: a folded line is found wherever an answer's bytes are split

What callers saw: an answer with a folded line could still pass, if its head came in pieces, or beside a part of the body that ended inside its framing.

It takes a head in pieces of whole lines, and asks for more while it has taken one.

An answer without a folded line whose body looks like one passes at each split.

Why it holds: each piece that is taken of a head is looked at, and nothing of the body: a piece that begins with the blank line has no more of the head. A folded line is never cut by a piece, since the parser takes a line only once it has seen what the next one begins with.

Found by reading the change once more, as are: the room for a body is reserved up to 16 MB, whatever limit operators set; giving back a buffer's room stood twice and has a name now (`release_room`).

--- a/source/core/http/client_link.cpp
+++ b/source/core/http/client_link.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <string_view>
 #include <utility>
 
 #include <netinet/in.h>
@@ -15,6 +14,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "http/release_room.hpp"
+
 namespace reedramp::http {
 
 namespace asio = boost::asio;
@@ -192,7 +193,7 @@
 {
     this->writing = false;
     this->written = size;
-    this->release_output();
+    release_room(this->output, smallest_read);
     if (this->now != stage::busy || this->call == nullptr) {
         return;
     }
@@ -219,7 +220,7 @@
     const auto running = this->call;
     if (!problem) {
         // An answer may take long, and a connection that is kept afterwards even longer.
-        std::string{}.swap(running->asked.body);
+        release_room(running->asked.body);
     }
     if (!problem && running->events.on_sent) {
         running->events.on_sent();
@@ -232,14 +233,6 @@
     }
 }
 
-auto client_link::release_output() -> void
-{
-    if (this->output.capacity() > smallest_read) {
-        std::string{}.swap(this->output);
-    }
-    this->output.clear();
-}
-
 auto client_link::start_read() -> void
 {
     const bool is_paused = this->call != nullptr && this->call->paused;
@@ -369,16 +362,7 @@
         if (this->reader->is_done()) {
             this->skip_interim();
         }
-        error_code problem;
-        const bool awaits_head = !this->reader->is_header_done();
-        const auto bytes = this->input.data();
-        const auto used = this->reader->put(bytes, problem);
-        const std::string_view head{static_cast<const char*>(bytes.data()), awaits_head ? used : 0};
-        if (!problem && has_folded_line(head)) {
-            problem = boost::beast::http::error::bad_field;
-        }
-        this->input.consume(used);
-        if (problem) {
+        if (const auto problem = this->put_input()) {
             return problem;
         }
     }
@@ -388,6 +372,20 @@
     return {};
 }
 
+auto client_link::put_input() -> error_code
+{
+    error_code problem;
+    const bool awaits_head = !this->reader->is_header_done();
+    const auto bytes = this->input.data();
+    const auto used = this->reader->put(bytes, problem);
+    // The reader takes a head in pieces, each of whole lines.
+    if (awaits_head && has_folded_line({static_cast<const char*>(bytes.data()), used})) {
+        problem = boost::beast::http::error::bad_field;
+    }
+    this->input.consume(used);
+    return problem;
+}
+
 auto client_link::skip_interim() -> void
 {
     this->interim_answers += 1;
--- a/source/core/http/client_link.hpp
+++ b/source/core/http/client_link.hpp
@@ -72,7 +72,6 @@
     auto on_connected(error_code problem) -> void;
     auto send() -> void;
     auto on_sent(error_code problem, std::size_t size) -> void;
-    auto release_output() -> void;
     auto start_read() -> void;
     /// Waits for input without reading it, so that `is_usable` sees what came since the last
     /// answer.
@@ -84,6 +83,8 @@
     /// Extends the silence that the server may keep from now.
     auto restart_silence() -> void;
     auto parse() -> error_code;
+    /// Feeds the reader once.
+    auto put_input() -> error_code;
     /// Begins anew after an interim answer.
     auto skip_interim() -> void;
     auto deliver_head() -> bool;
--- a/source/core/http/codec.cpp
+++ b/source/core/http/codec.cpp
@@ -22,6 +22,8 @@
 constexpr unsigned http_1_1 = 11;
 constexpr std::size_t response_header_limit_bytes = 64UL * 1024UL;
 constexpr std::size_t longest_field_bytes = 60000; // Beast's fields throw above 64 KiB.
+/// A limit that operators set by mistake must not make the reader ask for more than there is.
+constexpr std::size_t most_reserved_bytes = 16UL * 1024UL * 1024UL;
 constexpr unsigned highest_status = 599;
 constexpr unsigned lowest_status = 200;
 constexpr unsigned lowest_interim_status = 100;
@@ -175,7 +177,8 @@
     const boost::optional<std::uint64_t>& length, error_code& /*error*/) -> void
 {
     // Growing by doubling would take up to three times the body's size for a moment.
-    this->message.body.reserve(static_cast<std::size_t>(length.value_or(0)));
+    const auto stated = static_cast<std::size_t>(length.value_or(0));
+    this->message.body.reserve(std::min(stated, most_reserved_bytes));
 }
 
 auto request_reader::on_body_impl(text piece, error_code& /*error*/) -> std::size_t
@@ -274,6 +277,9 @@
 
 auto has_folded_line(std::string_view bytes) -> bool
 {
+    if (bytes.starts_with("\r\n")) {
+        return false; // The blank line, and what follows the head.
+    }
     const auto head = bytes.substr(0, bytes.find("\r\n\r\n"));
     return head.find("\r\n ") != std::string_view::npos ||
            head.find("\r\n\t") != std::string_view::npos;
--- a/source/core/http/codec.hpp
+++ b/source/core/http/codec.hpp
@@ -93,9 +93,9 @@
     bool header_read = false;
 };
 
-/// Whether a line of the head that begins `bytes` is continued on the next one (obsolete line
-/// folding). Readers differ in whether the next one is a part of a value or a field of its own, so
-/// that a field that frames the body may be seen by one alone.
+/// Whether a line of the piece of a head that begins `bytes` is continued on the next one (obsolete
+/// line folding). Readers differ in whether the next one is a part of a value or a field of its
+/// own, so that a field that frames the body may be seen by one alone.
 auto has_folded_line(std::string_view bytes) -> bool;
 
 /// How the end of an answer's body is marked.
--- a/source/core/http/stream_connection.hpp
+++ b/source/core/http/stream_connection.hpp
@@ -110,7 +110,6 @@
     auto write_output() -> void;
     auto on_written(error_code problem) -> void;
     auto end_exchange() -> void;
-    auto release_output() -> void;
 
     auto linger() -> void;
     auto reset() -> void;
--- a/source/core/http/stream_connection_input.hpp
+++ b/source/core/http/stream_connection_input.hpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "common/log.hpp"
+#include "http/release_room.hpp"
 #include "http/stream_connection.hpp"
 
 /// The reading half of a connection: from bytes to a whole request, or to its refusal.
@@ -283,7 +284,7 @@
     // that wait for their streams would else keep the buffers of their large requests.
     if (this->input.size() == 0 && !this->reading) {
         this->input.shrink_to_fit();
-        std::string{}.swap(this->incoming);
+        release_room(this->incoming);
         this->read_size = smallest_read;
     }
     // Before the handler, which may answer at once and so end the exchange inside its call.
--- a/source/core/http/stream_connection_output.hpp
+++ b/source/core/http/stream_connection_output.hpp
@@ -164,7 +164,8 @@
     this->current = nullptr;
     ended->closed();
     this->note_request_bytes(0);
-    this->release_output();
+    release_room(this->output, smallest_read);
+    release_room(this->output_body);
     if (!this->keep_alive) {
         this->linger();
         return;
@@ -175,16 +176,6 @@
     this->read_request();
 }
 
-/// An idle connection must not keep the memory of a large answer.
-template <typename Stream>
-auto stream_connection<Stream>::release_output() -> void
-{
-    std::string{}.swap(this->output_body);
-    if (this->output.capacity() > smallest_read) {
-        std::string{}.swap(this->output);
-    }
-}
-
 template <typename Stream>
 auto stream_connection<Stream>::linger() -> void
 {
--- a/source/unit_tests/http/odd_answer_test.cpp
+++ b/source/unit_tests/http/odd_answer_test.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <string>
@@ -194,6 +195,32 @@
     }
 }
 
+// Guards against a folded line that is not seen, or seen in a body, since the answer comes in
+// pieces.
+TEST_CASE("a folded line is found wherever an answer's bytes are split", "[odd_answer]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 1\r\n";
+    const std::string body = "\r\n6\r\n\r\n \r\n\t\r\n0\r\n\r\n";
+    for (const std::string fold : {"", " 2\r\n", "\t2\r\n"}) {
+        const auto bytes = head + fold + body;
+        loop on;
+        const auto with = client::create(on.context, {});
+        std::atomic<std::size_t> first{0};
+        const raw_server serving{bytes.size() + 1, [&](raw_socket& socket) {
+                                     const std::size_t size = first;
+                                     socket.set_option(boost::asio::ip::tcp::no_delay(true));
+                                     write_text(socket, bytes.substr(0, size));
+                                     std::this_thread::sleep_for(1ms);
+                                     write_text(socket, bytes.substr(size));
+                                 }};
+        for (; first <= bytes.size(); ++first) {
+            INFO("first write " << first << " of " << bytes);
+            const auto got = fetch(*with, serving.where(), get("/"));
+            CHECK(got.has_value() == fold.empty());
+        }
+    }
+}
+
 // Guards against a body that is passed on with a coding that its reader is not told of.
 TEST_CASE("an answer with another transfer coding than chunks is an error", "[odd_answer]")
 {
