daemon: a start waits half a minute for the rest of its settings

What callers saw: beside load, a start could still end by a settings file that was being written.

Cause: the wait was a second. A file stays incomplete for as long as its writer does.

Why it holds: a process without settings can do nothing else, and who started it would only start it again. An incomplete file is waited for for half a minute, and a line says so at once; a missing one for a second, as before, and a wrong one not at all.

--- a/source/core/daemon/front.cpp
+++ b/source/core/daemon/front.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <fstream>
 #include <iterator>
 #include <ostream>
 #include <sstream>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <tclap/CmdLine.h>
@@ -100,29 +102,41 @@
     return text;
 }
 
-/// Waits up to `longest` for a file that is being written: one that is missing, or ends inside its
-/// JSON.
-auto read_finished_file(const std::string& path, std::chrono::milliseconds longest)
-    -> std::optional<std::string>
+/// Whether to wait for a settings file that is still being written.
+enum class file_wait : std::uint8_t { none, until_finished };
+
+/// Waits for a file that is being written: one that is missing for a moment, or ends inside its
+/// JSON. Its writer may stand still on a busy disk.
+auto read_finished_file(const std::string& path, std::ostream& errors) -> std::optional<std::string>
 {
+    constexpr std::chrono::seconds missing_time{1};
+    constexpr std::chrono::seconds incomplete_time{30};
     constexpr std::chrono::milliseconds pause{20};
-    const auto latest = std::chrono::steady_clock::now() + longest;
+    const auto started = std::chrono::steady_clock::now();
+    bool is_told = false;
     auto text = read_file(path);
-    while ((!text || settings::is_incomplete(*text)) && std::chrono::steady_clock::now() < latest) {
+    while (!text || settings::is_incomplete(*text)) {
+        const auto waited = std::chrono::steady_clock::now() - started;
+        if (waited >= (text ? incomplete_time : missing_time)) {
+            break;
+        }
+        if (text && !std::exchange(is_told, true)) {
+            errors << "settings: \"" << path << "\" is incomplete, waiting for the rest\n"
+                   << std::flush;
+        }
         std::this_thread::sleep_for(pause);
         text = read_file(path);
     }
     return text;
 }
 
-/// `file_time` is how long to wait for the rest of the settings file.
 auto read_given(
     const program& which,
     int argument_count,
     const char* const* arguments,
     std::ostream& out,
     std::ostream& errors,
-    std::chrono::milliseconds file_time) -> std::variant<settings::values, exit_code>
+    file_wait wait) -> std::variant<settings::values, exit_code>
 {
     const auto parsed = parse_options(which, argument_count, arguments, out, errors);
     if (const auto* end = std::get_if<exit_code>(&parsed)) {
@@ -133,9 +147,10 @@
         out << settings::markdown_table(which.keys);
         return exit_code::success;
     }
-    const bool may_wait = !wanted.check_only && !wanted.settings_file.empty();
-    const auto text = read_finished_file(
-        wanted.settings_file, may_wait ? file_time : std::chrono::milliseconds{0});
+    const bool waits =
+        wait != file_wait::none && !wanted.check_only && !wanted.settings_file.empty();
+    const auto text =
+        waits ? read_finished_file(wanted.settings_file, errors) : read_file(wanted.settings_file);
     if (!text) {
         errors << "settings: cannot read file \"" << wanted.settings_file << "\"\n";
         return exit_code::bad_settings;
@@ -163,8 +178,7 @@
     std::ostream& out,
     std::ostream& errors) -> std::variant<settings::values, exit_code>
 {
-    constexpr std::chrono::milliseconds file_time{1000};
-    return read_given(which, argument_count, arguments, out, errors, file_time);
+    return read_given(which, argument_count, arguments, out, errors, file_wait::until_finished);
 }
 
 auto read_settings_again(const program& which, int argument_count, const char* const* arguments)
@@ -173,8 +187,7 @@
     std::ostringstream unused;
     std::ostringstream problems;
     // The process is serving and must not wait.
-    constexpr std::chrono::milliseconds at_once{0};
-    auto read = read_given(which, argument_count, arguments, unused, problems, at_once);
+    auto read = read_given(which, argument_count, arguments, unused, problems, file_wait::none);
     if (auto* values = std::get_if<settings::values>(&read)) {
         return std::move(*values);
     }
--- a/source/core/daemon/front.hpp
+++ b/source/core/daemon/front.hpp
@@ -34,8 +34,8 @@
 ///
 /// Gives the settings when the program should go on, else the code to exit with; what an operator
 /// should read has then been written to `out` or `errors`: each problem of the settings on a line.
-/// A file that is missing or ends inside its JSON may still be being written, and is waited for a
-/// second, except with `--check-settings`.
+/// A file that is missing or ends inside its JSON may still be being written, and is waited for: a
+/// second if it is missing, half a minute if it is incomplete; not with `--check-settings`.
 auto read_command_line(
     const program& which,
     int argument_count,
