settings: a host's memory may be a fraction

What callers saw: would be a system that does not start: where the platform writes a host's memory as 110.0 or 110.5, each entry ends with code 2, "has to be an integer".

Cause: the key took integers alone, while bounds in seconds take fractions, for the same reason.

Found by trying what the platform's fields may hold. Others that end the start were left: a session time of 0, shares of exposure below 0.01 or above 0.5.

--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -29,8 +29,12 @@
          .type = settings::value_type::text_list,
          .doc = "Words with which the platform describes the deployment.",
          .fallback = settings::text_list{}},
-        settings::number_key(
-            "process.memory_mb", "Memory of this process, in MB; 0 if unlimited.", 0, 0, 1e9),
+        {.path = "process.memory_mb",
+         .type = settings::value_type::real,
+         .doc = "Memory of this process, in MB; 0 if unlimited.",
+         .fallback = 0.0,
+         .lowest = 0.0,
+         .highest = 1e9},
         {.path = "overload.held_memory",
          .type = settings::value_type::real,
          .doc = "Share of process.memory_mb that may hold data for callers and servers that read "
@@ -59,9 +63,9 @@
     read.router.overload.mode = *mode;
     read.router.overload.admits_by_room = values.boolean("overload.admission");
     read.features = values.texts("deployment.features");
-    read.memory_mb = static_cast<std::uint64_t>(values.integer("process.memory_mb"));
     constexpr double bytes_per_mb = 1e6;
-    const auto memory_bytes = static_cast<double>(read.memory_mb) * bytes_per_mb;
+    read.memory_mb = values.real("process.memory_mb");
+    const auto memory_bytes = read.memory_mb * bytes_per_mb;
     read.router.streams.held.budget =
         static_cast<std::size_t>(memory_bytes * values.real("overload.held_memory"));
     read.request_memory_bytes =
--- a/source/router/settings.hpp
+++ b/source/router/settings.hpp
@@ -30,7 +30,7 @@
     /// Words with which the platform describes the deployment.
     std::vector<std::string> features;
     /// 0 if unlimited.
-    std::uint64_t memory_mb = 0;
+    double memory_mb = 0.0;
     /// Most bytes of requests at a time; 0 if unlimited.
     std::size_t request_memory_bytes = 0;
     router::follower_options follower;
