http, router: reading an answer, and the shutdown, stand in files of their own

What reads the answer to a call, with the bounds on it, is client_link_answer.cpp now; what happens from SIGTERM until the last response is out is process_shutdown.cpp. Functions and constants are moved as they were; no change of behaviour.

--- a/source/router/process_implementation.hpp
+++ b/source/router/process_implementation.hpp
@@ -76,6 +76,8 @@
     /// Waits for the next event and runs the handlers that are due. False once the process is to
     /// end.
     auto run_handlers() -> bool;
+
+    // process_shutdown.cpp: from SIGTERM until the last response is out.
     auto shut_down() -> void;
     auto check_shutdown(common::time_point balancer_done, common::time_point last) -> void;
 
