--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,49 +1,58 @@
-"""Keys are taken away until no tenant is left; requests with keys that no config ever held follow."""
+"""A replica leaves without reporting it; a beat of it that the store took seconds before is done late."""
 import os, sys
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand-ins-2"))
 from platform_stand_in import *
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-APPLY_S = 2.0   # config_apply_ms
-KEY, NEVER = "key-1", "never-held-by-any-config"
+DRAIN_MS, CONTACT_MS, LATE_S, INTERVAL = 2000, 3000, 5.5, 1.2
+LINGER_S = 5.0   # from the removal: drain_ms "and a little longer (at times many seconds)"
 
 async def case(folder):
     store = Store(); await store.start()
-    tenants = [("t1", [KEY])]
-    store.put("keyed.op", "config", config(3, tenants=tenants)); held = {KEY}
-    replicas = [Replica(store, "i-%d" % i, "app") for i in range(1, 4)]
+    store.put("keyed.op", "config", config(1))
+    replicas = [Replica(store, "i-%d" % i, "app", work=0.15) for i in range(1, 4)]
     for one in replicas: await one.start()
     routers = [Router(store, folder) for _ in range(3)]
     STARTED.extend(routers)
     for one in routers: await one.start()
     for one in routers:
         if not await one.wait_ready(): return 2, "an entry is not ready"
-    keys = {}
-    async def round_of(name):
-        seen = {}
-        for i in range(20):
-            for router in routers:
-                for key in (KEY, NEVER, None):
-                    status, _, _, attempt = await ask(router, "/once/x", key=key)
-                    keys[attempt] = (key, name)
-                    seen.setdefault(key, {}).setdefault(status, 0); seen[key][status] += 1
-        note("round", after=name, seen=str(seen).replace(" ", ""))
-        return seen
-    await round_of("version 3: tenant t1 has a key")
+    results = {}
+    async def client(router):
+        status, _, _, attempt = await ask(router, "/once/x"); results[attempt] = status
+    async def load():
+        while True:
+            asyncio.create_task(client(routers[next(ids) % 3])); await asyncio.sleep(0.02)
+    traffic = asyncio.create_task(load())
+    await asyncio.sleep(5.0)
+    leaver = replicas[0]
+    lost_at = now()
     if TROUBLE:
-        # The tenant loses its key, and is taken out of the config: no tenant is left.
-        store.put("keyed.op", "config", config(5, tenants=[("t1", [])])); await asyncio.sleep(APPLY_S + 0.5)
-        await round_of("version 5: t1 has no key")
-        store.put("keyed.op", "config", config(8, tenants=[])); await asyncio.sleep(APPLY_S + 0.5)
-        await round_of("version 8: no tenant")
-    else:
-        store.put("keyed.op", "config", config(5, tenants=tenants, note="as before")); await asyncio.sleep(APPLY_S + 0.5)
-        await round_of("version 5: as before")
-    ran = {a for one in replicas for _, a in one.runs}
-    foreign = [a for a in ran if keys[a][0] not in held]
-    dropped = [a for a in ran if keys[a][0] == KEY and keys[a][1] != "version 3: tenant t1 has a key" and TROUBLE]
-    text = "requests run whose key no config ever held: %d (of these without any key: %d); run with the key that was taken away, later than config_apply_ms after the acknowledgement: %d" % (
-        len(foreign), len([a for a in foreign if keys[a][0] is None]), len(dropped))
-    return (1 if foreign else 0), text
+        # The store takes this beat and does not answer it; it is done LATE_S later (1 to 6 s).
+        leaver.sequence += 1; late = leaver.entry()
+        note("store.lost", key=leaver.id, sequence=late["sequence"])
+    await asyncio.sleep(CONTACT_MS / 1000 + 0.3)   # beats go on, in order; the store is calm
+    leaver.silence()
+    store.put("keyed.servers", leaver.id, None); removed_at = now()
+    note("removed", replica=leaver.id)
+    async def late_write():
+        await asyncio.sleep(lost_at + LATE_S - now())
+        store.put("keyed.servers", leaver.id, late); note("store.late", key=leaver.id, sequence=late["sequence"])
+        await asyncio.sleep(3 * INTERVAL)          # three intervals of silence
+        store.put("keyed.servers", leaver.id, None)
+    if TROUBLE: asyncio.create_task(late_write())
+    await asyncio.sleep(removed_at + LINGER_S - now())
+    cut = {a for _, a in leaver.runs[-20:]}
+    await leaver.stop(); note("exit", replica=leaver.id)
+    await asyncio.sleep(6.0)
+    traffic.cancel(); await asyncio.sleep(1.0)
+    limit = removed_at + DRAIN_MS / 1000
+    broken = [(at, a) for at, a in leaver.runs if at > limit]
+    lost = [a for a in cut if results.get(a, 0) not in (200,) and a in results]
+    statuses = {}
+    for s in results.values(): statuses[s] = statuses.get(s, 0) + 1
+    text = "requests that reached and were run by %s later than drain_ms after its removal: %d (first %.2f s after it); run there and cut by its exit: %d; statuses %s" % (
+        leaver.id, len(broken), broken[0][0] - removed_at if broken else 0, len(lost), statuses)
+    return (1 if broken else 0), text
 
 run_case(case, os.path.dirname(os.path.abspath(__file__)))
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,5 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/bin/reedramp-router ] || { echo "target/bin/reedramp-router is not built"; exit 2; }
+export PYTHONDONTWRITEBYTECODE=1
 exec python3 "$here/case.py"
