--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """The config has grown by many routes, all in use, when a bad version is rolled out."""
 import os, random, sys
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand-ins-2"))
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "stand-ins-2"))
 from platform_stand_in import *
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -31,6 +32,7 @@
         await asyncio.sleep(0.02)
         arrivals.append((attempt, now() if fails else None))
         self.send(writer, 500 if fails else 200, attempt, self.body_for(attempt))
+        note("answer", replica=self.id, attempt=attempt, status=500 if fails else 200)
         return True
     async def client(router, path, attempt):
         sent[attempt] = now(); results[attempt], _, _, _ = await ask(router, path, attempt=attempt, headers={"Session": "s%d" % (len(sent) % 997)})
@@ -55,4 +57,6 @@
         len(arrivals), len(at_service), limit, len(late), lost, status and status["state"])
     return (1 if len(arrivals) > limit or late else 0), text
 
-run_case(case, os.path.dirname(os.path.abspath(__file__)))
+open_record(os.path.join(HERE, "record.txt"))   # what was sent, answered and run
+note("case", number=4, trouble=int(TROUBLE))
+run_case(case)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """Keys are taken away until no tenant is left; requests with keys that no config ever held follow."""
 import os, sys
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand-ins-2"))
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "stand-ins-2"))
 from platform_stand_in import *
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -46,4 +47,6 @@
         len(foreign), len([a for a in foreign if keys[a][0] is None]), len(dropped))
     return (1 if foreign else 0), text
 
-run_case(case, os.path.dirname(os.path.abspath(__file__)))
+open_record(os.path.join(HERE, "record.txt"))   # what was sent, answered and run
+note("case", number=5, trouble=int(TROUBLE))
+run_case(case)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """A replica leaves without reporting it; a beat of it that the store took seconds before is done late."""
 import os, sys
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand-ins-2"))
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "stand-ins-2"))
 from platform_stand_in import *
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -55,4 +56,6 @@
         leaver.id, len(broken), broken[0][0] - removed_at if broken else 0, len(lost), statuses)
     return (1 if broken else 0), text
 
-run_case(case, os.path.dirname(os.path.abspath(__file__)))
+open_record(os.path.join(HERE, "record.txt"))   # what was sent, answered and run
+note("case", number=6, trouble=int(TROUBLE))
+run_case(case)
--- a/review/stand-ins-2/platform_stand_in.py
+++ b/review/stand-ins-2/platform_stand_in.py
@@ -3,12 +3,16 @@
 
 T0 = time.monotonic()
 RECORD = []
+RECORD_FILE = None
+def line_of(at, kind, data):
+    return "%9.3f %-14s %s\n" % (at, kind, " ".join("%s=%s" % i for i in data.items()))
+def open_record(path):
+    """Each line is in the file as soon as it is noted, so that a run that is ended early leaves its record."""
+    global RECORD_FILE
+    RECORD_FILE = open(path, "w", buffering=1)
 def note(kind, **data):
     RECORD.append((time.monotonic() - T0, kind, data))
-def write_record(path):
-    with open(path, "w") as out:
-        for at, kind, data in RECORD:
-            out.write("%9.3f %-14s %s\n" % (at, kind, " ".join("%s=%s" % i for i in data.items())))
+    if RECORD_FILE: RECORD_FILE.write(line_of(*RECORD[-1]))
 def now(): return time.monotonic() - T0
 
 async def read_head(reader):
@@ -176,6 +180,7 @@
                     if await self.handler(self, first, headers, body, reader, writer): continue
                 note("run", replica=self.id, attempt=attempt); self.runs.append((now(), attempt))
                 await asyncio.sleep(self.work)
+                if writer.is_closing(): note("cut", replica=self.id, attempt=attempt); break
                 self.send(writer, 200, attempt, self.body_for(attempt))
                 note("answer", replica=self.id, attempt=attempt, status=200)
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -274,19 +279,23 @@
     c.update(more); return c
 
 STARTED = []
-def run_case(case, folder_of_case):
-    """Runs `case(folder)`, which returns the exit code and a sentence; writes record.txt; ends all."""
+BROKEN = 10   # run.sh makes 1 of it: Python itself exits with 1 for an error before a case begins.
+def run_case(case):
+    """Runs `case(folder)`, which returns 0, 1 or 2 and a sentence, and ends all that was started."""
     async def main():
         import shutil, traceback
         folder = tempfile.mkdtemp(prefix="reedramp-case-")
         code, text = 2, "the case could not run"
-        try: code, text = await asyncio.wait_for(case(folder), 110)
-        except BaseException: traceback.print_exc()
+        task = asyncio.ensure_future(asyncio.wait_for(case(folder), 105))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        try: code, text = await task
+        except BaseException as e: traceback.print_exc(); text += ": " + type(e).__name__
         for one in STARTED: await one.end()
         note("verdict", code=code, text=text)
-        write_record(os.path.join(folder_of_case, "record.txt"))
         if os.environ.get("KEEP"): print(folder)
         else: shutil.rmtree(folder, ignore_errors=True)
         print(text, flush=True); print({0: "held", 1: "BROKEN", 2: "could not run"}[code], flush=True)
-        os._exit(code)
+        RECORD_FILE.close()
+        os._exit(BROKEN if code == 1 else code)
     asyncio.run(main())
