A server that has gone is not used again by a registration that the store does late

Callers saw: requests that may run once were cut and answered 502 after a server had ended without announcing it.

Cause: with the end of a registration the table forgot the server and took the next record under its id for a new beginning. The number that orders an instance's registrations was not read. That the instance had ended was known, and asked only for a store that came back older.

Evidence: no request between the removal and the late write, and all entries use the server within one reading of it.

Now the number is read, kept and handed on, with the ends as well. An ended instance counts again with a higher number only, and if it left (its end followed on its last registration sooner than it could have lapsed), not before late writes are over. One rule serves late writes, older copies of the store and peers' reports, so that an entry that has read the late record alone is put right by the first report. The same for a registration that is overtaken while its server is registered or in its grace period, and for an earlier instance after the end of the later one.

Reports name ten ended servers instead of sixteen, as each takes 24 bytes instead of 16.

--- a/source/core/router/list_update.cpp
+++ b/source/core/router/list_update.cpp
@@ -39,6 +39,8 @@
     to.setIsGone(!from.now);
     to.setProblem(from.problem);
     if (!from.now) {
+        to.setSequence(from.end.last_sequence);
+        to.setHasLeft(from.end.has_left);
         return;
     }
     const auto& now = *from.now;
@@ -50,6 +52,7 @@
     to.setIsLeaving(now.is_leaving);
     to.setColdMs(milliseconds_field(now.cold_for));
     to.setBornMs(now.started_at.value());
+    to.setSequence(now.sequence);
 }
 
 auto read_change(schema::ServerChange::Reader from) -> routing::registration_change
@@ -58,6 +61,7 @@
     change.id = common::server_id{text_of(from.getId())};
     change.problem = text_of(from.getProblem());
     if (from.getIsGone()) {
+        change.end = {from.getSequence(), from.getHasLeft()};
         return change;
     }
     routing::registration now;
@@ -70,6 +74,7 @@
     now.is_leaving = from.getIsLeaving();
     now.cold_for = std::chrono::milliseconds{from.getColdMs()};
     now.started_at = routing::start_time{from.getBornMs()};
+    now.sequence = from.getSequence();
     change.now = std::move(now);
     return change;
 }
--- a/source/core/router/peer_report.cpp
+++ b/source/core/router/peer_report.cpp
@@ -312,6 +312,13 @@
     }
 }
 
+/// A number that the message can't hold counts as unknown; servers reach it after a century.
+auto sequence_field(std::uint64_t sequence) -> std::uint32_t
+{
+    const bool fits = sequence <= std::numeric_limits<std::uint32_t>::max();
+    return fits ? static_cast<std::uint32_t>(sequence) : 0;
+}
+
 auto read_report(schema::Words::Reader from) -> peer_report
 {
     peer_report report;
@@ -362,7 +369,8 @@
         report.leaving.push_back(server);
     }
     for (const auto end : from.getEnded()) {
-        report.ended.push_back({end.getServer(), end.getReadTo()});
+        report.ended.push_back(
+            {end.getServer(), end.getReadTo(), {end.getLastSequence(), end.getHasLeft()}});
     }
     report.evacuations.known_to = stream_position{from.getOrdersKnownTo()};
     for (const auto data_centre : from.getEvacuated()) {
@@ -430,6 +438,8 @@
     for (unsigned i = 0; i < report.ended.size(); ++i) {
         ended[i].setServer(report.ended[i].server);
         ended[i].setReadTo(report.ended[i].read_to);
+        ended[i].setLastSequence(sequence_field(report.ended[i].end.last_sequence));
+        ended[i].setHasLeft(report.ended[i].end.has_left);
     }
     root.setOrdersKnownTo(report.evacuations.known_to.value());
     auto evacuated = root.initEvacuated(static_cast<unsigned>(report.evacuations.evacuated.size()));
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -46,6 +46,10 @@
 struct EndedServer {
   server @0 :UInt64;
   readTo @1 :UInt64;
+  # Number of its last registration, 0 if unknown or from earlier releases, and whether the server
+  # left rather than lapsed.
+  lastSequence @2 :UInt32;
+  hasLeft @3 :Bool;
 }
 
 # The limit that a server stated in a response to the sender: requests per second from all entries
@@ -213,6 +217,11 @@
   isLeaving @8 :Bool;
   coldMs @9 :UInt32;
   bornMs @10 :UInt64;
+  # Number of the registration, or of the last one before the end; 0 if unknown or from earlier
+  # releases.
+  sequence @11 :UInt64;
+  # The registration has ended because the server left.
+  hasLeft @12 :Bool;
 }
 
 # Update of the server list for neighbours: sent as a datagram after the prefix that the codec
--- a/source/core/router/rules_follower.hpp
+++ b/source/core/router/rules_follower.hpp
@@ -20,6 +20,8 @@
     std::chrono::milliseconds first_pause{150};
     /// Time after an outage of the store in which registrations that lapsed during it are renewed.
     std::chrono::milliseconds registration_grace{2000};
+    /// Interval at which servers register again; 0 if unknown.
+    std::chrono::milliseconds registration_period{0};
 };
 
 /// Returns the pause after a failed call, which depends on whether `core` is ready.
--- a/source/core/router/servers_list.cpp
+++ b/source/core/router/servers_list.cpp
@@ -1,7 +1,6 @@
 #include "router/servers_list.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <set>
 #include <unordered_set>
 #include <utility>
@@ -27,14 +26,24 @@
 /// start time means that the clock of the server or of this host is wrong.
 constexpr std::uint64_t clock_tolerance_ms = 60'000;
 
+/// Registrations lapse after this many intervals without one.
+constexpr int lapse_periods = 3;
+
+/// Whether the registration under the id has ended.
+auto says_end(const registration_change& change) -> bool
+{
+    return !change.now && change.problem.empty();
+}
+
 /// Whether neighbours need the change. Most records are heartbeats, which they do not need. The
 /// effect of other records may depend on what this entry already knew and its neighbours may not
 /// know, so those are forwarded.
 auto matters_to_neighbours(const registration_change& change, table_event event) -> bool
 {
-    const bool has_changed = event != table_event::none && event != table_event::late;
-    const bool says_end = !change.now || change.now->is_leaving;
-    return has_changed || says_end;
+    const bool has_changed = event != table_event::none && event != table_event::late &&
+                             event != table_event::written_before_end;
+    const bool gets_no_work = !change.now || change.now->is_leaving;
+    return has_changed || gets_no_work;
 }
 
 } // namespace
@@ -57,11 +66,12 @@
     const bool follows = before && *before <= end;
     const bool is_copy =
         found.is_whole && before && stream_position{*before}.era() != found.end.era();
-    list_part part{
-        follows ? before : std::nullopt,
-        end,
-        this->apply(
-            is_copy ? this->without_ended(found.documents) : found.documents, found.is_whole)};
+    reading_facts facts{
+        found.is_whole,
+        is_copy ? routing::record_source::older_copy : routing::record_source::current,
+        found.is_whole ? std::nullopt : this->last_asked_at};
+    this->last_asked_at = asked_at;
+    list_part part{follows ? before : std::nullopt, end, this->apply(found.documents, facts)};
     this->journal.note(part.from.value_or(end), end, part.changes);
     this->position = end;
     this->core->freshness.note_read(end, !part.changes.empty(), now, asked_at);
@@ -109,7 +119,8 @@
     }
     this->core->note_era(stream_position{handed.end}, "a neighbour");
     const auto now = this->core->hooks.clock();
-    const auto for_neighbours = this->apply(handed.changes, is_whole);
+    const auto for_neighbours =
+        this->apply(handed.changes, {is_whole, routing::record_source::current, std::nullopt});
     this->journal.note(this->position.value_or(handed.end), handed.end, for_neighbours);
     this->position = handed.end;
     this->last_neighbour_part_at = now;
@@ -140,67 +151,103 @@
     this->remove_stale_state(now);
 }
 
-auto servers_list::apply(const std::vector<registration_change>& changes, bool is_whole)
+auto servers_list::apply(
+    const std::vector<registration_change>& changes, const reading_facts& facts)
     -> std::vector<registration_change>
 {
     const auto now = this->core->hooks.clock();
+    const auto& servers = this->core->servers;
     std::vector<registration_change> for_neighbours;
     std::set<common::server_id> named;
-    for (const auto& change : changes) {
+    for (auto change : changes) {
         named.insert(change.id);
+        if (says_end(change)) {
+            change.end = this->complete_end(change, facts, now);
+        }
+        const bool was_lapsed = servers.state_of(change.id) == routing::server_state::lapsed;
+        const auto event = this->apply(change, facts, now);
         // This entry kept sending to the server; neighbours must learn that it is back, or they
         // drop it.
         const bool is_back =
-            this->core->servers.state_of(change.id) == routing::server_state::lapsed;
-        if (matters_to_neighbours(change, this->apply(change, now)) || is_back) {
-            for_neighbours.push_back(change);
+            was_lapsed && servers.state_of(change.id) != routing::server_state::lapsed;
+        if (matters_to_neighbours(change, event) || is_back) {
+            for_neighbours.push_back(std::move(change));
         }
     }
-    if (!is_whole) {
+    if (!facts.is_whole) {
         return for_neighbours;
     }
-    for (const auto& id : this->core->servers.listed()) {
+    for (const auto& id : servers.listed()) {
         if (!named.contains(id)) {
-            this->lapse(id, now);
-            for_neighbours.push_back({id, std::nullopt});
+            registration_change gone{id, std::nullopt};
+            gone.end = this->complete_end(gone, facts, now);
+            this->lapse(id, gone.end, now);
+            for_neighbours.push_back(std::move(gone));
         }
     }
     return for_neighbours;
 }
 
-auto servers_list::without_ended(const std::vector<registration_change>& changes) const
-    -> std::vector<registration_change>
+auto servers_list::complete_end(
+    const registration_change& change, const reading_facts& facts, time_point now) const
+    -> routing::registration_end
 {
-    const auto& servers = this->core->servers;
-    std::vector<registration_change> others;
-    std::ranges::copy_if(changes, std::back_inserter(others), [&servers](const auto& change) {
-        const bool is_ended =
-            change.now && !servers.state_of(change.id) && servers.has_ended(change.now->instance());
-        if (is_ended) {
-            common::log(
-                log_part::members,
-                log_level::info,
-                "ended server ignored in an older copy of the store server=" +
-                    to_string(change.now->instance()));
-        }
-        return !is_ended;
-    });
-    return others;
+    const auto last = this->core->servers.last_registration_of(change.id);
+    auto end = change.end;
+    end.last_sequence = std::max(end.last_sequence, last.sequence);
+    const bool was_watched = facts.written_after && last.written_after &&
+                             this->core->freshness.outage_ended(now) <= *last.written_after;
+    // The store removes what has lapsed only after several intervals of silence.
+    const auto lapse_time =
+        this->options.registration_period * lapse_periods - this->options.registration_period / 4;
+    end.has_left = end.has_left || (was_watched && now - *last.written_after < lapse_time);
+    return end;
 }
 
-auto servers_list::apply(const registration_change& change, time_point now) -> table_event
+auto servers_list::apply(
+    const registration_change& change, const reading_facts& facts, time_point now) -> table_event
 {
-    if (!change.now && change.problem.empty()) {
-        return this->lapse(change.id, now);
+    if (says_end(change)) {
+        return this->lapse(change.id, change.end, now);
     }
     auto& servers = this->core->servers;
-    const auto event = change.now
-                           ? servers.apply_registration(this->with_read_time(*change.now, now), now)
-                           : servers.mark_unreadable(change.id);
-    this->log_event(event, change);
+    if (!change.now) {
+        const auto event = servers.mark_unreadable(change.id);
+        this->log_event(event, change);
+        return event;
+    }
+    const auto event = servers.apply_registration(
+        this->with_read_time(*change.now, now), now, facts.source, facts.written_after);
+    if (event == table_event::written_before_end) {
+        this->on_written_before_end(*change.now, facts, now);
+    }
+    else {
+        this->log_event(event, change);
+    }
     return event;
 }
 
+auto servers_list::on_written_before_end(
+    const routing::registration& read, const reading_facts& facts, time_point now) -> void
+{
+    const auto known = this->core->servers.end_after(read, now, facts.source);
+    if (!known) {
+        return;
+    }
+    const auto ago = std::chrono::duration_cast<std::chrono::milliseconds>(now - known->at);
+    this->core->counters.count_server_statement(
+        std::string{to_string(table_event::written_before_end)});
+    common::log(
+        log_part::members,
+        log_level::info,
+        "registration ignored, written before the server's end server=" +
+            to_string(read.instance()) + " sequence=" + std::to_string(read.sequence) +
+            " last_sequence=" + std::to_string(known->end.last_sequence) + " has_left=" +
+            (known->end.has_left ? "yes" : "no") + " ended_ms_ago=" + std::to_string(ago.count()) +
+            " older_copy=" + (facts.source == routing::record_source::older_copy ? "yes" : "no"));
+    this->core->servers.report_end_again(read.instance(), this->core->freshness.read_to(), now);
+}
+
 auto servers_list::with_read_time(routing::registration read, time_point now) const
     -> routing::registration
 {
@@ -234,13 +281,19 @@
     common::log(log_part::members, log_level::info, line + more);
 }
 
-auto servers_list::lapse(const common::server_id& id, time_point now) -> table_event
+auto servers_list::lapse(
+    const common::server_id& id, const routing::registration_end& end, time_point now)
+    -> table_event
 {
-    const auto event = this->core->servers.lapse(id);
+    const auto event = this->core->servers.lapse(id, end, now);
     // If there was never an outage, its end lies too far in the past for a meaningful difference.
     const auto until = std::max(this->kept_until(now), now);
     const auto kept = std::chrono::duration_cast<std::chrono::milliseconds>(until - now);
-    this->log_event(event, {id, std::nullopt}, " kept_ms=" + std::to_string(kept.count()));
+    this->log_event(
+        event,
+        {id, std::nullopt},
+        " kept_ms=" + std::to_string(kept.count()) + " last_sequence=" +
+            std::to_string(end.last_sequence) + " has_left=" + (end.has_left ? "yes" : "no"));
     return event;
 }
 
--- a/source/core/router/servers_list.hpp
+++ b/source/core/router/servers_list.hpp
@@ -73,17 +73,33 @@
     }
 
 private:
+    /// What a set of changes says beside the changes themselves.
+    struct reading_facts {
+        bool is_whole = false;
+        routing::record_source source = routing::record_source::current;
+        /// All of its records were written after this time; none if that is unknown.
+        std::optional<time_point> written_after;
+    };
+
     /// Handles a reading that ends before the known position.
     auto apply_earlier_reading(std::uint64_t end, time_point asked_at) -> list_part;
     /// Applies the changes. Returns those that neighbours need.
-    auto apply(const std::vector<routing::registration_change>& changes, bool is_whole)
-        -> std::vector<routing::registration_change>;
-    /// Returns the changes without ended servers, which an older copy of the store still lists. A
-    /// server that is alive registers again.
-    [[nodiscard]] auto without_ended(const std::vector<routing::registration_change>& changes) const
+    auto apply(const std::vector<routing::registration_change>& changes, const reading_facts& facts)
         -> std::vector<routing::registration_change>;
-    auto apply(const routing::registration_change& change, time_point now) -> routing::table_event;
-    auto lapse(const common::server_id& id, time_point now) -> routing::table_event;
+    auto
+    apply(const routing::registration_change& change, const reading_facts& facts, time_point now)
+        -> routing::table_event;
+    auto lapse(const common::server_id& id, const routing::registration_end& end, time_point now)
+        -> routing::table_event;
+    /// What is known about the end of a server's registration, beside what the change says.
+    [[nodiscard]] auto complete_end(
+        const routing::registration_change& change,
+        const reading_facts& facts,
+        time_point now) const -> routing::registration_end;
+    /// Logs a registration that was written before the end of its instance, and reports that end to
+    /// peers again.
+    auto on_written_before_end(
+        const routing::registration& read, const reading_facts& facts, time_point now) -> void;
     /// Sets the fields that depend on the time of the reading.
     [[nodiscard]] auto with_read_time(routing::registration read, time_point now) const
         -> routing::registration;
@@ -109,6 +125,8 @@
     std::optional<std::uint64_t> position_before_reset;
     /// When a neighbour's part last advanced the position.
     time_point last_neighbour_part_at{};
+    /// When the last reading of this entry was requested.
+    std::optional<time_point> last_asked_at;
     routing::list_journal journal;
     bool is_check_scheduled = false;
     time_point last_sweep{};
--- a/source/core/routing/departure_tracker.cpp
+++ b/source/core/routing/departure_tracker.cpp
@@ -6,9 +6,12 @@
 
 namespace {
 
-/// Maximum number of leaving, and of ended, servers in one report (128 and 256 bytes): more than
-/// leave within some seconds.
-constexpr std::size_t max_reported = 16;
+/// Maximum number of leaving servers in one report (128 bytes): more than leave within some
+/// seconds.
+constexpr std::size_t max_leaving_reported = 16;
+
+/// The same of ended servers (240 bytes). Most entries learn of ends from the list.
+constexpr std::size_t max_ended_reported = 10;
 
 /// How long a leaving server is reported to peers. Without a limit, the newest sixteen would take a
 /// quarter of each message. A list that lags, or a peer that was paused, is only seconds behind.
@@ -24,26 +27,59 @@
 auto departure_tracker::note_leaving(const server_instance& instance, time_point now) -> void
 {
     this->newest_leaving.push_back({hash_of(instance), now});
-    if (this->newest_leaving.size() > max_reported) {
+    if (this->newest_leaving.size() > max_leaving_reported) {
         this->newest_leaving.pop_front();
     }
 }
 
-auto departure_tracker::note_ended(const server_instance& instance, time_point now) -> void
+auto departure_tracker::note_ended(
+    std::uint64_t instance_hash, const registration_end& end, time_point now) -> void
 {
-    this->ended_instances.push_back({hash_of(instance), now});
-    while (this->ended_instances.size() > max_left ||
-           now - this->ended_instances.front().at > left_retention) {
-        this->ended_instances.pop_front();
+    const auto found = this->ended_instances.find(instance_hash);
+    if (found != this->ended_instances.end()) {
+        // Repeated reports of the same end must not prolong the time for which it counts.
+        auto& known = found->second;
+        if (end.last_sequence > known.end.last_sequence) {
+            known = {end, now};
+        }
+        known.end.has_left = known.end.has_left || end.has_left;
+        return;
     }
+    if (this->ended_instances.size() >= max_left) {
+        this->ended_instances.erase(std::ranges::min_element(
+            this->ended_instances, {}, [](const auto& item) { return item.second.at; }));
+    }
+    this->ended_instances.emplace(instance_hash, ended_instance{end, now});
 }
 
 auto departure_tracker::note_end_read(
+    const server_instance& instance,
+    const registration_end& end,
+    std::uint64_t read_to,
+    time_point now) -> void
+{
+    const auto hash = hash_of(instance);
+    this->note_ended(hash, end, now);
+    this->ended_instances.at(hash).at = now;
+    this->report({hash, read_to, end}, now);
+}
+
+auto departure_tracker::report_again(
     const server_instance& instance, std::uint64_t read_to, time_point now) -> void
 {
-    this->note_ended(instance, now);
-    this->newest_ended.push_back({{hash_of(instance), read_to}, now});
-    if (this->newest_ended.size() > max_reported) {
+    const auto found = this->ended_instances.find(hash_of(instance));
+    if (found != this->ended_instances.end()) {
+        this->report({hash_of(instance), read_to, found->second.end}, now);
+    }
+}
+
+auto departure_tracker::report(const ended_report& end, time_point now) -> void
+{
+    std::erase_if(this->newest_ended, [&end](const ended_server& one) {
+        return one.report.server == end.server;
+    });
+    this->newest_ended.push_back({end, now});
+    if (this->newest_ended.size() > max_ended_reported) {
         this->newest_ended.pop_front();
     }
 }
@@ -68,17 +104,40 @@
     return newest;
 }
 
-auto departure_tracker::has_ended(const server_instance& instance) const -> bool
+auto departure_tracker::end_after(const registration& read, time_point now, record_source source)
+    const -> std::optional<ended_instance>
 {
-    return std::ranges::find(this->ended_instances, hash_of(instance), &left_server::hash) !=
-           this->ended_instances.end();
+    const auto found = this->ended_instances.find(hash_of(read.instance()));
+    if (found == this->ended_instances.end()) {
+        return std::nullopt;
+    }
+    const auto& known = found->second;
+    const bool may_be_late =
+        source == record_source::older_copy || now - known.at <= late_write_window;
+    const bool is_ordered = read.sequence != 0 && known.end.last_sequence != 0;
+    if (!is_ordered) {
+        const bool is_before =
+            source == record_source::older_copy || (may_be_late && known.end.has_left);
+        return is_before ? std::optional{known} : std::nullopt;
+    }
+    if (read.sequence > known.end.last_sequence) {
+        // Servers whose registration lapsed may come back. Those that left do not: the record is
+        // the last one that they wrote.
+        return may_be_late && known.end.has_left ? std::optional{known} : std::nullopt;
+    }
+    // An instance is told by its start. Without one, its next run counts from the beginning again.
+    const bool is_same_run = read.started_at != start_time{0} || may_be_late;
+    return is_same_run ? std::optional{known} : std::nullopt;
 }
 
-auto departure_tracker::expire_reports(time_point now) -> void
+auto departure_tracker::expire(time_point now) -> void
 {
     std::erase_if(this->newest_leaving, [now](const auto& one) {
         return now - one.at > leaving_reported_for;
     });
+    std::erase_if(this->ended_instances, [now](const auto& item) {
+        return now - item.second.at > left_retention;
+    });
 }
 
 } // namespace reedramp::routing
--- a/source/core/routing/registration.hpp
+++ b/source/core/routing/registration.hpp
@@ -30,6 +30,9 @@
     /// `cold_for` as a deadline on this process's clock; set by the reader of the list.
     common::time_point cold_until{};
     start_time started_at{0};
+    /// Number of this registration among those of its instance, which count up from its start; 0 if
+    /// unknown. Tells a late write from a newer one, which the order of arrival does not.
+    std::uint64_t sequence = 0;
     /// Whether its start time is ahead of this host's clock by more than clocks may differ; set by
     /// the reader of the list.
     bool starts_in_future = false;
@@ -48,6 +51,16 @@
     return server.id_hash == 0 ? hash_of(server.id) : server.id_hash;
 }
 
+/// What is known about the end of an instance's registration.
+struct registration_end {
+    /// Number of the last registration before it; 0 if unknown.
+    std::uint64_t last_sequence = 0;
+    /// The server left: its registration was removed before it could have lapsed.
+    bool has_left = false;
+
+    auto operator==(const registration_end&) const -> bool = default;
+};
+
 /// A change of the server list: a new or updated registration, or the end of one.
 struct registration_change {
     common::server_id id;
@@ -56,6 +69,8 @@
     /// Why the record under that id is not a valid registration; empty if it is valid, or has been
     /// removed.
     std::string problem{};
+    /// If the registration has ended: what its reader knew about that.
+    registration_end end{};
 };
 
 } // namespace reedramp::routing
--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -53,23 +53,52 @@
         return "warm";
     case table_event::late:
         return "late";
+    case table_event::written_before_end:
+        return "written_before_end";
     }
     return "unknown";
 }
 
 auto server_table::is_late(const registration& read, const known_server& known, time_point now)
     -> bool
+{
+    const bool is_recent = now - known.last_report_at <= silent_after;
+    if (is_of_earlier_instance(read, known)) {
+        return is_recent;
+    }
+    // Without a start, the server's next run is the same instance and counts anew.
+    return is_overtaken(read, known) && (is_recent || read.started_at != start_time{0});
+}
+
+auto server_table::is_of_earlier_instance(const registration& read, const known_server& known)
+    -> bool
 {
     // An instance that starts in the future precedes none: its server's clock was wrong.
-    return read.started_at < known.last.started_at && !known.last.starts_in_future &&
-           now - known.last_report_at <= silent_after;
+    return read.started_at < known.last.started_at && !known.last.starts_in_future;
 }
 
-auto server_table::apply_registration(const registration& read, time_point now) -> table_event
+auto server_table::is_overtaken(const registration& read, const known_server& known) -> bool
+{
+    const bool is_numbered = read.sequence != 0 && known.last.sequence != 0;
+    if (read.started_at != known.last.started_at || !is_numbered || read.is_leaving) {
+        return false;
+    }
+    // The same registration, read again, is no sign that a server whose registration ended is back.
+    return known.state == server_state::lapsed ? read.sequence <= known.last.sequence
+                                               : read.sequence < known.last.sequence;
+}
+
+auto server_table::apply_registration(
+    const registration& read,
+    time_point now,
+    record_source source,
+    std::optional<time_point> written_after) -> table_event
 {
     const auto found = this->servers.find(read.id);
     if (found == this->servers.end()) {
-        return this->begin(read, now);
+        // That it leaves is true whenever it was written.
+        const bool is_over = !read.is_leaving && this->end_after(read, now, source);
+        return is_over ? table_event::written_before_end : this->begin(read, now, written_after);
     }
     auto& known = found->second;
     const bool says_no_start =
@@ -84,7 +113,8 @@
     known.last_report_at = now;
     if (read.started_at != known.last.started_at) {
         const bool had_work = known.gets_work();
-        const auto began = this->begin(read, now);
+        this->note_ended(known, {0, true}, now);
+        const auto began = this->begin(read, now, written_after);
         if (began == table_event::usable) {
             return table_event::restarted;
         }
@@ -103,11 +133,15 @@
         this->forget_usable();
     }
     const auto hash = known.last.id_hash;
+    const auto sequence = read.sequence == 0 ? known.last.sequence : read.sequence;
     const auto warmth = note_warmth(known, read, now);
     const auto cold_until = std::max(read.cold_until, known.cold_at_least);
     known.last = read;
     known.last.id_hash = hash;
+    known.last.sequence = sequence;
     known.last.cold_until = cold_until;
+    known.written_after = written_after;
+    known.end = {};
     known.state = server_state::usable;
     return had_work ? warmth : table_event::usable;
 }
@@ -139,10 +173,12 @@
     }
 }
 
-auto server_table::begin(const registration& read, time_point now) -> table_event
+auto server_table::begin(
+    const registration& read, time_point now, std::optional<time_point> written_after)
+    -> table_event
 {
     auto& known = this->servers[read.id];
-    known = {read, server_state::usable, now, {}};
+    known = {read, server_state::usable, now, written_after, {}, {}};
     known.last.id_hash = hash_of(read.id);
     this->forget_usable();
     return read.is_leaving ? this->set_leaving(known, now) : table_event::usable;
@@ -161,13 +197,22 @@
     return had_work ? table_event::leaving : table_event::none;
 }
 
-auto server_table::lapse(const common::server_id& id) -> table_event
+auto server_table::note_ended(const known_server& server, registration_end end, time_point now)
+    -> void
+{
+    end.last_sequence = std::max(end.last_sequence, server.last.sequence);
+    this->departures.note_ended(hash_of(server.last.instance()), end, now);
+}
+
+auto server_table::lapse(const common::server_id& id, const registration_end& end, time_point now)
+    -> table_event
 {
     const auto found = this->servers.find(id);
     if (found == this->servers.end()) {
         return table_event::none;
     }
     if (found->second.state == server_state::unreadable) {
+        this->note_ended(found->second, end, now);
         this->servers.erase(found);
         return table_event::none;
     }
@@ -175,6 +220,7 @@
         return table_event::none;
     }
     found->second.state = server_state::lapsed;
+    found->second.end = {std::max(end.last_sequence, found->second.last.sequence), end.has_left};
     return table_event::lapsed;
 }
 
@@ -220,18 +266,18 @@
     -> std::vector<server_instance>
 {
     std::vector<server_instance> ended;
-    std::erase_if(this->servers, [&ended](const auto& item) {
-        if (item.second.state == server_state::lapsed) {
-            ended.push_back(item.second.last.instance());
+    std::erase_if(this->servers, [&](const auto& item) {
+        const auto& server = item.second;
+        if (server.state != server_state::lapsed) {
+            return false;
         }
-        return item.second.state == server_state::lapsed;
+        ended.push_back(server.last.instance());
+        this->departures.note_end_read(ended.back(), server.end, read_to, now);
+        return true;
     });
     if (!ended.empty()) {
         this->forget_usable();
     }
-    for (const auto& instance : ended) {
-        this->departures.note_end_read(instance, read_to, now);
-    }
     return ended;
 }
 
@@ -241,7 +287,7 @@
     const bool is_meant = found != this->servers.end() && found->second.gets_work() &&
                           found->second.last.instance() == instance;
     if (is_meant) {
-        this->departures.note_ended(instance, now);
+        this->note_ended(found->second, {}, now);
         this->servers.erase(found);
         this->forget_usable();
     }
@@ -256,7 +302,7 @@
         }
     }
     std::ranges::sort(left);
-    this->departures.expire_reports(now);
+    this->departures.expire(now);
     const auto surplus = left.size() > max_left ? left.size() - max_left : 0;
     for (std::size_t i = 0; i < left.size(); ++i) {
         if (i < surplus || now - left[i].first > left_retention) {
@@ -308,19 +354,25 @@
     }
     std::vector<server_instance> ended;
     std::erase_if(this->servers, [&](const auto& item) {
-        const auto instance = item.second.last.instance();
-        const auto hash = hash_of(instance);
-        const auto is_meant = [hash, read_to](const ended_report& end) {
-            return end.read_to > read_to && end.server == hash;
-        };
-        const bool ends_here = item.second.gets_work() && std::ranges::any_of(ends, is_meant);
-        if (ends_here) {
-            ended.push_back(instance);
+        const auto& server = item.second;
+        const auto hash = hash_of(server.last.instance());
+        const auto found = std::ranges::find(ends, hash, &ended_report::server);
+        if (found == ends.end() || !server.gets_work()) {
+            return false;
         }
-        return ends_here;
+        const auto last = found->end.last_sequence;
+        const bool is_from_before =
+            server.last.sequence != 0 && last != 0 && server.last.sequence <= last;
+        if (found->read_to <= read_to && !is_from_before) {
+            return false;
+        }
+        ended.push_back(server.last.instance());
+        this->note_ended(server, found->end, now);
+        return true;
     });
-    for (const auto& instance : ended) {
-        this->departures.note_ended(instance, now);
+    // Also of instances that this entry does not know: it may read their last record yet.
+    for (const auto& end : ends) {
+        this->departures.note_ended(end.server, end.end, now);
     }
     if (!ended.empty()) {
         this->forget_usable();
@@ -412,6 +464,14 @@
     return found == this->servers.end() ? std::nullopt : std::optional{found->second.state};
 }
 
+auto server_table::last_registration_of(const common::server_id& id) const -> last_registration
+{
+    const auto found = this->servers.find(id);
+    return found == this->servers.end()
+               ? last_registration{}
+               : last_registration{found->second.last.sequence, found->second.written_after};
+}
+
 auto server_table::has_lapsed() const -> bool
 {
     return std::ranges::any_of(
--- a/source/core/routing/server_table.hpp
+++ b/source/core/routing/server_table.hpp
@@ -48,8 +48,11 @@
     cold,
     /// It is warm earlier than was known.
     warm,
-    /// The registration was of an earlier instance, and was ignored.
+    /// The registration was of an earlier instance, or was written before one that is known, and
+    /// was ignored.
     late,
+    /// The registration was written before the end of its instance that is known, and was ignored.
+    written_before_end,
 };
 
 auto to_string(table_event event) -> std::string_view;
@@ -72,13 +75,23 @@
 /// registration read out of order, a delayed write, or a delayed message of a peer. The exception
 /// is a known instance that has been silent for too long: then the server's clock was set back
 /// before it restarted, and its new registrations have to count, above all that it leaves.
+///
+/// Registrations of one instance are ordered by their numbers, also beyond its end: one that the
+/// store performs late does not bring back a server that has gone, while a server whose
+/// registration has lapsed is back with its next one.
 class server_table {
 public:
-    /// Applies a registration that was read.
-    auto apply_registration(const registration& read, time_point now) -> table_event;
-
-    /// Records that the registration under an id has ended.
-    auto lapse(const common::server_id& id) -> table_event;
+    /// Applies a registration that was read. `written_after`: a time after which it was written, if
+    /// one is known.
+    auto apply_registration(
+        const registration& read,
+        time_point now,
+        record_source source = record_source::current,
+        std::optional<time_point> written_after = std::nullopt) -> table_event;
+
+    /// Records that the registration under an id has ended, and what others know about that.
+    auto lapse(const common::server_id& id, const registration_end& end = {}, time_point now = {})
+        -> table_event;
 
     /// Records that the record under an id is not a valid registration.
     auto mark_unreadable(const common::server_id& id) -> table_event;
@@ -124,14 +137,26 @@
         return this->departures.ended(now);
     }
 
-    /// Whether this instance ended within the last minutes, as far as this entry knows.
-    [[nodiscard]] auto has_ended(const server_instance& instance) const -> bool
+    /// What is known about the end of the registration's instance, if that was written before it.
+    [[nodiscard]] auto end_after(
+        const registration& read,
+        time_point now,
+        record_source source = record_source::current) const
+        -> std::optional<departure_tracker::ended_instance>
+    {
+        return this->departures.end_after(read, now, source);
+    }
+
+    /// Reports the end of an instance to peers again; `read_to` as in `ended_report`.
+    auto report_end_again(const server_instance& instance, std::uint64_t read_to, time_point now)
+        -> void
     {
-        return this->departures.has_ended(instance);
+        this->departures.report_again(instance, read_to, now);
     }
 
     /// Applies a peer's report that these registrations ended. Removes and returns those whose end
-    /// this entry, which has read the list up to `read_to`, can't know of yet. They may return.
+    /// this entry, which has read the list up to `read_to`, can't know of yet, and those that it
+    /// knows from registrations before their end alone. They may return.
     auto
     end_by_hash(const std::vector<ended_report>& ends, std::uint64_t read_to, time_point now = {})
         -> std::vector<server_instance>;
@@ -159,6 +184,15 @@
 
     [[nodiscard]] auto state_of(const common::server_id& id) const -> std::optional<server_state>;
 
+    /// Number of the server's last known registration, 0 if unknown, and a time after which it was
+    /// written, if known.
+    struct last_registration {
+        std::uint64_t sequence = 0;
+        std::optional<time_point> written_after;
+    };
+
+    [[nodiscard]] auto last_registration_of(const common::server_id& id) const -> last_registration;
+
     [[nodiscard]] auto is_known_leaving(const common::server_id& id) const -> bool
     {
         return this->state_of(id) == server_state::leaving;
@@ -178,6 +212,10 @@
         server_state state = server_state::usable;
         /// When a registration of this instance was last read.
         time_point last_report_at{};
+        /// A time after which the last one was written, if known.
+        std::optional<time_point> written_after;
+        /// What is known about its end, once that was read.
+        registration_end end{};
         /// When it was last reported to be leaving.
         time_point left_at{};
         /// Whether the last registration read was of an earlier instance.
@@ -194,10 +232,20 @@
     auto set_leaving(known_server& server, time_point now) -> table_event;
     static auto note_warmth(known_server& known, const registration& read, time_point now)
         -> table_event;
-    auto begin(const registration& read, time_point now) -> table_event;
+    auto begin(
+        const registration& read,
+        time_point now,
+        std::optional<time_point> written_after = std::nullopt) -> table_event;
+    /// Records an end, so that registrations from before it are known as such.
+    auto note_ended(const known_server& server, registration_end end, time_point now) -> void;
     auto begin_unreadable(const common::server_id& id) -> table_event;
     [[nodiscard]] static auto
     is_late(const registration& read, const known_server& known, time_point now) -> bool;
+    [[nodiscard]] static auto
+    is_of_earlier_instance(const registration& read, const known_server& known) -> bool;
+    /// Whether it was written before the last known registration of the same instance.
+    [[nodiscard]] static auto is_overtaken(const registration& read, const known_server& known)
+        -> bool;
 
     /// Clears the cache after a change of the servers that receive requests, or of their service.
     auto forget_usable() -> void { this->usable_by_service.clear(); }
--- a/source/router/settings.cpp
+++ b/source/router/settings.cpp
@@ -95,6 +95,11 @@
             "Interval of readings of the server list, over all entries.",
             1000,
             50),
+        time_key(
+            "store.registration_period",
+            "Interval at which backend servers register again; 0 if unknown.",
+            0,
+            0),
         time_key("shutdown.grace", "From SIGTERM until the process is killed.", 8000, 1000),
         time_key(
             "shutdown.balancer",
@@ -210,6 +215,7 @@
     read.grace = values.milliseconds("shutdown.grace");
     read.balancer_time = values.milliseconds("shutdown.balancer");
     read.peer_period = values.milliseconds("peers.period");
+    read.follower.registration_period = values.milliseconds("store.registration_period");
     read.router.freshness.period = values.milliseconds("store.servers_period");
     // Covers one lost datagram and the response to a query.
     constexpr std::chrono::milliseconds forward_wait{300};
--- a/source/unit_tests/router/entry_fleet.cpp
+++ b/source/unit_tests/router/entry_fleet.cpp
@@ -76,7 +76,7 @@
             }
         });
     this->set_send_slots(one);
-    one.list = std::make_shared<servers_list>(one.own.core, follower_options{});
+    one.list = std::make_shared<servers_list>(one.own.core, this->follower_settings());
     list_broadcaster_hooks hooks;
     hooks.send = [this, number](const http::endpoint& to, const std::string& bytes) {
         this->send(number, to, bytes);
@@ -375,6 +375,28 @@
     return whole;
 }
 
+auto entry_fleet::follower_settings() const -> follower_options
+{
+    follower_options settings;
+    settings.registration_period = this->options.registration_period;
+    return settings;
+}
+
+auto entry_fleet::take_sequence(const std::string& server, std::uint64_t started_at)
+    -> std::uint64_t
+{
+    return ++this->sequences[{server, started_at}];
+}
+
+auto entry_fleet::write_late(
+    const std::string& server, std::uint64_t sequence, std::uint64_t started_at) -> void
+{
+    auto& newest = this->sequences[{server, started_at}];
+    const auto kept = std::exchange(newest, sequence - 1);
+    this->write(server, false, started_at);
+    newest = std::max(kept, sequence);
+}
+
 auto entry_fleet::write(const std::string& server, bool is_leaving, std::uint64_t started_at)
     -> void
 {
@@ -386,6 +408,7 @@
     one.version = common::version_id{"v1"};
     one.is_leaving = is_leaving;
     one.started_at = routing::start_time{started_at};
+    one.sequence = this->take_sequence(server, started_at);
     this->log.push_back({one.id, one});
 }
 
--- a/source/unit_tests/router/entry_fleet.hpp
+++ b/source/unit_tests/router/entry_fleet.hpp
@@ -31,6 +31,8 @@
     bool knows_first_only = false;
     /// If false, each entry reads every change from the store itself.
     bool shares_updates = true;
+    /// Interval at which servers register again, as the entries know it; 0 if they do not.
+    milliseconds registration_period{0};
     placement::retry_budget_settings retries = ample_retries().retries;
 };
 
@@ -64,6 +66,14 @@
         -> void;
     auto remove(const std::string& server) -> void;
 
+    /// Numbers the server's next registration and does not write it: the store performs it later,
+    /// or never. Returns the number.
+    auto take_sequence(const std::string& server, std::uint64_t started_at = 0) -> std::uint64_t;
+
+    /// Performs a write of the server that has an earlier number.
+    auto write_late(const std::string& server, std::uint64_t sequence, std::uint64_t started_at = 0)
+        -> void;
+
     /// Restores the store from a copy without its newest `records`, whose positions are assigned
     /// again.
     auto restore_older_copy(std::size_t records) -> void;
@@ -163,10 +173,14 @@
     [[nodiscard]] auto passes(std::size_t from, std::size_t to) const -> bool;
     [[nodiscard]] auto number_of(const http::endpoint& where) const -> std::optional<std::size_t>;
 
+    [[nodiscard]] auto follower_settings() const -> follower_options;
+
     fleet_options options;
     std::vector<std::unique_ptr<entry>> ended;
     std::mt19937_64 random;
     std::vector<routing::registration_change> log;
+    /// Number of the last registration of each server and start.
+    std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> sequences;
     std::uint64_t era = 0;
     std::vector<routing::evacuation_order> orders;
     std::uint64_t orders_era = 0;
--- a/source/unit_tests/routing/server_table_test.cpp
+++ b/source/unit_tests/routing/server_table_test.cpp
@@ -33,6 +33,22 @@
     return read;
 }
 
+/// The numbered registration of an instance.
+auto numbered(const common::server_id& id, std::uint64_t sequence, std::uint64_t started_at = 10)
+    -> registration
+{
+    auto read = registered(id, started_at);
+    read.sequence = sequence;
+    return read;
+}
+
+/// Ends the registration of `a` at the table.
+auto end_a(server_table& table, time_point now, const registration_end& end = {}) -> void
+{
+    table.lapse(a, end, now);
+    table.remove_lapsed(7, now);
+}
+
 auto started(const common::server_id& id, std::uint64_t started_at) -> server_instance
 {
     return {id, start_time{started_at}};
@@ -130,6 +146,174 @@
     CHECK(table.is_known_leaving(a));
 }
 
+TEST_CASE("a registration from before a server's end does not bring it back", "[late_registration]")
+{
+    // Guards against requests to a server that has gone, after a late write of its registration.
+    const auto started_at = GENERATE(std::uint64_t{0}, std::uint64_t{10});
+    server_table table;
+    for (std::uint64_t sequence = 1; sequence <= 7; ++sequence) {
+        table.apply_registration(numbered(a, sequence, started_at), start);
+    }
+    end_a(table, start);
+    SECTION("also the last one, read again, and two in a row")
+    {
+        for (const std::uint64_t sequence : {4, 5, 7}) {
+            CHECK(
+                table.apply_registration(numbered(a, sequence, started_at), start + seconds{5}) ==
+                table_event::written_before_end);
+        }
+        CHECK(table.find(a) == nullptr);
+    }
+    SECTION("while the next one does, at once")
+    {
+        CHECK(table.apply_registration(numbered(a, 8, started_at), start) == table_event::usable);
+    }
+    SECTION("unless it says that the server leaves, which is true whenever it was written")
+    {
+        auto leaves = numbered(a, 4, started_at);
+        leaves.is_leaving = true;
+        table.apply_registration(leaves, start);
+        CHECK(table.is_known_leaving(a));
+    }
+    SECTION("nor from an older copy of the store, minutes later")
+    {
+        CHECK(
+            table.apply_registration(
+                numbered(a, 4, started_at), start + minutes{4}, record_source::older_copy) ==
+            table_event::written_before_end);
+        CHECK(
+            table.apply_registration(
+                numbered(a, 8, started_at), start + minutes{4}, record_source::older_copy) ==
+            table_event::usable);
+    }
+}
+
+TEST_CASE("a server that left is not back with the last one that it wrote", "[late_registration]")
+{
+    // Guards against requests to a server whose last registration, lost before its removal, is done
+    // after it: its number is a new one.
+    server_table table;
+    table.apply_registration(numbered(a, 7), start);
+    end_a(table, start, {0, true});
+    CHECK(
+        table.apply_registration(numbered(a, 8), start + seconds{6}) ==
+        table_event::written_before_end);
+    // The store performs no write as late as this.
+    CHECK(
+        table.apply_registration(numbered(a, 9), start + late_write_window + seconds{1}) ==
+        table_event::usable);
+}
+
+TEST_CASE("a server without a start time may run again under its id", "[late_registration]")
+{
+    // Guards against a server that is never used again: its numbers begin anew.
+    server_table table;
+    table.apply_registration(numbered(a, 50, 0), start);
+    end_a(table, start);
+    const auto later = start + late_write_window + seconds{1};
+    CHECK(table.apply_registration(numbered(a, 1, 0), later) == table_event::usable);
+    table.apply_registration(numbered(a, 50, 0), later);
+    // The same while it is registered.
+    CHECK(table.apply_registration(numbered(a, 2, 0), later) == table_event::late);
+    CHECK(table.apply_registration(numbered(a, 2, 0), later + seconds{11}) == table_event::none);
+    CHECK(table.last_registration_of(a).sequence == 2);
+}
+
+TEST_CASE("an earlier instance is not back after the later one's end", "[late_registration]")
+{
+    // Guards against requests to an address that the server had before it started again.
+    server_table table;
+    table.apply_registration(numbered(a, 7, 10), start);
+    table.apply_registration(numbered(a, 1, 20), start);
+    end_a(table, start);
+    CHECK(
+        table.apply_registration(numbered(a, 6, 10), start + seconds{2}) ==
+        table_event::written_before_end);
+    CHECK(table.apply_registration(numbered(a, 1, 30), start + seconds{2}) == table_event::usable);
+}
+
+TEST_CASE("an overtaken registration changes nothing at a running server", "[late_registration]")
+{
+    // Guards against a server that turns cold, or ends a grace period, by a late write.
+    server_table table;
+    table.apply_registration(numbered(a, 7), start);
+    auto overtaken = numbered(a, 4);
+    overtaken.cold_until = start + seconds{9};
+    CHECK(table.apply_registration(overtaken, start) == table_event::late);
+    CHECK_FALSE(table.find(a)->is_cold(start));
+    table.lapse(a);
+    table.apply_registration(numbered(a, 7), start);
+    CHECK(table.state_of(a) == server_state::lapsed);
+    table.apply_registration(numbered(a, 8), start);
+    CHECK(table.state_of(a) == server_state::usable);
+}
+
+TEST_CASE("peers put right an entry that knows a late registration alone", "[late_registration]")
+{
+    // Guards against an entry that started after a server's end, and read nothing else of it.
+    server_table reader;
+    reader.apply_registration(numbered(a, 7), start);
+    end_a(reader, start);
+    const auto reports = reader.ended(start);
+    REQUIRE(reports.size() == 1);
+    server_table young;
+    young.apply_registration(numbered(a, 4), start);
+    // It has read further than the reader had.
+    CHECK(young.end_by_hash(reports, 99, start) == std::vector{started(a, 10)});
+    CHECK(young.apply_registration(numbered(a, 5), start) == table_event::written_before_end);
+    // The server is back: the same reports, still under way, do not end it again.
+    CHECK(young.apply_registration(numbered(a, 8), start) == table_event::usable);
+    CHECK(young.end_by_hash(reports, 99, start).empty());
+    // An entry that hears of the end before it reads the record.
+    server_table informed;
+    informed.end_by_hash(reports, 99, start);
+    CHECK(informed.apply_registration(numbered(a, 4), start) == table_event::written_before_end);
+    // Reported again when a late registration is seen.
+    CHECK(reader.ended(start + seconds{11}).empty());
+    reader.report_end_again(started(a, 10), 120, start + seconds{11});
+    CHECK(reader.ended(start + seconds{12}).size() == 1);
+}
+
+TEST_CASE("an ended instance without numbers may return, as before", "[late_registration]")
+{
+    // Guards against servers that stay out of use while an entry of an earlier release reads the
+    // list for the others.
+    server_table table;
+    table.apply_registration(numbered(a, 0), start);
+    end_a(table, start);
+    CHECK(table.apply_registration(numbered(a, 0), start) == table_event::usable);
+    end_a(table, start);
+    CHECK(
+        table.apply_registration(numbered(a, 0), start, record_source::older_copy) ==
+        table_event::written_before_end);
+}
+
+TEST_CASE("ended servers take a bounded memory", "[late_registration]")
+{
+    // Guards against growth with each server that was ever replaced.
+    server_table table;
+    const auto register_and_end = [&table](int number) {
+        const common::server_id id{std::to_string(number)};
+        const auto now = start + std::chrono::milliseconds{number};
+        table.apply_registration(numbered(id, 1), now);
+        table.lapse(id, {}, now);
+        table.remove_lapsed(7, now);
+    };
+    const auto is_remembered = [&table](int number) {
+        const auto read = numbered(common::server_id{std::to_string(number)}, 1);
+        return table.end_after(read, start + seconds{5}).has_value();
+    };
+    for (int i = 0; i < 5000; ++i) {
+        register_and_end(i);
+    }
+    CHECK_FALSE(is_remembered(2951));
+    CHECK(is_remembered(2952));
+    CHECK(is_remembered(4999));
+    CHECK(table.ended(start + seconds{5}).size() <= 16);
+    table.expire_left(start + minutes{6});
+    CHECK_FALSE(is_remembered(4999));
+}
+
 TEST_CASE("implausible start times have a defined effect", "[server_table]")
 {
     server_table table;
