Reports between entries have a bound, whatever the number of routes; silence is no consent

Cause: a report held the evidence of each route of each roll-out in one datagram, which the receiver's buffer of 16,384 bytes cut, and dropped without a line or a count; 37,761 bytes with three entries and 160 routes. So each entry went by its own answers, of which no route had enough, and at the end of the time each took what it did not hear for consent.

On the code before, nothing told that a datagram was dropped: that is counted and logged now, at both ends.

Now a report holds the sum of the sender's evidence over all routes and twelve routes, in turn; a route that is not in it keeps what was said of it. Loads, outcomes, roll-outs and sessions have bounds as well. Of routes with too few answers of the old version all together are compared. An entry that has lost all of its peers neither grows a version's share nor stops the old one without grounds of its own.

--- a/source/core/policy/regression_detector.cpp
+++ b/source/core/policy/regression_detector.cpp
@@ -133,9 +133,24 @@
     return {values.mean(), values.weight()};
 }
 
-auto regression_evidence::has_baseline(const baseline& known) const -> bool
+auto regression_evidence::known_baseline(signal what) const -> sample_mean
 {
-    return baseline_estimate(known).count >= this->options.min_baseline_count;
+    return baseline_estimate(this->baselines[index_of(what)]);
+}
+
+auto regression_evidence::has_baseline(signal what) const -> bool
+{
+    return this->known_baseline(what).count >= this->options.min_baseline_count;
+}
+
+auto regression_evidence::has_pending(signal what) const -> bool
+{
+    return !this->baselines[index_of(what)].pending.empty();
+}
+
+auto regression_evidence::take_pending(signal what) -> std::vector<double>
+{
+    return std::exchange(this->baselines[index_of(what)].pending, {});
 }
 
 auto regression_evidence::baseline_error(signal what) const -> double
@@ -166,11 +181,10 @@
 auto regression_evidence::bet_on_pending(signal what) -> void
 {
     auto& known = this->baselines[index_of(what)];
-    if (known.pending.empty() || !this->has_baseline(known)) {
+    if (known.pending.empty() || !this->has_baseline(what)) {
         return;
     }
-    const auto pending = std::exchange(known.pending, {});
-    for (const double each : pending) {
+    for (const double each : this->take_pending(what)) {
         this->bet(what, each);
     }
 }
@@ -179,7 +193,7 @@
 {
     auto& known = this->baselines[index_of(what)];
     const double seen = clamp_unit(value);
-    if (this->has_baseline(known)) {
+    if (this->has_baseline(what)) {
         this->bet(what, seen);
         return;
     }
--- a/source/core/policy/regression_detector.hpp
+++ b/source/core/policy/regression_detector.hpp
@@ -118,6 +118,17 @@
     /// The old version's mean as observed by this process alone, to be pooled.
     [[nodiscard]] auto baseline_mean(signal what) const -> sample_mean;
 
+    /// The old version's mean as used for bets: over all processes, if those know more.
+    [[nodiscard]] auto known_baseline(signal what) const -> sample_mean;
+
+    /// Whether the old version is known well enough to bet.
+    [[nodiscard]] auto has_baseline(signal what) const -> bool;
+
+    [[nodiscard]] auto has_pending(signal what) const -> bool;
+
+    /// Removes and returns the observations of the new version that wait for a baseline.
+    auto take_pending(signal what) -> std::vector<double>;
+
 private:
     struct baseline {
         exponential_mean values;
@@ -128,7 +139,6 @@
     };
 
     [[nodiscard]] static auto baseline_estimate(const baseline& known) -> sample_mean;
-    [[nodiscard]] auto has_baseline(const baseline& known) const -> bool;
     [[nodiscard]] auto baseline_error(signal what) const -> double;
     auto bet_on_pending(signal what) -> void;
     auto bet(signal what, double value) -> void;
--- a/source/core/router/peer_report.cpp
+++ b/source/core/router/peer_report.cpp
@@ -92,6 +92,47 @@
     to.high_occupancy_old_failures = {value, std::max(next(), 0.0)};
 }
 
+auto fill(schema::TotalEvidence::Builder to, const routing::evidence_total& from) -> void
+{
+    auto logs = to.initWealth(static_cast<unsigned>(from.bets.size()));
+    for (unsigned i = 0; i < from.bets.size(); ++i) {
+        logs.set(i, static_cast<float>(from.bets[i]));
+    }
+    if (from.high_occupancy_bets.size() != policy::wealth_size) {
+        return;
+    }
+    const auto failures =
+        policy::bets_on(std::span<const double>(from.high_occupancy_bets), policy::signal::error);
+    auto fields = to.initHighOccupancyFailures(static_cast<unsigned>(failures.size()));
+    for (unsigned i = 0; i < failures.size(); ++i) {
+        fields.set(i, static_cast<float>(failures[i]));
+    }
+}
+
+/// Nothing if it comes from a release with other bets.
+auto read_total_evidence(schema::TotalEvidence::Reader from)
+    -> std::optional<routing::evidence_total>
+{
+    const auto valid = [](double log) {
+        return std::isfinite(log) ? log : 0.0;
+    };
+    routing::evidence_total total;
+    for (const double log : from.getWealth()) {
+        total.bets.push_back(valid(log));
+    }
+    if (total.bets.size() != policy::wealth_size) {
+        return std::nullopt;
+    }
+    total.high_occupancy_bets.assign(policy::wealth_size, 0.0);
+    const auto failures =
+        policy::bets_on(std::span<double>(total.high_occupancy_bets), policy::signal::error);
+    const auto fields = from.getHighOccupancyFailures();
+    for (unsigned i = 0; i < std::min<std::size_t>(failures.size(), fields.size()); ++i) {
+        failures[i] = valid(fields[i]);
+    }
+    return total;
+}
+
 auto read_evidence(schema::RouteEvidence::Reader from) -> std::optional<routing::evidence_report>
 {
     routing::evidence_report report;
@@ -128,6 +169,9 @@
         fill_mean_fields(one.initOldMeans(mean_field_count), report);
         fill_high_occupancy(one, report);
     }
+    if (from.total_evidence) {
+        fill(to.initTotalEvidence(), *from.total_evidence);
+    }
     to.setShare(from.share);
     to.setLoadTestShare(from.load_test_share);
     to.setFirstShare(from.first_share);
@@ -180,6 +224,9 @@
             report.evidence[routing::route_name{text_of(one.getRoute())}] = std::move(*evidence);
         }
     }
+    if (from.hasTotalEvidence()) {
+        report.total_evidence = read_total_evidence(from.getTotalEvidence());
+    }
     for (const auto one : from.getOldSessions()) {
         report.old_sessions.push_back(
             {one.getSession(), std::chrono::milliseconds{one.getLeftMs()}});
--- a/source/core/router/peers.capnp
+++ b/source/core/router/peers.capnp
@@ -75,6 +75,13 @@
   leftMs @1 :UInt32;
 }
 
+# The sum of a sender's evidence over all of its routes.
+struct TotalEvidence {
+  wealth @0 :List(Float32);
+  # Failures at servers with high occupancy: the bets on them.
+  highOccupancyFailures @1 :List(Float32);
+}
+
 struct Rollout {
   service @0 :Text;
   target @1 :Text;
@@ -97,6 +104,8 @@
   # earlier releases.
   orderedAt @13 :UInt64;
   judgedTo @14 :UInt64;
+  # Absent from earlier releases, whose `evidence` holds all routes; from others it holds some.
+  totalEvidence @15 :TotalEvidence;
 }
 
 struct OverloadReport {
--- a/source/core/router/router_metrics.cpp
+++ b/source/core/router/router_metrics.cpp
@@ -77,6 +77,12 @@
           "Queries to neighbours for missing changes of the server list.")),
       list_rejected(registry.counter_of(
           "router_list_rejected_total", "Server list updates that were rejected.")),
+      reports_shortened(registry.counter_of(
+          "router_reports_shortened_total", "Reports to peers that were too long.")),
+      datagrams_unsent(registry.counter_of(
+          "router_datagrams_unsent_total", "Datagrams to peers that the system did not send.")),
+      reports_rejected(registry.counter_of(
+          "router_reports_rejected_total", "Datagrams of peers that are no reports.")),
       stalls(registry.counter_of(
           "router_process_stalls_total", "Times that the process stood still for 0.5 s or more.")),
       stalled_ms(registry.counter_of(
--- a/source/core/router/router_metrics.hpp
+++ b/source/core/router/router_metrics.hpp
@@ -53,6 +53,11 @@
     metrics::counter& list_queries;
     /// Updates of the server list from neighbours that were malformed, or ahead of the store.
     metrics::counter& list_rejected;
+    /// Reports to peers that were shortened since they were too long; datagrams to peers that the
+    /// system did not send; and datagrams of peers that are no reports.
+    metrics::counter& reports_shortened;
+    metrics::counter& datagrams_unsent;
+    metrics::counter& reports_rejected;
 
     /// Times that the process stood still, and how long altogether.
     metrics::counter& stalls;
--- a/source/core/routing/load_tracker.cpp
+++ b/source/core/routing/load_tracker.cpp
@@ -1,9 +1,18 @@
 #include "routing/load_tracker.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace reedramp::routing {
 
+namespace {
+
+/// Maximum number of servers in one report (24 bytes each), those with the most work: more than an
+/// entry sends to at a time where hundreds of entries share the requests.
+constexpr std::size_t max_reported = 128;
+
+} // namespace
+
 auto load_tracker::begin(const server_instance& server, double work, double reading, double memory)
     -> void
 {
@@ -128,6 +137,12 @@
     for (const auto& [server, load] : this->ours) {
         all.push_back({hash_of(server), load});
     }
+    if (all.size() > max_reported) {
+        const auto most = all.begin() + static_cast<std::ptrdiff_t>(max_reported);
+        std::ranges::nth_element(
+            all, most, std::greater{}, [](const load_report& one) { return one.load.work; });
+        all.erase(most, all.end());
+    }
     return all;
 }
 
--- a/source/core/routing/rollout_manager.cpp
+++ b/source/core/routing/rollout_manager.cpp
@@ -168,6 +168,10 @@
     const bool is_doubtful = against.overall > this->settings.growth_below ||
                              against.high_occupancy > this->settings.high_occupancy_doubt;
     const bool is_unproven = needs_load_test(one) && this->usage_of(one).slots > 0;
+    if (against.overall > this->settings.growth_below && this->is_isolated(now)) {
+        // Peers may know that the version fails. Only what was seen here speaks for it.
+        return true;
+    }
     return (is_doubtful || is_unproven) && this->elapsed(one, now) < latest;
 }
 
@@ -308,6 +312,13 @@
     return is_meant && !is_kept;
 }
 
+auto rollout_manager::has_grounds_to_complete(const rollout& one, time_point now) const -> bool
+{
+    // "Complete" stops the old version, whatever peers know that are not heard.
+    return !this->is_isolated(now) ||
+           one.evidence.log_against().overall <= this->settings.growth_below;
+}
+
 auto rollout_manager::due_states(time_point now) const -> std::vector<rollout_status>
 {
     std::vector<rollout_status> wanted;
@@ -324,7 +335,9 @@
         if (state == rollout_state::running && this->must_revert(one, now)) {
             state = rollout_state::reverted;
         }
-        else if (state == rollout_state::running && (is_moved || part >= schedule.complete_at)) {
+        else if (
+            state == rollout_state::running && (is_moved || part >= schedule.complete_at) &&
+            this->has_grounds_to_complete(one, now)) {
             state = has_servers ? rollout_state::complete : rollout_state::reverted;
         }
         const bool is_over = one.written && *one.written != rollout_state::running;
--- a/source/core/routing/rollout_manager.hpp
+++ b/source/core/routing/rollout_manager.hpp
@@ -71,7 +71,9 @@
     std::chrono::milliseconds elapsed{0};
     /// Requests in flight on other versions, and active sessions there.
     unsigned left_on_old = 0;
+    /// Of some of its routes, in turn, and the sum over all of them; no sum from earlier releases.
     std::map<route_name, evidence_report> evidence;
+    std::optional<evidence_total> total_evidence;
     /// Share of sessions that this entry sends to the new version.
     double share = 0.0;
     /// The same of those that fill a server, while the load test lasts.
@@ -151,6 +153,10 @@
         -> void;
     [[nodiscard]] auto make_reports(time_point now) const -> std::vector<rollout_report>;
 
+    /// Chooses the roll-outs and routes of the next reports, so that each is reported in turn.
+    /// Called once all peers have got the present ones.
+    auto begin_report_round() -> void;
+
     /// Returns the newest roll-out of each service and its progress here, for the state page.
     [[nodiscard]] auto states(time_point now) const -> std::vector<rollout_progress>;
 
@@ -258,6 +264,8 @@
         /// The store has been restored since from a copy that may lack the order, so that operators
         /// write again what is in force.
         bool is_of_earlier_era = false;
+        /// The last route whose evidence was chosen in turn for reports.
+        route_name reported_to{};
         /// Whether the target has usable servers; empty while the list is not known.
         std::optional<bool> has_servers = std::nullopt;
     };
@@ -368,6 +376,8 @@
     /// Whether the new version has to be reverted: certainly worse, or doubtful when the time is
     /// up.
     [[nodiscard]] auto must_revert(const rollout& one, time_point now) const -> bool;
+    /// Whether enough is known of the new version to stop the old one.
+    [[nodiscard]] auto has_grounds_to_complete(const rollout& one, time_point now) const -> bool;
     auto refresh(rollout& one, time_point now) -> void;
     /// Fraction of the new version's servers over which its requests are spread.
     [[nodiscard]] auto spread_of(const rollout& one, session_kind kind, time_point now) const
@@ -404,8 +414,24 @@
     /// Whether the roll-out's share has grown beyond the first one: from then on sessions may
     /// change their version.
     [[nodiscard]] auto may_move(const rollout& one, time_point now) const -> bool;
-    [[nodiscard]] auto sessions_to_report(const rollout& one, time_point now) const
+    [[nodiscard]] auto
+    sessions_to_report(const rollout& one, std::size_t max_count, time_point now) const
         -> std::vector<session_report>;
+    [[nodiscard]] auto make_report(const rollout& one, std::size_t running, time_point now) const
+        -> rollout_report;
+    /// Number of roll-outs that are not over.
+    [[nodiscard]] auto running_count() const -> std::size_t;
+    /// The services of the roll-outs to report: those under way before those that are over.
+    [[nodiscard]] auto services_to_report() const -> std::vector<common::service_name>;
+
+    [[nodiscard]] static auto is_over(const rollout& one) -> bool
+    {
+        return one.state != rollout_state::running && one.written == one.state;
+    }
+
+    /// Whether this entry knows peers and hears none of them: what they know of a version is then
+    /// not known here.
+    [[nodiscard]] auto is_isolated(time_point now) const -> bool;
 
     rollout_options settings;
     std::uint64_t order_count = 0;
@@ -426,6 +452,8 @@
     std::map<common::service_name, service_usage> usages;
     std::map<common::service_name, request_rate> rates;
     std::map<std::pair<common::service_name, common::version_id>, request_rate> version_rates;
+    /// The service whose roll-out was chosen last for reports.
+    common::service_name last_reported;
     /// When each peer last reported, with or without a roll-out.
     std::map<common::host_id, time_point> peers_last_heard;
 };
--- a/source/core/routing/rollout_manager_peers.cpp
+++ b/source/core/routing/rollout_manager_peers.cpp
@@ -23,6 +23,21 @@
 /// entry.
 constexpr std::size_t max_reported_sessions = 96;
 
+/// Maximum number of roll-outs in one message, some 0.4 KB each: more than are under way at once.
+/// Those of further services are reported in turn.
+constexpr std::size_t max_reported_rollouts = 12;
+
+/// Maximum number of routes in one message whose evidence it holds, some 0.2 KB each, over all
+/// roll-outs.
+constexpr std::size_t max_reported_routes = 12;
+
+/// The same of one of so many roll-outs.
+auto reported_routes(std::size_t running) -> std::size_t
+{
+    constexpr std::size_t least = 3;
+    return std::max(least, max_reported_routes / std::max<std::size_t>(running, 1));
+}
+
 auto order_of(const rollout_report& report) -> rollout_order
 {
     return {report.service, report.target, report.allowed, report.ordered_at};
@@ -64,7 +79,7 @@
         // move yet.
         one.first_share =
             std::max(one.first_share, std::min(report.first_share, this->settings.max_first_share));
-        one.evidence.apply_report(peer, report.evidence);
+        one.evidence.apply_report(peer, report.evidence, report.total_evidence);
         one.reached_share = std::max(one.reached_share, std::min(report.share, 1.0));
         one.reached_load_test_share =
             std::max(one.reached_load_test_share, std::min(report.load_test_share, 1.0));
@@ -111,39 +126,81 @@
     }
 }
 
+auto rollout_manager::services_to_report() const -> std::vector<common::service_name>
+{
+    std::vector<common::service_name> under_way;
+    std::vector<common::service_name> over;
+    auto next = this->rollouts.upper_bound(this->last_reported);
+    for (std::size_t i = 0; i < this->rollouts.size(); ++i) {
+        next = next == this->rollouts.end() ? this->rollouts.begin() : next;
+        (is_over(next->second) ? over : under_way).push_back(next->first);
+        ++next;
+    }
+    under_way.insert(under_way.end(), over.begin(), over.end());
+    under_way.resize(std::min(under_way.size(), max_reported_rollouts));
+    return under_way;
+}
+
+auto rollout_manager::begin_report_round() -> void
+{
+    const auto chosen = this->services_to_report();
+    const auto running = this->running_count();
+    for (const auto& service : chosen) {
+        auto& one = this->rollouts.at(service);
+        one.reported_to = one.evidence.next_turn(reported_routes(running), one.reported_to);
+    }
+    if (this->rollouts.size() > max_reported_rollouts) {
+        this->last_reported = chosen.back();
+    }
+}
+
+auto rollout_manager::running_count() const -> std::size_t
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->rollouts, [](const auto& item) { return !is_over(item.second); }));
+}
+
 auto rollout_manager::make_reports(time_point now) const -> std::vector<rollout_report>
 {
+    const auto running = this->running_count();
     std::vector<rollout_report> all;
-    for (const auto& [service, one] : this->rollouts) {
-        const auto rate = this->rates.find(service);
-        rollout_report report{
-            service,
-            one.order.target,
-            one.order.allowed,
-            this->elapsed(one, now),
-            this->own_left_on_old(one, now),
-            {},
-            this->share_of(one, now),
-            one.reached_load_test_share,
-            one.first_share,
-            rate == this->rates.end() ? 0.0 : rate->second.per_second(now),
-            one.state,
-            one.written == one.state,
-            one.order.at,
-            this->histories.at(service).orders.judged_to(),
-            this->sessions_to_report(one, now)};
-        if (report.is_written && report.state != rollout_state::running) {
-            all.push_back(std::move(report)); // The evidence no longer matters.
-            continue;
-        }
-        report.evidence = one.evidence.make_report();
-        all.push_back(std::move(report));
+    for (const auto& service : this->services_to_report()) {
+        all.push_back(this->make_report(this->rollouts.at(service), running, now));
     }
     return all;
 }
 
-auto rollout_manager::sessions_to_report(const rollout& one, time_point now) const
-    -> std::vector<session_report>
+auto rollout_manager::make_report(const rollout& one, std::size_t running, time_point now) const
+    -> rollout_report
+{
+    const auto& service = one.order.service;
+    const auto rate = this->rates.find(service);
+    rollout_report report;
+    report.service = service;
+    report.target = one.order.target;
+    report.allowed = one.order.allowed;
+    report.elapsed = this->elapsed(one, now);
+    report.left_on_old = this->own_left_on_old(one, now);
+    report.share = this->share_of(one, now);
+    report.load_test_share = one.reached_load_test_share;
+    report.first_share = one.first_share;
+    report.rate = rate == this->rates.end() ? 0.0 : rate->second.per_second(now);
+    report.state = one.state;
+    report.is_written = one.written == one.state;
+    report.ordered_at = one.order.at;
+    report.judged_to = this->histories.at(service).orders.judged_to();
+    if (is_over(one)) {
+        return report; // The evidence no longer matters.
+    }
+    report.old_sessions = this->sessions_to_report(
+        one, std::max<std::size_t>(max_reported_sessions / running, 1), now);
+    report.evidence = one.evidence.make_report(reported_routes(running), one.reported_to);
+    report.total_evidence = one.evidence.total();
+    return report;
+}
+
+auto rollout_manager::sessions_to_report(
+    const rollout& one, std::size_t max_count, time_point now) const -> std::vector<session_report>
 {
     if (one.state != rollout_state::running || this->may_move(one, now)) {
         return {};
@@ -155,10 +212,19 @@
         [first_share = this->first_share_at_most(one)](std::uint64_t session) {
             return is_in_share(session, first_share);
         },
-        max_reported_sessions,
+        max_count,
         now);
 }
 
+auto rollout_manager::is_isolated(time_point now) const -> bool
+{
+    const auto is_heard = [now](const auto& item) {
+        return now - item.second <= peer_silence;
+    };
+    return !this->peers_last_heard.empty() &&
+           std::ranges::none_of(this->peers_last_heard, is_heard);
+}
+
 auto rollout_manager::left_on_old(const rollout& one, time_point now) const -> unsigned
 {
     auto count = this->own_left_on_old(one, now);
--- a/source/core/routing/server_health.cpp
+++ b/source/core/routing/server_health.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 #include "routing/server_table.hpp"
 
@@ -13,6 +14,8 @@
 constexpr double recent_memory_s = 2.0;
 /// Minimum decayed failures for a server to be reported.
 constexpr double min_reported = 0.4;
+/// Maximum number of servers in one report (24 bytes each), those with the most failures.
+constexpr std::size_t max_reported = 64;
 
 } // namespace
 
@@ -98,6 +101,11 @@
             all.push_back({hash_of(server), recent.good, recent.bad});
         }
     }
+    if (all.size() > max_reported) {
+        const auto most = all.begin() + static_cast<std::ptrdiff_t>(max_reported);
+        std::ranges::nth_element(all, most, std::greater{}, &outcome_report::bad);
+        all.erase(most, all.end());
+    }
     return all;
 }
 
--- a/source/core/routing/version_evidence.hpp
+++ b/source/core/routing/version_evidence.hpp
@@ -2,9 +2,14 @@
 
 #include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
+#include <vector>
 
 #include "common/ids.hpp"
 #include "policy/quality.hpp"
@@ -105,6 +110,17 @@
     auto operator==(const evidence_report&) const -> bool = default;
 };
 
+/// One process's evidence over all routes, sent to its peers.
+struct evidence_total {
+    policy::wealth bets;
+    policy::wealth high_occupancy_bets;
+
+    auto operator==(const evidence_total&) const -> bool = default;
+};
+
+/// Number of routes whose evidence is sent at a time, without a bound.
+inline constexpr std::size_t all_routes = std::numeric_limits<std::size_t>::max();
+
 /// Decides whether a new version is worse than the old one, per route and overall, from the
 /// evidence of all entries.
 ///
@@ -114,6 +130,11 @@
 ///
 /// Entries add up their bets. They also pool what they know of the old version: one of many entries
 /// has ten answers of a route's old version only after several seconds, and can't bet before.
+///
+/// A service may have hundreds of routes, more than a message between entries holds. Each entry
+/// sends the sum over all of its routes, and some routes at a time; what was sent of the others
+/// stays valid. Routes with too few answers of the old version are compared together: each of many
+/// routes has a handful of requests in a roll-out's time, and alone would never be judged.
 class version_evidence {
 public:
     explicit version_evidence(evidence_options options) : settings(options) {}
@@ -139,11 +160,23 @@
         double log_ms,
         time_bound bound = time_bound::seen) -> void;
 
-    /// Replaces a peer's earlier report.
-    auto apply_report(const common::host_id& peer, std::map<route_name, evidence_report> reports)
-        -> void;
+    /// Applies a peer's report on some of its routes, and the sum over all of them. Without a sum,
+    /// as from earlier releases, the routes are all that it has, and replace its earlier report.
+    auto apply_report(
+        const common::host_id& peer,
+        std::map<route_name, evidence_report> reports,
+        std::optional<evidence_total> total = std::nullopt) -> void;
+
+    /// Reports on `max_count` routes at most: those with the strongest evidence against the new
+    /// version, and those that follow on `turn` by name.
+    [[nodiscard]] auto
+    make_report(std::size_t max_count = all_routes, const route_name& turn = {}) const
+        -> std::map<route_name, evidence_report>;
 
-    [[nodiscard]] auto make_report() const -> std::map<route_name, evidence_report>;
+    /// The turn that follows on `turn`, so that each route is reported in time.
+    [[nodiscard]] auto next_turn(std::size_t max_count, const route_name& turn) const -> route_name;
+
+    [[nodiscard]] auto total() const -> evidence_total;
 
     /// Logarithms of the evidence (wealth of the bets) against the new version.
     struct sums {
@@ -175,11 +208,44 @@
         std::array<policy::exponential_mean, timed_part_count> baseline_times;
         /// Mean time to the old version's first event, in ms; 0 before the first one.
         double old_first_event_ms = 0.0;
+        /// Peers have reported on the route since its baselines were pooled.
+        bool is_pooling_due = false;
+    };
+
+    struct peer_route {
+        evidence_report report;
+        /// Number of the report that it came with.
+        std::uint64_t reported = 0;
+        /// Whether it has evidence against the new version.
+        bool has_won = false;
     };
 
+    struct peer_evidence {
+        evidence_total total;
+        std::map<route_name, peer_route> routes;
+        std::uint64_t reports = 0;
+    };
+
+    using routes_by_evidence = std::vector<const std::pair<const route_name, route_evidence>*>;
+
     auto at(const route_name& route) -> route_evidence&;
-    auto add(route_evidence& to, policy::signal what, version_side side, double value) -> void;
+    auto add(const route_name& route, policy::signal what, version_side side, double value) -> void;
+    /// Where an answer of the new version on a route counts: at the route, or with all routes of
+    /// which the old version has too few answers.
+    auto judged_at(route_evidence& route, policy::signal what) -> route_evidence&;
+    /// The old version's mean over the routes that have too few of its answers each.
+    [[nodiscard]] auto baseline_of_rare_routes(policy::signal what) const -> policy::sample_mean;
+    /// Counts answers that waited for their route's baseline with those of the other rare routes,
+    /// once these have one together.
+    auto judge_pending(policy::signal what) -> void;
     auto pool(const route_name& route) -> void;
+    /// Pools the route's baselines if answers wait for one.
+    auto judge_waiting(const route_name& route) -> void;
+    /// Forgets the peer's routes that were reported longest ago, beyond the bound on memory.
+    auto forget_surplus(peer_evidence& of) const -> void;
+    [[nodiscard]] auto routes_in_turn(std::size_t max_count, const route_name& turn) const
+        -> routes_by_evidence;
+    [[nodiscard]] auto strongest_routes(std::size_t max_count) const -> routes_by_evidence;
     /// Sets the old version's rate of failures at high occupancy: that of all its answers, which
     /// are many more, unless it is known to fail more often there.
     auto pool_high_occupancy(const route_name& route) -> void;
@@ -189,10 +255,10 @@
     [[nodiscard]] auto
     pooled(const route_name& route, policy::sample_mean own, const auto& mean_of) const
         -> policy::sample_mean;
-    [[nodiscard]] auto sum_of_bets(
-        const route_name& route,
-        const policy::regression_evidence& own,
-        policy::wealth evidence_report::*bets) const -> policy::wealth;
+    /// Routes on which some entry has evidence against the new version.
+    [[nodiscard]] auto suspected_routes() const -> std::set<route_name>;
+    /// The sum of all entries' bets on a route, as far as peers have reported on it.
+    [[nodiscard]] auto sum_of(const route_name& route) const -> evidence_total;
     [[nodiscard]] auto sum_up() const -> sums;
     [[nodiscard]] auto baseline_time(const route_name& route, timed_part part) const
         -> policy::sample_mean;
@@ -201,7 +267,7 @@
 
     evidence_options settings;
     std::map<route_name, route_evidence> routes;
-    std::map<common::host_id, std::map<route_name, evidence_report>> peers;
+    std::map<common::host_id, peer_evidence> peers;
     /// Result of `log_against` until the next change: it is needed for each request.
     mutable std::optional<sums> cached_sums;
 };
--- a/source/router/peer_group.cpp
+++ b/source/router/peer_group.cpp
@@ -51,6 +51,12 @@
 /// again.
 constexpr common::duration removal_silence = std::chrono::seconds{20};
 
+/// Longest report that is sent as it is; earlier releases receive no more than 16 KB. The lists in
+/// a report are bounded one by one to some 15 KB, unless names are very long.
+constexpr std::size_t max_report_bytes = 16'000;
+/// Limits log lines about reports that are too long, or rejected.
+constexpr common::duration size_log_interval = std::chrono::seconds{5};
+
 /// Name under which a process' evidence about versions is kept. The evidence stays valid after the
 /// process ends. Under the host name alone, the next process' empty report would replace it: after
 /// a rolling restart of all entries nothing was known against a bad version, and all callers were
@@ -145,10 +151,8 @@
     std::erase_if(this->peers, [now](const auto& item) {
         return now - item.second.last_heard > removal_silence;
     });
-    if (this->core->is_overload_controlled()) {
-        this->choose_speeds_to_report();
-    }
-    const auto bytes = router::encode(this->make_report(now, max_named_peers));
+    this->begin_round_when_due();
+    const auto bytes = this->encode_report(this->make_report(now, max_named_peers));
     const auto count = this->recipient_count(now);
     auto next = this->peers.upper_bound(this->last_recipient);
     for (std::size_t i = 0; i < count; ++i) {
@@ -161,13 +165,49 @@
     }
 }
 
-auto peer_group::choose_speeds_to_report() -> void
+auto peer_group::begin_round_when_due() -> void
 {
-    this->calls_with_speeds += 1;
-    if (this->calls_with_speeds < this->calls_per_round() && !this->speeds_to_report.empty()) {
-        return;
+    this->calls_in_round += 1;
+    const bool is_due = this->calls_in_round >= this->calls_per_round();
+    if (is_due) {
+        this->calls_in_round = 0;
+        this->core->rollouts.begin_report_round();
+    }
+    const bool has_speeds = !this->speeds_to_report.empty();
+    if (this->core->is_overload_controlled() && (is_due || !has_speeds)) {
+        this->choose_speeds_to_report();
+    }
+}
+
+auto peer_group::encode_report(router::peer_report report) -> std::string
+{
+    auto bytes = router::encode(report);
+    if (bytes.size() <= max_report_bytes) {
+        return bytes;
+    }
+    // Without the rows that the next reports repeat or replace.
+    const auto full = bytes.size();
+    for (auto& rollout : report.rollouts) {
+        rollout.evidence.clear();
+    }
+    report.outcomes.clear();
+    report.peers.clear();
+    bytes = router::encode(report);
+    this->core->counters.reports_shortened.add();
+    const auto now = this->core->hooks.clock();
+    if (now >= this->next_size_log_at) {
+        this->next_size_log_at = now + size_log_interval;
+        common::log(
+            common::log_part::members,
+            common::log_level::warning,
+            "report to peers shortened bytes=" + std::to_string(full) +
+                " to=" + std::to_string(bytes.size()));
     }
-    this->calls_with_speeds = 0;
+    return bytes;
+}
+
+auto peer_group::choose_speeds_to_report() -> void
+{
     this->speeds_to_report =
         routing::next_speed_reports(this->core->speeds, this->last_reported_speed);
     if (!this->speeds_to_report.empty()) {
@@ -231,7 +271,7 @@
     if (!to.forwards_updates) {
         return;
     }
-    const auto bytes = router::encode(this->make_report(now, max_named_peers));
+    const auto bytes = this->encode_report(this->make_report(now, max_named_peers));
     for (const auto& where : to.same_data_centre) {
         this->send(where, bytes);
     }
@@ -249,7 +289,11 @@
 {
     auto report = router::decode_peer_report(bytes);
     const auto from = report ? http::parse_endpoint(report->address) : std::nullopt;
-    if (!from || *from == this->own_address) {
+    if (!from) {
+        this->reject(bytes.size(), report ? "no address of a peer" : report.error().detail);
+        return;
+    }
+    if (*from == this->own_address) {
         return;
     }
     const auto now = this->core->hooks.clock();
@@ -301,6 +345,20 @@
     }
 }
 
+auto peer_group::reject(std::size_t size, const std::string& why) -> void
+{
+    this->core->counters.reports_rejected.add();
+    const auto now = this->core->hooks.clock();
+    if (now < this->next_rejection_log_at) {
+        return;
+    }
+    this->next_rejection_log_at = now + size_log_interval;
+    common::log(
+        common::log_part::members,
+        common::log_level::warning,
+        "peer report rejected bytes=" + std::to_string(size) + " why=" + why);
+}
+
 auto peer_group::note_list_update(const router::list_update& update, const http::endpoint& from)
     -> void
 {
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -128,10 +128,15 @@
     [[nodiscard]] auto silence() const -> common::duration;
     /// Removes the servers that the sender reports as leaving or ended.
     auto apply_server_reports(const router::peer_report& report, common::time_point now) -> void;
-    /// Chooses the servers whose speeds are reported, in turn. All peers get the same ones before
-    /// the next are chosen; otherwise a peer whose turn always comes with the same servers would
-    /// never learn of the others.
+    /// Chooses what is reported in turn, of that which does not fit into one report. All peers get
+    /// the same before the next is chosen; otherwise a peer whose turn always comes with the same
+    /// part would never learn of the others.
+    auto begin_round_when_due() -> void;
     auto choose_speeds_to_report() -> void;
+    /// Encodes a report, shortened if it is too long for peers.
+    auto encode_report(router::peer_report report) -> std::string;
+    /// Counts and logs a datagram that is no report.
+    auto reject(std::size_t size, const std::string& why) -> void;
     [[nodiscard]] auto make_report(common::time_point now, std::size_t max_named) const
         -> router::peer_report;
 
@@ -175,8 +180,11 @@
     /// peers do not all report the same servers at the same time.
     std::uint64_t last_reported_speed;
     std::vector<routing::speed_report> speeds_to_report;
-    /// Calls of `send_reports` with the present `speeds_to_report`.
-    std::size_t calls_with_speeds = 0;
+    /// Calls of `send_reports` since the last round began.
+    std::size_t calls_in_round = 0;
+    /// When lines on report sizes, and on rejected reports, may be logged again.
+    common::time_point next_size_log_at{};
+    common::time_point next_rejection_log_at{};
     common::time_point started;
     urgent_revisions sent_revisions;
     /// Until then all peers get reports within `urgent_round`, whatever their number.
--- a/source/router/process_implementation.hpp
+++ b/source/router/process_implementation.hpp
@@ -42,9 +42,8 @@
 inline constexpr std::string_view recorded_header = "Reedramp-Recorded";
 /// Interval of checks whether the start is complete.
 inline constexpr milliseconds start_check{5};
-/// Receive buffer for datagrams. A peer report has some hundred bytes, and a roll-out adds 100 for
-/// each of its routes.
-inline constexpr std::size_t max_datagram_bytes = 16384;
+/// Receive buffer for datagrams: the longest that UDP carries, so that none is cut.
+inline constexpr std::size_t max_datagram_bytes = 65'536;
 
 struct router_process::implementation {
     implementation(router_settings settings_to_use, platform_parts parts_of_platform);
@@ -69,6 +68,10 @@
     auto send_datagram(const http::endpoint& to, const std::string& bytes) -> void;
     auto answer_ready(const http::request& request, http::responder& out) const -> void;
     auto receive() -> void;
+    /// Counts and logs a datagram that the system did not send.
+    auto
+    note_unsent(const http::endpoint& to, std::size_t size, const boost::system::error_code& why)
+        -> void;
     auto every(milliseconds period, std::function<auto()->void> action) -> void;
     auto follow_store() -> void;
     /// Logs and counts that the process stood still.
@@ -131,6 +134,7 @@
     std::unique_ptr<http::server> callers_server;
     std::unique_ptr<http::server> balancer_server;
     std::unique_ptr<http::server> peers_server;
+    common::time_point next_unsent_log_at{};
     bool is_leaving = false;
     bool has_ended_requests = false;
     bool is_fetching_rules = false;
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -37,6 +37,8 @@
 constexpr milliseconds accept_delay{600};
 /// Largest request body at the ports of the balancer and of peers, whose requests have none.
 constexpr std::size_t largest_body_of_others = 4096;
+/// Limits log lines about datagrams that were not sent.
+constexpr std::chrono::seconds unsent_log_interval{5};
 /// How long a starting process waits for a port that is still taken.
 constexpr milliseconds port_wait{2000};
 
@@ -250,6 +252,25 @@
         // A lost datagram is made up for by the next one.
         this->datagrams.send_to(asio::buffer(bytes), {address, to.port}, 0, failed);
     }
+    if (failed) {
+        this->note_unsent(to, bytes.size(), failed);
+    }
+}
+
+auto router_process::implementation::note_unsent(
+    const http::endpoint& to, std::size_t size, const boost::system::error_code& why) -> void
+{
+    this->core->counters.datagrams_unsent.add();
+    const auto now = daemon::boot_time();
+    if (now < this->next_unsent_log_at) {
+        return;
+    }
+    this->next_unsent_log_at = now + unsent_log_interval;
+    common::log(
+        log_part::members,
+        log_level::warning,
+        "datagram not sent to=" + http::to_string(to) + " bytes=" + std::to_string(size) +
+            " why=" + why.message());
 }
 
 auto router_process::implementation::answer_ready(
