Keys stay needed when the last organisation is taken out of the configuration

Callers saw: nothing; strangers did.

Cause: whether keys are needed was guessed from the number of organisations, and the reader of the document took a missing list, an empty one and one of another type for the same. It failed open.

Evidence: all three entries refuse after the version that takes the key away, and run everything after the one that takes the organisation away; no record was skipped. The tests of [fail_closed] need the field that this adds; on the code before, the run above is the failing test.

The regions of a route or organisation had the same fault: an empty list opened all of them, and now allows none.

--- a/source/core/router/relay_target.cpp
+++ b/source/core/router/relay_target.cpp
@@ -144,8 +144,8 @@
 
 auto relay::has_region_limits() const -> bool
 {
-    return !this->request.route->homes.empty() ||
-           (this->request.owner != nullptr && !this->request.owner->homes.empty());
+    return this->request.route->homes.has_value() ||
+           (this->request.owner != nullptr && this->request.owner->homes.has_value());
 }
 
 auto relay::eligible_servers() const -> std::vector<const routing::registration*>
--- a/source/core/router/router_core.cpp
+++ b/source/core/router/router_core.cpp
@@ -339,7 +339,7 @@
     if (found == nullptr) {
         return common::failure(common::result_code::unknown_path);
     }
-    const bool needs_key = this->rules_in_force->rules().requires_keys() && !found->is_open;
+    const bool needs_key = this->rules_in_force->rules().requires_keys && !found->is_open;
     if (needs_key && this->rules_in_force->owner_of(caller.key) == nullptr) {
         return common::failure(common::result_code::unauthenticated);
     }
--- a/source/core/routing/configuration.hpp
+++ b/source/core/routing/configuration.hpp
@@ -59,8 +59,9 @@
     std::vector<weighted_service> targets;
     /// Models that may answer, smallest first. Empty if the caller names the model.
     std::vector<common::model_id> models;
-    /// Regions in which requests may be executed. Empty: all.
-    std::vector<common::region_id> homes;
+    /// Regions in which requests may be executed; all if none are configured. An empty list allows
+    /// none: an operator who takes the last region out opens no other one.
+    std::optional<std::vector<common::region_id>> homes;
 };
 
 struct priced_model {
@@ -85,7 +86,7 @@
     common::organisation_id name;
     std::vector<std::string> keys;
     /// As for a route. Both restrictions apply.
-    std::vector<common::region_id> homes{};
+    std::optional<std::vector<common::region_id>> homes{};
     /// Takes precedence over that of the route. Empty if the operators set none.
     std::optional<unsigned> priority{};
 };
@@ -116,11 +117,11 @@
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::vector<service> services;
+    /// Whether requests need the key of an organisation, on routes that are not open. It does not
+    /// follow from `organisations`: once the last one has been taken out, no key is known.
+    bool requires_keys = false;
     std::vector<organisation> organisations;
     caller_limits limits;
-
-    /// Whether requests need a key: any organisation is configured. Open routes are exempt.
-    [[nodiscard]] auto requires_keys() const -> bool { return !this->organisations.empty(); }
 };
 
 /// A configuration with lookup indexes. Immutable; shared by the requests that started under it.
--- a/source/unit_tests/router/admission_test.cpp
+++ b/source/unit_tests/router/admission_test.cpp
@@ -32,6 +32,31 @@
     }
 }
 
+TEST_CASE("rules without any organisation left refuse all keys", "[fail_closed]")
+{
+    // Guards against routes that are open to everybody once the last organisation was taken out.
+    router_fixture fixture;
+    const auto apply = [&fixture](std::uint64_t version, bool requires_keys) {
+        auto rules = rules_of(version);
+        rules.rules.requires_keys = requires_keys;
+        rules.rules.organisations.clear();
+        rules.rules.routes[2].is_open = true;
+        fixture.core->apply_rules(std::move(rules));
+    };
+    apply(2, true);
+    for (const auto* key : {"key", "stolen", ""}) {
+        INFO("key " << key);
+        CHECK(fixture.ask("/once/1", {{"Reedramp-Key", key}})->status() == 401);
+    }
+    CHECK(fixture.sends() == 0);
+    fixture.ask("/again/1", {{"Reedramp-Key", ""}});
+    CHECK(fixture.sends() == 1);
+    // Rules that know nothing of keys ask for none.
+    apply(3, false);
+    fixture.ask("/once/1", {{"Reedramp-Key", ""}});
+    CHECK(fixture.sends() == 2);
+}
+
 TEST_CASE("headers that only the system may set are removed", "[admission]")
 {
     // A caller sets reserved headers for a memory copy, a reservation and another organisation, and
--- a/source/unit_tests/router/home_regions_test.cpp
+++ b/source/unit_tests/router/home_regions_test.cpp
@@ -22,10 +22,10 @@
         [&fixture](std::uint64_t version, const char* of_route, const char* of_owner) {
             auto rules = rules_of(version);
             for (auto& route : rules.rules.routes) {
-                route.homes = {common::region_id{of_route}};
+                route.homes = std::vector{common::region_id{of_route}};
             }
             if (*of_owner != 0) {
-                rules.rules.organisations.front().homes = {common::region_id{of_owner}};
+                rules.rules.organisations.front().homes = std::vector{common::region_id{of_owner}};
             }
             fixture.core->apply_rules(std::move(rules));
         };
--- a/source/unit_tests/router/router_fixture.cpp
+++ b/source/unit_tests/router/router_fixture.cpp
@@ -119,6 +119,7 @@
     rules.services.resize(1);
     rules.services.front().name = common::service_name{"engines"};
     rules.services.front().models = {{common::model_id{"s"}, 0.01}, {common::model_id{"l"}, 0.2}};
+    rules.requires_keys = true;
     rules.organisations = {
         {common::organisation_id{"org"}, {"key", "key-2"}},
         {common::organisation_id{"other"}, {"key-of-other"}}};
