--- a/source/core/router/list_broadcaster.cpp
+++ b/source/core/router/list_broadcaster.cpp
@@ -22,9 +22,6 @@
 /// Bound on the error of ages that entries report to each other: the transit time of the message.
 constexpr std::chrono::seconds age_error{1};
 
-/// Limits log lines about updates rejected from a faulty neighbour.
-constexpr std::chrono::seconds rejection_log_interval{5};
-
 } // namespace
 
 list_broadcaster::list_broadcaster(
@@ -221,11 +218,9 @@
 auto list_broadcaster::reject(const std::string& from, const common::error& why) -> void
 {
     this->core->counters.list_rejected.add();
-    const auto now = this->core->hooks.clock();
-    if (now < this->next_rejection_log_at) {
+    if (!this->rejection_lines.may_log(this->core->hooks.clock())) {
         return;
     }
-    this->next_rejection_log_at = now + rejection_log_interval;
     common::log(
         log_part::members,
         log_level::warning,
--- a/source/core/router/list_broadcaster.hpp
+++ b/source/core/router/list_broadcaster.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "common/log_limiter.hpp"
 #include "http/message.hpp"
 #include "router/list_update.hpp"
 #include "router/servers_list.hpp"
@@ -97,7 +98,8 @@
     time_point next_query_at{};
     /// Since when the list has differed from a neighbour's at the same position.
     std::optional<time_point> differs_since;
-    time_point next_rejection_log_at{};
+    /// On updates rejected from a faulty neighbour.
+    common::log_limiter rejection_lines{std::chrono::seconds{5}};
 };
 
 } // namespace reedramp::router
--- a/source/router/peer_group.hpp
+++ b/source/router/peer_group.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "common/log_limiter.hpp"
 #include "http/message.hpp"
 #include "router/list_broadcaster.hpp"
 #include "router/peer_report.hpp"
@@ -182,9 +183,9 @@
     std::vector<routing::speed_report> speeds_to_report;
     /// Calls of `send_reports` since the last round began.
     std::size_t calls_in_round = 0;
-    /// When lines on report sizes, and on rejected reports, may be logged again.
-    common::time_point next_size_log_at{};
-    common::time_point next_rejection_log_at{};
+    /// On reports that are too long, and on datagrams that are no reports.
+    common::log_limiter size_lines{std::chrono::seconds{5}};
+    common::log_limiter rejection_lines{std::chrono::seconds{5}};
     common::time_point started;
     urgent_revisions sent_revisions;
     /// Until then all peers get reports within `urgent_round`, whatever their number.
--- a/source/router/process_implementation.hpp
+++ b/source/router/process_implementation.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include "common/log_limiter.hpp"
 #include "daemon/stall_monitor.hpp"
 #include "daemon/timer_queue.hpp"
 #include "http/client.hpp"
@@ -134,7 +135,8 @@
     std::unique_ptr<http::server> callers_server;
     std::unique_ptr<http::server> balancer_server;
     std::unique_ptr<http::server> peers_server;
-    common::time_point next_unsent_log_at{};
+    /// On datagrams that the system did not send.
+    common::log_limiter unsent_lines{std::chrono::seconds{5}};
     bool is_leaving = false;
     bool has_ended_requests = false;
     bool is_fetching_rules = false;
--- a/source/router/router_process.cpp
+++ b/source/router/router_process.cpp
@@ -37,8 +37,6 @@
 constexpr milliseconds accept_delay{600};
 /// Largest request body at the ports of the balancer and of peers, whose requests have none.
 constexpr std::size_t largest_body_of_others = 4096;
-/// Limits log lines about datagrams that were not sent.
-constexpr std::chrono::seconds unsent_log_interval{5};
 /// How long a starting process waits for a port that is still taken.
 constexpr milliseconds port_wait{2000};
 
@@ -261,11 +259,9 @@
     const http::endpoint& to, std::size_t size, const boost::system::error_code& why) -> void
 {
     this->core->counters.datagrams_unsent.add();
-    const auto now = daemon::boot_time();
-    if (now < this->next_unsent_log_at) {
+    if (!this->unsent_lines.may_log(daemon::boot_time())) {
         return;
     }
-    this->next_unsent_log_at = now + unsent_log_interval;
     common::log(
         log_part::members,
         log_level::warning,
