A server that appears again right after its end is asked whether it is back

Cause: what is missing is not in the record: the last registration of a server that left and the first one of a server that is back look the same. Time alone would keep servers that are back out of use for ten seconds, where they have to get work at once.

Now the entry asks the server itself, by the status check that its service has: 200 means healthy and not leaving. Anything else is asked again each 300 ms, until ten seconds after the end, when no late write can appear any more. Without a status check it is as before.

--- a/source/core/router/servers_list.cpp
+++ b/source/core/router/servers_list.cpp
@@ -216,8 +216,7 @@
         this->log_event(event, change);
         return event;
     }
-    const auto event = servers.apply_registration(
-        this->with_read_time(*change.now, now), now, facts.source, facts.written_after);
+    const auto event = this->apply_registration(change, facts, now);
     if (event == table_event::written_before_end) {
         this->on_written_before_end(*change.now, facts, now);
     }
@@ -227,6 +226,45 @@
     return event;
 }
 
+auto servers_list::apply_registration(
+    const registration_change& change, const reading_facts& facts, time_point now) -> table_event
+{
+    auto& servers = this->core->servers;
+    const auto& read = *change.now;
+    const auto ended_at = read.is_leaving || servers.state_of(read.id)
+                              ? std::nullopt
+                              : servers.recent_end_of(read.instance(), now);
+    const bool is_doubtful =
+        ended_at && !servers.end_after(read, now, facts.source) && this->checker().can_check(read);
+    if (is_doubtful) {
+        this->checker().check(read, *ended_at + routing::late_write_window);
+        return table_event::unconfirmed;
+    }
+    return servers.apply_registration(
+        this->with_read_time(read, now), now, facts.source, facts.written_after);
+}
+
+auto servers_list::apply_confirmed(const routing::registration& read) -> void
+{
+    const auto now = this->core->hooks.clock();
+    const auto event = this->core->servers.apply_registration(this->with_read_time(read, now), now);
+    this->log_event(event, {read.id, read});
+    this->after_change(now);
+}
+
+auto servers_list::checker() -> return_checker&
+{
+    if (this->returns == nullptr) {
+        this->returns = std::make_shared<return_checker>(
+            this->core, [self = this->weak_from_this()](const routing::registration& read) {
+                if (const auto list = self.lock()) {
+                    list->apply_confirmed(read);
+                }
+            });
+    }
+    return *this->returns;
+}
+
 auto servers_list::on_written_before_end(
     const routing::registration& read, const reading_facts& facts, time_point now) -> void
 {
@@ -285,6 +323,7 @@
     const common::server_id& id, const routing::registration_end& end, time_point now)
     -> table_event
 {
+    this->checker().forget(id);
     const auto event = this->core->servers.lapse(id, end, now);
     // If there was never an outage, its end lies too far in the past for a meaningful difference.
     const auto until = std::max(this->kept_until(now), now);
--- a/source/core/router/servers_list.hpp
+++ b/source/core/router/servers_list.hpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "router/return_checker.hpp"
 #include "router/router_core.hpp"
 #include "router/rules_follower.hpp"
 #include "routing/list_journal.hpp"
@@ -96,6 +97,14 @@
         const routing::registration_change& change,
         const reading_facts& facts,
         time_point now) const -> routing::registration_end;
+    /// Applies a registration, or has its server asked first.
+    auto apply_registration(
+        const routing::registration_change& change, const reading_facts& facts, time_point now)
+        -> routing::table_event;
+    /// Uses a server that is back after its end.
+    auto apply_confirmed(const routing::registration& read) -> void;
+    /// Made at the first use, as it refers to this list.
+    auto checker() -> return_checker&;
     /// Logs a registration that was written before the end of its instance, and reports that end to
     /// peers again.
     auto on_written_before_end(
@@ -128,6 +137,7 @@
     /// When the last reading of this entry was requested.
     std::optional<time_point> last_asked_at;
     routing::list_journal journal;
+    std::shared_ptr<return_checker> returns;
     bool is_check_scheduled = false;
     time_point last_sweep{};
 };
--- a/source/core/routing/configuration.hpp
+++ b/source/core/routing/configuration.hpp
@@ -80,6 +80,8 @@
     std::vector<priced_model> models;
     /// Requests per second that a cold server can handle; 0 if it needs no limit.
     double cold_per_second = 0.0;
+    /// Path of the status check of its servers; empty if they have none.
+    std::string health_path;
 };
 
 struct organisation {
--- a/source/core/routing/departure_tracker.cpp
+++ b/source/core/routing/departure_tracker.cpp
@@ -130,6 +130,15 @@
     return is_same_run ? std::optional{known} : std::nullopt;
 }
 
+auto departure_tracker::recent_end_of(const server_instance& instance, time_point now) const
+    -> std::optional<time_point>
+{
+    const auto found = this->ended_instances.find(hash_of(instance));
+    const bool is_recent =
+        found != this->ended_instances.end() && now - found->second.at <= late_write_window;
+    return is_recent ? std::optional{found->second.at} : std::nullopt;
+}
+
 auto departure_tracker::expire(time_point now) -> void
 {
     std::erase_if(this->newest_leaving, [now](const auto& one) {
--- a/source/core/routing/departure_tracker.hpp
+++ b/source/core/routing/departure_tracker.hpp
@@ -73,6 +73,11 @@
     end_after(const registration& read, time_point now, record_source source) const
         -> std::optional<ended_instance>;
 
+    /// When the instance ended, if that is known and so recent that a registration from before it
+    /// may still appear.
+    [[nodiscard]] auto recent_end_of(const server_instance& instance, time_point now) const
+        -> std::optional<time_point>;
+
     /// Removes what need no longer be reported to peers, or known.
     auto expire(time_point now) -> void;
 
--- a/source/core/routing/server_table.cpp
+++ b/source/core/routing/server_table.cpp
@@ -55,6 +55,8 @@
         return "late";
     case table_event::written_before_end:
         return "written_before_end";
+    case table_event::unconfirmed:
+        return "unconfirmed";
     }
     return "unknown";
 }
--- a/source/core/routing/server_table.hpp
+++ b/source/core/routing/server_table.hpp
@@ -53,6 +53,8 @@
     late,
     /// The registration was written before the end of its instance that is known, and was ignored.
     written_before_end,
+    /// The instance ended seconds ago; the server is asked whether it is back.
+    unconfirmed,
 };
 
 auto to_string(table_event event) -> std::string_view;
@@ -147,6 +149,13 @@
         return this->departures.end_after(read, now, source);
     }
 
+    /// When the instance ended, if a registration from before that may still appear.
+    [[nodiscard]] auto recent_end_of(const server_instance& instance, time_point now) const
+        -> std::optional<time_point>
+    {
+        return this->departures.recent_end_of(instance, now);
+    }
+
     /// Reports the end of an instance to peers again; `read_to` as in `ended_report`.
     auto report_end_again(const server_instance& instance, std::uint64_t read_to, time_point now)
         -> void
